Add design page, protobuf definitions and base packages

The design page fixes packages, lock ranks, messages and failure behaviour. lock, worker, counter, event and request are the types that all other packages build on.

--- /dev/null
+++ b/counter/counter.go
@@ -0,0 +1,56 @@
+// Package counter publishes counters by reason through expvar, under
+// /debug/vars.
+package counter
+
+import (
+	"expvar"
+	"sync"
+)
+
+// Set is a group of counters with one name, such as all refusals by reason.
+// Concurrent calls are safe.
+type Set struct {
+	values expvar.Map
+}
+
+// published keeps expvar from panicking when tests build several instances in
+// one process: the latest set of a name replaces the earlier one.
+var published sync.Map
+
+// NewSet returns a set of counters and publishes it under name.
+func NewSet(name string) *Set {
+	s := &Set{}
+	if _, loaded := published.Swap(name, s); !loaded {
+		expvar.Publish(name, expvar.Func(func() any { return current(name) }))
+	}
+	return s
+}
+
+func current(name string) map[string]int64 {
+	s, ok := published.Load(name)
+	if !ok {
+		return nil
+	}
+	return s.(*Set).Values()
+}
+
+// Add adds 1 to the counter of a reason.
+func (s *Set) Add(reason string) {
+	s.values.Add(reason, 1)
+}
+
+// AddN adds n to the counter of a reason.
+func (s *Set) AddN(reason string, n int64) {
+	s.values.Add(reason, n)
+}
+
+// Values returns a copy of all counters.
+func (s *Set) Values() map[string]int64 {
+	values := map[string]int64{}
+	s.values.Do(func(kv expvar.KeyValue) {
+		if n, ok := kv.Value.(*expvar.Int); ok {
+			values[kv.Key] = n.Value()
+		}
+	})
+	return values
+}
--- /dev/null
+++ b/event/update_test.go
@@ -0,0 +1,5 @@
+package event_test
+
+import "flag"
+
+var update = flag.Bool("update", false, "rewrite docs/EVENTS.md")
--- /dev/null
+++ b/lock/lock.go
@@ -0,0 +1,47 @@
+// Package lock provides mutexes with a rank. A goroutine may lock a mutex only
+// if its rank is higher than that of every mutex it already holds, so that no
+// two goroutines can wait for each other. Builds with the tag lockcheck panic
+// on a violation; other builds pay nothing for the rank.
+package lock
+
+import "sync"
+
+// The ranks of all tables, lowest first. A goroutine locks them in rising order.
+const (
+	RankCatalogue  = 10
+	RankOwnership  = 20
+	RankMember     = 30
+	RankDispatch   = 40
+	RankBackend    = 50
+	RankRequest    = 60
+	RankClaim      = 70
+	RankPrecedence = 80
+	RankPeer       = 85
+	RankCounter    = 90
+)
+
+// Ranked is a mutex with a rank. Create it with New.
+type Ranked struct {
+	rank int
+	name string
+	mu   sync.Mutex
+}
+
+// New returns an unlocked mutex with the given rank. The name appears in the
+// message about a violation.
+func New(rank int, name string) *Ranked {
+	return &Ranked{rank: rank, name: name}
+}
+
+// Lock locks the mutex.
+func (r *Ranked) Lock() {
+	r.checkOrder()
+	r.mu.Lock()
+	r.recordHeld()
+}
+
+// Unlock unlocks the mutex.
+func (r *Ranked) Unlock() {
+	r.recordReleased()
+	r.mu.Unlock()
+}
--- /dev/null
+++ b/request/reason.go
@@ -0,0 +1,118 @@
+package request
+
+// Reason is the stable code of a refusal or failure. Reasons are sentinel
+// errors: test them with errors.Is.
+type Reason string
+
+// Error returns the code.
+func (r Reason) Error() string { return string(r) }
+
+// The reasons. docs/OPERATIONS.md tells operators what each one means.
+const (
+	ReasonMalformed            Reason = "malformed"
+	ReasonInputTooLarge        Reason = "inputTooLarge"
+	ReasonNoCatalogue          Reason = "noCatalogue"
+	ReasonUnknownWorkspace     Reason = "unknownWorkspace"
+	ReasonUnknownTarget        Reason = "unknownTarget"
+	ReasonUnknownClass         Reason = "unknownClass"
+	ReasonDeadlineOver         Reason = "deadlineOver"
+	ReasonDeadlineTooLong      Reason = "deadlineTooLong"
+	ReasonDuplicateRequest     Reason = "duplicateRequest"
+	ReasonKeyRequired          Reason = "keyRequired"
+	ReasonKeyMalformed         Reason = "keyMalformed"
+	ReasonKeyOutsideWindow     Reason = "keyOutsideWindow"
+	ReasonKeyMismatch          Reason = "keyMismatch"
+	ReasonKeyRunning           Reason = "keyRunning"
+	ReasonClaimLogUnavailable  Reason = "claimLogUnavailable"
+	ReasonWorkspaceLimit       Reason = "workspaceLimit"
+	ReasonTargetLimit          Reason = "targetLimit"
+	ReasonQueueFull            Reason = "queueFull"
+	ReasonNoServer             Reason = "noServer"
+	ReasonDeadlineUnattainable Reason = "deadlineUnattainable"
+	ReasonLeaving              Reason = "leaving"
+	ReasonPeerUnreachable      Reason = "peerUnreachable"
+	ReasonRightEnded           Reason = "rightEnded"
+	ReasonServerUnreachable    Reason = "serverUnreachable"
+	ReasonServerCold           Reason = "serverCold"
+	ReasonServerFailed         Reason = "serverFailed"
+	ReasonResultInvalid        Reason = "resultInvalid"
+	ReasonRetryBudget          Reason = "retryBudget"
+	ReasonDeadlinePassed       Reason = "deadlinePassed"
+	ReasonCancelled            Reason = "cancelled"
+	ReasonOutcomeUnknown       Reason = "outcomeUnknown"
+)
+
+// reasonTraits says how a reason may be used.
+type reasonTraits struct {
+	reason Reason
+	// retryStep: the same step may be tried on another server, within the
+	// deadline and the retry budget, if it is idempotent or was not sent.
+	retryStep bool
+	// retryRequest: the caller may send the same request again.
+	retryRequest bool
+	// afterSend: the reason can arise after a byte was sent.
+	afterSend bool
+}
+
+var traits = []reasonTraits{
+	{ReasonMalformed, false, false, false},
+	{ReasonInputTooLarge, false, false, false},
+	{ReasonNoCatalogue, false, true, false},
+	{ReasonUnknownWorkspace, false, false, false},
+	{ReasonUnknownTarget, false, false, false},
+	{ReasonUnknownClass, false, false, false},
+	{ReasonDeadlineOver, false, false, false},
+	{ReasonDeadlineTooLong, false, false, false},
+	{ReasonDuplicateRequest, false, false, false},
+	{ReasonKeyRequired, false, false, false},
+	{ReasonKeyMalformed, false, false, false},
+	{ReasonKeyOutsideWindow, false, false, false},
+	{ReasonKeyMismatch, false, false, false},
+	{ReasonKeyRunning, false, true, true},
+	{ReasonClaimLogUnavailable, false, true, false},
+	{ReasonWorkspaceLimit, false, true, false},
+	{ReasonTargetLimit, false, true, false},
+	{ReasonQueueFull, false, true, true},
+	{ReasonNoServer, true, true, true},
+	{ReasonDeadlineUnattainable, false, true, true},
+	{ReasonLeaving, true, true, true},
+	{ReasonPeerUnreachable, true, true, true},
+	{ReasonRightEnded, true, true, true},
+	{ReasonServerUnreachable, true, true, true},
+	{ReasonServerCold, true, true, true},
+	{ReasonServerFailed, true, true, true},
+	{ReasonResultInvalid, true, true, true},
+	{ReasonRetryBudget, false, true, true},
+	{ReasonDeadlinePassed, false, true, true},
+	{ReasonCancelled, false, false, true},
+	{ReasonOutcomeUnknown, false, false, true},
+}
+
+// Reasons returns all reasons in a fixed order.
+func Reasons() []Reason {
+	all := make([]Reason, 0, len(traits))
+	for _, t := range traits {
+		all = append(all, t.reason)
+	}
+	return all
+}
+
+func (r Reason) traits() reasonTraits {
+	for _, t := range traits {
+		if t.reason == r {
+			return t
+		}
+	}
+	return reasonTraits{reason: r, afterSend: true}
+}
+
+// RetriesStep reports whether a step that failed for this reason may be tried
+// on another server.
+func (r Reason) RetriesStep() bool { return r.traits().retryStep }
+
+// RetriesRequest reports whether a caller may send the request again.
+func (r Reason) RetriesRequest() bool { return r.traits().retryRequest }
+
+// ArisesAfterSend reports whether the reason can arise after a byte was sent to
+// a backend server. All other reasons always mean "not run".
+func (r Reason) ArisesAfterSend() bool { return r.traits().afterSend }
