--- /dev/null
+++ b/codec/codec.go
@@ -0,0 +1,43 @@
+// Package codec encodes the records that the system's own processes write to
+// the log and send to each other. The records are msgpack maps with names in
+// camel case. Decoding refuses unknown fields and trailing bytes.
+package codec
+
+import (
+	"bytes"
+	"errors"
+	"io"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// ErrMalformed is returned for bytes that are no record of the wanted type.
+var ErrMalformed = errors.New("malformed record")
+
+// Marshal encodes a record. Its fields carry msgpack tags.
+func Marshal(record any) ([]byte, error) {
+	var buf bytes.Buffer
+	enc := msgpack.NewEncoder(&buf)
+	enc.UseCompactInts(true)
+	enc.SetSortMapKeys(true)
+	if err := enc.Encode(record); err != nil {
+		return nil, eris.Wrap(err, "encode record")
+	}
+	return buf.Bytes(), nil
+}
+
+// Unmarshal decodes data into record, a pointer. It returns ErrMalformed if the
+// bytes are no such record.
+func Unmarshal(data []byte, record any) (err error) {
+	r := bytes.NewReader(data)
+	dec := msgpack.NewDecoder(r)
+	dec.DisallowUnknownFields(true)
+	if err := dec.Decode(record); err != nil {
+		return eris.Wrap(ErrMalformed, err.Error())
+	}
+	if _, err := r.ReadByte(); !errors.Is(err, io.EOF) {
+		return eris.Wrap(ErrMalformed, "trailing bytes")
+	}
+	return nil
+}
--- a/worker/pool_test.go
+++ b/worker/pool_test.go
@@ -27,9 +27,7 @@
 			return n, ctx.Err() == nil
 		},
 		Execute: func(context.Context, int64) {
-			n := running.Add(1)
-			for m := most.Load(); n > m && !most.CompareAndSwap(m, n); m = most.Load() {
-			}
+			raise(&most, running.Add(1))
 			running.Add(-1)
 			done.Add(1)
 		},
@@ -39,3 +37,11 @@
 	is.True(most.Load() <= size)
 	is.Equal(running.Load(), int64(0))
 }
+
+// raise sets most to n if that is larger.
+func raise(most *atomic.Int64, n int64) {
+	m := most.Load()
+	for n > m && !most.CompareAndSwap(m, n) {
+		m = most.Load()
+	}
+}
