--- /dev/null
+++ b/backend/choose.go
@@ -0,0 +1,102 @@
+package backend
+
+import (
+	"slices"
+	"time"
+)
+
+// Rights are what an instance may dispatch to a pool at the moment.
+type Rights struct {
+	// Cold allows work for servers that are not warm.
+	Cold bool
+	// WarmShare is the divisor of the limits of warm servers: 1 for all of it, 2
+	// for half, 0 for none.
+	WarmShare int
+}
+
+// Limit returns how many steps a server may have in flight under the rights.
+func (s Server) Limit(r Rights) int {
+	if s.Leaving {
+		return 0
+	}
+	if s.Warmth != Warm {
+		if r.Cold {
+			return s.Allowed
+		}
+		return 0
+	}
+	if r.WarmShare == 0 {
+		return 0
+	}
+	return max(1, s.Allowed/r.WarmShare)
+}
+
+// IsFree reports whether a server may get one more step of a rank.
+func (s Server) IsFree(rank int, r Rights, now time.Time) bool {
+	return rank <= s.LowestRank && s.InFlight < s.Limit(r) && !now.Before(s.blockedUntil)
+}
+
+// ExpectedTime estimates how long one more step takes at the server. The
+// smoothed time already holds what other steps cost at the usual load; the
+// second factor spreads work before a server is full.
+func (s Server) ExpectedTime() time.Duration {
+	return s.ServiceTime + s.ServiceTime*time.Duration(s.InFlight)/time.Duration(max(1, s.Allowed))
+}
+
+// Choose returns the free server with the shortest expected time. It takes one
+// of the avoided servers only if no other is free.
+func Choose(servers []Server, rank int, avoid []string, r Rights, now time.Time) (Server, bool) {
+	var best Server
+	found, bestAvoided := false, false
+	for _, s := range servers {
+		if !s.IsFree(rank, r, now) {
+			continue
+		}
+		avoided := slices.Contains(avoid, s.Name)
+		if !found || isBetter(s, best, avoided, bestAvoided) {
+			best, found, bestAvoided = s, true, avoided
+		}
+	}
+	return best, found
+}
+
+func isBetter(s, best Server, avoided, bestAvoided bool) bool {
+	if avoided != bestAvoided {
+		return bestAvoided
+	}
+	a, b := s.ExpectedTime(), best.ExpectedTime()
+	if a != b {
+		return a < b
+	}
+	return s.InFlight < best.InFlight
+}
+
+// Capacity sums up what a pool can do under some rights.
+type Capacity struct {
+	// Slots is the number of steps that may be in flight.
+	Slots int
+	// Fastest is the shortest known service time, 0 if none is known.
+	Fastest time.Duration
+	// PerSecond is the number of steps a second at the known service times.
+	PerSecond float64
+}
+
+// CapacityOf returns the capacity of some servers for steps of a rank.
+func CapacityOf(servers []Server, rank int, r Rights) Capacity {
+	var c Capacity
+	for _, s := range servers {
+		limit := s.Limit(r)
+		if limit == 0 || rank > s.LowestRank {
+			continue
+		}
+		c.Slots += limit
+		if s.ServiceTime <= 0 {
+			continue
+		}
+		c.PerSecond += float64(limit) / s.ServiceTime.Seconds()
+		if c.Fastest == 0 || s.ServiceTime < c.Fastest {
+			c.Fastest = s.ServiceTime
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/dispatch/commands.go
@@ -0,0 +1,277 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"lycheecrank.example/backend"
+	"lycheecrank.example/request"
+)
+
+// Commands changes a Table. Concurrent calls are safe.
+type Commands struct {
+	table *Table
+}
+
+// Do queues a step and waits for its outcome. If the context ends first, a
+// waiting step is withdrawn; one that was dispatched is waited for, since its
+// server gets the same context.
+func (c Commands) Do(ctx context.Context, step request.Step, sink request.Sink) (request.Result, error) {
+	w := &waiting{ctx: ctx, step: step, sink: sink, enqueued: time.Now(), done: make(chan Outcome, 1), index: -1}
+	if err := c.add(w); err != nil {
+		return request.Result{}, err
+	}
+	select {
+	case o := <-w.done:
+		return o.unpack()
+	case <-ctx.Done():
+	}
+	if c.withdraw(w) {
+		return request.Result{}, contextFailure(ctx)
+	}
+	return (<-w.done).unpack()
+}
+
+func (o Outcome) unpack() (request.Result, error) {
+	if o.Failure != nil {
+		return request.Result{}, *o.Failure
+	}
+	return o.Result, nil
+}
+
+func contextFailure(ctx context.Context) request.Failure {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return request.Refuse(request.ReasonDeadlinePassed, "the deadline passed while the step waited")
+	}
+	return request.Refuse(request.ReasonCancelled, "the request was cancelled while the step waited")
+}
+
+// add puts a step into the queue unless it can't be served.
+func (c Commands) add(w *waiting) error {
+	t := c.table
+	now := time.Now()
+	rights := t.Rights(w.step.Pool, now)
+	capacity := t.Capacity(w.step.Pool, w.step.Rank, rights)
+	limit := t.MaxQueued(w.step.Pool)
+	t.mu.Lock()
+	refusal := c.enqueue(w, capacity, limit, now)
+	t.mu.Unlock()
+	if refusal != nil {
+		c.decide(Decision{Step: w.step, Reason: refusal.Reason, At: now})
+		return *refusal
+	}
+	return nil
+}
+
+// enqueue adds a step or returns why not. The caller holds the lock.
+func (c Commands) enqueue(w *waiting, capacity backend.Capacity, limit int, now time.Time) *request.Failure {
+	t := c.table
+	q, ok := t.pools[w.step.Pool]
+	if !ok {
+		q = newPoolQueue(w.step.Pool)
+		t.pools[w.step.Pool] = q
+		t.order = append(t.order, w.step.Pool)
+	}
+	if t.closed {
+		return refusal(request.ReasonLeaving, "the instance is leaving")
+	}
+	if q.count >= limit {
+		return refusal(request.ReasonQueueFull, "too many steps wait for pool "+q.name)
+	}
+	wait := expectedWait(q.ahead(w.step.Rank), capacity)
+	if now.Add(wait + capacity.Fastest).After(w.step.Deadline) {
+		return refusal(request.ReasonDeadlineUnattainable, "the steps ahead take "+wait.String())
+	}
+	q.add(w)
+	t.changed.Signal()
+	return nil
+}
+
+func refusal(r request.Reason, detail string) *request.Failure {
+	f := request.Refuse(r, detail)
+	return &f
+}
+
+// expectedWait is the time until a number of steps ahead have been dispatched;
+// steps that fit into the pool's slots at once cost nothing.
+func expectedWait(ahead int, c backend.Capacity) time.Duration {
+	if c.PerSecond == 0 || ahead < c.Slots {
+		return 0
+	}
+	return time.Duration(float64(ahead-c.Slots) / c.PerSecond * float64(time.Second))
+}
+
+func (c Commands) withdraw(w *waiting) bool {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.pools[w.step.Pool].remove(w)
+}
+
+// Next waits for a step that a server can take, and reserves the slot. It
+// reports false once the context has ended.
+func (c Commands) Next(ctx context.Context) (Assignment, bool) {
+	t := c.table
+	stop := context.AfterFunc(ctx, func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.changed.Broadcast()
+	})
+	defer stop()
+	t.mu.Lock()
+	for ctx.Err() == nil {
+		if a, d, ok := c.assign(time.Now()); ok {
+			t.mu.Unlock()
+			c.decide(d)
+			return a, true
+		}
+		t.changed.Wait()
+	}
+	t.mu.Unlock()
+	return Assignment{}, false
+}
+
+// assign takes the best step of the first pool that has a free server. The
+// caller holds the lock.
+func (c Commands) assign(now time.Time) (Assignment, Decision, bool) {
+	t := c.table
+	for i, name := range t.order {
+		q := t.pools[name]
+		w := q.best()
+		if w == nil {
+			continue
+		}
+		s, ok := t.Reserve(name, w.step.Rank, w.step.Avoid, t.Rights(name, now), now)
+		if !ok {
+			continue
+		}
+		q.remove(w)
+		q.charge(w)
+		t.order = append(append(append([]string{}, t.order[i+1:]...), t.order[:i]...), name)
+		d := Decision{Step: w.step, Server: s.Name, Waiting: q.ahead(w.step.Rank), At: now}
+		return Assignment{Step: w.step, Server: s, Sink: w.sink, ctx: w.ctx, enqueued: w.enqueued, assigned: now, done: w.done}, d, true
+	}
+	return Assignment{}, Decision{}, false
+}
+
+// Run executes an assignment and reports its outcome. It is the job of a
+// worker. The call to the server ends with the worker's context or with the
+// context of the step, whichever ends first.
+func (c Commands) Run(ctx context.Context, a Assignment) {
+	t := c.table
+	ctx, cancel := context.WithDeadline(ctx, a.Step.Deadline)
+	defer cancel()
+	stop := context.AfterFunc(a.ctx, cancel)
+	defer stop()
+	now := time.Now()
+	if f := c.checkRight(a, now); f != nil {
+		t.Return(a.Server.Name)
+		c.finish(a, Outcome{Failure: f})
+		return
+	}
+	e := t.Execute(ctx, a)
+	o := backend.Observation{Responded: e.Responded, Incarnation: e.Incarnation}
+	if e.Failure != nil {
+		o.Reason = e.Failure.Reason
+		t.Failures.Add(string(o.Reason))
+	}
+	t.Release(a.Server.Name, o, time.Now())
+	e.Result.Waited = a.assigned.Sub(a.enqueued)
+	c.finish(a, Outcome{Result: e.Result, Failure: e.Failure})
+}
+
+// checkRight is the check at the last moment before a step is sent: an
+// instance that was paused since the choice must not send any more.
+func (c Commands) checkRight(a Assignment, now time.Time) *request.Failure {
+	if !now.Before(a.Step.Deadline) {
+		return refusal(request.ReasonDeadlinePassed, "the deadline passed before the step was sent")
+	}
+	if a.Server.Limit(c.table.Rights(a.Step.Pool, now)) == 0 {
+		return refusal(request.ReasonRightEnded, "the right to dispatch to pool "+a.Step.Pool+" has ended")
+	}
+	return nil
+}
+
+func (c Commands) finish(a Assignment, o Outcome) {
+	a.done <- o
+	c.Wake()
+}
+
+// Wake makes a waiting worker look again, after a slot has become free.
+func (c Commands) Wake() {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.changed.Signal()
+}
+
+// Sweep refuses the waiting steps whose deadline can't be met any more, and
+// makes all workers look again, since rights and servers change with time.
+func (c Commands) Sweep(now time.Time) {
+	t := c.table
+	fastest := c.fastest(now)
+	var refused []*waiting
+	t.mu.Lock()
+	waitingSteps := 0
+	for _, q := range t.pools {
+		q.each(func(w *waiting) {
+			if now.Add(fastest[q.name]).After(w.step.Deadline) && q.remove(w) {
+				refused = append(refused, w)
+			}
+		})
+		waitingSteps += q.count
+	}
+	if waitingSteps > 0 {
+		t.changed.Broadcast()
+	}
+	t.mu.Unlock()
+	for _, w := range refused {
+		c.decide(Decision{Step: w.step, Reason: request.ReasonDeadlineUnattainable, At: now})
+		w.done <- Outcome{Failure: refusal(request.ReasonDeadlineUnattainable, "no server became free in time")}
+	}
+}
+
+// fastest returns the shortest service time of each pool with waiting steps.
+func (c Commands) fastest(now time.Time) map[string]time.Duration {
+	t := c.table
+	t.mu.Lock()
+	names := append([]string{}, t.order...)
+	t.mu.Unlock()
+	fastest := make(map[string]time.Duration, len(names))
+	for _, n := range names {
+		fastest[n] = t.Capacity(n, 0, t.Rights(n, now)).Fastest
+	}
+	return fastest
+}
+
+// sweepInterval bounds how late a step is refused whose deadline can't be met.
+const sweepInterval = 25 * time.Millisecond
+
+// RunSweeps sweeps until the context ends.
+func (c Commands) RunSweeps(ctx context.Context) error {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			c.Sweep(now)
+		}
+	}
+}
+
+// Close refuses all further steps; those in the queue are still served.
+func (c Commands) Close() {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closed = true
+}
+
+func (c Commands) decide(d Decision) {
+	if c.table.Decided != nil {
+		c.table.Decided(d)
+	}
+}
--- a/request/failure.go
+++ b/request/failure.go
@@ -13,6 +13,8 @@
 	Detail string
 	// Sent tells that a byte may have reached a backend server.
 	Sent bool
+	// Server is the backend server that failed; empty if there was none.
+	Server string
 	// RetryAfter is the shortest useful wait before a repeat; 0 if unknown.
 	RetryAfter time.Duration
 }
--- a/request/request.go
+++ b/request/request.go
@@ -33,7 +33,10 @@
 // Request is what a caller asked for. Class and Rank are those the catalogue
 // entitles it to.
 type Request struct {
-	ID        string
+	// ID is the caller's name of the request, unique in its workspace.
+	ID string
+	// Execution is unique over all requests; results are keyed by it.
+	Execution string
 	Workspace string
 	// Target names a pipeline or a service.
 	Target string
@@ -64,9 +67,3 @@
 	r.Revision = revision
 	return r
 }
-
-// WithID returns the request with an identifier.
-func (r Request) WithID(id string) Request {
-	r.ID = id
-	return r
-}
--- a/request/step.go
+++ b/request/step.go
@@ -46,6 +46,14 @@
 	Avoid []string
 	// Revision is the catalogue revision at admission.
 	Revision uint64
+	// Hops counts the instances that passed the step on.
+	Hops int
+}
+
+// WithHop returns the step after one more instance passed it on.
+func (s Step) WithHop() Step {
+	s.Hops++
+	return s
 }
 
 // WithAttempt returns the step for its next attempt, which avoids a server.
--- /dev/null
+++ b/stage/stage.go
@@ -0,0 +1,194 @@
+// Package stage has typed clients for the backend servers: model engines,
+// encoders, retrievers, rerankers and plain services. It checks that each
+// result belongs to its step and is whole.
+package stage
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"errors"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"lycheecrank.example/backend"
+	"lycheecrank.example/request"
+)
+
+// Client calls the backend servers of all kinds. Concurrent calls are safe.
+type Client struct {
+	// HTTP is used for all calls; it must not repeat requests by itself.
+	HTTP *http.Client
+	// Dropped is called for each result that was dropped, with the reason.
+	Dropped func(step request.Step, reason string)
+	// Engine, Encoder, Retriever, Reranker and Service return the client of a
+	// server at an address.
+	Engine    func(address string) Engine
+	Encoder   func(address string) Pool
+	Retriever func(address string) Pool
+	Reranker  func(address string) Pool
+	Service   func(address string) Pool
+}
+
+// NewClient returns a client that calls servers over an HTTP client.
+func NewClient(client *http.Client) *Client {
+	return &Client{
+		HTTP:      client,
+		Dropped:   func(request.Step, string) {},
+		Engine:    func(address string) Engine { return NewEngine(client, "http://"+address) },
+		Encoder:   func(address string) Pool { return NewEncoder(client, "http://"+address) },
+		Retriever: func(address string) Pool { return NewRetriever(client, "http://"+address) },
+		Reranker:  func(address string) Pool { return NewReranker(client, "http://"+address) },
+		Service:   func(address string) Pool { return NewService(client, "http://"+address) },
+	}
+}
+
+// Output is what a server answered to a step.
+type Output struct {
+	Identity    request.Identity
+	Incarnation string
+	Data        []byte
+	LengthBytes uint64
+	SHA256      []byte
+}
+
+// Pool is a client of a server that answers a step with one message.
+type Pool struct {
+	Execute func(ctx context.Context, step request.Step) (Output, error)
+	Load    func(ctx context.Context) (backend.Report, error)
+}
+
+// Execution is what came of a step at a server.
+type Execution struct {
+	Result      request.Result
+	Failure     *request.Failure
+	Responded   time.Duration
+	Incarnation string
+}
+
+// Execute runs a step at a server and checks its result.
+func (c *Client) Execute(ctx context.Context, step request.Step, server backend.Server, sink request.Sink) Execution {
+	call := &call{client: c, step: step, server: server, sink: sink, started: time.Now()}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { call.sent.Store(true) },
+	})
+	output, err := call.run(ctx)
+	if err == nil {
+		err = call.check(output)
+	}
+	e := Execution{Responded: call.responded(), Incarnation: output.Incarnation}
+	if err != nil {
+		f := call.failure(ctx, err)
+		e.Failure = &f
+		return e
+	}
+	e.Result = request.Result{
+		Identity: step.Identity(), Output: output.Data, Server: server.Name, Executed: time.Since(call.started),
+	}
+	return e
+}
+
+// Load asks a server for its load.
+func (c *Client) Load(ctx context.Context, kind request.Kind, address string) (backend.Report, error) {
+	if kind == request.Generate {
+		return c.Engine(address).Load(ctx)
+	}
+	return c.pool(kind, address).Load(ctx)
+}
+
+func (c *Client) pool(kind request.Kind, address string) Pool {
+	switch kind {
+	case request.Encode:
+		return c.Encoder(address)
+	case request.Retrieve:
+		return c.Retriever(address)
+	case request.Rerank:
+		return c.Reranker(address)
+	default:
+		return c.Service(address)
+	}
+}
+
+// call is one call of a server.
+type call struct {
+	client  *Client
+	step    request.Step
+	server  backend.Server
+	sink    request.Sink
+	started time.Time
+	// sent is set once there is a connection, from when on a byte may have
+	// reached the server.
+	sent       atomic.Bool
+	firstPiece time.Time
+}
+
+func (c *call) run(ctx context.Context) (Output, error) {
+	if c.step.Kind == request.Generate {
+		return c.generate(ctx)
+	}
+	return c.client.pool(c.step.Kind, c.server.Address).Execute(ctx, c.step)
+}
+
+func (c *call) responded() time.Duration {
+	if !c.firstPiece.IsZero() {
+		return c.firstPiece.Sub(c.started)
+	}
+	return time.Since(c.started)
+}
+
+// errDropped is returned for a result that doesn't belong to its step or is not
+// whole.
+var errDropped = errors.New("result dropped")
+
+// check reports whether an output belongs to the step and is whole.
+func (c *call) check(o Output) error {
+	sum := sha256.Sum256(o.Data)
+	switch {
+	case o.Identity != c.step.Identity():
+		return c.drop("foreign")
+	case o.LengthBytes != uint64(len(o.Data)) || !bytes.Equal(o.SHA256, sum[:]):
+		return c.drop("truncated")
+	}
+	return nil
+}
+
+func (c *call) drop(reason string) error {
+	c.client.Dropped(c.step, reason)
+	return errDropped
+}
+
+// failure maps an error of a call to a failure with its reason.
+func (c *call) failure(ctx context.Context, err error) request.Failure {
+	f := request.Failure{Reason: request.ReasonServerFailed, Detail: err.Error(), Sent: c.sent.Load(), Server: c.server.Name}
+	switch {
+	case errors.Is(err, errDropped):
+		f.Reason = request.ReasonResultInvalid
+	case ctx.Err() != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		f.Reason = request.ReasonDeadlinePassed
+	case ctx.Err() != nil:
+		f.Reason = request.ReasonCancelled
+	case !f.Sent:
+		f.Reason = request.ReasonServerUnreachable
+	case isColdRefusal(err):
+		f.Reason = request.ReasonServerCold
+	case connect.CodeOf(err) == connect.CodeDeadlineExceeded:
+		f.Reason = request.ReasonDeadlinePassed
+	}
+	return f
+}
+
+// isColdRefusal reports whether a server refused because it is cold or has more
+// work than it can bear.
+func isColdRefusal(err error) bool {
+	var ce *connect.Error
+	if !errors.As(err, &ce) {
+		return false
+	}
+	return ce.Code() == connect.CodeResourceExhausted ||
+		(ce.Code() == connect.CodeUnavailable && strings.HasPrefix(ce.Message(), "cold"))
+}
