Add stand-ins for the platform and backend servers

Cause: the system meets the platform and its backend servers only through their protocols, so tests and the demo need processes that speak them. What: package standin with the platform, engines, encoders, retrievers, rerankers and plain services, and the program lycheestand that runs them. Why: commands and queries stand apart over one table per kind of state; the handlers only translate.

--- /dev/null
+++ b/standin/errors.go
@@ -0,0 +1,67 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"connectrpc.com/connect"
+
+	"lycheecrank.example/platform"
+	"lycheecrank.example/standin/work"
+)
+
+var errFault = errors.New("failed by a fault of the stand-in")
+
+func errDown() error {
+	return connect.NewError(connect.CodeUnavailable, errors.New("down"))
+}
+
+// refusal maps an error of work.Commands.Begin: the work had no effect. The
+// message starts with "cold:" if the server is cold, and with "leaving:" if it
+// stops.
+func refusal(err error) error {
+	switch {
+	case errors.Is(err, work.ErrCold), errors.Is(err, work.ErrFellOver):
+		return connect.NewError(connect.CodeUnavailable, errors.New("cold: the server fell over"))
+	case errors.Is(err, work.ErrLeaving):
+		return connect.NewError(connect.CodeUnavailable, errors.New("leaving: the server stops"))
+	case errors.Is(err, work.ErrOverloaded):
+		return connect.NewError(connect.CodeResourceExhausted, err)
+	}
+	return failure(err)
+}
+
+// codes maps the errors of work that had begun and of the platform's store.
+var codes = []struct {
+	err  error
+	code connect.Code
+}{
+	{work.ErrFellOver, connect.CodeInternal},
+	{work.ErrTakenOver, connect.CodeAborted},
+	{work.ErrCancelled, connect.CodeCanceled},
+	{work.ErrUnknown, connect.CodeNotFound},
+	{work.ErrFenced, connect.CodeFailedPrecondition},
+	{work.ErrCorrupt, connect.CodeInvalidArgument},
+	{platform.ErrExpired, connect.CodeOutOfRange},
+	{platform.ErrRateLimited, connect.CodeResourceExhausted},
+	{context.DeadlineExceeded, connect.CodeDeadlineExceeded},
+	{context.Canceled, connect.CodeCanceled},
+}
+
+func failure(err error) error {
+	var connected *connect.Error
+	if err == nil || errors.As(err, &connected) {
+		return err
+	}
+	for _, c := range codes {
+		if errors.Is(err, c.err) {
+			return connect.NewError(c.code, err)
+		}
+	}
+	return connect.NewError(connect.CodeUnknown, err)
+}
+
+func invalid(format string, values ...any) error {
+	return connect.NewError(connect.CodeInvalidArgument, fmt.Errorf(format, values...))
+}
--- /dev/null
+++ b/standin/store/queries.go
@@ -0,0 +1,81 @@
+package store
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"lycheecrank.example/platform"
+)
+
+// Queries reads the platform. Concurrent calls are safe.
+type Queries struct {
+	table *Table
+}
+
+// NewQueries returns the queries of a table.
+func NewQueries(t *Table) *Queries { return &Queries{table: t} }
+
+// Read returns at most limit records of a stream from an offset on, and a
+// channel that is closed once the stream has more. A page from beyond the end
+// is empty. It returns platform.ErrExpired if the records are gone.
+func (q *Queries) Read(name string, from uint64, limit int) (platform.Page, <-chan struct{}, error) {
+	s := q.stream(name)
+	from = max(from, 1)
+	page := platform.Page{Earliest: s.earliest(), Next: s.next}
+	if from < page.Earliest {
+		return page, s.changed, eris.Wrapf(platform.ErrExpired, "stream %s starts at %d", name, page.Earliest)
+	}
+	if from < s.next {
+		rest := s.records[from-page.Earliest:]
+		page.Records = slices.Clone(rest[:min(limit, len(rest))])
+	}
+	return page, s.changed, nil
+}
+
+func (q *Queries) stream(name string) stream {
+	t := q.table
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	if s, ok := t.streams[name]; ok {
+		return s
+	}
+	return newStream()
+}
+
+// List returns the instances as the list had them at a moment, by name. The
+// past of one minute is known.
+func (q *Queries) List(at time.Time) []platform.Instance {
+	t := q.table
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	var list []platform.Instance
+	for _, name := range slices.Sorted(maps.Keys(t.instances)) {
+		if s, ok := lastBefore(t.instances[name], at); ok && at.Sub(s.at) < t.options.InstanceTTL {
+			list = append(list, s.instance)
+		}
+	}
+	return list
+}
+
+func lastBefore(seen []sighting, at time.Time) (sighting, bool) {
+	for _, s := range slices.Backward(seen) {
+		if !s.at.After(at) {
+			return s, true
+		}
+	}
+	return sighting{}, false
+}
+
+// Describe returns the size and the digest of a version of a model, which
+// derive from its name.
+func (q *Queries) Describe(model, version string) platform.ModelVersion {
+	sum := sha256.Sum256([]byte(model + "\x00" + version))
+	const gigabyte = 1 << 30
+	size := int64(binary.BigEndian.Uint16(sum[:2])%64+1) * gigabyte
+	return platform.ModelVersion{Model: model, Version: version, SizeBytes: size, SHA256: sum[:]}
+}
