Add package member

The platform's list of instances lags, so routing and ownership need a list that direct evidence corrects. The table holds an immutable list; readers load it without a lock.

--- /dev/null
+++ b/member/table.go
@@ -0,0 +1,33 @@
+package member
+
+import (
+	"sync/atomic"
+
+	"lycheecrank.example/lock"
+)
+
+// Table holds the current list of instances. Readers load it without a lock.
+type Table struct {
+	mu      *lock.Ranked
+	current atomic.Pointer[List]
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	t := &Table{mu: lock.New(lock.RankMember, "member")}
+	t.current.Store(&List{})
+	return t
+}
+
+// Commands returns what changes the table.
+func (t *Table) Commands() Commands { return Commands{t} }
+
+// Queries returns what reads the table.
+func (t *Table) Queries() Queries { return Queries{t} }
+
+func (t *Table) change(with func(List) List) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	next := with(*t.current.Load())
+	t.current.Store(&next)
+}
