--- /dev/null
+++ b/ownership/term.go
@@ -0,0 +1,59 @@
+package ownership
+
+// Key names a pool in a data centre.
+type Key struct {
+	Pool       string `msgpack:"pool"`
+	DataCentre string `msgpack:"dataCentre"`
+}
+
+// Term is what the stream says about the owner of a pool in a data centre. It is
+// an immutable value.
+type Term struct {
+	Key Key `msgpack:"key"`
+	// ID is the offset of the take; 0 if no owner is known.
+	ID          uint64 `msgpack:"id"`
+	Instance    string `msgpack:"instance"`
+	Incarnation string `msgpack:"incarnation"`
+	// Renewal is the offset of the last record that showed the term: its take, a
+	// renewal or its release.
+	Renewal uint64 `msgpack:"renewal"`
+	// Touched is the offset of the last record that named the pool, valid or not.
+	Touched uint64 `msgpack:"touched"`
+	// Released tells that the owner gave the term up, Settled that it did so with
+	// no work running.
+	Released bool `msgpack:"released"`
+	Settled  bool `msgpack:"settled"`
+}
+
+// WithTouched returns the term after a record that named its pool.
+func (t Term) WithTouched(offset uint64) Term {
+	t.Touched = offset
+	return t
+}
+
+// WithOwner returns the term id of another owner.
+func (t Term) WithOwner(id uint64, instance, incarnation string) Term {
+	t.ID, t.Instance, t.Incarnation = id, instance, incarnation
+	t.Released, t.Settled = false, false
+	return t
+}
+
+// WithRenewal returns the term after a record that showed it.
+func (t Term) WithRenewal(offset uint64) Term {
+	t.Renewal = offset
+	return t
+}
+
+// WithRelease returns the term after its owner gave it up.
+func (t Term) WithRelease(settled bool) Term {
+	t.Released, t.Settled = true, settled
+	return t
+}
+
+// IsHeld reports whether the term has an owner.
+func (t Term) IsHeld() bool { return t.ID != 0 && !t.Released }
+
+// IsOwnedBy reports whether an incarnation of an instance is the owner.
+func (t Term) IsOwnedBy(instance, incarnation string) bool {
+	return t.IsHeld() && t.Instance == instance && t.Incarnation == incarnation
+}
