Add package claim: at-most-once keys by claims in the log

Calls that may not be repeated need one agreed claimer per key without a coordination service of our own. A claim that was not read back is abandoned and given back as soon as it stands.

--- /dev/null
+++ b/claim/ticket.go
@@ -0,0 +1,50 @@
+package claim
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+
+	"lycheecrank.example/request"
+)
+
+// Ticket is the right to dispatch one call once.
+type Ticket struct {
+	claimer  *Claimer
+	record   Record
+	finished atomic.Bool
+}
+
+// Key returns the key of the call.
+func (t *Ticket) Key() Key { return t.record.Key }
+
+// Finish records the outcome of the call, with its output if it ran. NotRun
+// gives the claim back, so it may be said only if no byte has left for a
+// server and none will. Finish waits until the outcome is in the log; if the
+// context ends earlier it returns ErrOutcomePending and the append is retried
+// in the background. It returns ErrOutcomeDropped if the queue is full and
+// ErrFinished from the second call on.
+func (t *Ticket) Finish(ctx context.Context, o request.Outcome, output []byte) error {
+	if t.finished.Swap(true) {
+		return eris.Wrap(ErrFinished, t.record.Key.String())
+	}
+	var result Result
+	if o == request.Ran {
+		result = NewResult(output)
+	}
+	p, ok := t.claimer.outbox.addOutcome(t.record.WithOutcome(o, result))
+	if !ok {
+		t.claimer.Counters.Add("outcomeDropped")
+		return eris.Wrap(ErrOutcomeDropped, t.record.Key.String())
+	}
+	select {
+	case <-p.done:
+		return nil
+	case <-ctx.Done():
+		return eris.Wrap(ErrOutcomePending, t.record.Key.String())
+	}
+}
+
+// withdrawal is the outcome of a claim that will never be dispatched.
+func withdrawal(r Record) Record { return r.WithOutcome(request.NotRun, Result{}) }
