--- a/cmd/lycheestand/main.go
+++ b/cmd/lycheestand/main.go
@@ -31,6 +31,7 @@
 			engineCommand(),
 			poolCommand(),
 			serviceCommand(),
+			controlCommand(),
 		},
 	}
 }
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -17,7 +17,8 @@
 type BackendOptions struct {
 	Name       string
 	DataCentre string
-	// Pool is the pool that the server belongs to in the catalogue.
+	// Pool is the pool that the server belongs to in the catalogue; it appears in
+	// refusals.
 	Pool   string
 	Limits work.Limits
 	// ServiceTime is how long a unary request takes.
@@ -81,7 +82,7 @@
 func (b *backend) execute(ctx context.Context, do func() []byte) ([]byte, error) {
 	running, end, err := b.commands.Begin(ctx)
 	if err != nil {
-		return nil, refusal(err)
+		return nil, b.refusal(err)
 	}
 	output := do()
 	err = pause(running, b.options.ServiceTime)
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -52,7 +53,7 @@
 	id := work.Identity{RequestID: m.GetRequestId(), Stage: m.GetStage(), Attempt: m.GetAttempt()}
 	running, end, err := h.commands.Begin(ctx)
 	if err != nil {
-		return refusal(err)
+		return h.refusal(err)
 	}
 	running, stop := context.WithCancelCause(running)
 	defer stop(nil)
@@ -62,7 +63,7 @@
 		err = pause(running, h.options.Prefill)
 	}
 	if err == nil {
-		err = h.generate(running, id, attempt, 0, stream)
+		err = h.generate(running, "Execute", id, attempt, 0, stream)
 	}
 	end(err == nil)
 	return failure(err)
@@ -79,29 +80,21 @@
 	}
 	running, end, err := h.commands.Begin(ctx)
 	if err != nil {
-		return refusal(err)
+		return h.refusal(err)
 	}
 	running, stop := context.WithCancelCause(running)
 	defer stop(nil)
 	h.commands.ContinueAttempt(id, stop)
-	err = h.generate(running, id, attempt, int(m.GetFrom()), stream)
+	err = h.generate(running, "Resume", id, attempt, int(m.GetFrom()), stream)
 	end(err == nil)
 	return failure(err)
 }
 
 // generate streams the pieces from a number on and the end mark. Pieces that
 // existed before come at once.
-func (h *engineHandler) generate(ctx context.Context, id work.Identity, a work.Attempt, from int, stream *pieceStream) error {
+func (h *engineHandler) generate(ctx context.Context, method string, id work.Identity, a work.Attempt, from int, stream *pieceStream) error {
 	tokens := Summary(a.Prompt, a.MaxTokens)
-	var pieces []*enginev1.Piece
-	for start := 0; start < len(tokens); start += h.options.PieceTokens {
-		part := tokens[start:min(start+h.options.PieceTokens, len(tokens))]
-		pieces = append(pieces, &enginev1.Piece{
-			Number: uint32(len(pieces)),
-			Data:   []byte(strings.Join(part, "")),
-			Tokens: uint32(len(part)),
-		})
-	}
+	pieces := h.pieces(tokens)
 	call := faultOf(ctx)
 	identity := sent(ctx, id)
 	if from > len(pieces) {
@@ -114,7 +107,7 @@
 			}
 			h.commands.Produce(id, int(p.GetNumber())+1)
 		}
-		if _, err := h.during(ctx, "Execute"); err != nil {
+		if _, err := h.during(ctx, method); err != nil {
 			return err
 		}
 		if err := stream.Send(h.message(identity, &enginev1.ExecuteResponse{Event: &enginev1.ExecuteResponse_Piece{Piece: p}})); err != nil {
@@ -124,15 +117,24 @@
 	if call.CutShort {
 		return nil
 	}
-	sum := sha256.Sum256([]byte(strings.Join(tokens, "")))
-	mark := &enginev1.End{
-		Pieces:      uint32(len(pieces)),
-		LengthBytes: uint64(len(strings.Join(tokens, ""))),
-		Sha256:      sum[:],
-	}
+	text := strings.Join(tokens, "")
+	sum := sha256.Sum256([]byte(text))
+	mark := &enginev1.End{Pieces: uint32(len(pieces)), LengthBytes: uint64(len(text)), Sha256: sum[:]}
 	return stream.Send(h.message(identity, &enginev1.ExecuteResponse{Event: &enginev1.ExecuteResponse_End{End: mark}}))
 }
 
+func (h *engineHandler) pieces(tokens []string) []*enginev1.Piece {
+	var pieces []*enginev1.Piece
+	for part := range slices.Chunk(tokens, h.options.PieceTokens) {
+		pieces = append(pieces, &enginev1.Piece{
+			Number: uint32(len(pieces)),
+			Data:   []byte(strings.Join(part, "")),
+			Tokens: uint32(len(part)),
+		})
+	}
+	return pieces
+}
+
 func (h *engineHandler) message(id work.Identity, m *enginev1.ExecuteResponse) *enginev1.ExecuteResponse {
 	m.RequestId, m.Stage, m.Attempt, m.Incarnation = id.RequestID, id.Stage, id.Attempt, h.incarnation
 	return m
--- a/standin/errors.go
+++ b/standin/errors.go
@@ -20,14 +20,14 @@
 // refusal maps an error of work.Commands.Begin: the work had no effect. The
 // message starts with "cold:" if the server is cold, and with "leaving:" if it
 // stops.
-func refusal(err error) error {
+func (b *backend) refusal(err error) error {
 	switch {
 	case errors.Is(err, work.ErrCold), errors.Is(err, work.ErrFellOver):
-		return connect.NewError(connect.CodeUnavailable, errors.New("cold: the server fell over"))
+		return connect.NewError(connect.CodeUnavailable, b.named("cold: %s of pool %s fell over"))
 	case errors.Is(err, work.ErrLeaving):
-		return connect.NewError(connect.CodeUnavailable, errors.New("leaving: the server stops"))
+		return connect.NewError(connect.CodeUnavailable, b.named("leaving: %s of pool %s stops"))
 	case errors.Is(err, work.ErrOverloaded):
-		return connect.NewError(connect.CodeResourceExhausted, err)
+		return connect.NewError(connect.CodeResourceExhausted, b.named("overloaded: %s of pool %s has its full load"))
 	}
 	return failure(err)
 }
@@ -49,6 +49,11 @@
 	{context.Canceled, connect.CodeCanceled},
 }
 
+func (b *backend) named(format string) error {
+	return fmt.Errorf(format, b.options.Name, b.options.Pool)
+}
+
+// failure maps an error of work that may have had an effect.
 func failure(err error) error {
 	var connected *connect.Error
 	if err == nil || errors.As(err, &connected) {
--- a/standin/work/commands.go
+++ b/standin/work/commands.go
@@ -65,6 +65,7 @@
 	}
 	if t.load.Leaving {
 		t.counts["startedWhileLeaving"]++
+		t.raise("lastStartWhileLeavingMs", time.Since(t.leavingSince).Milliseconds())
 	}
 	t.counts["started"]++
 	return nil
@@ -112,6 +113,9 @@
 	t := c.table
 	t.lock.Lock()
 	defer t.lock.Unlock()
+	if leaving && !t.load.Leaving {
+		t.leavingSince = time.Now()
+	}
 	t.setLoad(t.load.WithLeaving(leaving))
 }
 
@@ -170,7 +174,9 @@
 	t.lock.Lock()
 	defer t.lock.Unlock()
 	t.counts["resumed"]++
-	t.attempts[id] = t.attempts[id].WithStop(stop)
+	if a, ok := t.attempts[id]; ok {
+		t.attempts[id] = a.WithStop(stop)
+	}
 }
 
 // Produce records how many pieces of an attempt exist.
--- a/standin/work/table.go
+++ b/standin/work/table.go
@@ -79,14 +79,16 @@
 	started uint64
 	// fallenUntil is when a server that fell over takes work again.
 	fallenUntil time.Time
-	stopping    bool
-	counts      map[string]int64
-	attempts    map[Identity]Attempt
-	remembered  []Identity
-	prefixes    map[string]string
-	cached      []string
-	events      []CacheEvent
-	lastEvent   uint64
+	// leavingSince is when the server began to report that it is leaving.
+	leavingSince time.Time
+	stopping     bool
+	counts       map[string]int64
+	attempts     map[Identity]Attempt
+	remembered   []Identity
+	prefixes     map[string]string
+	cached       []string
+	events       []CacheEvent
+	lastEvent    uint64
 	// moreEvents is closed at the next event.
 	moreEvents chan struct{}
 	fence      uint64
