Add the instance daemon, the operators' front end and the demo

One path from end to end: a caller's request runs through a pipeline of four stages on one instance, with the catalogue, ownership and claims in the log of the platform's stand-in. The log is reported unavailable once an outage, not for each stream and attempt.

--- a/backend/choose.go
+++ b/backend/choose.go
@@ -16,7 +16,7 @@
 
 // Limit returns how many steps a server may have in flight under the rights.
 func (s Server) Limit(r Rights) int {
-	if s.Leaving {
+	if s.IsLeaving() {
 		return 0
 	}
 	if s.Warmth != Warm {
@@ -81,12 +81,16 @@
 	PerSecond float64
 }
 
+// longBlock is the block from which on a server counts as down: others may be
+// better placed to serve its pool.
+const longBlock = 500 * time.Millisecond
+
 // CapacityOf returns the capacity of some servers for steps of a rank.
-func CapacityOf(servers []Server, rank int, r Rights) Capacity {
+func CapacityOf(servers []Server, rank int, r Rights, now time.Time) Capacity {
 	var c Capacity
 	for _, s := range servers {
 		limit := s.Limit(r)
-		if limit == 0 || rank > s.LowestRank {
+		if limit == 0 || rank > s.LowestRank || s.blockedUntil.Sub(now) > longBlock {
 			continue
 		}
 		c.Slots += limit
--- a/backend/commands.go
+++ b/backend/commands.go
@@ -28,7 +28,7 @@
 	}
 	for name, old := range t.byName {
 		if _, wanted := next[name]; !wanted && old.InFlight > 0 {
-			next[name] = old.WithLeaving(true)
+			next[name] = old.WithListedLeaving(true)
 		}
 	}
 	t.byName = next
@@ -78,9 +78,10 @@
 	c.change(name, func(s Server) Server { return s.WithReport(r, now) })
 }
 
-// SetLeaving notes whether a server is leaving, as the list of instances says.
-func (c Commands) SetLeaving(name string, leaving bool) {
-	c.change(name, func(s Server) Server { return s.WithLeaving(leaving) })
+// SetListedLeaving notes whether a server is leaving, as the list of instances
+// says.
+func (c Commands) SetListedLeaving(name string, leaving bool) {
+	c.change(name, func(s Server) Server { return s.WithListedLeaving(leaving) })
 }
 
 func (c Commands) change(name string, next func(Server) Server) {
@@ -104,7 +105,7 @@
 	case old.Warmth != Warm && s.Warmth == Warm:
 		c.table.Logger.Write(event.ServerWarm, s.Name)
 	}
-	if !old.Leaving && s.Leaving {
+	if !old.IsLeaving() && s.IsLeaving() {
 		c.table.Logger.Write(event.ServerLeaving, s.Name)
 	}
 }
--- a/backend/observation.go
+++ b/backend/observation.go
@@ -131,7 +131,7 @@
 	if r.Incarnation != "" {
 		s = s.withIncarnation(r.Incarnation, now)
 	}
-	s.Leaving = r.Leaving
+	s.ReportedLeaving = r.Leaving
 	if r.Cold {
 		if s.Warmth != Cold {
 			return s.WithCold(now)
--- a/backend/queries.go
+++ b/backend/queries.go
@@ -39,7 +39,7 @@
 // HasUsable reports whether a pool has a server that is not leaving and serves
 // a rank.
 func (q Queries) HasUsable(pool string, rank int) bool {
-	return slices.ContainsFunc(q.Pool(pool), func(s Server) bool { return !s.Leaving && rank <= s.LowestRank })
+	return slices.ContainsFunc(q.Pool(pool), func(s Server) bool { return !s.IsLeaving() && rank <= s.LowestRank })
 }
 
 // pool returns the views of a pool; the caller holds the lock.
--- a/backend/server.go
+++ b/backend/server.go
@@ -59,7 +59,10 @@
 	InFlight int
 	// ServiceTime is the smoothed time of a successful step, 0 if unknown.
 	ServiceTime time.Duration
-	Leaving     bool
+	// ListedLeaving and ReportedLeaving tell that the server is leaving, as the
+	// list of instances and its own load report say. Both lag, so either counts.
+	ListedLeaving   bool
+	ReportedLeaving bool
 
 	// successes counts successful steps since the limit last changed.
 	successes int
@@ -105,8 +108,11 @@
 	return s
 }
 
-// WithLeaving returns the server that gets nothing new if leaving is true.
-func (s Server) WithLeaving(leaving bool) Server {
-	s.Leaving = leaving
+// IsLeaving reports whether the server is leaving and gets nothing new.
+func (s Server) IsLeaving() bool { return s.ListedLeaving || s.ReportedLeaving }
+
+// WithListedLeaving returns the server as the list of instances has it.
+func (s Server) WithListedLeaving(leaving bool) Server {
+	s.ListedLeaving = leaving
 	return s
 }
--- a/catalogue/queries.go
+++ b/catalogue/queries.go
@@ -47,3 +47,7 @@
 	v := q.table.current.Load()
 	return v.catalogue.Offset - min(v.snapshotAt, v.catalogue.Offset)
 }
+
+// SnapshotAt returns the offset of the latest snapshot that the table has seen
+// in the log, 0 if there is none.
+func (q Queries) SnapshotAt() uint64 { return q.table.current.Load().snapshotAt }
--- a/claim/state.go
+++ b/claim/state.go
@@ -133,6 +133,9 @@
 	return !s.bound || s.workspace == workspace && s.digest == digest
 }
 
+// IsOf reports whether the key belongs to a workspace, or to none yet.
+func (s State) IsOf(workspace string) bool { return !s.bound || s.workspace == workspace }
+
 // isHeldBy reports whether a claim stands and has no outcome yet.
 func (s State) isHeldBy(id ID) bool {
 	c, ok := s.Standing()
--- /dev/null
+++ b/cmd/lycheecrank/main.go
@@ -0,0 +1,78 @@
+// Program lycheecrank is the daemon that an entry instance runs.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"lycheecrank.example/instance"
+	"lycheecrank.example/settings"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	err := newCommand().Run(ctx, os.Args)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func newCommand() *cli.Command {
+	config := &cli.StringFlag{Name: "config", Required: true, Usage: "YAML file with the settings"}
+	return &cli.Command{
+		Name:  "lycheecrank",
+		Usage: "serve model pipelines and plain services to callers",
+		Commands: []*cli.Command{
+			{
+				Name: "serve", Usage: "run an instance until it gets SIGTERM or SIGINT",
+				Flags: []cli.Flag{config}, Action: serve,
+			},
+			{
+				Name: "check", Usage: "check a file with settings and print them with their defaults",
+				Flags: []cli.Flag{config}, Action: check,
+			},
+			{Name: "version", Usage: "print the version", Action: version},
+		},
+	}
+}
+
+func serve(ctx context.Context, c *cli.Command) error {
+	s, err := read(c.String("config"))
+	if err != nil {
+		return err
+	}
+	i := instance.New(s, os.Stderr)
+	i.Ready = func(callers, peers string) {
+		fmt.Fprintln(c.Root().Writer, "ready", callers, peers)
+	}
+	return i.Run(ctx)
+}
+
+func check(_ context.Context, c *cli.Command) error {
+	s, err := read(c.String("config"))
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprint(c.Root().Writer, s)
+	return err
+}
+
+func version(_ context.Context, c *cli.Command) error {
+	_, err := fmt.Fprintln(c.Root().Writer, "lycheecrank", instance.Version)
+	return err
+}
+
+func read(file string) (settings.Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return settings.Settings{}, err
+	}
+	return settings.Read(data, file)
+}
--- a/cmd/lycheestand/main.go
+++ b/cmd/lycheestand/main.go
@@ -32,6 +32,7 @@
 			poolCommand(),
 			serviceCommand(),
 			controlCommand(),
+			demoCommand(),
 		},
 	}
 }
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -79,11 +79,15 @@
 	if q.count >= limit {
 		return refusal(request.ReasonQueueFull, "too many steps wait for pool "+q.name)
 	}
+	if capacity.Slots == 0 {
+		return refusal(request.ReasonNoServer, "pool "+q.name+" has no server that may get work here")
+	}
 	wait := expectedWait(q.ahead(w.step.Rank), capacity)
 	if now.Add(wait + capacity.Fastest).After(w.step.Deadline) {
 		return refusal(request.ReasonDeadlineUnattainable, "the steps ahead take "+wait.String())
 	}
 	q.add(w)
+	t.unfinished++
 	t.changed.Signal()
 	return nil
 }
@@ -106,7 +110,11 @@
 	t := c.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.pools[w.step.Pool].remove(w)
+	if !t.pools[w.step.Pool].remove(w) {
+		return false
+	}
+	t.leave()
+	return true
 }
 
 // Next waits for a step that a server can take, and reserves the slot. It
@@ -195,7 +203,11 @@
 
 func (c Commands) finish(a Assignment, o Outcome) {
 	a.done <- o
-	c.Wake()
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leave()
+	t.changed.Signal()
 }
 
 // Wake makes a waiting worker look again, after a slot has become free.
@@ -210,14 +222,16 @@
 // makes all workers look again, since rights and servers change with time.
 func (c Commands) Sweep(now time.Time) {
 	t := c.table
-	fastest := c.fastest(now)
+	capacities := c.capacities(now)
 	var refused []*waiting
 	t.mu.Lock()
 	waitingSteps := 0
 	for _, q := range t.pools {
+		capacity, known := capacities[q.name]
 		q.each(func(w *waiting) {
-			if now.Add(fastest[q.name]).After(w.step.Deadline) && q.remove(w) {
+			if known && sweepReason(w, capacity, now) != "" && q.remove(w) {
 				refused = append(refused, w)
+				t.leave()
 			}
 		})
 		waitingSteps += q.count
@@ -227,22 +241,39 @@
 	}
 	t.mu.Unlock()
 	for _, w := range refused {
-		c.decide(Decision{Step: w.step, Reason: request.ReasonDeadlineUnattainable, At: now})
-		w.done <- Outcome{Failure: refusal(request.ReasonDeadlineUnattainable, "no server became free in time")}
+		r := sweepReason(w, capacities[w.step.Pool], now)
+		c.decide(Decision{Step: w.step, Reason: r, At: now})
+		w.done <- Outcome{Failure: refusal(r, "no server of pool "+w.step.Pool+" became free in time")}
 	}
 }
 
-// fastest returns the shortest service time of each pool with waiting steps.
-func (c Commands) fastest(now time.Time) map[string]time.Duration {
+// sweepReason returns why a waiting step can't be served any more, or "".
+func sweepReason(w *waiting, c backend.Capacity, now time.Time) request.Reason {
+	switch {
+	case now.Add(c.Fastest).After(w.step.Deadline):
+		return request.ReasonDeadlineUnattainable
+	case c.Slots == 0:
+		return request.ReasonNoServer
+	}
+	return ""
+}
+
+// capacities returns the capacity of each pool with waiting steps.
+func (c Commands) capacities(now time.Time) map[string]backend.Capacity {
 	t := c.table
+	var names []string
 	t.mu.Lock()
-	names := append([]string{}, t.order...)
+	for name, q := range t.pools {
+		if q.count > 0 {
+			names = append(names, name)
+		}
+	}
 	t.mu.Unlock()
-	fastest := make(map[string]time.Duration, len(names))
+	capacities := make(map[string]backend.Capacity, len(names))
 	for _, n := range names {
-		fastest[n] = t.Capacity(n, 0, t.Rights(n, now)).Fastest
+		capacities[n] = t.Capacity(n, 0, t.Rights(n, now))
 	}
-	return fastest
+	return capacities
 }
 
 // sweepInterval bounds how late a step is refused whose deadline can't be met.
@@ -262,6 +293,24 @@
 	}
 }
 
+// AwaitIdle waits until no step is waiting or at a server, or the context ends,
+// and returns the number of steps that are left.
+func (c Commands) AwaitIdle(ctx context.Context) int {
+	t := c.table
+	stop := context.AfterFunc(ctx, func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.idle.Broadcast()
+	})
+	defer stop()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for t.unfinished > 0 && ctx.Err() == nil {
+		t.idle.Wait()
+	}
+	return t.unfinished
+}
+
 // Close refuses all further steps; those in the queue are still served.
 func (c Commands) Close() {
 	t := c.table
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -42,6 +42,9 @@
 	// no pool waits for another.
 	order  []string
 	closed bool
+	// unfinished counts the steps that wait or are at a server.
+	unfinished int
+	idle       *sync.Cond
 }
 
 // Assignment is a step with a reserved slot at a server.
@@ -82,11 +85,20 @@
 func NewTable() *Table {
 	t := &Table{mu: lock.New(lock.RankDispatch, "dispatch"), pools: map[string]*poolQueue{}}
 	t.changed = sync.NewCond(t.mu)
+	t.idle = sync.NewCond(t.mu)
 	return t
 }
 
 // Commands returns what changes the table.
 func (t *Table) Commands() Commands { return Commands{table: t} }
 
+// leave notes that a step is finished. The caller holds the lock.
+func (t *Table) leave() {
+	t.unfinished--
+	if t.unfinished == 0 {
+		t.idle.Broadcast()
+	}
+}
+
 // Queries returns what reads the table.
 func (t *Table) Queries() Queries { return Queries{table: t} }
--- a/event/events.go
+++ b/event/events.go
@@ -11,9 +11,10 @@
 	ListUnavailable    = Event{104, log.WarnLevel, "instance list unavailable", []string{"error"}, "The platform's list of instances did not answer; the last list stays in use."}
 	CatalogueAdopted   = Event{201, log.InfoLevel, "catalogue adopted", []string{"revision", "entries", "source"}, "A newer revision of the catalogue is in force on this instance."}
 	CatalogueRefused   = Event{202, log.InfoLevel, "catalogue edit refused", []string{"offset", "author", "verdict", "detail"}, "An edit in the log was refused; every instance refuses it alike."}
-	LogUnavailable     = Event{203, log.WarnLevel, "log unavailable", []string{"stream", "error"}, "The platform's log did not answer; see the outage table in docs/OPERATIONS.md."}
+	LogUnavailable     = Event{203, log.WarnLevel, "log unavailable", []string{"stream", "error"}, "The platform's log does not answer; written once an outage, see the outage table in docs/OPERATIONS.md."}
 	LogRecordUnread    = Event{204, log.ErrorLevel, "log record unreadable", []string{"stream", "offset", "error"}, "A record of the log could not be decoded and was passed over."}
 	CatalogueSnapshot  = Event{205, log.InfoLevel, "catalogue snapshot appended", []string{"through"}, "A snapshot of the catalogue was appended before its records expire."}
+	LogAvailable       = Event{206, log.InfoLevel, "log available", []string{"stream"}, "The platform's log answers again after an outage."}
 	PeerConnected      = Event{301, log.InfoLevel, "peer connected", []string{"peer", "dataCentre"}, "A connection to another instance is open."}
 	PeerLost           = Event{302, log.WarnLevel, "peer lost", []string{"peer", "error"}, "A connection to another instance has failed."}
 	PeerFrameRefused   = Event{303, log.WarnLevel, "peer frame refused", []string{"remote", "error"}, "A connection sent a frame that is no message and was closed."}
@@ -34,7 +35,7 @@
 func All() []Event {
 	return []Event{
 		Started, Leaving, Stopped, ListUnavailable,
-		CatalogueAdopted, CatalogueRefused, LogUnavailable, LogRecordUnread, CatalogueSnapshot,
+		CatalogueAdopted, CatalogueRefused, LogUnavailable, LogRecordUnread, CatalogueSnapshot, LogAvailable,
 		PeerConnected, PeerLost, PeerFrameRefused,
 		RequestRefused, RequestFinished, ResultDropped,
 		ServerCold, ServerWarm, ServerLeaving,
--- /dev/null
+++ b/instance/catalogue.go
@@ -0,0 +1,218 @@
+package instance
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"lycheecrank.example/backend"
+	"lycheecrank.example/catalogue"
+	"lycheecrank.example/codec"
+	"lycheecrank.example/event"
+	"lycheecrank.example/platform"
+)
+
+const (
+	// A snapshot is appended after this many records, or after a quarter of the
+	// shortest retention of 1 h, so that it is there before records expire.
+	snapshotRecords = 1000
+	snapshotAge     = 15 * time.Minute
+	// snapshotCheck is spread by a random part, so that instances rarely append
+	// the same snapshot. Doing it twice is harmless.
+	snapshotCheck = 20 * time.Second
+)
+
+// catalogueFollower returns the follower of the catalogue's stream.
+func (i *Instance) catalogueFollower() *follower {
+	return i.follower(catalogue.Stream, i.replayCatalogue, func() uint64 {
+		return i.catalogueQueries.Current().Offset + 1
+	}, func(records []platform.Record) error {
+		return i.applyCatalogue(records, "log")
+	})
+}
+
+// replayCatalogue builds the catalogue from all retained records.
+func (i *Instance) replayCatalogue(ctx context.Context, page platform.Page) error {
+	var numbered []catalogue.Numbered
+	snapshotAt := uint64(0)
+	for {
+		for _, r := range page.Records {
+			record := i.decodeCatalogue(r)
+			if record.Snapshot != nil {
+				snapshotAt = r.Offset
+			}
+			numbered = append(numbered, catalogue.Numbered{Offset: r.Offset, Record: record})
+		}
+		read := page.Earliest + uint64(len(numbered))
+		if read >= page.Next {
+			break
+		}
+		next, err := i.platformLog.Read(ctx, catalogue.Stream, read)
+		if err != nil {
+			return err
+		}
+		page.Records, page.Next = next.Records, next.Next
+	}
+	c, _, err := catalogue.Replay(numbered)
+	if err != nil {
+		return err
+	}
+	if i.catalogueCommands.Adopt(c, snapshotAt) {
+		i.catalogueAdopted("log")
+	}
+	return nil
+}
+
+// decodeCatalogue returns the record, or an empty one that changes nothing if
+// its bytes can't be read; all instances decide alike.
+func (i *Instance) decodeCatalogue(r platform.Record) catalogue.Record {
+	var record catalogue.Record
+	if err := codec.Unmarshal(r.Data, &record); err != nil {
+		i.Logger.Write(event.LogRecordUnread, catalogue.Stream, r.Offset, err)
+		return catalogue.Record{}
+	}
+	return record
+}
+
+// applyCatalogue applies records from the log or from a peer.
+func (i *Instance) applyCatalogue(records []platform.Record, source string) error {
+	adopted := false
+	for _, r := range records {
+		v, applied, err := i.catalogueCommands.Apply(catalogue.Raw{Offset: r.Offset, Data: r.Data}, i.decodeCatalogue(r))
+		if err != nil {
+			return eris.Wrap(err, "apply catalogue record")
+		}
+		if !applied {
+			continue
+		}
+		switch v.Decision {
+		case catalogue.Accepted:
+			adopted = true
+		case catalogue.Passed:
+		default:
+			i.Logger.Write(event.CatalogueRefused, v.Offset, v.Author, string(v.Decision), v.Detail)
+		}
+	}
+	if adopted {
+		i.catalogueAdopted(source)
+	}
+	return nil
+}
+
+// catalogueAdopted makes the other tables follow a newer catalogue.
+func (i *Instance) catalogueAdopted(source string) {
+	c := i.catalogueQueries.Current()
+	i.Logger.Write(event.CatalogueAdopted, c.Revision, len(c.Entries()), source)
+	i.backendCommands.Sync(i.serverSpecs(c), time.Now())
+	i.dispatchCommands.Wake()
+}
+
+// serverSpecs returns the backend servers of this instance's data centre.
+func (i *Instance) serverSpecs(c catalogue.Catalogue) []backend.Spec {
+	var specs []backend.Spec
+	for _, e := range c.OfKind(catalogue.ServerKind) {
+		if e.DataCentre != i.self.DataCentre {
+			continue
+		}
+		specs = append(specs, serverSpec(c, e))
+	}
+	return specs
+}
+
+func serverSpec(c catalogue.Catalogue, e catalogue.Entry) backend.Spec {
+	limits := e.Limits.WithDefaults(catalogue.ServerKind)
+	return backend.Spec{
+		Name: e.Name, Pool: e.Pool, DataCentre: e.DataCentre, Address: e.Address,
+		LowestRank: lowestRank(c, e), MaxInFlight: limits.MaxInFlight, ColdInFlight: limits.ColdInFlight,
+	}
+}
+
+// lowestRank returns the rank of the lowest class that a server, its pool and
+// its data centre all serve.
+func lowestRank(c catalogue.Catalogue, server catalogue.Entry) int {
+	rank, _ := c.Rank(server.Class)
+	if pool, ok := c.Entry(catalogue.PoolKind, server.Pool); ok {
+		r, _ := c.Rank(pool.Class)
+		rank = min(rank, r)
+	}
+	if dc, ok := c.Entry(catalogue.DataCentreKind, server.DataCentre); ok {
+		r, _ := c.Rank(dc.Class)
+		rank = min(rank, r)
+	}
+	return rank
+}
+
+// ownPools returns the pools that have servers in this instance's data centre.
+func (i *Instance) ownPools() []string {
+	c := i.catalogueQueries.Current()
+	var pools []string
+	for _, p := range c.OfKind(catalogue.PoolKind) {
+		for _, s := range c.Servers(p.Name) {
+			if s.DataCentre == i.self.DataCentre {
+				pools = append(pools, p.Name)
+				break
+			}
+		}
+	}
+	return pools
+}
+
+// runSnapshots appends snapshots of the catalogue before its records expire.
+func (i *Instance) runSnapshots(ctx context.Context) error {
+	last := time.Now()
+	lastAt := uint64(0)
+	for ctx.Err() == nil {
+		sleep(ctx, snapshotCheck+rand.N(snapshotCheck))
+		at := i.catalogueQueries.SnapshotAt()
+		if at != lastAt {
+			last, lastAt = time.Now(), at
+		}
+		due := i.catalogueQueries.RecordsSinceSnapshot() >= snapshotRecords || time.Since(last) >= snapshotAge
+		if !due || !i.catalogueQueries.Known() || ctx.Err() != nil {
+			continue
+		}
+		if i.appendSnapshot(ctx) == nil {
+			last = time.Now()
+		}
+	}
+	return nil
+}
+
+func (i *Instance) appendSnapshot(ctx context.Context) error {
+	s := i.catalogueQueries.Current().Snapshot()
+	data, err := codec.Marshal(catalogue.Record{Snapshot: &s})
+	if err != nil {
+		return err
+	}
+	if _, err := i.platformLog.Append(ctx, catalogue.Stream, data); err != nil {
+		i.Logger.Write(event.LogUnavailable, catalogue.Stream, err)
+		return err
+	}
+	i.Logger.Write(event.CatalogueSnapshot, s.Through)
+	return nil
+}
+
+// catalogueRecords returns the records after an offset for a peer. A peer that
+// is far behind gets one record with a snapshot of the state at its offset.
+func (i *Instance) catalogueRecords(after uint64) []platform.Record {
+	raw, ok := i.catalogueQueries.Since(after)
+	if !ok {
+		return i.snapshotForPeer()
+	}
+	records := make([]platform.Record, 0, len(raw))
+	for _, r := range raw {
+		records = append(records, platform.Record{Offset: r.Offset, Data: r.Data})
+	}
+	return records
+}
+
+func (i *Instance) snapshotForPeer() []platform.Record {
+	s := i.catalogueQueries.Current().Snapshot()
+	data, err := codec.Marshal(catalogue.Record{Snapshot: &s})
+	if err != nil {
+		return nil
+	}
+	return []platform.Record{{Offset: s.Through, Data: data}}
+}
--- /dev/null
+++ b/instance/claim.go
@@ -0,0 +1,117 @@
+package instance
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"time"
+
+	"lycheecrank.example/caller"
+	"lycheecrank.example/claim"
+	"lycheecrank.example/codec"
+	"lycheecrank.example/event"
+	"lycheecrank.example/pipeline"
+	"lycheecrank.example/platform"
+	"lycheecrank.example/request"
+)
+
+// claimFollower returns the follower of a stream of claims.
+func (i *Instance) claimFollower(n int) *follower {
+	stream := claim.StreamName(n)
+	begin := func(_ context.Context, page platform.Page) error {
+		since := time.Now()
+		if len(page.Records) > 0 {
+			since = page.Records[0].AppendedAt
+		}
+		return i.claimCommands.Begin(stream, page.Earliest, since)
+	}
+	next := func() uint64 { return i.claimQueries.Through(stream) + 1 }
+	apply := func(records []platform.Record) error {
+		if len(records) == 0 {
+			return nil
+		}
+		decoded := make([]claim.Record, len(records))
+		for n, r := range records {
+			if err := codec.Unmarshal(r.Data, &decoded[n]); err != nil {
+				i.Logger.Write(event.LogRecordUnread, stream, r.Offset, err)
+				decoded[n] = claim.Record{}
+			}
+		}
+		return i.claimCommands.Apply(stream, records[0].Offset, decoded)
+	}
+	return i.follower(stream, begin, next, apply)
+}
+
+// appendClaims appends records of claims in one append.
+func (i *Instance) appendClaims(ctx context.Context, stream string, records []claim.Record) error {
+	data := make([][]byte, 0, len(records))
+	for _, r := range records {
+		d, err := codec.Marshal(r)
+		if err != nil {
+			return errors.Join(claim.ErrNotAppended, err)
+		}
+		data = append(data, d)
+	}
+	_, err := i.platformLog.Append(ctx, stream, data...)
+	return err
+}
+
+// claim decides whether a request with a key may run.
+func (i *Instance) claim(ctx context.Context, r request.Request) (pipeline.Claimed, error) {
+	key, err := claim.ParseKey(r.Key)
+	if err != nil {
+		return pipeline.Claimed{}, request.Refuse(request.ReasonKeyMalformed, "the key is no UUIDv7")
+	}
+	ticket, err := i.claimer.Claim(ctx, key, r.Workspace, digestOf(r))
+	var ran claim.AlreadyRan
+	if errors.As(err, &ran) {
+		return pipeline.Claimed{Stored: storedAnswer(ran)}, nil
+	}
+	if err != nil {
+		return pipeline.Claimed{}, err
+	}
+	return pipeline.Claimed{Finish: func(o request.Outcome, output []byte) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), i.Settings.Timeouts.Platform)
+		defer cancel()
+		if err := ticket.Finish(ctx, o, output); err != nil {
+			i.Logger.Write(event.ClaimUndecided, r.Key, err)
+		}
+	}}, nil
+}
+
+// digestOf identifies what a request asks for, so that a key can't be used for
+// two different requests.
+func digestOf(r request.Request) claim.Digest {
+	h := sha256.New()
+	_, _ = h.Write([]byte(r.Target))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write(r.Input)
+	return claim.Digest(h.Sum(nil))
+}
+
+// storedAnswer is the answer to a repeat of a request that ran.
+func storedAnswer(ran claim.AlreadyRan) *request.Answer {
+	return &request.Answer{Outcome: request.Ran, Output: ran.Result.Output}
+}
+
+// keyStatus tells what became of a key.
+func (i *Instance) keyStatus(_ context.Context, workspace, text string) caller.KeyStatus {
+	key, err := claim.ParseKey(text)
+	if err != nil {
+		return caller.KeyStatus{Outcome: request.MayHaveRun, Failure: request.Refuse(request.ReasonKeyMalformed, "the key is no UUIDv7")}
+	}
+	state, known := i.claimQueries.State(key)
+	_, stands := state.Standing()
+	switch {
+	case !i.claimQueries.IsComplete(key):
+		return caller.KeyStatus{Outcome: request.MayHaveRun, Failure: request.Refuse(request.ReasonKeyOutsideWindow, "this instance has not read all claims from the time of the key")}
+	case !state.IsOf(workspace):
+		return caller.KeyStatus{Outcome: request.MayHaveRun, Failure: request.Refuse(request.ReasonKeyMismatch, "the key belongs to another workspace")}
+	case !known || !stands:
+		return caller.KeyStatus{Outcome: request.NotRun}
+	case state.Outcome() == request.Ran:
+		return caller.KeyStatus{Outcome: request.Ran, Output: state.Result().Output}
+	default:
+		return caller.KeyStatus{Outcome: request.MayHaveRun, Running: state.Outcome() == 0}
+	}
+}
--- /dev/null
+++ b/instance/http.go
@@ -0,0 +1,41 @@
+package instance
+
+import (
+	"expvar"
+	"net/http"
+	"time"
+
+	"lycheecrank.example/caller"
+	"lycheecrank.example/operator"
+)
+
+// httpServer returns the server for callers and operators. It speaks HTTP/1.1
+// and HTTP/2, so that gRPC callers need no TLS inside a private network.
+func (i *Instance) httpServer() *http.Server {
+	mux := http.NewServeMux()
+	callers := &caller.Handler{
+		Run: i.runner.Run, Cancel: i.cancelRequest, KeyStatus: i.keyStatus,
+		MaxMessageBytes: i.Settings.Limits.MaxMessageBytes, Refusals: i.counters.refusals,
+	}
+	mux.Handle(callers.Routes())
+	operators := &operator.Handler{Status: i.status, Hold: i.hold}
+	for path, handler := range operators.Routes() {
+		mux.Handle(path, handler)
+	}
+	mux.HandleFunc("GET /health/live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /health/ready", i.serveReady)
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, Protocols: new(http.Protocols)}
+	server.Protocols.SetHTTP1(true)
+	server.Protocols.SetUnencryptedHTTP2(true)
+	return server
+}
+
+// serveReady tells the balancer whether to send requests here.
+func (i *Instance) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if i.leaving.Load() || !i.catalogueQueries.Known() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/instance/operator.go
@@ -0,0 +1,79 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"lycheecrank.example/backend"
+	"lycheecrank.example/catalogue"
+	"lycheecrank.example/operator"
+)
+
+// cancelRequest ends a request on this instance or on the one that has it.
+func (i *Instance) cancelRequest(ctx context.Context, workspace, requestID string) bool {
+	if i.requestCommands.Cancel(workspace, requestID) {
+		return true
+	}
+	var group errgroup.Group
+	found := make(chan bool, len(i.memberQueries.All()))
+	for _, m := range i.memberQueries.All() {
+		if m.Name == i.self.Instance {
+			continue
+		}
+		group.Go(func() error {
+			ctx, cancel := context.WithTimeout(ctx, i.Settings.Timeouts.Platform)
+			defer cancel()
+			ok, err := i.peerClient.CancelRequest(ctx, m.PeerAddress, workspace, requestID)
+			found <- err == nil && ok
+			return nil
+		})
+	}
+	_ = group.Wait()
+	close(found)
+	for ok := range found {
+		if ok {
+			return true
+		}
+	}
+	return false
+}
+
+// status returns the state of this instance for operators.
+func (i *Instance) status(context.Context) operator.Status {
+	s := operator.Status{
+		Instance: i.self.Instance, Incarnation: i.self.Incarnation, DataCentre: i.self.DataCentre,
+		CatalogueRevision: i.catalogueQueries.Current().Revision, CatalogueOffset: i.catalogueQueries.Current().Offset,
+		Leaving: i.leaving.Load(), LogContactAge: i.contact.age(),
+		Holds: i.catalogueQueries.Holds().All(), Members: i.memberQueries.All(), Queues: i.dispatchQueries.Depths(),
+	}
+	now := time.Now()
+	for _, b := range i.backendQueries.All() {
+		rights := i.rights(b.Pool, now)
+		if rights == (backend.Rights{}) {
+			continue
+		}
+		s.Servers = append(s.Servers, operator.Server{Server: b, Limit: b.Limit(rights)})
+	}
+	for _, t := range i.ownershipQueries.State().Terms() {
+		if t.IsOwnedBy(i.self.Instance, i.self.Incarnation) {
+			s.Ownerships = append(s.Ownerships, operator.Ownership{
+				Pool: t.Key.Pool, DataCentre: t.Key.DataCentre, Term: t.ID,
+				LeaseValid: i.ownershipQueries.Rights(t.Key.Pool, now).Cold,
+			})
+		}
+	}
+	return s
+}
+
+// hold places a hold on a data centre.
+func (i *Instance) hold(_ context.Context, dataCentre, by string, d time.Duration) (time.Time, error) {
+	now := time.Now()
+	h := catalogue.Hold{
+		DataCentre: dataCentre, Operator: by,
+		Ends: now.Add(min(d, catalogue.MaxHold)), Sequence: uint64(now.UnixMicro()),
+	}
+	i.catalogueCommands.Hold(h)
+	return h.Ends, nil
+}
--- /dev/null
+++ b/instance/ownership.go
@@ -0,0 +1,86 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"lycheecrank.example/backend"
+	"lycheecrank.example/codec"
+	"lycheecrank.example/event"
+	"lycheecrank.example/member"
+	"lycheecrank.example/ownership"
+	"lycheecrank.example/peer"
+	"lycheecrank.example/platform"
+)
+
+// ownershipFollower returns the follower of the stream of terms.
+func (i *Instance) ownershipFollower() *follower {
+	begin := func(_ context.Context, page platform.Page) error {
+		if applied := i.ownershipQueries.State().Applied(); applied+1 < page.Earliest {
+			i.ownershipCommands.Restart(ownership.NewState(page.Earliest-1), time.Now())
+		}
+		return nil
+	}
+	next := func() uint64 { return i.ownershipQueries.State().Applied() + 1 }
+	return i.follower(peer.OwnershipStream, begin, next, i.applyOwnership)
+}
+
+func (i *Instance) applyOwnership(records []platform.Record) error {
+	received := time.Now()
+	for _, r := range records {
+		var record ownership.Record
+		if err := codec.Unmarshal(r.Data, &record); err != nil {
+			i.Logger.Write(event.LogRecordUnread, peer.OwnershipStream, r.Offset, err)
+			record = ownership.Record{}
+		}
+		if err := i.ownershipCommands.Apply(r.Offset, record, received); err != nil {
+			return err
+		}
+		i.keepOwnershipRecord(r)
+	}
+	return nil
+}
+
+func (i *Instance) appendOwnership(ctx context.Context, records ...ownership.Record) error {
+	data := make([][]byte, 0, len(records))
+	for _, r := range records {
+		d, err := codec.Marshal(r)
+		if err != nil {
+			return err
+		}
+		data = append(data, d)
+	}
+	_, err := i.platformLog.Append(ctx, peer.OwnershipStream, data...)
+	return err
+}
+
+// rights returns what this instance may dispatch to a pool. It takes no lock.
+func (i *Instance) rights(pool string, now time.Time) backend.Rights {
+	if !i.catalogueQueries.IsOpen(i.self.DataCentre, now) {
+		return backend.Rights{}
+	}
+	r := i.ownershipQueries.Rights(pool, now)
+	rights := backend.Rights{Cold: r.Cold}
+	switch r.Warm {
+	case ownership.WarmFull:
+		rights.WarmShare = 1
+	case ownership.WarmHalf:
+		rights.WarmShare = 2
+	}
+	return rights
+}
+
+// candidates returns the instances of this data centre.
+func (i *Instance) candidates() []member.Instance {
+	return i.memberQueries.InDataCentre(i.self.DataCentre)
+}
+
+// hasNoWork reports whether no step of this instance is at a server of a pool.
+func (i *Instance) hasNoWork(pool string) bool {
+	for _, s := range i.backendQueries.Pool(pool) {
+		if s.InFlight > 0 {
+			return false
+		}
+	}
+	return true
+}
--- a/ownership/view.go
+++ b/ownership/view.go
@@ -54,8 +54,12 @@
 }
 
 func (v view) withOwn(pool string, l lease) view {
-	v.own = maps.Clone(v.own)
-	v.own[pool] = l
+	own := maps.Clone(v.own)
+	if own == nil {
+		own = map[string]lease{}
+	}
+	own[pool] = l
+	v.own = own
 	return v
 }
 
--- a/peer/message.go
+++ b/peer/message.go
@@ -96,6 +96,8 @@
 	Repeatable  bool     `msgpack:"repeatable"`
 	Avoid       []string `msgpack:"avoid,omitempty"`
 	Revision    uint64   `msgpack:"revision"`
+	// Hops counts the instances that passed the step on.
+	Hops int `msgpack:"hops"`
 	// Streamed asks for pieces.
 	Streamed bool `msgpack:"streamed"`
 }
@@ -121,6 +123,7 @@
 		Repeatable:  s.Repeatable,
 		Avoid:       s.Avoid,
 		Revision:    s.Revision,
+		Hops:        s.Hops,
 		Streamed:    streamed,
 	}
 }
@@ -144,6 +147,7 @@
 		Repeatable: e.Repeatable,
 		Avoid:      e.Avoid,
 		Revision:   e.Revision,
+		Hops:       e.Hops,
 	}
 }
 
@@ -202,18 +206,34 @@
 	Reason       request.Reason `msgpack:"reason"`
 	Detail       string         `msgpack:"detail"`
 	Sent         bool           `msgpack:"sent"`
+	Server       string         `msgpack:"backendServer,omitempty"`
+	DataCentre   string         `msgpack:"dataCentre,omitempty"`
 	RetryAfterMs float64        `msgpack:"retryAfterMs,omitempty"`
 }
 
 func asFailureBody(f request.Failure) *failureBody {
-	return &failureBody{Reason: f.Reason, Detail: f.Detail, Sent: f.Sent, RetryAfterMs: toMilliseconds(f.RetryAfter)}
+	return &failureBody{
+		Reason:       f.Reason,
+		Detail:       f.Detail,
+		Sent:         f.Sent,
+		Server:       f.Server,
+		DataCentre:   f.DataCentre,
+		RetryAfterMs: toMilliseconds(f.RetryAfter),
+	}
 }
 
 func (f *failureBody) failure() request.Failure {
 	if f.Reason == "" {
 		return request.Refuse(request.ReasonOutcomeUnknown, f.Detail).WithSent(true)
 	}
-	return request.Failure{Reason: f.Reason, Detail: f.Detail, Sent: f.Sent, RetryAfter: fromMilliseconds(f.RetryAfterMs)}
+	return request.Failure{
+		Reason:     f.Reason,
+		Detail:     f.Detail,
+		Sent:       f.Sent,
+		Server:     f.Server,
+		DataCentre: f.DataCentre,
+		RetryAfter: fromMilliseconds(f.RetryAfterMs),
+	}
 }
 
 type cancelRequestBody struct {
--- a/pipeline/runner.go
+++ b/pipeline/runner.go
@@ -13,8 +13,15 @@
 	"lycheecrank.example/request"
 )
 
-// maxAttempts bounds the attempts at one stage.
-const maxAttempts = 4
+const (
+	// maxSent bounds the attempts at one stage that may have reached a server.
+	maxSent = 4
+	// maxUnsent bounds the attempts that reached none. Together with the pauses
+	// between them they cover the second in which a pool changes its owner.
+	maxUnsent = 8
+	minPause  = 10 * time.Millisecond
+	maxPause  = 400 * time.Millisecond
+)
 
 // Claimed is the right to run a request that may not be repeated.
 type Claimed struct {
@@ -164,7 +171,7 @@
 // runStage tries a stage until it succeeds or may not be tried again.
 func (r *Runner) runStage(ctx context.Context, req request.Request, p plan, i int, input []byte, sink request.Sink) (request.StageReport, *request.Failure) {
 	step := p.step(i, req, input)
-	sent := false
+	var tried attempts
 	for {
 		step = step.WithDeadline(p.deadline(i, time.Now(), req.Deadline))
 		result, err := r.Execute(ctx, step, sink)
@@ -174,20 +181,63 @@
 		if err == nil {
 			return request.StageReport{Stage: step.Stage, Attempts: step.Attempt, Result: result}, nil
 		}
-		f := request.AsFailure(err).WithSent(sent)
-		sent = f.Sent
-		if stop := r.stopReason(ctx, req, step, f); stop != nil {
+		f := request.AsFailure(err)
+		tried = tried.with(f)
+		if stop := r.stopReason(ctx, req, step, f, tried); stop != nil {
 			return request.StageReport{}, stop
 		}
+		if !f.Sent {
+			pause(ctx, tried.pause())
+		}
 		r.Retries.Add(string(f.Reason))
 		r.decided(Decision{Kind: Retry, Request: req, Reason: f.Reason, At: time.Now()})
-		step = step.WithAttempt(step.Attempt+1, f.Server)
+		step = step.WithRetry(f)
+	}
+}
+
+// attempts counts the failed attempts at a stage.
+type attempts struct {
+	sent   int
+	unsent int
+}
+
+func (a attempts) with(f request.Failure) attempts {
+	if f.Sent {
+		a.sent++
+	} else {
+		a.unsent++
+	}
+	return a
+}
+
+// pause returns the wait before the next attempt after one that reached no
+// server. The first one comes at once, at another server or data centre.
+func (a attempts) pause() time.Duration {
+	if a.unsent <= 1 {
+		return 0
+	}
+	return min(minPause<<a.unsent, maxPause)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
 
-// stopReason returns why a failed step may not be tried again, or nil.
-func (r *Runner) stopReason(ctx context.Context, req request.Request, step request.Step, f request.Failure) *request.Failure {
-	if err := ctx.Err(); err != nil {
+// stopReason returns why a failed step may not be tried again, or nil. Only
+// attempts that may have reached a server cost a part of the retry budget,
+// since the others put no load on one.
+func (r *Runner) stopReason(ctx context.Context, req request.Request, step request.Step, f request.Failure, tried attempts) *request.Failure {
+	costsBudget := f.Sent
+	f = f.WithSent(tried.sent > 0)
+	if ctx.Err() != nil {
 		ended := endedFailure(ctx).WithSent(f.Sent)
 		return &ended
 	}
@@ -197,12 +247,12 @@
 	if !f.Reason.RetriesStep() && !isStageTimeout(req, step, f) {
 		return &f
 	}
-	if step.Attempt >= maxAttempts {
+	if tried.sent >= maxSent || tried.unsent >= maxUnsent {
 		return &f
 	}
-	if !r.Budget.Take() {
+	if costsBudget && !r.Budget.Take() {
 		r.Retries.Add(string(request.ReasonRetryBudget))
-		over := request.Refuse(request.ReasonRetryBudget, f.Error()).WithSent(f.Sent)
+		over := request.Refuse(request.ReasonRetryBudget, f.Error()).WithSent(true)
 		return &over
 	}
 	return nil
--- a/request/failure.go
+++ b/request/failure.go
@@ -15,6 +15,9 @@
 	Sent bool
 	// Server is the backend server that failed; empty if there was none.
 	Server string
+	// DataCentre is where the step was refused or failed; empty if that was
+	// before it was routed.
+	DataCentre string
 	// RetryAfter is the shortest useful wait before a repeat; 0 if unknown.
 	RetryAfter time.Duration
 }
@@ -48,6 +51,15 @@
 	return f
 }
 
+// WithDataCentre returns the failure with the data centre where it arose, unless
+// that is known already.
+func (f Failure) WithDataCentre(name string) Failure {
+	if f.DataCentre == "" {
+		f.DataCentre = name
+	}
+	return f
+}
+
 // Outcome is NotRun only if nothing can have been sent.
 func (f Failure) Outcome() Outcome {
 	if f.Sent {
--- a/request/reason.go
+++ b/request/reason.go
@@ -72,9 +72,9 @@
 	{ReasonClaimLogUnavailable, false, true, false},
 	{ReasonWorkspaceLimit, false, true, false},
 	{ReasonTargetLimit, false, true, false},
-	{ReasonQueueFull, false, true, true},
+	{ReasonQueueFull, true, true, true},
 	{ReasonNoServer, true, true, true},
-	{ReasonDeadlineUnattainable, false, true, true},
+	{ReasonDeadlineUnattainable, true, true, true},
 	{ReasonLeaving, true, true, true},
 	{ReasonPeerUnreachable, true, true, true},
 	{ReasonRightEnded, true, true, true},
@@ -110,6 +110,16 @@
 // on another server.
 func (r Reason) RetriesStep() bool { return r.traits().retryStep }
 
+// AvoidsDataCentre reports whether a step that was refused for this reason
+// should try another data centre next.
+func (r Reason) AvoidsDataCentre() bool {
+	switch r {
+	case ReasonNoServer, ReasonQueueFull, ReasonDeadlineUnattainable:
+		return true
+	}
+	return false
+}
+
 // RetriesRequest reports whether a caller may send the request again.
 func (r Reason) RetriesRequest() bool { return r.traits().retryRequest }
 
--- a/request/step.go
+++ b/request/step.go
@@ -1,6 +1,9 @@
 package request
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Kind is the kind of work of a stage.
 type Kind string
@@ -44,6 +47,9 @@
 	Repeatable bool
 	// Avoid names the servers that failed earlier attempts.
 	Avoid []string
+	// AvoidDataCentres names the data centres that could not serve earlier
+	// attempts.
+	AvoidDataCentres []string
 	// Revision is the catalogue revision at admission.
 	Revision uint64
 	// Hops counts the instances that passed the step on.
@@ -56,11 +62,15 @@
 	return s
 }
 
-// WithAttempt returns the step for its next attempt, which avoids a server.
-func (s Step) WithAttempt(attempt uint32, avoid string) Step {
-	s.Attempt = attempt
-	if avoid != "" {
-		s.Avoid = append(append([]string{}, s.Avoid...), avoid)
+// WithRetry returns the step for the attempt that follows a failed one. It
+// avoids the server that failed, or the data centre that could not serve it.
+func (s Step) WithRetry(f Failure) Step {
+	s.Attempt++
+	switch {
+	case f.Server != "":
+		s.Avoid = append(slices.Clone(s.Avoid), f.Server)
+	case f.DataCentre != "" && f.Reason.AvoidsDataCentre():
+		s.AvoidDataCentres = append(slices.Clone(s.AvoidDataCentres), f.DataCentre)
 	}
 	return s
 }
--- a/standin/store/queries.go
+++ b/standin/store/queries.go
@@ -21,12 +21,15 @@
 func NewQueries(t *Table) *Queries { return &Queries{table: t} }
 
 // Read returns at most limit records of a stream from an offset on, and a
-// channel that is closed once the stream has more. A page from beyond the end
+// channel that is closed once the stream has more; 0 stands for the earliest
+// retained offset. A page from beyond the end
 // is empty. It returns platform.ErrExpired if the records are gone.
 func (q *Queries) Read(name string, from uint64, limit int) (platform.Page, <-chan struct{}, error) {
 	s := q.stream(name)
-	from = max(from, 1)
 	page := platform.Page{Earliest: s.earliest(), Next: s.next}
+	if from == 0 {
+		from = page.Earliest
+	}
 	if from < page.Earliest {
 		return page, s.changed, eris.Wrapf(platform.ErrExpired, "stream %s starts at %d", name, page.Earliest)
 	}
