--- a/precedence/compare.go
+++ b/precedence/compare.go
@@ -2,15 +2,14 @@
 
 import "fmt"
 
-// queue names what has one order: the dispatches of an instance incarnation for
-// one stage and pool.
+// queue names what has one order: the steps of all stages that an instance
+// incarnation dispatches for a pool.
 type queue struct {
 	origin Origin
-	stage  string
 	pool   string
 }
 
-func queueOf(r Record) queue { return queue{Origin{r.Instance, r.Incarnation}, r.Stage, r.Pool} }
+func queueOf(r Record) queue { return queue{Origin{r.Instance, r.Incarnation}, r.Pool} }
 
 // compareQueues compares the first dispatches in each queue that both waited in.
 func compareQueues(a, b history) []Comparison {
@@ -37,7 +36,7 @@
 	if second.Sequence < first.Sequence {
 		first, second = y, x
 	}
-	c := Comparison{First: first.RequestID, Basis: OwnerSequence, Stage: first.Stage, Pool: first.Pool}
+	c := Comparison{First: first.RequestID, Basis: OwnerSequence, Pool: first.Pool}
 	c.Cause, c.Verdict, c.Detail = reason(first, second)
 	return c
 }
@@ -81,12 +80,17 @@
 	case len(x) == 0:
 		return onlyOne(y[0], a)
 	}
-	first, second := x[0], y[0]
-	if second.At.Before(first.At) {
+	first, second, basis := x[0], y[0], WallClocks
+	if queueOf(first).origin == queueOf(second).origin {
+		basis = SameChain
+		if second.Sequence < first.Sequence {
+			first, second = second, first
+		}
+	} else if second.At.Before(first.At) {
 		first, second = second, first
 	}
 	return Comparison{
-		First: first.RequestID, Basis: WallClocks, Cause: SeparateQueues, Verdict: Undecided,
+		First: first.RequestID, Basis: basis, Cause: SeparateQueues, Verdict: Undecided,
 		Detail: fmt.Sprintf("dispatched by %s (%s) for pool %s, %s before %s by %s (%s) for pool %s",
 			first.Instance, first.Incarnation, first.Pool, second.At.Sub(first.At), second.RequestID, second.Instance, second.Incarnation, second.Pool),
 	}
@@ -97,7 +101,7 @@
 // still tells whether it was passed over rightly.
 func onlyOne(served Record, other history) Comparison {
 	c := Comparison{
-		First: served.RequestID, Basis: OnlyOneDispatched, Stage: served.Stage, Pool: served.Pool,
+		First: served.RequestID, Basis: OnlyOneDispatched, Pool: served.Pool,
 		Cause: ByRefusal, Verdict: Undecided, Detail: other.undispatched(),
 	}
 	for _, r := range other.ofKinds(Refusal) {
--- a/precedence/explanation.go
+++ b/precedence/explanation.go
@@ -36,6 +36,9 @@
 	// OwnerSequence: both were dispatched for one pool by one instance incarnation,
 	// whose chain gives the order.
 	OwnerSequence Basis = "ownerSequence"
+	// SameChain: one instance incarnation dispatched both, for different pools, and
+	// its chain gives the order.
+	SameChain Basis = "sameChain"
 	// WallClocks: the order rests on the wall clocks of the instances.
 	WallClocks Basis = "wallClocks"
 	// OnlyOneDispatched: the other was never dispatched.
@@ -107,7 +110,6 @@
 	// neither was.
 	First string `json:"first"`
 	Basis Basis  `json:"basis"`
-	Stage string `json:"stage,omitempty"`
 	Pool  string `json:"pool,omitempty"`
 	Cause Cause  `json:"cause"`
 	// Verdict says whether the order keeps the rules, given the recorded ranks.
--- a/precedence/format.go
+++ b/precedence/format.go
@@ -58,9 +58,6 @@
 		if c.Pool != "" {
 			where = " at pool " + c.Pool
 		}
-		if c.Stage != "" {
-			where += ", stage " + c.Stage
-		}
 		first := c.First
 		if first == "" {
 			first = "neither"
