--- a/standin/engine.go
+++ b/standin/engine.go
@@ -55,10 +55,12 @@
 	if err != nil {
 		return h.refusal(err)
 	}
+	ended := make(chan struct{})
+	defer close(ended)
 	running, stop := context.WithCancelCause(running)
 	defer stop(nil)
-	attempt := work.Attempt{Prompt: m.GetPrompt(), MaxTokens: int(m.GetMaxTokens())}
-	h.commands.StartAttempt(id, attempt, stop)
+	attempt := work.Attempt{Prompt: m.GetPrompt(), MaxTokens: int(m.GetMaxTokens())}.WithStream(stop, ended)
+	h.commands.StartAttempt(id, attempt)
 	if !h.commands.CachePrefix(m.GetPrompt()) {
 		err = pause(running, h.options.Prefill)
 	}
@@ -78,13 +80,20 @@
 	if err != nil {
 		return failure(err)
 	}
+	select {
+	case <-attempt.Ended():
+	case <-ctx.Done():
+		return failure(context.Cause(ctx))
+	}
 	running, end, err := h.commands.Begin(ctx)
 	if err != nil {
 		return h.refusal(err)
 	}
+	ended := make(chan struct{})
+	defer close(ended)
 	running, stop := context.WithCancelCause(running)
 	defer stop(nil)
-	h.commands.ContinueAttempt(id, stop)
+	h.commands.ContinueAttempt(id, stop, ended)
 	err = h.generate(running, "Resume", id, attempt, int(m.GetFrom()), stream)
 	end(err == nil)
 	return failure(err)
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -60,11 +60,8 @@
 		return nil
 	})
 	group.Go(func() error {
+		// The announcement of leaving comes after all others, which would undo it.
 		s.announceUntil(running, address)
-		return nil
-	})
-	group.Go(func() error {
-		<-running.Done()
 		return s.drain(context.WithoutCancel(ctx), server, address)
 	})
 	return group.Wait()
@@ -111,6 +108,7 @@
 // fault, until the context ends.
 func (s *Standin) announceUntil(ctx context.Context, address string) {
 	if s.Announce == nil {
+		<-ctx.Done()
 		return
 	}
 	every := s.AnnounceEvery
--- a/standin/work/attempt.go
+++ b/standin/work/attempt.go
@@ -17,8 +17,10 @@
 	// Produced is how many pieces exist.
 	Produced  int
 	Cancelled bool
-	// stop ends the stream that produces the pieces.
-	stop context.CancelCauseFunc
+	// stop ends the stream that produces the pieces; ended is closed once it has
+	// given its slot back.
+	stop  context.CancelCauseFunc
+	ended <-chan struct{}
 }
 
 // WithProduced returns the attempt with at least some pieces.
@@ -33,8 +35,12 @@
 	return a
 }
 
-// WithStop returns the attempt with the end of its stream.
-func (a Attempt) WithStop(stop context.CancelCauseFunc) Attempt {
-	a.stop = stop
+// WithStream returns the attempt with another stream. The function stop ends
+// it; the channel is closed once it has given its slot back.
+func (a Attempt) WithStream(stop context.CancelCauseFunc, ended <-chan struct{}) Attempt {
+	a.stop, a.ended = stop, ended
 	return a
 }
+
+// Ended is closed once the stream has given its slot back.
+func (a Attempt) Ended() <-chan struct{} { return a.ended }
--- a/standin/work/commands.go
+++ b/standin/work/commands.go
@@ -128,21 +128,18 @@
 	t.setLoad(t.load.WithLeaving(true))
 }
 
-// StartAttempt remembers an attempt. The function stop ends its stream.
-func (c *Commands) StartAttempt(id Identity, a Attempt, stop context.CancelCauseFunc) {
+// StartAttempt remembers an attempt. A repeated one runs beside the first, as
+// engines don't deduplicate.
+func (c *Commands) StartAttempt(id Identity, a Attempt) {
 	t := c.table
 	t.lock.Lock()
 	defer t.lock.Unlock()
-	old, known := t.attempts[id]
-	if known {
+	if _, known := t.attempts[id]; known {
 		t.counts["attemptsRepeated"]++
-		if old.stop != nil {
-			old.stop(ErrTakenOver)
-		}
 	} else {
 		t.remembered = append(t.remembered, id)
 	}
-	t.attempts[id] = a.WithStop(stop)
+	t.attempts[id] = a
 	if len(t.remembered) > attemptsKept {
 		delete(t.attempts, t.remembered[0])
 		t.remembered = t.remembered[1:]
@@ -162,20 +159,18 @@
 	if a.Cancelled {
 		return a, eris.Wrap(ErrCancelled, "resume")
 	}
-	if a.stop != nil {
-		a.stop(ErrTakenOver)
-	}
+	a.stop(ErrTakenOver)
 	return a, nil
 }
 
 // ContinueAttempt gives an attempt another stream.
-func (c *Commands) ContinueAttempt(id Identity, stop context.CancelCauseFunc) {
+func (c *Commands) ContinueAttempt(id Identity, stop context.CancelCauseFunc, ended <-chan struct{}) {
 	t := c.table
 	t.lock.Lock()
 	defer t.lock.Unlock()
 	t.counts["resumed"]++
 	if a, ok := t.attempts[id]; ok {
-		t.attempts[id] = a.WithStop(stop)
+		t.attempts[id] = a.WithStream(stop, ended)
 	}
 }
 
@@ -198,9 +193,7 @@
 	if !ok {
 		return false
 	}
-	if a.stop != nil {
-		a.stop(ErrCancelled)
-	}
+	a.stop(ErrCancelled)
 	t.counts["cancelled"]++
 	t.attempts[id] = a.WithCancelled()
 	return true
