Record decisions of precedence on the instance

Dispatch decisions are recorded under the lock of the dispatch table, so that the order of the chain is the order of the decisions. The interval of appends is a setting: one a second suits ten instances, hundreds need ten seconds to stay within the log's few hundred appends a second.

--- a/cmd/lycheecrank/main.go
+++ b/cmd/lycheecrank/main.go
@@ -48,7 +48,10 @@
 	if err != nil {
 		return err
 	}
-	i := instance.New(s, os.Stderr)
+	i, err := instance.New(s, os.Stderr)
+	if err != nil {
+		return err
+	}
 	i.Ready = func(callers, peers string) {
 		fmt.Fprintln(c.Root().Writer, "ready", callers, peers)
 	}
--- a/cmd/lycheestand/demo.go
+++ b/cmd/lycheestand/demo.go
@@ -175,7 +175,10 @@
 	if err != nil {
 		return "", err
 	}
-	i := instance.New(s, logs)
+	i, err := instance.New(s, logs)
+	if err != nil {
+		return "", err
+	}
 	ready := make(chan string, 1)
 	i.Ready = func(callers, _ string) { ready <- callers }
 	group.Go(func() error {
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -55,10 +55,10 @@
 	capacity := t.Capacity(w.step.Pool, w.step.Rank, rights)
 	limit := t.MaxQueued(w.step.Pool)
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	refusal := c.enqueue(w, capacity, limit, now)
-	t.mu.Unlock()
 	if refusal != nil {
-		c.decide(Decision{Step: w.step, Reason: refusal.Reason, At: now})
+		t.decide(Decision{Step: w.step, Enqueued: w.enqueued, Reason: refusal.Reason, At: now})
 		return *refusal
 	}
 	return nil
@@ -128,21 +128,19 @@
 	})
 	defer stop()
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	for ctx.Err() == nil {
-		if a, d, ok := c.assign(time.Now()); ok {
-			t.mu.Unlock()
-			c.decide(d)
+		if a, ok := c.assign(time.Now()); ok {
 			return a, true
 		}
 		t.changed.Wait()
 	}
-	t.mu.Unlock()
 	return Assignment{}, false
 }
 
 // assign takes the best step of the first pool that has a free server. The
 // caller holds the lock.
-func (c Commands) assign(now time.Time) (Assignment, Decision, bool) {
+func (c Commands) assign(now time.Time) (Assignment, bool) {
 	t := c.table
 	for i, name := range t.order {
 		q := t.pools[name]
@@ -157,10 +155,10 @@
 		q.remove(w)
 		q.charge(w)
 		t.order = append(append(append([]string{}, t.order[i+1:]...), t.order[:i]...), name)
-		d := Decision{Step: w.step, Server: s.Name, Waiting: q.ahead(w.step.Rank), At: now}
-		return Assignment{Step: w.step, Server: s, Sink: w.sink, ctx: w.ctx, enqueued: w.enqueued, assigned: now, done: w.done}, d, true
+		t.decide(Decision{Step: w.step, Enqueued: w.enqueued, Server: s.Name, Waiting: q.ahead(w.step.Rank), At: now})
+		return Assignment{Step: w.step, Server: s, Sink: w.sink, ctx: w.ctx, enqueued: w.enqueued, assigned: now, done: w.done}, true
 	}
-	return Assignment{}, Decision{}, false
+	return Assignment{}, false
 }
 
 // Run executes an assignment and reports its outcome. It is the job of a
@@ -232,6 +230,7 @@
 			if known && sweepReason(w, capacity, now) != "" && q.remove(w) {
 				refused = append(refused, w)
 				t.leave()
+				t.decide(Decision{Step: w.step, Enqueued: w.enqueued, Reason: sweepReason(w, capacity, now), At: now})
 			}
 		})
 		waitingSteps += q.count
@@ -242,7 +241,6 @@
 	t.mu.Unlock()
 	for _, w := range refused {
 		r := sweepReason(w, capacities[w.step.Pool], now)
-		c.decide(Decision{Step: w.step, Reason: r, At: now})
 		w.done <- Outcome{Failure: refusal(r, "no server of pool "+w.step.Pool+" became free in time")}
 	}
 }
@@ -318,9 +316,3 @@
 	defer t.mu.Unlock()
 	t.closed = true
 }
-
-func (c Commands) decide(d Decision) {
-	if c.table.Decided != nil {
-		c.table.Decided(d)
-	}
-}
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -30,7 +30,8 @@
 	// Execute calls the backend server. Sent tells whether a byte may have
 	// reached it. It is called without any lock.
 	Execute func(ctx context.Context, a Assignment) Execution
-	// Decided gets each decision about the order of service; it must not block.
+	// Decided gets each decision about the order of service, in that order. It is
+	// called with the table locked and must not block.
 	Decided func(d Decision)
 	// Failures counts the reasons for which steps failed at a server.
 	Failures *counter.Set
@@ -71,8 +72,10 @@
 
 // Decision is a decision about the order of service.
 type Decision struct {
-	Step   request.Step
-	Server string
+	Step request.Step
+	// Enqueued is when the step came to this instance.
+	Enqueued time.Time
+	Server   string
 	// Waiting is the number of steps of the same or a better class that were
 	// left waiting for the pool.
 	Waiting int
@@ -92,6 +95,12 @@
 // Commands returns what changes the table.
 func (t *Table) Commands() Commands { return Commands{table: t} }
 
+func (t *Table) decide(d Decision) {
+	if t.Decided != nil {
+		t.Decided(d)
+	}
+}
+
 // leave notes that a step is finished. The caller holds the lock.
 func (t *Table) leave() {
 	t.unfinished--
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -24,6 +24,7 @@
 	"lycheecrank.example/peer"
 	"lycheecrank.example/pipeline"
 	"lycheecrank.example/platform"
+	"lycheecrank.example/precedence"
 	"lycheecrank.example/request"
 	"lycheecrank.example/settings"
 	"lycheecrank.example/stage"
@@ -69,6 +70,8 @@
 	stages     *stage.Client
 	runner     *pipeline.Runner
 	workers    worker.Pool[dispatch.Assignment]
+	decisions  precedence.Commands
+	recorder   *precedence.Recorder
 	peerClient *peer.Client
 	peerServer *peer.Server
 	gossip     *peer.Gossip
@@ -93,8 +96,9 @@
 	peers   string
 }
 
-// New returns an instance that logs to out.
-func New(s settings.Settings, out io.Writer) *Instance {
+// New returns an instance that logs to out. It fails if the signing key can't be
+// read.
+func New(s settings.Settings, out io.Writer) (*Instance, error) {
 	i := &Instance{
 		Settings: s,
 		Logger:   event.NewLogger(out, s.Log.Level, s.Instance.Name),
@@ -111,10 +115,13 @@
 	i.buildPlatform()
 	i.buildTables()
 	i.buildOwnership()
+	if err := i.buildPrecedence(); err != nil {
+		return nil, err
+	}
 	i.buildDispatch()
 	i.buildRunner()
 	i.buildPeers()
-	return i
+	return i, nil
 }
 
 func (i *Instance) buildPlatform() {
@@ -157,6 +164,7 @@
 	steps.Reserve, steps.Release, steps.Return = i.backendCommands.Reserve, i.backendCommands.Release, i.backendCommands.Return
 	steps.Capacity, steps.Rights, steps.MaxQueued = i.capacity, i.rights, i.maxQueued
 	steps.Execute = i.executeAtServer
+	steps.Decided = i.recordDispatch
 	steps.Failures = i.counters.failures
 	i.dispatchCommands, i.dispatchQueries = steps.Commands(), steps.Queries()
 	i.workers = worker.Pool[dispatch.Assignment]{
@@ -169,7 +177,7 @@
 		Catalogue: func() (catalogue.Catalogue, bool) {
 			return i.catalogueQueries.Current(), i.catalogueQueries.Known()
 		},
-		Execute: i.execute, Claim: i.claim, IsLeaving: i.refusing.Load,
+		Execute: i.execute, Claim: i.claim, Decided: i.recordRequest, IsLeaving: i.refusing.Load,
 		Requests: i.requestCommands, MaxInFlight: i.Settings.Limits.MaxInFlight,
 		Budget:   pipeline.NewBudget(i.Settings.Retry.BudgetPerRequest, float64(i.Settings.Retry.BudgetBurst)),
 		Refusals: i.counters.refusals, Retries: i.counters.retries, Logger: i.Logger,
--- a/instance/run.go
+++ b/instance/run.go
@@ -46,13 +46,18 @@
 		i.keeper.Run(ctx)
 		return nil
 	})
+	records, flush := context.WithCancel(work)
+	defer flush()
+	recorded := i.startRecorder(records)
 	i.Ready(i.addresses.callers, i.addresses.peers)
 	i.Logger.Write(event.Started, Version, i.addresses.callers, i.addresses.peers)
 	<-ctx.Done()
 	drained := i.drain(context.WithoutCancel(ctx), server)
+	flush()
+	lost := <-recorded
 	stop()
 	i.peerClient.Close()
-	return errors.Join(drained, group.Wait())
+	return errors.Join(drained, lost, group.Wait())
 }
 
 // settleLimit bounds the last appends to the log. The terms end by silence and
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -69,6 +69,8 @@
 	SigningKeyFile string
 	// Buffer is the number of records kept while the log is down.
 	Buffer int
+	// Interval is the least time between two appends of records.
+	Interval time.Duration
 }
 
 // Timeouts bound single calls to other processes.
--- a/settings/table.go
+++ b/settings/table.go
@@ -75,6 +75,10 @@
 		Path: "precedence.buffer", Default: "100000", Meaning: "Decision records kept while the log is down; further ones are lost and counted in a gap record.",
 		value: func(s *Settings) value { return integer(&s.Precedence.Buffer, 100, 10000000, "records") },
 	},
+	{
+		Path: "precedence.interval", Default: "1s", Meaning: "Least time between two appends of decision records; hundreds of instances need 10s or more.",
+		value: func(s *Settings) value { return duration(&s.Precedence.Interval, 100*time.Millisecond, time.Minute) },
+	},
 	{
 		Path: "timeouts.peerDial", Default: "200ms", Meaning: "Bound for connecting to another instance.",
 		value: func(s *Settings) value { return duration(&s.Timeouts.PeerDial, time.Millisecond, 10*time.Second) },
