--- a/backend/server.go
+++ b/backend/server.go
@@ -43,6 +43,8 @@
 	// largest number in cold start; both are at least 1.
 	MaxInFlight  int
 	ColdInFlight int
+	// TakenOut tells that operators want the server to get no new work.
+	TakenOut bool
 }
 
 // Server is an instance's view of a backend server. It is an immutable value.
@@ -108,8 +110,9 @@
 	return s
 }
 
-// IsLeaving reports whether the server is leaving and gets nothing new.
-func (s Server) IsLeaving() bool { return s.ListedLeaving || s.ReportedLeaving }
+// IsLeaving reports whether the server is leaving or taken out, so that it gets
+// nothing new.
+func (s Server) IsLeaving() bool { return s.TakenOut || s.ListedLeaving || s.ReportedLeaving }
 
 // WithListedLeaving returns the server as the list of instances has it.
 func (s Server) WithListedLeaving(leaving bool) Server {
--- a/catalogue/check.go
+++ b/catalogue/check.go
@@ -110,6 +110,10 @@
 	if e.Region == "" {
 		c.add(e, "region", "must not be empty")
 	}
+	c.state(e)
+}
+
+func (c *checker) state(e Entry) {
 	if e.State != "" && e.State != InService && e.State != TakenOut {
 		c.add(e, "state", "must be %s or %s", InService, TakenOut)
 	}
@@ -130,6 +134,7 @@
 	if _, err := netip.ParseAddrPort(e.Address); err != nil {
 		c.add(e, "address", "must be IP:port")
 	}
+	c.state(e)
 	l := e.Limits.WithDefaults(ServerKind)
 	if l.ColdInFlight > l.MaxInFlight {
 		c.add(e, "limits.coldInFlight", "must not be above maxInFlight (%d)", l.MaxInFlight)
@@ -186,7 +191,7 @@
 		{"rank", e.Rank != 0, used(ClassKind)},
 		{"weight", e.Weight != 0, used(WorkspaceKind)},
 		{"region", e.Region != "", used(DataCentreKind)},
-		{"state", e.State != "", used(DataCentreKind)},
+		{"state", e.State != "", used(DataCentreKind, ServerKind)},
 		{"stageKind", e.StageKind != "", used(PoolKind)},
 		{"model", e.Model != "", used(PoolKind)},
 		{"pool", e.Pool != "", used(ServerKind, ServiceKind)},
--- a/catalogue/entry.go
+++ b/catalogue/entry.go
@@ -31,10 +31,10 @@
 	return []Kind{ClassKind, WorkspaceKind, DataCentreKind, PoolKind, ServerKind, PipelineKind, ServiceKind}
 }
 
-// State of a data centre.
+// State of a data centre or server.
 type State string
 
-// The states of a data centre.
+// The states. What is taken out gets no new work.
 const (
 	InService State = "inService"
 	TakenOut  State = "takenOut"
@@ -94,9 +94,10 @@
 	Rank int `msgpack:"rank,omitempty" json:"rank,omitempty" yaml:"rank,omitempty"`
 	// Weight is a workspace's share inside its class; the default is 1.
 	Weight int `msgpack:"weight,omitempty" json:"weight,omitempty" yaml:"weight,omitempty"`
-	// Region and State of a data centre; the default state is inService.
+	// Region of a data centre.
 	Region string `msgpack:"region,omitempty" json:"region,omitempty" yaml:"region,omitempty"`
-	State  State  `msgpack:"state,omitempty" json:"state,omitempty" yaml:"state,omitempty"`
+	// State of a data centre or server; the default is inService.
+	State State `msgpack:"state,omitempty" json:"state,omitempty" yaml:"state,omitempty"`
 	// StageKind and Model of a pool.
 	StageKind request.Kind `msgpack:"stageKind,omitempty" json:"stageKind,omitempty" yaml:"stageKind,omitempty"`
 	Model     string       `msgpack:"model,omitempty" json:"model,omitempty" yaml:"model,omitempty"`
@@ -124,7 +125,7 @@
 	return e
 }
 
-// WithState returns the data centre with another state.
+// WithState returns the data centre or server with another state.
 func (e Entry) WithState(s State) Entry {
 	e.State = s
 	return e
@@ -138,7 +139,7 @@
 // normal drops the differences that have no meaning.
 func (e Entry) normal() Entry {
 	e.Revision = 0
-	if e.Kind == DataCentreKind && e.State == "" {
+	if e.State == "" && (e.Kind == DataCentreKind || e.Kind == ServerKind) {
 		e.State = InService
 	}
 	if len(e.Stages) == 0 {
--- a/instance/catalogue.go
+++ b/instance/catalogue.go
@@ -126,6 +126,7 @@
 	return backend.Spec{
 		Name: e.Name, Pool: e.Pool, DataCentre: e.DataCentre, Address: e.Address,
 		LowestRank: lowestRank(c, e), MaxInFlight: limits.MaxInFlight, ColdInFlight: limits.ColdInFlight,
+		TakenOut: e.State == catalogue.TakenOut,
 	}
 }
 
--- a/instance/route.go
+++ b/instance/route.go
@@ -116,7 +116,7 @@
 // hasServer reports whether a data centre has a server that may serve a step.
 func hasServer(c catalogue.Catalogue, dataCentre string, step request.Step) bool {
 	return slices.ContainsFunc(c.Servers(step.Pool), func(e catalogue.Entry) bool {
-		return e.DataCentre == dataCentre && step.Rank <= lowestRank(c, e)
+		return e.DataCentre == dataCentre && e.State != catalogue.TakenOut && step.Rank <= lowestRank(c, e)
 	})
 }
 
