Keep terms renewed through the drain and fill returning servers by steps

Cause: the keeper of the terms ended with the signal, so a drain longer than the lease left the pools without an owner. Servers of a data centre that was taken out kept the warmth they had before. A step that was refused because its owner leaves goes to another data centre at once.

--- a/backend/commands.go
+++ b/backend/commands.go
@@ -84,6 +84,18 @@
 	c.change(name, func(s Server) Server { return s.WithListedLeaving(leaving) })
 }
 
+// Cool treats all servers as cold, such as when their data centre is taken out:
+// nobody knows what happens to them until it returns, and then it must be filled
+// by steps.
+func (c Commands) Cool(now time.Time) {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, s := range t.byName {
+		t.byName[name] = s.WithCold(now)
+	}
+}
+
 func (c Commands) change(name string, next func(Server) Server) {
 	t := c.table
 	t.mu.Lock()
--- a/backend/observation.go
+++ b/backend/observation.go
@@ -45,6 +45,11 @@
 		return s.withSuccess(o.Responded, now)
 	case request.ReasonServerCold, request.ReasonServerUnreachable:
 		return s.withFailure(now).WithCold(now)
+	case request.ReasonDeadlinePassed:
+		// A server that is frozen gives no other sign.
+		if s.isLate(o.Responded) {
+			return s.withFailure(now).WithCold(now)
+		}
 	case request.ReasonServerFailed, request.ReasonResultInvalid:
 		s = s.withFailure(now)
 		if s.failures >= failuresUntilCold {
@@ -86,9 +91,13 @@
 	return s.raised()
 }
 
+// isSlow reports whether a warm server took as long as one that has turned cold.
 func (s Server) isSlow(responded time.Duration) bool {
-	return s.Warmth == Warm && s.ServiceTime > 0 &&
-		responded > slowFactor*s.ServiceTime && responded > s.ServiceTime+slowMargin
+	return s.Warmth == Warm && s.ServiceTime > 0 && s.isLate(responded)
+}
+
+func (s Server) isLate(responded time.Duration) bool {
+	return responded > slowFactor*s.ServiceTime && responded > s.ServiceTime+slowMargin
 }
 
 // raised returns the server with a doubled limit if a full round of successes
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -131,6 +131,8 @@
 	defer t.mu.Unlock()
 	for ctx.Err() == nil {
 		if a, ok := c.assign(time.Now()); ok {
+			// One change may have made several steps dispatchable.
+			t.changed.Signal()
 			return a, true
 		}
 		t.changed.Wait()
@@ -217,7 +219,7 @@
 }
 
 // Sweep refuses the waiting steps whose deadline can't be met any more, and
-// makes all workers look again, since rights and servers change with time.
+// makes a worker look again, since rights and servers change with time.
 func (c Commands) Sweep(now time.Time) {
 	t := c.table
 	capacities := c.capacities(now)
@@ -236,7 +238,7 @@
 		waitingSteps += q.count
 	}
 	if waitingSteps > 0 {
-		t.changed.Broadcast()
+		t.changed.Signal()
 	}
 	t.mu.Unlock()
 	for _, w := range refused {
--- a/instance/catalogue.go
+++ b/instance/catalogue.go
@@ -106,9 +106,20 @@
 	c := i.catalogueQueries.Current()
 	i.Logger.Write(event.CatalogueAdopted, c.Revision, len(c.Entries()), source)
 	i.backendCommands.Sync(i.serverSpecs(c), time.Now())
+	i.followOpen()
 	i.dispatchCommands.Wake()
 }
 
+// followOpen cools the servers when this data centre is taken out or put on
+// hold, so that it is filled by steps when it returns.
+func (i *Instance) followOpen() {
+	now := time.Now()
+	open := i.catalogueQueries.IsOpen(i.self.DataCentre, now)
+	if closed := !open; i.closed.Swap(closed) != closed && closed {
+		i.backendCommands.Cool(now)
+	}
+}
+
 // serverSpecs returns the backend servers of this instance's data centre.
 func (i *Instance) serverSpecs(c catalogue.Catalogue) []backend.Spec {
 	var specs []backend.Spec
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -47,6 +47,8 @@
 	instances   *platform.Instances
 	contact     *contact
 	leaving     atomic.Bool
+	// closed tells that this data centre is taken out or on hold.
+	closed atomic.Bool
 	// refusing is set once the balancer has had time to notice the leaving.
 	refusing atomic.Bool
 
--- a/instance/operator.go
+++ b/instance/operator.go
@@ -75,5 +75,6 @@
 		Ends: now.Add(min(d, catalogue.MaxHold)), Sequence: uint64(now.UnixMicro()),
 	}
 	i.catalogueCommands.Hold(h)
+	i.followOpen()
 	return h.Ends, nil
 }
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -115,6 +115,9 @@
 			Ends: now.Add(min(time.Duration(h.EndsInMs)*time.Millisecond, catalogue.MaxHold)),
 		})
 	}
+	if len(holds) > 0 {
+		i.followOpen()
+	}
 }
 
 func (i *Instance) gossipFailed(address string, _ error) {
--- a/instance/run.go
+++ b/instance/run.go
@@ -42,17 +42,19 @@
 	group.Go(func() error { return i.peerServer.Serve(work, peers) })
 	i.background(work, &group)
 	group.Go(func() error { return i.workers.Run(work, work) })
-	group.Go(func() error {
-		i.keeper.Run(ctx)
-		return nil
-	})
+	keeping, stopKeeper := context.WithCancel(work)
+	defer stopKeeper()
+	kept := i.startKeeper(keeping)
 	records, flush := context.WithCancel(work)
 	defer flush()
 	recorded := i.startRecorder(records)
 	i.Ready(i.addresses.callers, i.addresses.peers)
 	i.Logger.Write(event.Started, Version, i.addresses.callers, i.addresses.peers)
 	<-ctx.Done()
-	drained := i.drain(context.WithoutCancel(ctx), server)
+	drained := i.drain(context.WithoutCancel(ctx), server, func() {
+		stopKeeper()
+		<-kept
+	})
 	flush()
 	lost := <-recorded
 	stop()
@@ -60,6 +62,19 @@
 	return errors.Join(drained, lost, group.Wait())
 }
 
+// startKeeper runs the keeper of the terms until the context ends. The channel
+// is closed after that.
+func (i *Instance) startKeeper(ctx context.Context) <-chan struct{} {
+	done := make(chan struct{})
+	var group errgroup.Group
+	group.Go(func() error {
+		defer close(done)
+		i.keeper.Run(ctx)
+		return nil
+	})
+	return done
+}
+
 // settleLimit bounds the last appends to the log. The terms end by silence and
 // claims stay as they are if the log can't be told.
 const settleLimit = 3 * time.Second
@@ -102,7 +117,9 @@
 }
 
 // drain stops the instance without cutting off a request.
-func (i *Instance) drain(ctx context.Context, server *http.Server) error {
+// Terms are renewed until stopKeeper is called, so that the pools have an owner
+// as long as this instance dispatches.
+func (i *Instance) drain(ctx context.Context, server *http.Server, stopKeeper func()) error {
 	i.leaving.Store(true)
 	i.Logger.Write(event.Leaving, "signal")
 	i.memberCommands.MarkLeaving(i.self.Instance, i.self.Incarnation)
@@ -114,6 +131,7 @@
 	left := i.requestCommands.AwaitIdle(ctx)
 	i.dispatchCommands.Close()
 	left += i.dispatchCommands.AwaitIdle(ctx)
+	stopKeeper()
 	i.settle(ctx)
 	err := server.Shutdown(ctx)
 	i.Logger.Write(event.Stopped, left)
--- a/instance/watch.go
+++ b/instance/watch.go
@@ -86,6 +86,7 @@
 // runLoad asks the servers of the pools that this instance dispatches for.
 func (i *Instance) runLoad(ctx context.Context) error {
 	return every(ctx, loadInterval, func(ctx context.Context) {
+		i.followOpen()
 		var group errgroup.Group
 		now := time.Now()
 		for _, s := range i.backendQueries.All() {
--- a/request/reason.go
+++ b/request/reason.go
@@ -114,7 +114,7 @@
 // should try another data centre next.
 func (r Reason) AvoidsDataCentre() bool {
 	switch r {
-	case ReasonNoServer, ReasonQueueFull, ReasonDeadlineUnattainable:
+	case ReasonNoServer, ReasonQueueFull, ReasonDeadlineUnattainable, ReasonLeaving, ReasonRightEnded:
 		return true
 	}
 	return false
