--- a/peer/call.go
+++ b/peer/call.go
@@ -24,22 +24,38 @@
 	if err != nil {
 		return nil, err
 	}
+	select {
+	case conn.opening <- struct{}{}:
+		defer func() { <-conn.opening }()
+	case <-conn.done:
+		return nil, request.Refuse(request.ReasonPeerUnreachable, conn.cause.Error())
+	case <-ctx.Done():
+		return nil, ended(ctx, false)
+	}
 	a := &call{conn: conn, exchange: conn.open()}
+	if err := a.send(ctx, m); err != nil {
+		a.end()
+		return nil, err
+	}
+	return a, nil
+}
+
+// send queues the first message of the exchange.
+func (a *call) send(ctx context.Context, m message) error {
 	m.Exchange = a.exchange.id
 	data, err := m.encode()
 	if err != nil {
-		conn.close(a.exchange)
-		return nil, request.Refuse(request.ReasonInputTooLarge, err.Error())
+		return request.Refuse(request.ReasonInputTooLarge, err.Error())
 	}
 	a.out = &outgoing{data: data}
-	if err := conn.send(ctx, a.out); err != nil {
-		conn.close(a.exchange)
-		if ctx.Err() != nil {
-			return nil, ended(ctx, false)
-		}
-		return nil, request.Refuse(request.ReasonPeerUnreachable, err.Error())
+	err = a.conn.send(ctx, a.out)
+	switch {
+	case err == nil:
+		return nil
+	case ctx.Err() != nil:
+		return ended(ctx, false)
 	}
-	return a, nil
+	return request.Refuse(request.ReasonPeerUnreachable, err.Error())
 }
 
 // end closes the exchange.
--- a/peer/client.go
+++ b/peer/client.go
@@ -87,11 +87,11 @@
 		case link.conn != nil && !link.conn.isDone():
 			return link.conn, nil
 		case link.conn != nil:
-			c.commands.lost(address, link.conn, time.Now())
+			c.commands.lost(address, link.conn, link.conn.cause, time.Now())
 			continue
 		case link.dialling == nil:
 			wait := time.Until(link.RetryAt)
-			detail := fmt.Sprintf("%s failed %d times", address, link.Failures)
+			detail := fmt.Sprintf("%s failed %d times, last with: %s", address, link.Failures, link.Cause)
 			return nil, request.Refuse(request.ReasonPeerUnreachable, detail).WithRetryAfter(wait)
 		}
 		select {
@@ -115,7 +115,7 @@
 func (c *Client) serve(address string) {
 	o, hello, err := c.dial(address)
 	if err != nil {
-		c.commands.failed(address, time.Now())
+		c.commands.failed(address, err, time.Now())
 		c.Counters.Add("dialFailed")
 		c.report(address, err)
 		return
@@ -128,7 +128,7 @@
 		c.Connected(address, hello)
 	}
 	err = o.run()
-	c.commands.lost(address, o, time.Now())
+	c.commands.lost(address, o, err, time.Now())
 	if !errors.Is(err, ErrClosed) {
 		c.report(hello.Instance, err)
 	}
--- a/peer/commands.go
+++ b/peer/commands.go
@@ -1,6 +1,9 @@
 package peer
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Commands changes a Table. Concurrent calls are safe.
 type Commands struct {
@@ -18,8 +21,11 @@
 	if t.isClosed {
 		return Link{}, false
 	}
-	link := t.links[address]
-	link.Address = address
+	link, known := t.links[address]
+	if !known {
+		link = Link{Address: address}
+		maps.DeleteFunc(t.links, func(_ string, l Link) bool { return l.isForgotten(now) })
+	}
 	if link.conn != nil || link.dialling != nil || now.Before(link.RetryAt) {
 		return link, true
 	}
@@ -44,7 +50,7 @@
 }
 
 // failed ends an attempt without a connection.
-func (c Commands) failed(address string, now time.Time) {
+func (c Commands) failed(address string, cause error, now time.Time) {
 	t := c.Table
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -52,16 +58,16 @@
 	if link.dialling != nil {
 		close(link.dialling)
 	}
-	t.links[address] = link.WithFailure(now)
+	t.links[address] = link.WithFailure(cause, now)
 }
 
 // lost removes a connection that has ended.
-func (c Commands) lost(address string, o *outbound, now time.Time) {
+func (c Commands) lost(address string, o *outbound, cause error, now time.Time) {
 	t := c.Table
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if link := t.links[address]; link.conn == o {
-		t.links[address] = link.WithLoss(now)
+		t.links[address] = link.WithLoss(cause, now)
 	}
 }
 
--- a/peer/connection.go
+++ b/peer/connection.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,6 +44,8 @@
 	ErrSilent = errors.New("peer silent")
 	// ErrNotReading: the peer takes no messages.
 	ErrNotReading = errors.New("peer does not read")
+	// ErrPeerClosed: the peer closed the connection.
+	ErrPeerClosed = errors.New("peer closed the connection")
 	// ErrClosed: this side closed the connection.
 	ErrClosed = errors.New("connection closed")
 )
@@ -89,7 +93,7 @@
 
 	controlMu *lock.Ranked
 	// control holds the messages that are sent without waiting.
-	control []*outgoing
+	control [][]byte
 }
 
 func newConnection(n net.Conn) *connection {
@@ -121,11 +125,13 @@
 		_ = c.net.Close()
 	}
 	writing.Wait()
-	if err = errors.Join(err, writeErr); err != nil {
+	switch {
+	case err != nil:
 		return Hello{}, err
-	}
-	if m.Type != helloType {
+	case m.Type != helloType:
 		return Hello{}, eris.Wrapf(ErrMessageUnexpected, "%s before hello", m.Type)
+	case writeErr != nil:
+		return Hello{}, writeErr
 	}
 	return *m.Hello, eris.Wrap(c.net.SetDeadline(time.Time{}), "greet")
 }
@@ -160,7 +166,12 @@
 
 func (c *connection) next() (message, error) {
 	data, err := c.frames.Next()
-	if err != nil {
+	switch {
+	case errors.Is(err, io.EOF):
+		return message{}, ErrPeerClosed
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return message{}, ErrSilent
+	case err != nil:
 		return message{}, err
 	}
 	return decodeMessage(data)
@@ -201,7 +212,7 @@
 	c.controlMu.Lock()
 	isFull := len(c.control) >= queuedControl
 	if !isFull {
-		c.control = append(c.control, &outgoing{data: data})
+		c.control = append(c.control, data)
 	}
 	c.controlMu.Unlock()
 	if isFull {
@@ -211,17 +222,13 @@
 	c.rouse()
 }
 
-// takeControl returns the oldest control message, or nil.
-func (c *connection) takeControl() *outgoing {
+// takeControl returns and removes the control messages.
+func (c *connection) takeControl() [][]byte {
 	c.controlMu.Lock()
 	defer c.controlMu.Unlock()
-	if len(c.control) == 0 {
-		c.control = nil
-		return nil
-	}
-	o := c.control[0]
-	c.control = c.control[1:]
-	return o
+	control := c.control
+	c.control = nil
+	return control
 }
 
 // rouse makes the writer ask beat again and look for control messages.
@@ -261,6 +268,9 @@
 				return err
 			}
 		}
+		if err := c.writeControl(&frames); err != nil {
+			return err
+		}
 		if o == nil || !o.start() {
 			continue
 		}
@@ -270,11 +280,18 @@
 	}
 }
 
-// takeReady returns a waiting message, or nil. Control messages go first.
-func (c *connection) takeReady() *outgoing {
-	if o := c.takeControl(); o != nil {
-		return o
+// writeControl writes the control messages, which go before the others.
+func (c *connection) writeControl(frames *FrameWriter) error {
+	for _, data := range c.takeControl() {
+		if err := frames.Write(data); err != nil {
+			return err
+		}
 	}
+	return nil
+}
+
+// takeReady returns a waiting message, or nil.
+func (c *connection) takeReady() *outgoing {
 	select {
 	case o := <-c.queue:
 		return o
@@ -308,5 +325,9 @@
 	if err := d.net.SetWriteDeadline(time.Now().Add(silenceLimit)); err != nil {
 		return 0, err
 	}
-	return d.net.Write(data)
+	n, err := d.net.Write(data)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, ErrNotReading
+	}
+	return n, err
 }
--- a/peer/link.go
+++ b/peer/link.go
@@ -13,6 +13,9 @@
 	// settledAfter is how long a connection must live to clear the failures. A
 	// peer that accepts and closes at once is backed off from as well.
 	settledAfter = 5 * time.Second
+	// forgetAfter is when a link that was not used again is dropped, since
+	// replaced instances come back at other addresses.
+	forgetAfter = 10 * time.Minute
 )
 
 // Link is the state of the connection to an address. It is immutable.
@@ -20,6 +23,8 @@
 	Address string
 	// Peer is the instance that answered last.
 	Peer Hello
+	// Cause is the error of the last attempt or connection that failed.
+	Cause string
 	// Failures counts the attempts that failed in a row.
 	Failures int
 	// RetryAt is the earliest time of the next attempt.
@@ -35,6 +40,11 @@
 // IsConnected reports whether there is a connection.
 func (l Link) IsConnected() bool { return l.conn != nil }
 
+// isForgotten reports whether the link may be dropped.
+func (l Link) isForgotten(now time.Time) bool {
+	return l.conn == nil && l.dialling == nil && now.Sub(l.RetryAt) > forgetAfter
+}
+
 // withDialling returns the link with an attempt under way.
 func (l Link) withDialling() Link {
 	l.dialling = make(chan struct{})
@@ -50,20 +60,22 @@
 // WithFailure returns the link after a failed attempt. The wait doubles with
 // each failure; the half of it that is random spreads the attempts of many
 // instances after one outage.
-func (l Link) WithFailure(now time.Time) Link {
+func (l Link) WithFailure(cause error, now time.Time) Link {
 	wait := min(firstBackoff<<min(l.Failures, 10), lastBackoff)
 	l.Failures++
+	l.Cause = cause.Error()
 	l.RetryAt = now.Add(wait/2 + rand.N(wait/2+1))
 	l.conn, l.dialling, l.ConnectedAt = nil, nil, time.Time{}
 	return l
 }
 
 // WithLoss returns the link after its connection was lost.
-func (l Link) WithLoss(now time.Time) Link {
+func (l Link) WithLoss(cause error, now time.Time) Link {
 	if now.Sub(l.ConnectedAt) < settledAfter {
-		return l.WithFailure(now)
+		return l.WithFailure(cause, now)
 	}
-	l.Failures, l.RetryAt = 0, time.Time{}
+	l.Cause = cause.Error()
+	l.Failures, l.RetryAt = 0, now
 	l.conn, l.ConnectedAt = nil, time.Time{}
 	return l
 }
--- a/peer/outbound.go
+++ b/peer/outbound.go
@@ -13,6 +13,9 @@
 type outbound struct {
 	*connection
 	counters *counter.Set
+	// opening is held from the numbering of an exchange to the queueing of its
+	// first message, so that the numbers rise on the wire.
+	opening chan struct{}
 
 	mu *lock.Ranked
 	// The fields below are guarded by mu.
@@ -22,6 +25,9 @@
 	busySince time.Time
 	// owedSince is since when the peer owes a message; zero if it owes none.
 	owedSince time.Time
+	// silence fires when the peer may have owed a message for silenceLimit. The
+	// writer can't watch this, since a frozen peer may block it.
+	silence *time.Timer
 	pinged    time.Time
 	received  time.Time
 }
@@ -42,15 +48,41 @@
 	o := &outbound{
 		connection: c,
 		counters:   counters,
+		opening:    make(chan struct{}, 1),
 		mu:         lock.New(lock.RankPeer, "peer outbound"),
 		exchanges:  map[uint64]*exchange{},
 		pinged:     now,
 		received:   now,
 	}
 	c.beat, c.handle = o.check, o.deliver
+	o.silence = time.AfterFunc(silenceLimit, o.watch)
 	return o
 }
 
+// run runs the connection until it fails and returns the cause.
+func (o *outbound) run() error {
+	defer o.silence.Stop()
+	return o.connection.run()
+}
+
+// owe notes, under the lock, that the peer owes a message.
+func (o *outbound) owe(now time.Time) {
+	if o.owedSince.IsZero() {
+		o.owedSince = now
+		o.silence.Reset(silenceLimit)
+	}
+}
+
+// watch fails the connection of a frozen peer.
+func (o *outbound) watch() {
+	o.mu.Lock()
+	isSilent := !o.owedSince.IsZero() && time.Since(o.owedSince) >= silenceLimit
+	o.mu.Unlock()
+	if isSilent {
+		o.fail(ErrSilent)
+	}
+}
+
 // open adds an exchange. From now on the peer owes a message.
 func (o *outbound) open() *exchange {
 	now := time.Now()
@@ -59,20 +91,23 @@
 	if len(o.exchanges) == 0 {
 		o.busySince = now
 	}
-	if o.owedSince.IsZero() {
-		o.owedSince = now
-	}
+	o.owe(now)
 	o.last++
 	x := &exchange{id: o.last, ready: make(chan struct{}, 1), credit: window}
 	o.exchanges[x.id] = x
 	return x
 }
 
-// close removes an exchange; messages that still arrive for it are dropped.
+// close removes an exchange. Messages that nobody took or that still arrive are
+// dropped and counted.
 func (o *outbound) close(x *exchange) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	delete(o.exchanges, x.id)
+	for _, m := range x.inbox {
+		o.counters.Add(o.dropReason(m))
+	}
+	x.inbox = nil
 }
 
 // take returns the messages that have arrived.
@@ -96,9 +131,6 @@
 func (o *outbound) check(now time.Time) (time.Duration, bool, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.owedSince.IsZero() && now.Sub(o.owedSince) >= silenceLimit {
-		return 0, false, ErrSilent
-	}
 	due := latest(o.pinged, o.received).Add(idlePing)
 	if len(o.exchanges) > 0 {
 		due = latest(o.pinged, o.busySince).Add(busyPing)
@@ -107,12 +139,7 @@
 	if isPingDue {
 		o.pinged = now
 		due = now.Add(busyPing)
-		if o.owedSince.IsZero() {
-			o.owedSince = now
-		}
-	}
-	if end := o.owedSince.Add(silenceLimit); !o.owedSince.IsZero() && end.Before(due) {
-		due = end
+		o.owe(now)
 	}
 	return due.Sub(now), isPingDue, nil
 }
