Test claims by fault cases, random schedules and broken protocols

A key that runs twice doubles a recall order, and refusing everything would hide that. Simulated nodes on an in-memory log are checked for at most one run a key, truthful refusals, linearizable answers and equal views; broken protocols show that the checks catch faults, and a measure of service shows what is served under each fault. Keys are expired once a minute, the grain of the table.

--- a/claim/claimer.go
+++ b/claim/claimer.go
@@ -15,7 +15,7 @@
 )
 
 // expiryInterval is how often keys past the window are forgotten.
-const expiryInterval = 30 * time.Second
+const expiryInterval = time.Minute
 
 // Claimer claims keys for calls of one instance. Set the exported fields
 // before Run. Concurrent calls of Claim are safe.
--- /dev/null
+++ b/claim/protocol_test.go
@@ -0,0 +1,202 @@
+package claim_test
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/matryer/is"
+	"github.com/sebdah/goldie/v2"
+	"pgregory.net/rapid"
+
+	"lycheecrank.example/claim"
+	"lycheecrank.example/request"
+)
+
+// TestMain fixes the seed, so that every run of the suite draws the same
+// schedules.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "7120461", "rapid.checks": checks, "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+var protocol = variant{name: "protocol", claim: claimed}
+
+func draw[V any](t *rapid.T, label string, values ...V) V {
+	return rapid.SampledFrom(values).Draw(t, label)
+}
+
+var schedules = rapid.Custom(func(t *rapid.T) schedule {
+	s := schedule{
+		Retention: draw(t, "retention", time.Hour, 2*time.Minute),
+		// The long patience stands for a process that is frozen as a whole, so
+		// that its timers don't end before its reads.
+		Patience: draw(t, "patience", 2*time.Second, 4*time.Hour),
+	}
+	const ms, seconds = time.Millisecond, time.Second
+	for range rapid.IntRange(2, 8).Draw(t, "calls") {
+		s.Calls = append(s.Calls, call{
+			At:          draw(t, "at", 0, 0, ms, 40*ms, 2*seconds, 8*seconds, 5*time.Minute, 9*time.Minute, 2*time.Hour),
+			Node:        rapid.IntRange(0, 3).Draw(t, "node"),
+			Key:         rapid.IntRange(0, 1).Draw(t, "key"),
+			Tries:       rapid.IntRange(1, 4).Draw(t, "tries"),
+			Other:       rapid.IntRange(0, 5).Draw(t, "other") == 0,
+			RefusedOnce: rapid.IntRange(0, 3).Draw(t, "refusedOnce") == 0,
+			AnswerLost:  rapid.IntRange(0, 3).Draw(t, "answerLost") == 0,
+		})
+	}
+	for range rapid.IntRange(0, 4).Draw(t, "faults") {
+		s.Faults = append(s.Faults, fault{
+			Kind: rapid.SampledFrom(faultKinds).Draw(t, "kind"),
+			Node: rapid.IntRange(0, 3).Draw(t, "faultNode"),
+			At:   draw(t, "faultAt", 0, 0, 2*ms, 30*ms, seconds, 5*seconds, 4*time.Minute),
+			For:  draw(t, "for", 100*ms, seconds, 5*seconds, 30*seconds, 6*time.Minute, 2*time.Hour),
+		})
+	}
+	return s
+})
+
+// Guards against a key that runs twice, a call that ran although it was
+// answered as not run, and answers that contradict each other.
+func TestAtMostOnceInRandomSchedules(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		plan := schedules.Draw(rt, "schedule")
+		if v := simulate(t, protocol, plan).violation(); v != "" {
+			rt.Fatal(v)
+		}
+	})
+}
+
+// granted is the right to dispatch without a claim behind it.
+func granted(context.Context, request.Outcome, []byte) error { return nil }
+
+// broken are protocols with one fault each.
+var broken = []variant{
+	{name: "first claim seen locally wins", claim: func(ctx context.Context, n *node, k claim.Key, d claim.Digest) (finish, error) {
+		if _, ok := n.table.Queries().State(k); ok {
+			return claimed(ctx, n, k, d)
+		}
+		return func(ctx context.Context, o request.Outcome, output []byte) error {
+			end, err := claimed(ctx, n, k, d)
+			if err != nil {
+				return err
+			}
+			return end(ctx, o, output)
+		}, nil
+	}},
+	{name: "no second check after a pause", claim: func(ctx context.Context, n *node, k claim.Key, d claim.Digest) (finish, error) {
+		if !claim.DefaultWindow.Holds(k, time.Now()) {
+			return nil, request.Refuse(request.ReasonKeyOutsideWindow, "")
+		}
+		return claimed(ctx, n, k, d)
+	}, setUp: func(n *node) {
+		n.ignoreGaps = true
+		n.table.Window.Past = 1000 * time.Hour
+	}},
+	{name: "gap in the view ignored", claim: claimed, setUp: func(n *node) { n.ignoreGaps = true }},
+	{name: "blind repeat after a lost answer", claim: claimed, repeatsLost: true},
+	{name: "claims compared by instance", claim: func(ctx context.Context, n *node, k claim.Key, d claim.Digest) (finish, error) {
+		end, err := claimed(ctx, n, k, d)
+		st, _ := n.table.Queries().State(k)
+		if c, ok := st.Standing(); ok && errors.Is(err, request.ReasonKeyRunning) && c.Instance == n.claimer.Instance {
+			return granted, nil
+		}
+		return end, err
+	}},
+	{name: "unavailable log taken as permission", claim: func(ctx context.Context, n *node, k claim.Key, d claim.Digest) (finish, error) {
+		end, err := claimed(ctx, n, k, d)
+		if errors.Is(err, request.ReasonClaimLogUnavailable) {
+			return granted, nil
+		}
+		return end, err
+	}},
+}
+
+// Guards against a checker that passes anything: it must catch each broken
+// protocol, on the schedules that the real one is tested with.
+func TestCheckerCatchesBrokenProtocols(t *testing.T) {
+	var b strings.Builder
+	for _, v := range broken {
+		caught := "not caught"
+		for i := 0; i < 1000 && caught != "caught"; i++ {
+			if simulate(t, v, schedules.Example(i)).violation() != "" {
+				caught = "caught"
+			}
+		}
+		fmt.Fprintf(&b, "%s: %s\n", v.name, caught)
+	}
+	goldie.New(t).Assert(t, "broken", []byte(b.String()))
+}
+
+// serve measures, for 20 keys that callers submit and repeat for a minute, how
+// many were answered as ran while a fault lasts and in total.
+func serve(t *testing.T, v variant, f fault) (during, total int) {
+	plan := schedule{Retention: time.Hour, Patience: 2 * time.Second, Faults: []fault{f}}
+	for i := range 20 {
+		plan.Calls = append(plan.Calls, call{At: time.Second, Node: i % 4, Key: i, Tries: 60})
+	}
+	for _, a := range simulate(t, v, plan).answers {
+		if a.outcome == request.Ran {
+			total++
+			if a.at < f.At+f.For {
+				during++
+			}
+		}
+	}
+	return during, total
+}
+
+// Guards against safety by refusing everything: under each fault the keys that
+// can be served are served, and those of an abandoned claim are freed later.
+func TestServiceUnderEachFault(t *testing.T) {
+	refusing := variant{claim: func(context.Context, *node, claim.Key, claim.Digest) (finish, error) {
+		return nil, request.Refuse(request.ReasonClaimLogUnavailable, "")
+	}}
+	var b strings.Builder
+	for _, kind := range faultKinds {
+		f := fault{Kind: kind, For: 20 * time.Second}
+		if kind == "restart" {
+			f.At = time.Second + 20*time.Millisecond // while the service runs the calls
+		}
+		during, total := serve(t, protocol, f)
+		_, none := serve(t, refusing, f)
+		fmt.Fprintf(&b, "%-20s during the fault %2d, in total %2d of 20; refusing all: %d\n", kind, during, total, none)
+	}
+	goldie.New(t).Assert(t, "service", []byte(b.String()))
+}
+
+// Guards against wrong answers and needless refusals in single fault cases; the
+// schedules are in cases.yaml.
+func TestFaultCases(t *testing.T) {
+	is := is.New(t)
+	data, err := os.ReadFile("testdata/cases.yaml")
+	is.NoErr(err)
+	var plans []schedule
+	is.NoErr(yaml.UnmarshalWithOptions(data, &plans, yaml.Strict()))
+	var b strings.Builder
+	for _, p := range plans {
+		s := simulate(t, protocol, p)
+		is.Equal(s.violation(), "")
+		fmt.Fprintf(&b, "%s: %d runs\n", p.Name, len(s.runs))
+		slices.SortStableFunc(s.answers, func(a, b answer) int {
+			return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.call.Node, b.call.Node))
+		})
+		for _, a := range s.answers {
+			fmt.Fprintf(&b, "\t%-8v node %d key %d: %v, %s\n", a.at.Round(time.Millisecond), a.call.Node, a.call.Key, a.outcome, a.text)
+		}
+	}
+	goldie.New(t).Assert(t, "cases", []byte(b.String()))
+}
--- /dev/null
+++ b/claim/simulation_test.go
@@ -0,0 +1,334 @@
+package claim_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"lycheecrank.example/claim"
+	"lycheecrank.example/request"
+)
+
+// schedule is the plan of a simulation. Nodes 0 and 1 are in one data centre,
+// 2 and 3 in another.
+type schedule struct {
+	Name                string
+	Retention, Patience time.Duration
+	Calls               []call
+	Faults              []fault
+}
+
+// call is a caller that submits a key and repeats while it may.
+type call struct {
+	At               time.Duration
+	Node, Key, Tries int
+	// Other makes it a different request under the same key.
+	Other bool
+	// RefusedOnce: the first dispatch ends before anything was sent.
+	RefusedOnce bool `yaml:"refusedOnce"`
+	// AnswerLost: the service runs the call but its answer is lost.
+	AnswerLost bool `yaml:"answerLost"`
+	// KeyAge is the age of the key at the start of the simulation.
+	KeyAge time.Duration `yaml:"keyAge"`
+	// Output is the size of the result; 0 means a short text.
+	Output int
+}
+
+type fault struct {
+	Kind    string
+	Node    int
+	At, For time.Duration
+}
+
+var faultKinds = []string{"none", "outage", "data centre cut off", "lost answers", "late appends", "doubled appends", "refused appends", "slow tail", "frozen", "restart"}
+
+// variant is the protocol under test or a broken one.
+type variant struct {
+	name string
+	// claim returns the function that records the outcome.
+	claim func(ctx context.Context, n *node, k claim.Key, d claim.Digest) (finish, error)
+	// setUp changes a node before its start.
+	setUp func(n *node)
+	// repeatsLost: a call whose answer was lost counts as not run.
+	repeatsLost bool
+}
+
+type finish func(ctx context.Context, o request.Outcome, output []byte) error
+
+func claimed(ctx context.Context, n *node, k claim.Key, d claim.Digest) (finish, error) {
+	t, err := n.claimer.Claim(ctx, k, "contagem", d)
+	if err != nil {
+		return nil, err
+	}
+	return t.Finish, nil
+}
+
+// simulation is the record of one run.
+type simulation struct {
+	variant variant
+	plan    schedule
+	started time.Time
+	log     *fakeLog
+
+	mu    sync.Mutex
+	nodes [4]*node
+	// replaced holds the nodes that were stopped by a restart.
+	replaced []*node
+	tries    int
+	runs     []run
+	answers  []answer
+	history  map[claim.Key][]porcupine.Operation
+}
+
+// run is an execution of a call by the fake service.
+type run struct {
+	try int
+	key claim.Key
+}
+
+type answer struct {
+	at      time.Duration
+	try     int
+	call    call
+	outcome request.Outcome
+	text    string
+}
+
+// simulate runs a schedule on a paused clock.
+func simulate(t *testing.T, v variant, plan schedule) *simulation {
+	s := &simulation{variant: v, plan: plan, history: map[claim.Key][]porcupine.Operation{}}
+	synctest.Test(t, func(*testing.T) {
+		s.started = time.Now()
+		s.log = &fakeLog{retention: plan.Retention, changed: make(chan struct{})}
+		for i := range s.nodes {
+			s.startNode(i)
+		}
+		synctest.Wait() // all nodes have begun to read
+		var group sync.WaitGroup
+		for _, f := range plan.Faults {
+			group.Go(func() { s.inject(f) })
+		}
+		for _, c := range plan.Calls {
+			group.Go(func() { s.submit(c) })
+		}
+		group.Wait()
+		time.Sleep(time.Minute)
+		for _, n := range append(s.replaced, s.nodes[:]...) {
+			n.stop()
+			n.done.Wait()
+		}
+	})
+	return s
+}
+
+func (s *simulation) startNode(i int) {
+	s.nodes[i] = newNode(s.log, fmt.Sprint("node", i), s.plan.Patience)
+	if s.variant.setUp != nil {
+		s.variant.setUp(s.nodes[i])
+	}
+	s.nodes[i].start()
+}
+
+// keyAt returns a UUIDv7 of a time.
+func keyAt(t time.Time, n int) claim.Key {
+	k := claim.Key{6: 0x70, 8: 0x80, 14: byte(n >> 8), 15: byte(n)}
+	for i, ms := 5, t.UnixMilli(); i >= 0; i, ms = i-1, ms>>8 {
+		k[i] = byte(ms)
+	}
+	return k
+}
+
+func (s *simulation) inject(f fault) {
+	time.Sleep(f.At)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kind, nodes := f.Kind, s.nodes[f.Node:][:1]
+	switch kind {
+	case "outage":
+		kind, nodes = "cut", s.nodes[:]
+	case "data centre cut off":
+		kind, nodes = "cut", s.nodes[f.Node/2*2:][:2]
+	case "restart":
+		s.nodes[f.Node].stop()
+		s.replaced = append(s.replaced, s.nodes[f.Node])
+		s.startNode(f.Node)
+	}
+	for _, n := range nodes {
+		n.mu.Lock()
+		n.until[kind] = time.Now().Add(f.For)
+		n.mu.Unlock()
+	}
+}
+
+func (s *simulation) submit(c call) {
+	time.Sleep(c.At)
+	for i := range c.Tries {
+		if a, repeat := s.try(c, i); !repeat {
+			return
+		} else if a.outcome != 0 {
+			time.Sleep(time.Second)
+		}
+	}
+}
+
+// try submits a call once and reports whether the caller should repeat it. A
+// node that dies gives no answer.
+func (s *simulation) try(c call, number int) (a answer, repeat bool) {
+	s.mu.Lock()
+	s.tries++
+	n := s.nodes[c.Node]
+	a = answer{try: s.tries, call: c}
+	s.mu.Unlock()
+	k := keyAt(s.started.Add(-c.KeyAge), c.Key)
+	var digest claim.Digest
+	if c.Other {
+		digest[0] = 1
+	}
+	n.runs()
+	called := s.now()
+	end, err := s.variant.claim(n.ctx, n, k, digest)
+	if err == nil {
+		s.observe(operation{"won", ""}, k, called, s.now())
+	}
+	switch {
+	case !n.runs():
+		return a, true
+	case err != nil:
+		return s.refused(a, k, called, err)
+	case c.RefusedOnce && number == 0:
+		s.finish(k, end, request.NotRun, "")
+		return s.answer(a, request.NotRun, "server refused"), true
+	}
+	output := fmt.Sprintf("result of try %d%*s", a.try, c.Output, "")
+	s.mu.Lock()
+	s.runs = append(s.runs, run{a.try, k})
+	s.mu.Unlock()
+	time.Sleep(50 * time.Millisecond) // the service time
+	switch {
+	case !n.runs():
+		return a, true
+	case c.AnswerLost && s.variant.repeatsLost:
+		s.finish(k, end, request.NotRun, "")
+		return a, true
+	case c.AnswerLost:
+		s.finish(k, end, request.MayHaveRun, "")
+		return s.answer(a, request.MayHaveRun, "answer lost"), true
+	}
+	s.finish(k, end, request.Ran, output)
+	return s.answer(a, request.Ran, "ran"), false
+}
+
+func (s *simulation) refused(a answer, k claim.Key, called int64, err error) (answer, bool) {
+	var ran claim.AlreadyRan
+	if errors.As(err, &ran) {
+		s.observe(operation{"read ran", string(ran.Result.Output)}, k, called, s.now())
+		text := fmt.Sprintf("%v: %.16q, length %d", err, ran.Result.Output, ran.Result.Length)
+		return s.answer(a, request.Ran, text), false
+	}
+	f := request.AsFailure(err)
+	if f.Reason == request.ReasonOutcomeUnknown {
+		s.observe(operation{"read mayHaveRun", ""}, k, called, s.now())
+	}
+	return s.answer(a, f.Outcome(), err.Error()), f.Reason.RetriesRequest()
+}
+
+func (s *simulation) answer(a answer, o request.Outcome, text string) answer {
+	a.at, a.outcome, a.text = time.Since(s.started), o, text
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers = append(s.answers, a)
+	return a
+}
+
+// finish records an outcome. A pending one can take effect at any later time.
+func (s *simulation) finish(k claim.Key, end finish, o request.Outcome, output string) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	called, returned := s.now(), int64(math.MaxInt64)
+	if err := end(ctx, o, []byte(output)); err == nil {
+		returned = s.now()
+	}
+	s.observe(operation{o.String(), string(claim.NewResult([]byte(output)).Output)}, k, called, returned)
+}
+
+func (s *simulation) now() int64 { return int64(time.Since(s.started)) }
+
+// operation is what a caller saw happen to a key.
+type operation struct{ name, output string }
+
+func (s *simulation) observe(o operation, k claim.Key, called, returned int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := len(s.history[k])
+	s.history[k] = append(s.history[k], porcupine.Operation{ClientId: id, Input: o, Call: called, Return: returned})
+}
+
+// keyModel is the life of one key: free, claimed, or settled with an outcome.
+var keyModel = porcupine.Model{
+	Init: func() any { return "free" },
+	Step: func(state, input, _ any) (bool, any) {
+		o := input.(operation)
+		switch o.name {
+		case "won":
+			return state == "free", "claimed"
+		case "notRun":
+			return state == "claimed", "free"
+		case "ran", "mayHaveRun":
+			return state == "claimed", o.name + o.output
+		}
+		return state == o.name[len("read "):]+o.output, state
+	},
+}
+
+// violation returns the first broken promise, or "".
+func (s *simulation) violation() string {
+	perKey, ran := map[claim.Key]int{}, map[int]bool{}
+	for _, r := range s.runs {
+		ran[r.try] = true
+		if perKey[r.key]++; perKey[r.key] > 1 {
+			return "a key ran twice"
+		}
+	}
+	for _, a := range s.answers {
+		if a.outcome == request.NotRun && ran[a.try] {
+			return "a call answered as not run has run"
+		}
+	}
+	for k, h := range s.history {
+		if s.disagree(k) {
+			return "two views of a key differ"
+		}
+		if !porcupine.CheckOperations(keyModel, h) {
+			return "the answers are not linearizable"
+		}
+	}
+	return ""
+}
+
+// disagree reports whether two nodes that have read all records of a key, the
+// last ones included, hold different states of it.
+func (s *simulation) disagree(k claim.Key) bool {
+	var first string
+	for _, n := range s.nodes {
+		q := n.table.Queries()
+		stream := claim.StreamOf(k)
+		st, ok := q.State(k)
+		if !q.IsComplete(k) || !ok || q.Through(claim.StreamName(stream)) < uint64(len(s.log.streams[stream])) {
+			continue
+		}
+		c, _ := st.Standing()
+		view := fmt.Sprint(c, st.Waiting(), st.Outcome(), st.Result())
+		if first != "" && view != first {
+			return true
+		}
+		first = view
+	}
+	return false
+}
--- /dev/null
+++ b/claim/state_test.go
@@ -0,0 +1,121 @@
+package claim_test
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sebdah/goldie/v2"
+
+	"lycheecrank.example/claim"
+	"lycheecrank.example/codec"
+	"lycheecrank.example/request"
+)
+
+// record builds a record from words such as "claim A contagem d" (identifier,
+// workspace, digest) or "outcome A ran".
+func record(k claim.Key, words []string) claim.Record {
+	r := claim.Record{Kind: claim.KindClaim, Key: k, Claim: claim.ID{words[1][0]}, Instance: "node" + words[1]}
+	if words[0] == "claim" {
+		r.Workspace, r.Digest = words[2], claim.Digest{words[3][0]}
+		return r
+	}
+	for _, o := range []request.Outcome{request.NotRun, request.Ran, request.MayHaveRun} {
+		if o.String() == words[2] {
+			return r.WithOutcome(o, claim.NewResult([]byte("result of "+words[1])))
+		}
+	}
+	return claim.Record{}
+}
+
+// Guards against a state that lets two claims stand, that an outcome of the
+// wrong claim changes, or that a doubled record changes. The records of each
+// case are in states.txt.
+func TestStates(t *testing.T) {
+	is := is.New(t)
+	script, err := os.ReadFile("testdata/states.txt")
+	is.NoErr(err)
+	k := keyAt(time.UnixMilli(1), 1)
+	var b strings.Builder
+	var st claim.State
+	for offset, line := range strings.Split(strings.TrimSpace(string(script)), "\n") {
+		if strings.HasPrefix(line, "#") {
+			st = claim.State{}
+			fmt.Fprintln(&b, line)
+			continue
+		}
+		r := record(k, strings.Fields(line))
+		before := st
+		st = st.WithRecord(uint64(offset)+1, r)
+		is.Equal(st.WithRecord(uint64(offset)+1, r), st) // an offset counts once
+		r.Claim, r.Instance = claim.ID{'Z'}, "nodeZ"
+		before.WithRecord(uint64(offset)+1, r) // must not write into memory that st shares
+		c, _ := st.Standing()
+		fmt.Fprintf(&b, "%-24s standing %s, waiting %d, outcome %v %q\n", line, strings.TrimPrefix(c.Instance, "node"), st.Waiting(), st.Outcome(), st.Result().Output)
+	}
+	goldie.New(t).Assert(t, "states", []byte(b.String()))
+}
+
+// Guards against keys of other kinds or notations and a wrong time.
+func TestParseKey(t *testing.T) {
+	var b strings.Builder
+	for _, text := range []string{
+		"019395d2-f000-7abc-8def-0123456789ab", "019395D2-F000-7ABC-8DEF-0123456789AB",
+		"019395d2f0007abc8def0123456789ab", "{019395d2-f000-7abc-8def-0123456789ab}", "",
+		"019395d2-f000-4abc-8def-0123456789ab", "019395d2-f000-7abc-0def-0123456789ab", "019395d2-f000-7abc-8def-0123456789ag",
+	} {
+		k, err := claim.ParseKey(text)
+		fmt.Fprintf(&b, "%q: %v, %s, %s, %v\n", text, k, k.Time().UTC().Format(time.RFC3339Nano), claim.StreamName(claim.StreamOf(k)), err)
+	}
+	goldie.New(t).Assert(t, "keys", []byte(b.String()))
+}
+
+// Guards against records that the log's codec can't carry.
+func TestRecordsSurviveCodec(t *testing.T) {
+	is := is.New(t)
+	r := record(keyAt(time.UnixMilli(7), 1), []string{"claim", "A", "contagem", "d"})
+	for _, want := range []claim.Record{r, r.WithOutcome(request.Ran, claim.NewResult([]byte("x")))} {
+		data, err := codec.Marshal(want)
+		is.NoErr(err)
+		var got claim.Record
+		is.NoErr(codec.Unmarshal(data, &got))
+		is.Equal(got, want)
+	}
+}
+
+// Guards against memory without bound, and against keys that are taken for new
+// once they were forgotten, the clock set back included.
+func TestTableForgetsKeysAndResults(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	table := claim.NewTable()
+	table.ResultLimit = 20
+	commands, queries := table.Commands(), table.Queries()
+	var keys []claim.Key
+	for i := 0; len(keys) < 3; i++ {
+		k := keyAt(now, i)
+		if claim.StreamOf(k) != 0 {
+			continue
+		}
+		keys = append(keys, k)
+		offset := queries.Through("claims.0") + 1
+		is.NoErr(commands.Begin("claims.0", offset, now))
+		is.NoErr(commands.Apply("claims.0", offset, []claim.Record{
+			record(k, []string{"claim", "A", "w", "d"}), record(k, []string{"outcome", "A", "ran"}),
+		}))
+	}
+	is.True(commands.Apply("claims.0", 9, nil) != nil) // a gap is an error
+	count, size := queries.Size()
+	is.Equal([]int{count, size}, []int{3, 11}) // one of three results of 11 bytes
+	st, _ := queries.State(keys[0])
+	is.Equal(st.Result().Length, 11) // the oldest is known by its length
+	is.True(queries.IsComplete(keys[0]))
+	commands.Expire(now.Add(13 * time.Minute))
+	count, size = queries.Size()
+	is.Equal([]int{count, size}, []int{0, 0})
+	commands.Expire(now)
+	is.True(!queries.IsComplete(keys[0]))
+}
