--- a/ownership/commands.go
+++ b/ownership/commands.go
@@ -40,7 +40,8 @@
 	t := c.table
 	t.mu.Lock()
 	before := t.current.Load()
-	next := view{state: s, since: at, progress: at, left: before.left}
+	next := newView(s, at)
+	next.left = before.left
 	t.current.Store(&next)
 	t.mu.Unlock()
 	t.report(before, &next)
@@ -111,7 +112,7 @@
 		}
 		term := s.terms[now]
 		// A take that can't be judged may be valid, so it counts as a sign.
-		if term.Renewal == offset || r.Kind == Take && !before.state.Judges(r) || term.ID == 0 {
+		if term.Renewal == offset || term.Doubt == offset || term.ID == 0 {
 			signs = append(signs, k)
 		}
 		if r.DataCentre == t.self.DataCentre {
--- a/ownership/keeper.go
+++ b/ownership/keeper.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"lycheecrank.example/event"
 	"lycheecrank.example/member"
 )
@@ -43,6 +45,22 @@
 // Run renews and takes over until the context ends. It releases nothing; call
 // Release after Run has returned.
 func (k *Keeper) Run(ctx context.Context) {
+	var group errgroup.Group
+	// An append that hangs must not delay the change of stand-ins.
+	group.Go(func() error {
+		k.repeat(ctx, nil, func(context.Context) { k.standIn() })
+		return nil
+	})
+	group.Go(func() error {
+		k.repeat(ctx, k.Table.released, k.step)
+		return nil
+	})
+	_ = group.Wait()
+}
+
+// repeat calls do at each check, and when wake has an element, until the context
+// ends.
+func (k *Keeper) repeat(ctx context.Context, wake <-chan struct{}, do func(context.Context)) {
 	ticker := time.NewTicker(k.Table.timing.Check)
 	defer ticker.Stop()
 	for {
@@ -50,9 +68,9 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		case <-k.Table.released:
+		case <-wake:
 		}
-		k.step(ctx)
+		do(ctx)
 	}
 }
 
@@ -72,18 +90,17 @@
 	}
 }
 
-// step does what is due now.
+// step appends what is due now.
 func (k *Keeper) step(ctx context.Context) {
-	pools, candidates := k.Pools(), k.Candidates()
-	now := k.now()
-	k.standIn(pools, candidates)
+	pools := k.Pools()
 	k.drop(ctx, pools)
-	k.renew(ctx, now)
-	k.take(ctx, pools, candidates)
+	k.renew(ctx, k.now())
+	k.take(ctx, pools, k.Candidates())
 }
 
 // standIn notes for which unreachable owners this instance is the next candidate.
-func (k *Keeper) standIn(pools []string, candidates []member.Instance) {
+func (k *Keeper) standIn() {
+	pools, candidates := k.Pools(), k.Candidates()
 	t := k.Table
 	v := t.current.Load()
 	var standIns map[string]bool
@@ -111,7 +128,12 @@
 func (k *Keeper) renew(ctx context.Context, now time.Time) {
 	t := k.Table
 	v := t.current.Load()
-	if len(v.own) == 0 || v.left || now.Before(k.renewalDue(v, now)) {
+	lapsed := v.isLapsed(now)
+	if lapsed && !k.lapsed {
+		t.Logger.Write(event.LeaseExpired, now.Sub(v.leaseEnd().Add(-t.timing.Lease)))
+	}
+	k.lapsed = lapsed
+	if len(v.own) == 0 || v.left || now.Before(k.renewalDue(v)) {
 		return
 	}
 	r := t.record(Renew, t.Commands().begin(now))
@@ -124,27 +146,15 @@
 // renewalDue returns when the next renewal is due. After the lease has ended an
 // owner whose appends take effect but which can't read them back must fall
 // silent, or no instance could ever dispatch to cold servers of its pools.
-func (k *Keeper) renewalDue(v *view, now time.Time) time.Time {
-	t := k.Table
-	lapsed := true
-	var end time.Time
-	for _, l := range v.own {
-		lapsed = lapsed && !now.Before(l.end)
-		if l.end.After(end) {
-			end = l.end
-		}
-	}
-	if lapsed && !k.lapsed {
-		t.Logger.Write(event.LeaseExpired, now.Sub(end.Add(-t.timing.Lease)))
-	}
-	k.lapsed = lapsed
+func (k *Keeper) renewalDue(v *view) time.Time {
+	timing := k.Table.timing
 	switch {
-	case k.renewal.failed:
-		return k.renewal.sent.Add(t.timing.Retry)
-	case lapsed && v.progress.Before(k.renewal.sent):
-		return k.renewal.sent.Add(t.timing.LapsedRenewal)
+	case k.renewal.failed && !k.lapsed:
+		return k.renewal.sent.Add(timing.Retry)
+	case k.lapsed && !k.renewal.failed && v.progress.Before(k.renewal.sent):
+		return k.renewal.sent.Add(timing.LapsedRenewal)
 	}
-	return k.renewal.sent.Add(t.timing.Renewal)
+	return k.renewal.sent.Add(timing.Renewal)
 }
 
 // take attempts to take the terms that are due for this instance.
--- a/ownership/record.go
+++ b/ownership/record.go
@@ -25,9 +25,11 @@
 	// it began the append of the record that it reads back.
 	Sequence uint64 `msgpack:"sequence"`
 	// Through is set in a take: the offset through which the taker had applied
-	// the stream when it decided. The take of a pool is valid only if no record
-	// between Through and the take concerns the pool. A reader can judge this
-	// without the records before Through, which may have expired.
+	// the stream when it decided. The take of a pool is valid only if no valid
+	// take, renewal or release between Through and the take names the pool, so
+	// that the previous term and its last renewal are still the current ones. A
+	// reader can judge this without the records before Through, which may have
+	// expired.
 	Through uint64 `msgpack:"through,omitempty"`
 	// Terms lists the pools. In a renewal these are all terms of the instance, so
 	// that a reader can rebuild them when the takes have expired.
--- a/ownership/state.go
+++ b/ownership/state.go
@@ -16,44 +16,52 @@
 // State is what the stream says through an offset. It is an immutable value.
 //
 // Two readers agree about every take that both can judge, wherever they started:
-// a take is valid by the records between its Through and itself alone. A reader
-// that started after the first record learns the terms from renewals: the
-// highest term that any record names is the current one, because an instance
+// a take is valid by the records between its Through and itself alone. Renewals
+// and releases of the pool make it void, valid or not, since a late reader can't
+// tell. Void takes don't: two candidates with slow tails would make each other's
+// takes void for ever. A take that a reader can't judge leaves the term as it is,
+// and puts the takes in doubt that were decided without knowing it. A reader
+// that started after the first record learns the terms whose takes it has not
+// seen from renewals: the highest one is the current one, because an instance
 // renews only terms whose take it has judged to be valid.
 type State struct {
 	applied uint64
 	// base is the offset of the last record that the reader has not seen; 0 if it
 	// has seen the whole stream.
 	base uint64
+	// learnt is the offset of the last take that the reader has not seen or could
+	// not judge. Terms through it are learnt from renewals.
+	learnt uint64
 	// index holds the position of a key in terms. It is replaced only when a key
 	// is added, so that a renewal copies nothing but the slice.
 	index map[Key]int
 	terms []Term
-	// accepts judges the take of a pool; nil stands for isUntouched.
+	// accepts judges the take of a pool; nil stands for the compare-and-set.
 	accepts func(t Term, r Record) bool
 }
 
 // NewState returns the state of a reader that starts after the offset base, 0
 // for the start of the stream.
 func NewState(base uint64) State {
-	return State{applied: base, base: base, index: map[Key]int{}}
+	return State{applied: base, base: base, learnt: base, index: map[Key]int{}}
 }
 
 // Snapshot is a state for another reader.
 type Snapshot struct {
 	Applied uint64 `msgpack:"applied"`
 	Base    uint64 `msgpack:"base"`
+	Learnt  uint64 `msgpack:"learnt"`
 	Terms   []Term `msgpack:"terms"`
 }
 
 // Snapshot returns the state as a record.
 func (s State) Snapshot() Snapshot {
-	return Snapshot{Applied: s.applied, Base: s.base, Terms: slices.Clone(s.terms)}
+	return Snapshot{Applied: s.applied, Base: s.base, Learnt: s.learnt, Terms: slices.Clone(s.terms)}
 }
 
 // State returns the state that a snapshot holds.
 func (n Snapshot) State() State {
-	s := State{applied: n.Applied, base: n.Base, index: make(map[Key]int, len(n.Terms)), terms: slices.Clone(n.Terms)}
+	s := State{applied: n.Applied, base: n.Base, learnt: n.Learnt, index: make(map[Key]int, len(n.Terms)), terms: slices.Clone(n.Terms)}
 	for i, t := range s.terms {
 		s.index[t.Key] = i
 	}
@@ -97,53 +105,50 @@
 	next.terms = slices.Clone(s.terms)
 	for _, rt := range r.Terms {
 		n := next.position(Key{rt.Pool, r.DataCentre}, s)
-		next.terms[n] = s.after(next.terms[n], offset, r, rt).WithTouched(offset)
+		next.terms[n] = s.after(next.terms[n], offset, r, rt)
+		if next.terms[n].Doubt == offset {
+			next.learnt = offset
+		}
 	}
 	return next, nil
 }
 
-// Judges reports whether the state holds all records that decide about a take.
-func (s State) Judges(r Record) bool { return r.Through >= s.base }
-
 // after returns a term after the part of a record that names its pool.
 func (s State) after(t Term, offset uint64, r Record, rt RecordTerm) Term {
+	owns := rt.Term == t.ID && t.IsOwnedBy(r.Instance, r.Incarnation)
 	switch r.Kind {
 	case Take:
-		if s.isValid(t, r) {
-			return t.WithOwner(offset, r.Instance, r.Incarnation).WithRenewal(offset)
+		switch {
+		case !s.isCurrent(t, r):
+			return t
+		case r.Through < s.base || r.Through < t.Doubt:
+			return t.WithDoubt(offset)
 		}
+		return t.WithOwner(offset, r.Instance, r.Incarnation).WithRenewal(offset)
 	case Renew:
-		if rt.Term > t.ID {
-			// Only a reader that has not seen the take gets here.
+		if rt.Term > t.ID && rt.Term <= s.learnt {
 			return t.WithOwner(rt.Term, r.Instance, r.Incarnation).WithRenewal(offset)
 		}
-		if rt.Term == t.ID && t.IsOwnedBy(r.Instance, r.Incarnation) {
+		if owns {
 			return t.WithRenewal(offset)
 		}
 	case Release:
-		if rt.Term == t.ID && t.IsOwnedBy(r.Instance, r.Incarnation) {
+		if owns {
 			return t.WithRelease(rt.Settled).WithRenewal(offset)
 		}
 	}
-	return t
+	return t.WithTouched(offset)
 }
 
-// isValid reports whether a take of a pool is valid. A reader that can't judge
-// leaves the term as it is: if the take is valid, its next renewal shows it.
-func (s State) isValid(t Term, r Record) bool {
-	if !s.Judges(r) {
-		return false
-	}
+// isCurrent is the compare-and-set: the previous term and its last renewal are
+// still the current ones if nothing has touched the pool since the taker's view.
+func (s State) isCurrent(t Term, r Record) bool {
 	if s.accepts != nil {
 		return s.accepts(t, r)
 	}
-	return isUntouched(t, r)
+	return t.Touched <= r.Through
 }
 
-// isUntouched is the compare-and-set: the previous term and its last renewal are
-// still the current ones if nothing has named the pool since the taker's view.
-func isUntouched(t Term, r Record) bool { return t.Touched <= r.Through }
-
 // position returns the place of a key, which it adds if needed. The index is
 // copied before the first addition, since former states share it.
 func (s *State) position(k Key, former State) int {
--- a/ownership/table.go
+++ b/ownership/table.go
@@ -43,7 +43,8 @@
 		started:  map[uint64]time.Time{},
 		released: make(chan struct{}, 1),
 	}
-	t.current.Store(&view{state: s, since: at, progress: at})
+	v := newView(s, at)
+	t.current.Store(&v)
 	return t
 }
 
--- a/ownership/term.go
+++ b/ownership/term.go
@@ -17,15 +17,24 @@
 	// Renewal is the offset of the last record that showed the term: its take, a
 	// renewal or its release.
 	Renewal uint64 `msgpack:"renewal"`
-	// Touched is the offset of the last record that named the pool, valid or not.
+	// Touched is the offset of the last record that makes takes void which were
+	// decided without knowing it: a valid take, or any renewal or release.
 	Touched uint64 `msgpack:"touched"`
+	// Doubt is the offset of the last take that the reader could not judge.
+	Doubt uint64 `msgpack:"doubt,omitempty"`
 	// Released tells that the owner gave the term up, Settled that it did so with
 	// no work running.
 	Released bool `msgpack:"released"`
 	Settled  bool `msgpack:"settled"`
 }
 
-// WithTouched returns the term after a record that named its pool.
+// WithDoubt returns the term after a take that can't be judged.
+func (t Term) WithDoubt(offset uint64) Term {
+	t.Doubt = offset
+	return t
+}
+
+// WithTouched returns the term after a void renewal or release.
 func (t Term) WithTouched(offset uint64) Term {
 	t.Touched = offset
 	return t
@@ -40,7 +49,7 @@
 
 // WithRenewal returns the term after a record that showed it.
 func (t Term) WithRenewal(offset uint64) Term {
-	t.Renewal = offset
+	t.Renewal, t.Touched = offset, offset
 	return t
 }
 
--- a/ownership/view.go
+++ b/ownership/view.go
@@ -24,6 +24,11 @@
 	left bool
 }
 
+// newView returns the view of an instance that begins to receive the stream.
+func newView(s State, at time.Time) view {
+	return view{state: s, since: at, progress: at, own: map[string]lease{}}
+}
+
 // lastSign returns when a life sign of an owner was last received, at the
 // earliest the moment when this instance began to receive the stream.
 func (v *view) lastSign(k Key) time.Time {
@@ -84,3 +89,19 @@
 
 // isNew reports whether a pool never had an owner for certain.
 func (v *view) isNew(term Term) bool { return v.state.IsWhole() && term.Touched == 0 }
+
+// leaseEnd returns the latest end of the leases of this instance.
+func (v *view) leaseEnd() time.Time {
+	var end time.Time
+	for _, l := range v.own {
+		if l.end.After(end) {
+			end = l.end
+		}
+	}
+	return end
+}
+
+// isLapsed reports whether this instance has terms and all its leases are over.
+func (v *view) isLapsed(now time.Time) bool {
+	return len(v.own) > 0 && !now.Before(v.leaseEnd())
+}
