--- a/api/operator/v1/operatorv1connect/operator.connect.go
+++ b/api/operator/v1/operatorv1connect/operator.connect.go
@@ -115,8 +115,8 @@
 
 // CommandServiceClient is a client for the lycheecrank.operator.v1.CommandService service.
 type CommandServiceClient interface {
-	// HoldDataCentre keeps new work from a data centre for a limited time. It
-	// works while the log is down.
+	// HoldDataCentre keeps new work from a data centre for a limited time, or
+	// ends the hold. It works while the log is down.
 	HoldDataCentre(context.Context, *connect.Request[v1.HoldDataCentreRequest]) (*connect.Response[v1.HoldDataCentreResponse], error)
 }
 
@@ -152,8 +152,8 @@
 
 // CommandServiceHandler is an implementation of the lycheecrank.operator.v1.CommandService service.
 type CommandServiceHandler interface {
-	// HoldDataCentre keeps new work from a data centre for a limited time. It
-	// works while the log is down.
+	// HoldDataCentre keeps new work from a data centre for a limited time, or
+	// ends the hold. It works while the log is down.
 	HoldDataCentre(context.Context, *connect.Request[v1.HoldDataCentreRequest]) (*connect.Response[v1.HoldDataCentreResponse], error)
 }
 
--- a/catalogue/entry.go
+++ b/catalogue/entry.go
@@ -88,7 +88,7 @@
 	// the lowest class that a pool, server or data centre serves. For a class it
 	// is its own name.
 	Class  string `msgpack:"class" json:"class" yaml:"class"`
-	Limits Limits `msgpack:"limits" json:"limits" yaml:"limits"`
+	Limits Limits `msgpack:"limits" json:"limits" yaml:"limits,omitempty"`
 
 	// Rank of a class; 0 is served first.
 	Rank int `msgpack:"rank,omitempty" json:"rank,omitempty" yaml:"rank,omitempty"`
--- a/catalogue/file.go
+++ b/catalogue/file.go
@@ -51,17 +51,17 @@
 	lines map[ID]map[string]int
 }
 
-// maxFileBytes bounds the size of a file; the entries of the largest planned
+// MaxFileBytes bounds the size of a file; the entries of the largest planned
 // deployment take less than 1 MiB.
-const maxFileBytes = 16 << 20
+const MaxFileBytes = 16 << 20
 
 // ReadFile reads a catalogue file. The name stands in the messages. All faults
 // that can be found without the rest of the catalogue are reported at once, as
 // FileFaults.
 func ReadFile(data []byte, name string) (File, error) {
 	r := fileReader{name: name, file: File{lines: map[ID]map[string]int{}}}
-	if len(data) > maxFileBytes {
-		r.fault(0, "file", "has %d bytes, the limit is %d", len(data), maxFileBytes)
+	if len(data) > MaxFileBytes {
+		r.fault(0, "file", "has %d bytes, the limit is %d", len(data), MaxFileBytes)
 		return File{}, r.faults()
 	}
 	r.read(data)
--- a/editor/editor.go
+++ b/editor/editor.go
@@ -3,8 +3,11 @@
 package editor
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -26,6 +29,36 @@
 	Verdicts  []catalogue.Verdict
 	// Edits holds the retained edits by offset.
 	Edits map[uint64]catalogue.Edit
+
+	records []catalogue.Numbered
+}
+
+// ErrRevisionUnknown is returned for a revision that the retained records don't
+// hold.
+var ErrRevisionUnknown = errors.New("catalogue revision not retained")
+
+// At returns the catalogue of a revision, which is in force from the accepted
+// edit at that offset until the next accepted one. It returns
+// ErrRevisionUnknown if no accepted edit has the offset or if the records have
+// expired.
+func (h History) At(revision uint64) (catalogue.Catalogue, error) {
+	through := 0
+	for n, r := range h.records {
+		if s := r.Record.Snapshot; s != nil && s.Revision == revision {
+			return catalogue.FromSnapshot(*s), nil
+		}
+		if r.Offset <= revision {
+			through = n + 1
+		}
+	}
+	c, _, err := catalogue.Replay(h.records[:through])
+	if err != nil {
+		return catalogue.Catalogue{}, eris.Wrapf(ErrRevisionUnknown, "revision %d: %v", revision, err)
+	}
+	if c.Revision != revision || revision == 0 {
+		return catalogue.Catalogue{}, eris.Wrapf(ErrRevisionUnknown, "revision %d", revision)
+	}
+	return c, nil
 }
 
 // Editor works on the catalogue's stream of the log. Concurrent calls are safe.
@@ -33,6 +66,8 @@
 	Log *platform.Log
 	// Patience bounds the time in which an edit is read back; 0 means 10 s.
 	Patience time.Duration
+	// Timeout bounds each call to the log; 0 means 5 s.
+	Timeout time.Duration
 }
 
 // readBackPause is the wait between two attempts to read an edit back.
@@ -45,7 +80,6 @@
 		return History{}, err
 	}
 	h := History{Edits: map[uint64]catalogue.Edit{}}
-	numbered := make([]catalogue.Numbered, 0, len(records))
 	for _, r := range records {
 		// A record that can't be decoded changes nothing, as on the instances.
 		var record catalogue.Record
@@ -55,29 +89,68 @@
 		if record.Edit != nil {
 			h.Edits[r.Offset] = *record.Edit
 		}
-		numbered = append(numbered, catalogue.Numbered{Offset: r.Offset, Record: record})
+		h.records = append(h.records, catalogue.Numbered{Offset: r.Offset, Record: record})
 	}
-	h.Catalogue, h.Verdicts, err = catalogue.Replay(numbered)
+	h.Catalogue, h.Verdicts, err = catalogue.Replay(h.records)
 	return h, err
 }
 
+// readAttempts bounds how often a read starts anew because records expired
+// between two pages.
+const readAttempts = 3
+
 func (e Editor) readAll(ctx context.Context) ([]platform.Record, error) {
 	var records []platform.Record
+	var err error
+	for range readAttempts {
+		records, err = ReadStream(ctx, e.read, catalogue.Stream)
+		if !errors.Is(err, platform.ErrExpired) {
+			break
+		}
+	}
+	return records, err
+}
+
+func (e Editor) read(ctx context.Context, stream string, from uint64) (platform.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, e.timeout())
+	defer cancel()
+	return e.Log.Read(ctx, stream, from)
+}
+
+func (e Editor) append(ctx context.Context, data []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, e.timeout())
+	defer cancel()
+	_, err := e.Log.Append(ctx, catalogue.Stream, data)
+	return err
+}
+
+// ReadStream returns all retained records of a stream by offset. It returns
+// platform.ErrExpired if records expired between two pages.
+func ReadStream(ctx context.Context, read func(ctx context.Context, stream string, from uint64) (platform.Page, error), stream string) ([]platform.Record, error) {
+	byOffset := map[uint64]platform.Record{}
 	from := uint64(0)
 	for {
-		page, err := e.Log.Read(ctx, catalogue.Stream, from)
+		page, err := read(ctx, stream, from)
 		if err != nil {
 			return nil, err
 		}
-		records = append(records, page.Records...)
-		from = page.Earliest
-		if n := len(records); n > 0 {
-			from = records[n-1].Offset + 1
+		from = max(from, page.Earliest)
+		next := from
+		for _, r := range page.Records {
+			byOffset[r.Offset] = r
+			next = max(next, r.Offset+1)
+		}
+		if next >= page.Next {
+			break
 		}
-		if from >= page.Next {
-			return records, nil
+		if next == from {
+			return nil, eris.Wrapf(platform.ErrUnavailable, "read %s: no records from offset %d on, but the stream ends at %d", stream, from, page.Next)
 		}
+		from = next
 	}
+	return slices.SortedFunc(maps.Values(byOffset), func(a, b platform.Record) int {
+		return cmp.Compare(a.Offset, b.Offset)
+	}), nil
 }
 
 // NewEdit returns an edit with a fresh identifier.
@@ -93,7 +166,7 @@
 	if err != nil {
 		return catalogue.Verdict{}, err
 	}
-	_, appendErr := e.Log.Append(ctx, catalogue.Stream, data)
+	appendErr := e.append(ctx, data)
 	if errors.Is(appendErr, platform.ErrRateLimited) {
 		return catalogue.Verdict{}, appendErr
 	}
@@ -121,6 +194,13 @@
 	return 10 * time.Second
 }
 
+func (e Editor) timeout() time.Duration {
+	if e.Timeout > 0 {
+		return e.Timeout
+	}
+	return 5 * time.Second
+}
+
 // verdictOn returns the first verdict on an edit.
 func (h History) verdictOn(editID string) (catalogue.Verdict, bool) {
 	for _, v := range h.Verdicts {
--- a/operator/query.go
+++ b/operator/query.go
@@ -22,11 +22,11 @@
 	m := &operatorv1.GetStatusResponse{
 		Instance: s.Instance, Incarnation: s.Incarnation, DataCentre: s.DataCentre,
 		CatalogueRevision: s.CatalogueRevision, Leaving: s.Leaving,
-		LogContactAgeMs: s.LogContactAge.Milliseconds(),
+		LogContactAgeMs: s.LogContactAge.Milliseconds(), CatalogueOffset: s.CatalogueOffset,
 	}
 	for _, i := range s.Members {
 		m.Instances = append(m.Instances, &operatorv1.InstanceStatus{
-			Name: i.Name, DataCentre: i.DataCentre, Leaving: i.Leaving, Reachable: i.Reachable,
+			Name: i.Name, DataCentre: i.DataCentre, Leaving: i.Leaving, Reachable: i.Reachable, Address: i.Address,
 		})
 	}
 	for _, b := range s.Servers {
