Heed removals, reordered reports and former load in the view of servers

Three faults, found by the property test of the limits and its cases: - A busy server that operators deleted was only marked as leaving by the list, and the next list cleared the mark: it got work again. It is marked as taken out now, which only the catalogue clears. Before: 1 step sent after the deletion in the case 'removed'; after: 0. - A report that was overtaken by a later one made a leaving server look as if it stayed, and one from a clock an hour ahead counted as fresh. Both are ignored now. - Steps sent before a server turned cold counted as its round of successes, so one warm report doubled the limit at once. Observations carry the time of sending now. Before: limit 2 in the case 'coldUnderLoad'; after: 1. Ruled out as causes: the choice of the server and the counts in flight, which the same test checks on their own.

--- a/backend/commands.go
+++ b/backend/commands.go
@@ -13,7 +13,7 @@
 }
 
 // Sync makes the table hold exactly the given servers. Servers that have work
-// in flight and are no longer wanted stay as leaving until it has ended.
+// in flight and are no longer wanted stay as taken out until it has ended.
 func (c Commands) Sync(specs []Spec, now time.Time) {
 	t := c.table
 	t.mu.Lock()
@@ -28,7 +28,7 @@
 	}
 	for name, old := range t.byName {
 		if _, wanted := next[name]; !wanted && old.InFlight > 0 {
-			next[name] = old.WithListedLeaving(true)
+			next[name] = old.WithTakenOut()
 		}
 	}
 	t.byName = next
--- a/backend/observation.go
+++ b/backend/observation.go
@@ -14,7 +14,8 @@
 	slowMargin = 50 * time.Millisecond
 	// smoothing is the weight of a new sample of the service time.
 	smoothing = 0.1
-	// maxReportAge is the age at which a load report counts as unknown.
+	// maxReportAge is the age at which a load report counts as unknown. The same
+	// holds for one that is that far ahead, since its clock is wrong.
 	maxReportAge = 5 * time.Second
 	// A server that failed is left alone for a time that doubles with each
 	// failure in a row.
@@ -28,6 +29,9 @@
 type Observation struct {
 	// Reason is empty for a success.
 	Reason request.Reason
+	// Sent is when the step was sent. A success counts for the ramp only if it
+	// was sent after the server was found cold.
+	Sent time.Time
 	// Responded is the time from sending to the whole answer, or to the first
 	// piece of a stream.
 	Responded   time.Duration
@@ -42,7 +46,7 @@
 	}
 	switch o.Reason {
 	case "":
-		return s.withSuccess(o.Responded, now)
+		return s.withSuccess(o, now)
 	case request.ReasonServerCold, request.ReasonServerUnreachable:
 		return s.withFailure(now).WithCold(now)
 	case request.ReasonDeadlinePassed:
@@ -78,13 +82,13 @@
 	return s
 }
 
-func (s Server) withSuccess(responded time.Duration, now time.Time) Server {
+func (s Server) withSuccess(o Observation, now time.Time) Server {
 	s.failures = 0
-	if s.isSlow(responded) {
+	if s.isSlow(o.Responded) {
 		return s.WithCold(now)
 	}
-	s.ServiceTime = smooth(s.ServiceTime, responded)
-	if s.Warmth == Warm {
+	s.ServiceTime = smooth(s.ServiceTime, o.Responded)
+	if s.Warmth == Warm || o.Sent.Before(s.ColdSince) {
 		return s
 	}
 	s.successes++
@@ -132,11 +136,13 @@
 
 // WithReport returns the server after a load report. A report that says cold
 // counts at any age below the bound; one that says warm only if it was measured
-// after the server was last found cold.
+// after the server was last found cold. One that was measured before the latest
+// one was overtaken on its way and tells nothing.
 func (s Server) WithReport(r Report, now time.Time) Server {
-	if now.Sub(r.MeasuredAt) > maxReportAge {
+	if now.Sub(r.MeasuredAt).Abs() > maxReportAge || r.MeasuredAt.Before(s.reportedAt) {
 		return s
 	}
+	s.reportedAt = r.MeasuredAt
 	if r.Incarnation != "" {
 		s = s.withIncarnation(r.Incarnation, now)
 	}
--- a/backend/server.go
+++ b/backend/server.go
@@ -70,6 +70,8 @@
 	successes int
 	// reportedWarm tells that a fresh report from after ColdSince says warm.
 	reportedWarm bool
+	// reportedAt is when the latest report was measured.
+	reportedAt   time.Time
 	failures     int
 	blockedUntil time.Time
 }
@@ -85,6 +87,7 @@
 	moved := s.Address != spec.Address || s.ColdInFlight != spec.ColdInFlight
 	s.Spec = spec
 	if moved {
+		s.reportedAt = time.Time{}
 		return s.WithCold(now)
 	}
 	s.Allowed = min(s.Allowed, spec.MaxInFlight)
@@ -114,6 +117,12 @@
 // nothing new.
 func (s Server) IsLeaving() bool { return s.TakenOut || s.ListedLeaving || s.ReportedLeaving }
 
+// WithTakenOut returns the server after operators have taken it out.
+func (s Server) WithTakenOut() Server {
+	s.TakenOut = true
+	return s
+}
+
 // WithListedLeaving returns the server as the list of instances has it.
 func (s Server) WithListedLeaving(leaving bool) Server {
 	s.ListedLeaving = leaving
