--- a/ownership/commands.go
+++ b/ownership/commands.go
@@ -152,6 +152,9 @@
 
 // report writes the events about terms that were won or lost.
 func (t *Table) report(before, next *view) {
+	if maps.Equal(before.own, next.own) {
+		return
+	}
 	for _, p := range next.ownPools() {
 		if l := next.own[p]; before.own[p].term != l.term {
 			t.Logger.Write(event.OwnershipTaken, p, t.self.DataCentre, l.term)
--- a/ownership/queries.go
+++ b/ownership/queries.go
@@ -42,16 +42,14 @@
 // candidates are the instances of the data centre, leaving ones included: an
 // owner that is leaving dispatches until it has released its terms.
 func (q Queries) Route(pool, dataCentre string, candidates []member.Instance, unreachable func(name string) bool) (instance string, standIn bool) {
-	term, held := q.Owner(pool, dataCentre)
+	if term, held := q.Owner(pool, dataCentre); held {
+		if owner, ok := find(term, candidates); ok && !unreachable(owner.Name) {
+			return owner.Name, false
+		}
+	}
 	best, bestScore := "", uint64(0)
 	for _, i := range candidates {
-		if i.DataCentre != dataCentre || unreachable(i.Name) {
-			continue
-		}
-		if held && term.IsOwnedBy(i.Name, i.Incarnation) {
-			return i.Name, false
-		}
-		if i.Leaving {
+		if i.DataCentre != dataCentre || i.Leaving || unreachable(i.Name) {
 			continue
 		}
 		if s := score(pool, dataCentre, i.Name); best == "" || s > bestScore {
@@ -60,3 +58,13 @@
 	}
 	return best, best != ""
 }
+
+// find returns the owner of a term among candidates.
+func find(term Term, candidates []member.Instance) (member.Instance, bool) {
+	for _, i := range candidates {
+		if i.Name == term.Instance && term.IsOwnedBy(i.Name, i.Incarnation) {
+			return i, true
+		}
+	}
+	return member.Instance{}, false
+}
--- a/ownership/rendezvous.go
+++ b/ownership/rendezvous.go
@@ -41,10 +41,6 @@
 	if term.IsOwnedBy(t.self.Instance, t.self.Incarnation) {
 		return true
 	}
-	for _, i := range candidates {
-		if term.IsOwnedBy(i.Name, i.Incarnation) {
-			return i.Reachable
-		}
-	}
-	return false
+	owner, ok := find(term, candidates)
+	return ok && owner.Reachable
 }
