Keep the order of exchanges that are opened at the same time

Cause: Client.begin numbered an exchange under the lock of the connection and queued its first message afterwards. Two callers could queue in the other order. The peer refuses a number that doesn't rise ("exchange 30 after 31: unexpected message") and closes the connection, so that all exchanges on it fail with peerUnreachable.

Ruled out: a slow or silent peer (the connections broke with EOF in the middle of traffic, not by the limit of silence), and a withdrawn first message, which only leaves a gap.

A turn is now held from the numbering until the message is queued. The queue has one reader and keeps the order. Accepting numbers out of order was no choice: their rise is what keeps a message from belonging to two exchanges.

--- a/peer/call.go
+++ b/peer/call.go
@@ -24,6 +24,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := conn.takeTurn(ctx); err != nil {
+		return nil, notBegun(ctx, err)
+	}
+	defer conn.endTurn()
 	a := &call{conn: conn, exchange: conn.open()}
 	m.Exchange = a.exchange.id
 	data, err := m.encode()
@@ -34,14 +38,20 @@
 	a.out = &outgoing{data: data}
 	if err := conn.send(ctx, a.out); err != nil {
 		conn.close(a.exchange)
-		if ctx.Err() != nil {
-			return nil, ended(ctx, false)
-		}
-		return nil, request.Refuse(request.ReasonPeerUnreachable, err.Error())
+		return nil, notBegun(ctx, err)
 	}
 	return a, nil
 }
 
+// notBegun returns the failure of an exchange whose first message was not
+// queued.
+func notBegun(ctx context.Context, err error) request.Failure {
+	if ctx.Err() != nil {
+		return ended(ctx, false)
+	}
+	return request.Refuse(request.ReasonPeerUnreachable, err.Error())
+}
+
 // end closes the exchange.
 func (a *call) end() { a.conn.close(a.exchange) }
 
--- /dev/null
+++ b/peer/order_test.go
@@ -0,0 +1,35 @@
+package peer_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"lycheecrank.example/counter"
+	"lycheecrank.example/peer"
+)
+
+// Guards against exchanges that are opened at the same time and reach the peer
+// in another order than that of their numbers: the peer refuses the second one
+// and the connection breaks with all of its exchanges.
+func TestConcurrentExchangesKeepTheirOrder(t *testing.T) {
+	const callers, calls = 32, 200
+	s := newServer()
+	contract(t, s, func(is *is.I, c *peer.Client, address string) {
+		c.Counters = &counter.Set{}
+		var group errgroup.Group
+		for range callers {
+			group.Go(func() error {
+				for range calls {
+					if _, err := c.Exchange(t.Context(), address, peer.Digest{}); err != nil {
+						return err
+					}
+				}
+				return nil
+			})
+		}
+		is.NoErr(group.Wait())
+		is.Equal(s.Counters.Values(), map[string]int64{}) // no frame was refused
+	})
+}
--- a/peer/outbound.go
+++ b/peer/outbound.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -13,6 +14,10 @@
 type outbound struct {
 	*connection
 	counters *counter.Set
+	// turn is held from the numbering of an exchange until its first message is
+	// queued: the peer refuses numbers that don't rise. It is a channel so that
+	// waiting for room in the queue can be given up.
+	turn chan struct{}
 
 	mu *lock.Ranked
 	// The fields below are guarded by mu.
@@ -42,6 +47,7 @@
 	o := &outbound{
 		connection: c,
 		counters:   counters,
+		turn:       make(chan struct{}, 1),
 		mu:         lock.New(lock.RankPeer, "peer outbound"),
 		exchanges:  map[uint64]*exchange{},
 		pinged:     now,
@@ -51,6 +57,20 @@
 	return o
 }
 
+// takeTurn waits until this caller alone may open an exchange.
+func (o *outbound) takeTurn(ctx context.Context) error {
+	select {
+	case o.turn <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-o.done:
+		return o.cause
+	}
+}
+
+func (o *outbound) endTurn() { <-o.turn }
+
 // open adds an exchange. From now on the peer owes a message.
 func (o *outbound) open() *exchange {
 	now := time.Now()
