--- a/scenario/load_test.go
+++ b/scenario/load_test.go
@@ -168,9 +168,9 @@
 	case a.GetRequestId() != m.GetRequestId():
 		l.count(foreign, entry)
 	case a.GetOutcome() == callerv1.Outcome_OUTCOME_NOT_RUN:
-		l.count(refused, a.GetRefusal().GetCode())
+		l.count(refused, a.GetRefusal().GetCode()+"."+entry)
 	case a.GetOutcome() != callerv1.Outcome_OUTCOME_RAN:
-		l.count(unknown, a.GetRefusal().GetCode())
+		l.count(unknown, a.GetRefusal().GetCode()+"."+entry)
 	case !isOwn:
 		l.count(foreign, entry)
 	case took > l.options.timeout:
--- a/scenario/main_test.go
+++ b/scenario/main_test.go
@@ -125,6 +125,7 @@
 		"catalogue": submit, "fault": setFault, "key": newKey,
 		"load": startLoad, "load-stop": stopLoad, "load-more": awaitMore,
 		"bound-passed": awaitBound, "note": note, "eventually": eventually, "frame": sendFrame,
+		"send": sendOnly, "answer": answer,
 	}
 	for name, q := range queries() {
 		all[name] = q
@@ -135,6 +136,6 @@
 func queries() map[string]verb {
 	return map[string]verb{
 		"run": run, "outcome": outcome, "get": get, "post": post, "status": status,
-		"counts": counts, "unchanged": unchanged, "load-progress": progress, "load-result": result,
+		"counts": counts, "unchanged": unchanged, "owner": owner, "load-progress": progress, "load-result": result,
 	}
 }
--- a/scenario/operate_test.go
+++ b/scenario/operate_test.go
@@ -70,7 +70,8 @@
 }
 
 // submit (catalogue FILE...) fills the script's variables into the files, submits
-// their entries as one edit and prints the verdict.
+// their entries as one edit, prints the verdict and puts the new revision into the
+// variable REVISION.
 func submit(s *scene, args []string) (string, error) {
 	address, err := s.address("platform")
 	if err != nil {
@@ -106,6 +107,7 @@
 		return "", eris.Errorf("%s: %s", v.Decision, v.Detail)
 	}
 	s.verdictAt = time.Now()
+	s.setenv("REVISION", strconv.FormatUint(v.Offset, 10))
 	return fmt.Sprintf("accepted %d\n", v.Offset), nil
 }
 
@@ -263,3 +265,25 @@
 	}
 	return out.String(), nil
 }
+
+// owner POOL INSTANCE... puts the instance that owns a pool into the variable
+// OWNER and another one, which is of the same data centre if the list is, into
+// OTHER.
+func owner(s *scene, args []string) (string, error) {
+	if len(args) < 3 {
+		return "", eris.New("usage: owner POOL INSTANCE INSTANCE...")
+	}
+	for i, name := range args[1:] {
+		out, err := status(s, []string{name})
+		if err != nil {
+			return "", err
+		}
+		if strings.Contains(out, "owns "+args[0]+" lease true") {
+			other := args[1:][(i+1)%len(args[1:])]
+			s.setenv("OWNER", name)
+			s.setenv("OTHER", other)
+			return fmt.Sprintf("owner %s other %s\n", name, other), nil
+		}
+	}
+	return "", eris.Errorf("none of %v owns %s", args[1:], args[0])
+}
--- a/scenario/request_test.go
+++ b/scenario/request_test.go
@@ -18,6 +18,7 @@
 	"connectrpc.com/connect"
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
 
 	callerv1 "lycheecrank.example/api/caller/v1"
 	"lycheecrank.example/api/caller/v1/callerv1connect"
@@ -99,37 +100,96 @@
 	return e, nil
 }
 
-// run WORKSPACE TARGET [flags] INPUT sends a request to an instance and prints
-// the answer.
-func run(s *scene, args []string) (string, error) {
+// runOptions is what a script asks to be sent.
+type runOptions struct {
+	to       []string
+	message  *callerv1.RunRequest
+	streamed bool
+}
+
+func parseRun(args []string) (runOptions, error) {
 	if len(args) < 3 {
-		return "", eris.New("usage: run WORKSPACE TARGET [flags] INPUT")
+		return runOptions{}, eris.New("usage: run WORKSPACE TARGET [flags] INPUT")
 	}
+	m := &callerv1.RunRequest{Workspace: args[0], Target: args[1]}
 	flags := flag.NewFlagSet("run", flag.ContinueOnError)
-	to := flags.String("to", "", "instance, link or address")
-	key := flags.String("key", "", `key of the request, or "new"`)
-	class := flags.String("class", "", "class that the request asks for")
-	id := flags.String("id", "", "request identifier")
-	timeout := flags.Int64("timeout-ms", defaultTimeout.Milliseconds(), "time until the deadline")
+	to := flags.String("to", "", "instances, links or addresses, with commas")
+	flags.StringVar(&m.Key, "key", "", `key of the request, or "new"`)
+	flags.StringVar(&m.Class, "class", "", "class that the request asks for")
+	flags.StringVar(&m.RequestId, "id", "", "request identifier")
+	flags.Int64Var(&m.TimeoutMs, "timeout-ms", defaultTimeout.Milliseconds(), "time until the deadline")
 	streamed := flags.Bool("stream", false, "stream the answer")
 	if err := flags.Parse(args[2:]); err != nil || flags.NArg() != 1 {
-		return "", eris.Errorf("one INPUT is needed after the flags: %v", err)
+		return runOptions{}, eris.Errorf("one INPUT is needed after the flags: %v", err)
 	}
-	address, err := s.address(*to)
+	if m.Key == "new" {
+		m.Key = uuid.Must(uuid.NewV7()).String()
+	}
+	m.Input = []byte(flags.Arg(0))
+	return runOptions{to: strings.Split(*to, ","), message: m, streamed: *streamed}, nil
+}
+
+// run WORKSPACE TARGET [flags] INPUT sends a request to one instance, or to
+// several at once, and prints the answers in the order of the instances.
+func run(s *scene, args []string) (string, error) {
+	o, err := parseRun(args)
 	if err != nil {
 		return "", err
 	}
-	if *key == "new" {
-		*key = uuid.Must(uuid.NewV7()).String()
+	answers := make([]string, len(o.to))
+	var group errgroup.Group
+	for i, to := range o.to {
+		address, err := s.address(to)
+		if err != nil {
+			return "", err
+		}
+		group.Go(func() error {
+			e, err := s.send(address, o.message, o.streamed)
+			if err == nil {
+				answers[i] = printed(e)
+			}
+			return err
+		})
 	}
-	e, err := s.send(address, &callerv1.RunRequest{
-		Workspace: args[0], Target: args[1], Class: *class, Key: *key, RequestId: *id,
-		TimeoutMs: *timeout, Input: []byte(flags.Arg(0)),
-	}, *streamed)
-	if err != nil {
+	err = group.Wait()
+	return strings.Join(answers, ""), err
+}
+
+// pending is a request whose answer a script takes later.
+type pending struct {
+	// answered is closed once text or err is set.
+	answered chan struct{}
+	text     string
+	err      error
+}
+
+// sendOnly (send NAME WORKSPACE TARGET [flags] INPUT) does what run does, but
+// doesn't wait for the answer.
+func sendOnly(s *scene, args []string) (string, error) {
+	if len(args) == 0 || s.sent[args[0]] != nil {
+		return "", eris.New("usage: send NAME WORKSPACE TARGET [flags] INPUT, with a new NAME")
+	}
+	if _, err := parseRun(args[1:]); err != nil {
 		return "", err
 	}
-	return printed(e), nil
+	p := &pending{answered: make(chan struct{})}
+	s.sent[args[0]] = p
+	s.group.Go(func() error {
+		defer close(p.answered)
+		p.text, p.err = run(s, args[1:])
+		return nil
+	})
+	return "", nil
+}
+
+// answer NAME waits for the answer to a request that was sent and prints it.
+func answer(s *scene, args []string) (string, error) {
+	if len(args) != 1 || s.sent[args[0]] == nil {
+		return "", eris.New("usage: answer NAME")
+	}
+	p := s.sent[args[0]]
+	<-p.answered
+	return p.text, p.err
 }
 
 func printed(e exchange) string {
--- a/scenario/scene_test.go
+++ b/scenario/scene_test.go
@@ -38,6 +38,7 @@
 	processes map[string]*process
 	links     map[string]*relay
 	loads     map[string]*load
+	sent      map[string]*pending
 	noted     map[string]int64
 	// verdictAt is when the last edit of the catalogue was accepted.
 	verdictAt time.Time
@@ -51,8 +52,8 @@
 		ctx: ctx, workDir: workDir,
 		client:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 		processes: map[string]*process{}, links: map[string]*relay{}, loads: map[string]*load{},
-		noted: map[string]int64{},
-		mu:    lock.New(rankScene, "scene"), addresses: map[string]string{},
+		sent: map[string]*pending{}, noted: map[string]int64{},
+		mu: lock.New(rankScene, "scene"), addresses: map[string]string{},
 	}
 }
 
