--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -84,7 +84,7 @@
 	}
 	wait := expectedWait(q.ahead(w.step.Rank), capacity)
 	if now.Add(wait + capacity.Fastest).After(w.step.Deadline) {
-		return refusal(request.ReasonDeadlineUnattainable, "the steps ahead take "+wait.String())
+		return refusal(request.ReasonDeadlineUnattainable, "the steps ahead take "+wait.String()+" and the step itself "+capacity.Fastest.String())
 	}
 	q.add(w)
 	t.unfinished++
@@ -195,10 +195,18 @@
 	if !now.Before(a.Step.Deadline) {
 		return refusal(request.ReasonDeadlinePassed, "the deadline passed before the step was sent")
 	}
-	if a.Server.Limit(c.table.Rights(a.Step.Pool, now)) == 0 {
+	s := c.table.current(a.Server)
+	rights := c.table.Rights(a.Step.Pool, now)
+	limit := s.Limit(rights)
+	if s.InFlight <= limit {
+		return nil
+	}
+	if limit == 0 && !s.IsLeaving() {
 		return refusal(request.ReasonRightEnded, "the right to dispatch to pool "+a.Step.Pool+" has ended")
 	}
-	return nil
+	f := request.Refuse(request.ReasonServerCold, s.Name+" may get less work than when it was chosen")
+	f.Server = s.Name
+	return &f
 }
 
 func (c Commands) finish(a Assignment, o Outcome) {
@@ -227,8 +235,8 @@
 	t.mu.Lock()
 	waitingSteps := 0
 	for _, q := range t.pools {
-		capacity, known := capacities[q.name]
 		q.each(func(w *waiting) {
+			capacity, known := capacities[poolRank{q.name, w.step.Rank}]
 			if known && sweepReason(w, capacity, now) != "" && q.remove(w) {
 				refused = append(refused, w)
 				t.leave()
@@ -242,7 +250,7 @@
 	}
 	t.mu.Unlock()
 	for _, w := range refused {
-		r := sweepReason(w, capacities[w.step.Pool], now)
+		r := sweepReason(w, capacities[poolRank{w.step.Pool, w.step.Rank}], now)
 		w.done <- Outcome{Failure: refusal(r, "no server of pool "+w.step.Pool+" became free in time")}
 	}
 }
@@ -258,20 +266,28 @@
 	return ""
 }
 
-// capacities returns the capacity of each pool with waiting steps.
-func (c Commands) capacities(now time.Time) map[string]backend.Capacity {
+// poolRank names a class of a pool. Not every server of a pool serves every
+// class.
+type poolRank struct {
+	pool string
+	rank int
+}
+
+// capacities returns the capacity of each pool for the classes with waiting
+// steps.
+func (c Commands) capacities(now time.Time) map[poolRank]backend.Capacity {
 	t := c.table
-	var names []string
+	var keys []poolRank
 	t.mu.Lock()
 	for name, q := range t.pools {
-		if q.count > 0 {
-			names = append(names, name)
+		for _, r := range q.ranks() {
+			keys = append(keys, poolRank{name, r})
 		}
 	}
 	t.mu.Unlock()
-	capacities := make(map[string]backend.Capacity, len(names))
-	for _, n := range names {
-		capacities[n] = t.Capacity(n, 0, t.Rights(n, now))
+	capacities := make(map[poolRank]backend.Capacity, len(keys))
+	for _, k := range keys {
+		capacities[k] = t.Capacity(k.pool, k.rank, t.Rights(k.pool, now))
 	}
 	return capacities
 }
--- /dev/null
+++ b/dispatch/order_test.go
@@ -0,0 +1,332 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lycheecrank.example/backend"
+	"lycheecrank.example/dispatch"
+	"lycheecrank.example/request"
+)
+
+// weights are the shares of the workspaces.
+var weights = map[string]int{"a": 1, "b": 2, "c": 5}
+
+// move is one event at a site.
+type move struct {
+	kind      string
+	workspace string
+	rank      int
+	deadline  time.Duration
+	pick      int
+}
+
+var moves = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) move {
+	return move{
+		kind: rapid.SampledFrom([]string{
+			"add", "add", "add", "add", "add", "next", "next", "next", "next", "run", "run", "run", "cancel", "sweep", "wait",
+		}).Draw(t, "kind"),
+		workspace: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "workspace"),
+		rank:      rapid.SampledFrom([]int{0, 1, 1, 1, 2}).Draw(t, "rank"),
+		deadline:  time.Duration(rapid.IntRange(1, 100).Draw(t, "deadline")) * 100 * time.Millisecond,
+		pick:      rapid.IntRange(0, 99).Draw(t, "pick"),
+	}
+}), 40, 120)
+
+// variant changes what the table gets, to show that a check can fail. The zero
+// value changes nothing.
+type variant struct {
+	step  func(request.Step) request.Step
+	table func(*dispatch.Table)
+	run   func(*site, dispatch.Assignment)
+}
+
+// ledger is what the test itself knows of the steps.
+type ledger struct {
+	waiting  map[string]request.Step
+	assigned []dispatch.Assignment
+	// served counts the steps that a workspace got in a class since both it and
+	// the other workspace of a pair have had waiting steps all the time.
+	served map[pair][2]int
+}
+
+type pair struct {
+	rank          int
+	first, second string
+}
+
+func (l *ledger) isWaiting(rank int, workspace string) bool {
+	for _, w := range l.waiting {
+		if w.Rank == rank && w.Workspace == workspace {
+			return true
+		}
+	}
+	return false
+}
+
+var pairs = func() []pair {
+	var all []pair
+	for rank := range 3 {
+		all = append(all, pair{rank, "a", "b"}, pair{rank, "a", "c"}, pair{rank, "b", "c"})
+	}
+	return all
+}()
+
+// settle forgets the service of pairs of which one has no waiting step.
+func (l *ledger) settle() {
+	for _, p := range pairs {
+		if !l.isWaiting(p.rank, p.first) || !l.isWaiting(p.rank, p.second) {
+			delete(l.served, p)
+		}
+	}
+}
+
+// charge counts a dispatched step and returns what is unfair, or "".
+func (l *ledger) charge(s request.Step) string {
+	for _, p := range pairs {
+		if p.rank != s.Rank || (p.first != s.Workspace && p.second != s.Workspace) {
+			continue
+		}
+		n := l.served[p]
+		if p.first == s.Workspace {
+			n[0]++
+		} else {
+			n[1]++
+		}
+		l.served[p] = n
+		first, second := float64(weights[p.first]), float64(weights[p.second])
+		if math.Abs(float64(n[0])/first-float64(n[1])/second) > 1/first+1/second+1e-9 {
+			return fmt.Sprintf("unfair: %s got %d and %s got %d while both waited", p.first, n[0], p.second, n[1])
+		}
+	}
+	return ""
+}
+
+// fault returns why a step must not be the next one, or "".
+func (l *ledger) fault(s request.Step) string {
+	if _, ok := l.waiting[s.RequestID]; !ok {
+		return "dispatched a step that doesn't wait: " + s.RequestID
+	}
+	for _, w := range l.waiting {
+		switch {
+		case w.Rank < s.Rank:
+			return fmt.Sprintf("class inverted: rank %d before rank %d", s.Rank, w.Rank)
+		case w.Rank == s.Rank && w.Workspace == s.Workspace && w.Deadline.Before(l.waiting[s.RequestID].Deadline):
+			return "deadline inverted in workspace " + s.Workspace
+		}
+	}
+	return ""
+}
+
+// violation plays moves in a bubble and returns the first fault, or "".
+func violation(t *testing.T, played []move, v variant) (fault string) {
+	synctest.Test(t, func(*testing.T) {
+		s := newSite(2, 2)
+		if v.table != nil {
+			v.table(s.table)
+		}
+		l := &ledger{waiting: map[string]request.Step{}, served: map[pair][2]int{}}
+		for i, m := range played {
+			if f := s.play(l, i, m, v); f != "" && fault == "" {
+				fault = fmt.Sprintf("move %d: %s", i, f)
+			}
+		}
+		s.end(l, v)
+		if fault == "" {
+			fault = s.left()
+		}
+		for id, n := range s.started {
+			if n > 1 && fault == "" {
+				fault = fmt.Sprintf("%s was sent %d times", id, n)
+			}
+		}
+	})
+	return fault
+}
+
+func (s *site) play(l *ledger, number int, m move, v variant) string {
+	switch m.kind {
+	case "add":
+		step := request.Step{
+			RequestID: fmt.Sprintf("r%d", number), Workspace: m.workspace, Rank: m.rank,
+			Weight: weights[m.workspace], Deadline: time.Now().Add(m.deadline),
+		}
+		l.waiting[step.RequestID] = step
+		if v.step != nil {
+			step = v.step(step)
+		}
+		s.add(step)
+	case "next":
+		a, ok := s.take()
+		if !ok {
+			return ""
+		}
+		step := l.waiting[a.Step.RequestID]
+		fault := l.fault(step)
+		if fault == "" {
+			fault = l.charge(step)
+		}
+		delete(l.waiting, step.RequestID)
+		l.assigned = append(l.assigned, a)
+		l.settle()
+		return fault
+	case "run":
+		if len(l.assigned) > 0 {
+			n := m.pick % len(l.assigned)
+			s.runWith(l.assigned[n], v)
+			l.assigned = slices.Delete(l.assigned, n, n+1)
+		}
+	case "cancel":
+		for id := range l.waiting {
+			s.cancel(id)
+			break
+		}
+	case "sweep":
+		s.commands.Sweep(time.Now())
+	case "wait":
+		time.Sleep(m.deadline / 10)
+	}
+	synctest.Wait()
+	s.forget(l)
+	return ""
+}
+
+func (s *site) runWith(a dispatch.Assignment, v variant) {
+	if v.run != nil {
+		v.run(s, a)
+		return
+	}
+	s.run(a)
+}
+
+// forget drops the waiting steps that have ended.
+func (s *site) forget(l *ledger) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.ended {
+		delete(l.waiting, id)
+	}
+	l.settle()
+}
+
+// end cancels what waits and runs what was assigned.
+func (s *site) end(l *ledger, v variant) {
+	for id := range l.waiting {
+		s.cancel(id)
+	}
+	for _, a := range l.assigned {
+		s.runWith(a, v)
+	}
+	s.running.Wait()
+}
+
+// Guards against a step that is dispatched while one of a better class waits,
+// or before one of the same workspace with an earlier deadline; against a
+// workspace that gets more or less than its weight while both wait, or saves up
+// a claim while it is idle; against slots and counts that are lost.
+func TestOrder(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		if fault := violation(t, moves.Draw(rt, "moves"), variant{}); fault != "" {
+			rt.Fatal(fault)
+		}
+	})
+}
+
+// Guards against a check of the order that can't fail.
+func TestOrderVariants(t *testing.T) {
+	variants := []struct {
+		name    string
+		shows   string
+		variant variant
+	}{
+		{"classes are lost", "class inverted", variant{step: func(s request.Step) request.Step {
+			s.Rank = 1
+			return s
+		}}},
+		{"weights are lost", "unfair", variant{step: func(s request.Step) request.Step {
+			s.Weight = 1
+			return s
+		}}},
+		{"workspaces are lost", "unfair", variant{step: func(s request.Step) request.Step {
+			s.Workspace = "a"
+			return s
+		}}},
+		{"first in, first out", "deadline inverted", variant{step: func(s request.Step) request.Step {
+			s.Deadline = time.Now().Add(time.Hour)
+			return s
+		}}},
+		{"slots are not given back", "in flight at the end", variant{table: func(t *dispatch.Table) {
+			t.Release = func(string, backend.Observation, time.Time) {}
+		}}},
+		{"a step is sent twice", "was sent 2 times", variant{table: func(t *dispatch.Table) {
+			once := t.Execute
+			t.Execute = func(ctx context.Context, a dispatch.Assignment) dispatch.Execution {
+				once(ctx, a)
+				return once(ctx, a)
+			}
+		}}},
+	}
+	for _, v := range variants {
+		t.Run(v.name, func(t *testing.T) {
+			const seeds = 200
+			for seed := range seeds {
+				if strings.Contains(violation(t, moves.Example(seed), v.variant), v.shows) {
+					return
+				}
+			}
+			t.Fatalf("%q not seen in %d histories", v.shows, seeds)
+		})
+	}
+}
+
+// Guards against workspaces that don't get their weights over time, starve, or
+// use up what they didn't take while they were idle.
+func TestShares(t *testing.T) {
+	inBubble(t, "shares", func(out *strings.Builder) {
+		s := newSite(1, 1)
+		number := 0
+		add := func(workspace string, n int) {
+			for range n {
+				number++
+				s.add(request.Step{
+					RequestID: fmt.Sprintf("r%d", number), Workspace: workspace, Weight: weights[workspace],
+					Deadline: time.Now().Add(time.Hour),
+				})
+			}
+		}
+		serve := func(what string, n int) {
+			var got strings.Builder
+			for range n {
+				a, ok := s.take()
+				if !ok {
+					break
+				}
+				got.WriteString(a.Step.Workspace)
+				s.run(a)
+			}
+			fmt.Fprintf(out, "%s\n  %s\n  a %d, b %d, c %d\n", what, got.String(),
+				strings.Count(got.String(), "a"), strings.Count(got.String(), "b"), strings.Count(got.String(), "c"))
+		}
+		add("a", 100)
+		serve("a alone, weight 1", 20)
+		add("b", 100)
+		add("c", 100)
+		serve("a, b and c with the weights 1, 2 and 5: b and c have not saved up the time before", 64)
+		add("c", 5)
+		serve("the same again", 64)
+		serve("all that is left", 1000)
+		add("a", 4)
+		add("c", 20)
+		serve("after all were idle", 24)
+		s.running.Wait()
+		fmt.Fprintf(out, "left: %q\n", s.left())
+	})
+}
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -21,6 +21,10 @@
 	Release func(server string, o backend.Observation, now time.Time)
 	// Return gives a slot back of which nothing was sent.
 	Return func(server string)
+	// Current returns the view of a server at the moment, since one that was
+	// chosen may have turned cold or begun to leave. If it is nil, the view at the
+	// choice counts.
+	Current func(server string) (backend.Server, bool)
 	// Capacity tells what a pool can do for a rank.
 	Capacity func(pool string, rank int, r backend.Rights) backend.Capacity
 	// Rights tells what this instance may dispatch to a pool.
@@ -101,6 +105,18 @@
 	}
 }
 
+// current returns the latest view of a chosen server.
+func (t *Table) current(chosen backend.Server) backend.Server {
+	if t.Current == nil {
+		return chosen
+	}
+	s, ok := t.Current(chosen.Name)
+	if !ok {
+		return chosen.WithTakenOut()
+	}
+	return s
+}
+
 // leave notes that a step is finished. The caller holds the lock.
 func (t *Table) leave() {
 	t.unfinished--
