--- /dev/null
+++ b/pipeline/main_test.go
@@ -0,0 +1,18 @@
+package pipeline_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed and the number of the property checks, so that every
+// run checks the same cases. Flags on the command line override them.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "300", "rapid.nofailfile": "true", "rapid.shrinktime": "5s"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- a/pipeline/runner.go
+++ b/pipeline/runner.go
@@ -189,6 +189,10 @@
 		if !f.Sent {
 			pause(ctx, tried.pause())
 		}
+		if ctx.Err() != nil {
+			ended := endedFailure(ctx).WithSent(tried.sent > 0)
+			return request.StageReport{}, &ended
+		}
 		r.Retries.Add(string(f.Reason))
 		r.decided(Decision{Kind: Retry, Request: req, Reason: f.Reason, At: time.Now()})
 		step = step.WithRetry(f)
