Prove the contract of stages under faults; tell failing callers from engines

One fault, found by TestSinkThatFails: when the receiver of the pieces failed in mid-stream, the engine's stream was resumed for nobody, the same piece was given again, and the failure counted against the engine (serverFailed, cold after three). It ends as cancelled now and is not resumed. Ruled out: the connection, which the engine kept, and the order of the pieces. Before: 'serverFailed, 4 pieces, 2 calls of Resume'; after: 'cancelled, 2 pieces, 0 calls of Resume'.

--- /dev/null
+++ b/stage/engine_test.go
@@ -0,0 +1,161 @@
+package stage_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"lycheecrank.example/backend"
+	"lycheecrank.example/request"
+	"lycheecrank.example/standin"
+	"lycheecrank.example/standin/fault"
+	"lycheecrank.example/standin/work"
+)
+
+func (r *rig) backend() backend.Server {
+	return backend.Server{Spec: backend.Spec{Name: "b", Address: r.server.Listener.Addr().String()}}
+}
+
+// Guards against a stream that is not continued where it broke, a piece that is
+// lost or given twice, resuming without end, and work that nobody waits for and
+// that is not cancelled.
+func TestResume(t *testing.T) {
+	cases := []struct {
+		name string
+		// breaks are the numbers of messages after which the streams break.
+		breaks  []int
+		onBreak func(r *rig)
+	}{
+		{name: "before the first piece", breaks: []int{0}},
+		{name: "after a piece", breaks: []int{1}},
+		{name: "before the end mark", breaks: []int{4}},
+		{name: "twice", breaks: []int{1, 1}},
+		{name: "at once after resuming", breaks: []int{1, 0}},
+		{name: "three times", breaks: []int{1, 1, 1}},
+		{name: "engine restarts", breaks: []int{2}, onBreak: func(r *rig) { r.standin = newStandin(r.t, request.Generate, work.Limits{}) }},
+		{name: "engine goes down", breaks: []int{2}, onBreak: func(r *rig) { r.standin.SetFault(fault.Fault{Down: true}) }},
+		{name: "another stream is resumed", breaks: []int{2}, onBreak: func(r *rig) { r.standin.SetFault(fault.Fault{Foreign: true}) }},
+		{name: "resumed in reverse order", breaks: []int{1}, onBreak: func(r *rig) { r.standin.SetFault(fault.Fault{Reorder: true}) }},
+		{name: "resumed with pieces twice", breaks: []int{1}, onBreak: func(r *rig) { r.standin.SetFault(fault.Fault{Repeat: true}) }},
+		{name: "resumed and cut short", breaks: []int{1}, onBreak: func(r *rig) { r.standin.SetFault(fault.Fault{CutShort: true}) }},
+		{name: "resuming is lost", breaks: []int{1}, onBreak: func(r *rig) { r.standin.SetFault(fault.Fault{LoseAnswer: true, Remaining: 1}) }},
+	}
+	whole := wholeOutput(t, request.Generate)
+	var out strings.Builder
+	for _, c := range cases {
+		r := newRig(t, request.Generate, work.Limits{})
+		r.onBreak = c.onBreak
+		for _, n := range c.breaks {
+			r.breakAfter <- n
+		}
+		s := r.call(nil, nil)
+		counts := r.standin.Counts()
+		fmt.Fprintf(&out, "%s: %s; calls of Resume %d, Cancel %d\n", c.name, s, counts["calls.Resume"], counts["calls.Cancel"])
+		if f := s.fault(r.step(), whole, false); f != "" {
+			t.Errorf("%s: %s", c.name, f)
+		}
+	}
+	assertGolden(t, "resume", out.String())
+}
+
+// Guards against a caller that goes away in mid-stream and is taken for a
+// failing engine: the stream is resumed for nobody, and the engine turns cold.
+func TestSinkThatFails(t *testing.T) {
+	r := newRig(t, request.Generate, work.Limits{})
+	s := r.call(nil, func(p request.Piece) error {
+		if p.Number == 1 {
+			return errors.New("the caller has gone")
+		}
+		return nil
+	})
+	counts := r.standin.Counts()
+	assertGolden(t, "sink", fmt.Sprintf("%s; calls of Resume %d, Cancel %d\n", s, counts["calls.Resume"], counts["calls.Cancel"]))
+}
+
+// Guards against a frozen engine that keeps a cancelled call waiting, and a
+// refusal because of cold start or overload that is not told from a failure.
+func TestEngineReasons(t *testing.T) {
+	var out strings.Builder
+	for _, c := range []struct {
+		name   string
+		limits work.Limits
+		second func(r *rig) seen
+	}{
+		{"overloaded", work.Limits{MaxInFlight: 1}, func(r *rig) seen { return r.call(nil, nil) }},
+		{"cold and one too many", work.Limits{ColdForRequests: 1}, func(r *rig) seen { return r.call(nil, nil) }},
+		{"frozen in mid-stream, cancelled", work.Limits{}, func(r *rig) seen {
+			r.standin.SetFault(fault.Fault{Freeze: true})
+			return seen{}
+		}},
+	} {
+		r := newRig(t, request.Generate, c.limits)
+		// The first piece comes after 100 ms, the last one after more than 3 s.
+		r.standin = standin.NewEngine(standin.EngineOptions{
+			BackendOptions:  standin.BackendOptions{Name: "b-" + t.Name(), Limits: c.limits},
+			TokensPerSecond: 10, PieceTokens: 1,
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), generous)
+		var second seen
+		first := r.client.Execute(ctx, r.step(), r.backend(), func(request.Piece) error {
+			second = c.second(r)
+			cancel()
+			return nil
+		})
+		cancel()
+		fmt.Fprintf(&out, "%s: %s, sent %t", c.name, first.Failure.Reason, first.Failure.Sent)
+		if second.execution.Failure != nil {
+			fmt.Fprintf(&out, "; the one beside it: %s", second)
+		}
+		out.WriteString("\n")
+	}
+	assertGolden(t, "engineReasons", out.String())
+}
+
+// Guards against a deadline that is not told from a cancellation.
+func TestDeadline(t *testing.T) {
+	for _, kind := range request.Kinds() {
+		r := newRig(t, kind, work.Limits{})
+		r.standin.SetFault(fault.Fault{Freeze: true})
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		e := r.client.Execute(ctx, r.step(), r.backend(), nil)
+		cancel()
+		if f := e.Failure; f == nil || f.Reason != request.ReasonDeadlinePassed || !f.Sent {
+			t.Errorf("%s: %+v", kind, f)
+		}
+	}
+}
+
+// Guards against an HTTP client that repeats a call by itself when a kept
+// connection breaks: a tally would be filed twice.
+func TestNoRepeatOnKeptConnection(t *testing.T) {
+	r := newRig(t, request.Call, work.Limits{})
+	first := r.call(nil, nil)
+	r.standin.SetFault(fault.Fault{LoseAnswer: true, Remaining: 1})
+	second := r.call(nil, nil)
+	counts := r.standin.Counts()
+	assertGolden(t, "kept", fmt.Sprintf("first: %s\nsecond, answer lost: %s\nexecuted %d times\n", first, second, counts["executed"]))
+}
+
+// Guards against load reports that are misread.
+func TestLoad(t *testing.T) {
+	for _, kind := range request.Kinds() {
+		r := newRig(t, kind, work.Limits{ColdForRequests: 1})
+		before := time.Now().Truncate(time.Millisecond)
+		report, err := r.client.Load(context.Background(), kind, r.server.Listener.Addr().String())
+		if err != nil || !report.Cold || report.Leaving || report.Incarnation == "" || report.MeasuredAt.Before(before) {
+			t.Errorf("%s: %+v, %v", kind, report, err)
+		}
+		r.standin.Stop()
+		report, err = r.client.Load(context.Background(), kind, r.server.Listener.Addr().String())
+		if err != nil || !report.Leaving {
+			t.Errorf("%s, stopping: %+v, %v", kind, report, err)
+		}
+		r.standin.SetFault(fault.Fault{Down: true})
+		if _, err = r.client.Load(context.Background(), kind, r.server.Listener.Addr().String()); err == nil {
+			t.Errorf("%s, down: no error", kind)
+		}
+	}
+}
--- a/stage/generate.go
+++ b/stage/generate.go
@@ -2,11 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"lycheecrank.example/request"
 )
 
+// errSink is returned when the receiver of the pieces takes no more.
+var errSink = errors.New("pieces not taken")
+
 // maxResumes bounds how often the stream of an attempt is resumed.
 const maxResumes = 2
 
@@ -26,7 +32,7 @@
 	engine := c.client.Engine(c.server.Address)
 	a := &assembly{call: c, pending: map[uint32][]byte{}}
 	err := engine.Execute(ctx, c.step, a.take)
-	for resumes := 0; err != nil && a.isResumable(ctx) && resumes < maxResumes; resumes++ {
+	for resumes := 0; err != nil && a.isResumable(ctx, err) && resumes < maxResumes; resumes++ {
 		err = engine.Resume(ctx, c.step.Identity(), a.next, a.take)
 	}
 	if err == nil && !a.isWhole() {
@@ -39,9 +45,10 @@
 	return a.output, nil
 }
 
-// isResumable reports whether the stream broke after its first piece.
-func (a *assembly) isResumable(ctx context.Context) bool {
-	return a.next > 0 && ctx.Err() == nil
+// isResumable reports whether the stream broke after its first piece while
+// somebody still takes the pieces.
+func (a *assembly) isResumable(ctx context.Context, err error) bool {
+	return a.next > 0 && ctx.Err() == nil && !errors.Is(err, errSink)
 }
 
 // cancelTimeout bounds the call that tells an engine to stop.
@@ -91,7 +98,7 @@
 		if a.call.sink != nil {
 			p := request.Piece{Attempt: a.call.step.Attempt, Number: a.next, Data: data}
 			if err := a.call.sink(p); err != nil {
-				return err
+				return eris.Wrap(errSink, err.Error())
 			}
 		}
 		a.next++
--- a/stage/stage.go
+++ b/stage/stage.go
@@ -168,6 +168,9 @@
 	switch {
 	case errors.Is(err, errDropped):
 		f.Reason = request.ReasonResultInvalid
+	case errors.Is(err, errSink):
+		// The server is not at fault.
+		f.Reason = request.ReasonCancelled
 	case ctx.Err() != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		f.Reason = request.ReasonDeadlinePassed
 	case ctx.Err() != nil:
