--- a/claim/commands.go
+++ b/claim/commands.go
@@ -216,7 +216,7 @@
 	if w == nil {
 		return v
 	}
-	v.won = wanted && v.inWindow && v.complete && w.isApplied && st.isHeldBy(id)
+	v.won = wanted && v.inWindow && v.complete && st.isHeldBy(id)
 	if v.won {
 		delete(t.watches, id)
 		return v
--- a/claim/protocol_test.go
+++ b/claim/protocol_test.go
@@ -62,7 +62,7 @@
 		s.Faults = append(s.Faults, fault{
 			Kind: rapid.SampledFrom(faultKinds).Draw(t, "kind"),
 			Node: rapid.IntRange(0, 3).Draw(t, "faultNode"),
-			At:   draw(t, "faultAt", 0, 0, 2*ms, 30*ms, seconds, 5*seconds, 4*time.Minute),
+			At:   draw(t, "faultAt", 0, ms/2, ms/2, 2*ms, 30*ms, seconds, 5*seconds, 4*time.Minute),
 			For:  draw(t, "for", 100*ms, seconds, 5*seconds, 30*seconds, 6*time.Minute, 2*time.Hour),
 		})
 	}
