Answer a claimed request at most 250 ms after it ran

Its outcome goes to the log before the answer where the log is quick, and in the background otherwise. An append that the log has refused for its rate counts as not appended, so that the claim fails at once.

--- a/instance/claim.go
+++ b/instance/claim.go
@@ -15,6 +15,10 @@
 	"lycheecrank.example/request"
 )
 
+// finishLimit bounds how long an answer waits until its outcome is in the log.
+// After that the append goes on in the background.
+const finishLimit = 250 * time.Millisecond
+
 // claimFollower returns the follower of a stream of claims.
 func (i *Instance) claimFollower(n int) *follower {
 	stream := claim.StreamName(n)
@@ -53,6 +57,9 @@
 		data = append(data, d)
 	}
 	_, err := i.platformLog.Append(ctx, stream, data...)
+	if errors.Is(err, platform.ErrRateLimited) {
+		return errors.Join(claim.ErrNotAppended, err)
+	}
 	return err
 }
 
@@ -71,7 +78,7 @@
 		return pipeline.Claimed{}, err
 	}
 	return pipeline.Claimed{Finish: func(o request.Outcome, output []byte) {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), i.Settings.Timeouts.Platform)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishLimit)
 		defer cancel()
 		if err := ticket.Finish(ctx, o, output); err != nil {
 			i.Logger.Write(event.ClaimUndecided, r.Key, err)
