--- a/catalogue/check.go
+++ b/catalogue/check.go
@@ -16,6 +16,9 @@
 	// Field is the name of the field in files, such as "limits.maxInFlight".
 	Field   string
 	Message string
+	// Reference tells that the rule concerns another entry too, so that the entry
+	// by itself can't tell whether it is broken.
+	Reference bool
 }
 
 // String returns a sentence for people.
@@ -57,6 +60,12 @@
 	c.faults = append(c.faults, Fault{ID: e.ID(), Field: field, Message: fmt.Sprintf(format, args...)})
 }
 
+// addReference adds a fault that depends on another entry.
+func (c *checker) addReference(e Entry, field, format string, args ...any) {
+	c.add(e, field, format, args...)
+	c.faults[len(c.faults)-1].Reference = true
+}
+
 func (c *checker) entry(e Entry) {
 	c.head(e)
 	switch e.Kind {
@@ -76,6 +85,7 @@
 		c.service(e)
 	default:
 		c.add(e, "kind", "must be one of %v", Kinds())
+		return
 	}
 	c.unused(e)
 }
@@ -164,7 +174,7 @@
 		return
 	}
 	if p := c.byID[ID{PoolKind, s.Pool}]; p.StageKind != s.Kind {
-		c.add(e, field+".kind", "is %q, but pool %s has the stage kind %q", s.Kind, s.Pool, p.StageKind)
+		c.addReference(e, field+".kind", "is %q, but pool %s has the stage kind %q", s.Kind, s.Pool, p.StageKind)
 	}
 }
 
@@ -176,7 +186,7 @@
 		return
 	}
 	if p := c.byID[ID{PoolKind, e.Pool}]; p.StageKind != request.Call {
-		c.add(e, "pool", "must be a pool of the stage kind %s", request.Call)
+		c.addReference(e, "pool", "must be a pool of the stage kind %s", request.Call)
 	}
 }
 
@@ -214,7 +224,7 @@
 		return false
 	}
 	if _, ok := c.byID[ID{k, name}]; !ok {
-		c.add(e, field, "%s %q is not in the catalogue", k, name)
+		c.addReference(e, field, "%s %q is not in the catalogue", k, name)
 		return false
 	}
 	return true
--- a/catalogue/commands.go
+++ b/catalogue/commands.go
@@ -54,24 +54,48 @@
 	return true
 }
 
-// Hold takes a hold and reports whether it is newer than the known one.
+// Hold takes a hold from a peer and reports whether it counts more than the
+// known one.
 func (c Commands) Hold(h Hold) bool {
 	t := c.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	v := *t.current.Load()
+	return c.hold(h)
+}
+
+// PlaceHold takes a hold from an operator, which overrides the known one
+// whatever the clocks of the instances say, and returns it as it was taken. A
+// hold on a data centre that is taken out already has no effect of its own.
+func (c Commands) PlaceHold(h Hold) Hold {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if old, ok := t.current.Load().holds.Of(h.DataCentre); ok {
+		h = h.WithSequence(max(h.Sequence, old.Sequence+1))
+	}
+	c.hold(h)
+	taken, _ := t.current.Load().holds.Of(h.DataCentre)
+	return taken
+}
+
+// hold takes a hold. The caller holds the lock.
+func (c Commands) hold(h Hold) bool {
+	v := *c.table.current.Load()
+	if v.catalogue.IsTakenOut(h.DataCentre) {
+		h = h.WithRecorded()
+	}
 	holds, taken := v.holds.With(h)
-	if !taken {
-		return false
+	if taken {
+		v.holds = holds
+		c.table.current.Store(&v)
 	}
-	v.holds = holds
-	t.current.Store(&v)
-	return true
+	return taken
 }
 
 // adopt swaps the view. The caller holds the lock.
 func (c Commands) adopt(v view, next Catalogue, recent []Raw) {
 	v.catalogue = next
+	v.holds = v.holds.withTakenOut(next)
 	v.recent = recent
 	v.adoptedAt = time.Now()
 	c.table.current.Store(&v)
--- a/cmd/lycheectl/main.go
+++ b/cmd/lycheectl/main.go
@@ -40,6 +40,9 @@
 		Commands: []*cli.Command{
 			catalogueCommand(),
 			statusCommand(),
+			dataCentreCommand(),
+			serverCommand(),
+			precedenceCommand(),
 		},
 	}
 	quiet(root)
--- a/cmd/lycheectl/report.go
+++ b/cmd/lycheectl/report.go
@@ -64,7 +64,7 @@
 	console.Usage:       "run with --help for the usage",
 	console.Conflict:    "nothing has changed; look at the current entries with: lycheectl catalogue get",
 	console.Invalid:     "nothing has changed",
-	console.Unavailable: "no edit was made; instances go on by the last catalogue. Without the log, datacentre take-out --hold works through the instances",
+	console.Unavailable: "no edit was made; the instances go on by the catalogue that they have. While the log is down, datacentre take-out --hold works through the instances",
 	console.Undecided:   "the edit may be in the log or not; don't repeat it before you have looked for it with: lycheectl --output json catalogue history",
 }
 
--- a/console/code.go
+++ b/console/code.go
@@ -57,9 +57,9 @@
 	// ErrUsage: an argument is wrong.
 	ErrUsage = errors.New("wrong usage")
 	// ErrConflict: the edit was refused because of another one.
-	ErrConflict = errors.New("edit refused: conflict")
-	// ErrInvalid: the edit was refused because it breaks a rule.
-	ErrInvalid = errors.New("edit refused: invalid")
+	ErrConflict = errors.New("refused: conflict")
+	// ErrInvalid: the edit or hold was refused because it breaks a rule.
+	ErrInvalid = errors.New("refused: invalid")
 	// ErrNotInForce: some instances don't follow in time.
 	ErrNotInForce = errors.New("not in force everywhere")
 	// ErrViolated: decision records show a violation or are not intact.
--- a/editor/editor.go
+++ b/editor/editor.go
@@ -75,7 +75,7 @@
 
 // Load reads the catalogue and its history from the log.
 func (e Editor) Load(ctx context.Context) (History, error) {
-	records, err := e.readAll(ctx)
+	records, err := ReadStream(ctx, e.read, catalogue.Stream)
 	if err != nil {
 		return History{}, err
 	}
@@ -95,22 +95,6 @@
 	return h, err
 }
 
-// readAttempts bounds how often a read starts anew because records expired
-// between two pages.
-const readAttempts = 3
-
-func (e Editor) readAll(ctx context.Context) ([]platform.Record, error) {
-	var records []platform.Record
-	var err error
-	for range readAttempts {
-		records, err = ReadStream(ctx, e.read, catalogue.Stream)
-		if !errors.Is(err, platform.ErrExpired) {
-			break
-		}
-	}
-	return records, err
-}
-
 func (e Editor) read(ctx context.Context, stream string, from uint64) (platform.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, e.timeout())
 	defer cancel()
@@ -124,9 +108,28 @@
 	return err
 }
 
+// Read returns a page of a stream from an offset on, as platform.Log.Read does.
+type Read func(ctx context.Context, stream string, from uint64) (platform.Page, error)
+
+// readAttempts bounds how often a read starts anew because records expired
+// between two pages.
+const readAttempts = 3
+
 // ReadStream returns all retained records of a stream by offset. It returns
-// platform.ErrExpired if records expired between two pages.
-func ReadStream(ctx context.Context, read func(ctx context.Context, stream string, from uint64) (platform.Page, error), stream string) ([]platform.Record, error) {
+// platform.ErrExpired if records expire faster than they are read.
+func ReadStream(ctx context.Context, read Read, stream string) ([]platform.Record, error) {
+	var records []platform.Record
+	var err error
+	for range readAttempts {
+		records, err = readOnce(ctx, read, stream)
+		if !errors.Is(err, platform.ErrExpired) {
+			break
+		}
+	}
+	return records, err
+}
+
+func readOnce(ctx context.Context, read Read, stream string) ([]platform.Record, error) {
 	byOffset := map[uint64]platform.Record{}
 	from := uint64(0)
 	for {
--- a/instance/operator.go
+++ b/instance/operator.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
 	"lycheecrank.example/backend"
@@ -46,9 +48,14 @@
 		Instance: i.self.Instance, Incarnation: i.self.Incarnation, DataCentre: i.self.DataCentre,
 		CatalogueRevision: i.catalogueQueries.Current().Revision, CatalogueOffset: i.catalogueQueries.Current().Offset,
 		Leaving: i.leaving.Load(), LogContactAge: i.contact.age(),
-		Holds: i.catalogueQueries.Holds().All(), Members: i.memberQueries.All(), Queues: i.dispatchQueries.Depths(),
+		Members: i.memberQueries.All(), Queues: i.dispatchQueries.Depths(),
 	}
 	now := time.Now()
+	for _, h := range i.catalogueQueries.Holds().All() {
+		if h.IsActive(now) {
+			s.Holds = append(s.Holds, h)
+		}
+	}
 	for _, b := range i.backendQueries.All() {
 		rights := i.rights(b.Pool, now)
 		if rights == (backend.Rights{}) {
@@ -67,13 +74,28 @@
 	return s
 }
 
-// hold places a hold on a data centre.
+// ErrHoldInvalid is returned for a hold that can't be placed.
+var ErrHoldInvalid = errors.New("invalid hold")
+
+// hold places a hold on a data centre, or ends it if the duration is 0. The
+// other instances learn of it through gossip.
 func (i *Instance) hold(_ context.Context, dataCentre, by string, d time.Duration) (time.Time, error) {
+	current := i.catalogueQueries.Current()
+	switch _, known := current.Entry(catalogue.DataCentreKind, dataCentre); {
+	case dataCentre == "" || (!known && i.catalogueQueries.Known()):
+		return time.Time{}, eris.Wrapf(ErrHoldInvalid, "data centre %q is not in the catalogue", dataCentre)
+	case by == "":
+		return time.Time{}, eris.Wrap(ErrHoldInvalid, "it must name the operator")
+	case d < 0 || d > catalogue.MaxHold:
+		return time.Time{}, eris.Wrapf(ErrHoldInvalid, "duration %s is not within 0 and %s", d, catalogue.MaxHold)
+	}
 	now := time.Now()
-	h := catalogue.Hold{
-		DataCentre: dataCentre, Operator: by,
-		Ends: now.Add(min(d, catalogue.MaxHold)), Sequence: uint64(now.UnixMicro()),
+	h := catalogue.Hold{DataCentre: dataCentre, Operator: by, Ends: now.Add(d), Sequence: uint64(now.UnixMicro())}
+	if d == 0 {
+		// It must outlive the copies of the hold on other instances.
+		h.Ends = now.Add(catalogue.MaxHold)
+		i.catalogueCommands.PlaceHold(h.WithReleased())
+		return now, nil
 	}
-	i.catalogueCommands.Hold(h)
-	return h.Ends, nil
+	return i.catalogueCommands.PlaceHold(h).Ends, nil
 }
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -71,10 +71,10 @@
 	}
 	now := time.Now()
 	for _, h := range i.catalogueQueries.Holds().All() {
-		if now.Before(h.Ends) {
+		if now.Before(h.Ends) && !h.Recorded {
 			d.Holds = append(d.Holds, peer.Hold{
 				DataCentre: h.DataCentre, Operator: h.Operator,
-				EndsInMs: h.Ends.Sub(now).Milliseconds(), Sequence: h.Sequence,
+				EndsInMs: h.Ends.Sub(now).Milliseconds(), Sequence: h.Sequence, Released: h.Released,
 			})
 		}
 	}
@@ -111,7 +111,7 @@
 	now := time.Now()
 	for _, h := range holds {
 		i.catalogueCommands.Hold(catalogue.Hold{
-			DataCentre: h.DataCentre, Operator: h.Operator, Sequence: h.Sequence,
+			DataCentre: h.DataCentre, Operator: h.Operator, Sequence: h.Sequence, Released: h.Released,
 			Ends: now.Add(min(time.Duration(h.EndsInMs)*time.Millisecond, catalogue.MaxHold)),
 		})
 	}
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -53,7 +53,8 @@
 // Handler serves the operators' interface. Set the exported fields before use.
 type Handler struct {
 	Status func(ctx context.Context) Status
-	// Hold places a hold on a data centre and returns when it ends.
+	// Hold places a hold on a data centre and returns when it ends; the duration
+	// 0 ends the hold.
 	Hold func(ctx context.Context, dataCentre, by string, d time.Duration) (time.Time, error)
 }
 
--- a/peer/digest.go
+++ b/peer/digest.go
@@ -12,7 +12,8 @@
 	// CatalogueOffset and OwnershipOffset are the last applied offsets.
 	CatalogueOffset uint64 `msgpack:"catalogueOffset"`
 	OwnershipOffset uint64 `msgpack:"ownershipOffset"`
-	// Holds are the holds on data centres that have not ended.
+	// Holds are the holds on data centres whose time has not run out, released
+	// ones included.
 	Holds []Hold `msgpack:"holds,omitempty"`
 	// LogContactAgeMs is the time since the log last answered.
 	LogContactAgeMs int64 `msgpack:"logContactAgeMs"`
@@ -35,8 +36,11 @@
 type Hold struct {
 	DataCentre string `msgpack:"dataCentre"`
 	Operator   string `msgpack:"operator"`
-	// EndsInMs is the time until the hold ends by itself.
+	// EndsInMs is the time until the hold ends by itself, and until then a
+	// released hold is passed on.
 	EndsInMs int64 `msgpack:"endsInMs"`
 	// Sequence orders the holds of a data centre.
 	Sequence uint64 `msgpack:"sequence"`
+	// Released tells that the hold was ended before its time.
+	Released bool `msgpack:"released,omitempty"`
 }
