--- /dev/null
+++ b/catalogue/apply_test.go
@@ -0,0 +1,228 @@
+package catalogue_test
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"lycheecrank.example/catalogue"
+)
+
+// Guards against two operators who both win a race, or against a verdict that
+// depends on anything but the order of the records.
+func TestRaceOfTwoOperators(t *testing.T) {
+	base := apply(t, catalogue.Catalogue{}, entry(catalogue.ClassKind, "recall"), entry(catalogue.DataCentreKind, "espoo"))
+	espoo, _ := base.Entry(catalogue.DataCentreKind, "espoo")
+	out := set("out", espoo.WithState(catalogue.TakenOut))
+	renamed := espoo
+	renamed.Owner = "vantaa-team"
+	owner := set("owner", renamed)
+	for _, order := range [][]catalogue.Record{{out, owner}, {owner, out}} {
+		is := is.New(t)
+		c, first := base.Apply(2, order[0])
+		c, second := c.Apply(3, order[1])
+		is.Equal(first.Decision, catalogue.Accepted)
+		is.Equal(second.Decision, catalogue.Conflict)
+		is.Equal(second.Detail, "dataCentre/espoo has revision 2, the edit is based on 1")
+		is.Equal(c.Revision, uint64(2)) // the loser changes nothing
+		is.Equal(c.IsTakenOut("espoo"), order[0].Edit.ID == "out")
+	}
+}
+
+// Guards against an edit that is half applied, applied twice, or that leaves a
+// catalogue with broken rules.
+func TestVerdicts(t *testing.T) {
+	is := is.New(t)
+	base := apply(t, catalogue.Catalogue{}, entry(catalogue.ClassKind, "recall"), pool("registry"), service("lookup", "registry"))
+	class, _ := base.Entry(catalogue.ClassKind, "recall")
+	deletion := func(based uint64) catalogue.Record {
+		return catalogue.Record{Edit: &catalogue.Edit{ID: "del", Changes: []catalogue.Change{{ID: class.ID(), BasedOn: based}}}}
+	}
+	foreign := set("foreign", pool("a"))
+	foreign.Edit.Changes[0].ID.Name = "b"
+	for _, x := range []struct {
+		record catalogue.Record
+		want   catalogue.Decision
+	}{
+		{set("half", pool("new"), pool("registry")), catalogue.Conflict}, // registry must not exist yet
+		{deletion(1), catalogue.Invalid},
+		{deletion(0), catalogue.Conflict},
+		{set("ok", service("status", "missing")), catalogue.Invalid},
+		{foreign, catalogue.Conflict},
+		{set("edit-1", pool("new")), catalogue.Repeated},
+		{catalogue.Record{}, catalogue.Passed},
+	} {
+		next, v := base.Apply(2, x.record)
+		is.Equal(v.Decision, x.want)
+		is.Equal(next.Revision, base.Revision)
+		is.Equal(next.Entries(), base.Entries())
+		is.Equal(next.Offset, uint64(2))
+	}
+}
+
+// Guards against readers that disagree after old records have expired.
+func TestReplayAfterExpiry(t *testing.T) {
+	is := is.New(t)
+	records, whole := history(t, 6)
+	s := whole[4].Snapshot()
+	snapshot := catalogue.Record{Snapshot: &s}
+	log := append(slices.Clone(records), numbered(7, snapshot), numbered(8, snapshot), numbered(9, set("last", pool("last"))))
+	want, verdicts, err := catalogue.Replay(log)
+	is.NoErr(err)
+	is.Equal(len(verdicts), 9)
+	is.Equal(verdicts[7].Decision, catalogue.Passed) // the doubled snapshot
+	for earliest := 2; earliest <= 5; earliest++ {
+		got, _, err := catalogue.Replay(log[earliest-1:])
+		is.NoErr(err)
+		is.Equal(got, want)
+	}
+	_, _, err = catalogue.Replay(log[5:]) // record 5, which the snapshot doesn't hold, has expired
+	is.True(errors.Is(err, catalogue.ErrGap))
+	_, _, err = catalogue.Replay(append(slices.Clone(log[:3]), log[4:]...))
+	is.True(errors.Is(err, catalogue.ErrGap))
+}
+
+func numbered(offset uint64, r catalogue.Record) catalogue.Numbered {
+	return catalogue.Numbered{Offset: offset, Record: r}
+}
+
+// history returns records that add one pool each, and the catalogue after each
+// of them, by offset.
+func history(t *testing.T, n int) ([]catalogue.Numbered, []catalogue.Catalogue) {
+	t.Helper()
+	c := catalogue.Catalogue{}
+	states := []catalogue.Catalogue{c}
+	var records []catalogue.Numbered
+	for offset := uint64(1); offset <= uint64(n); offset++ {
+		r := set(fmt.Sprint("e", offset), pool(fmt.Sprint("p", offset)))
+		if offset == 1 {
+			r = set("e1", entry(catalogue.ClassKind, "recall"))
+		}
+		records = append(records, numbered(offset, r))
+		c, _ = c.Apply(offset, r)
+		states = append(states, c)
+	}
+	return records, states
+}
+
+// drawRecord draws an edit of a few entries, often with a stale revision, a
+// repeated identifier or a broken rule, or a snapshot of the state so far.
+func drawRecord(t *rapid.T, c catalogue.Catalogue) catalogue.Record {
+	if rapid.IntRange(0, 9).Draw(t, "snapshot") == 0 && c.Offset > 0 {
+		s := c.Snapshot()
+		return catalogue.Record{Snapshot: &s}
+	}
+	e := catalogue.Edit{ID: rapid.StringMatching("[a-f]{1,2}").Draw(t, "id")}
+	for range rapid.IntRange(0, 3).Draw(t, "changes") {
+		x := rapid.SampledFrom([]catalogue.Entry{
+			entry(catalogue.ClassKind, "recall"), entry(catalogue.DataCentreKind, "espoo"),
+			entry(catalogue.DataCentreKind, "espoo").WithState(catalogue.TakenOut), pool("a"), pool("b"), service("s", "a"), service("s", "b"),
+		}).Draw(t, "entry")
+		current, _ := c.Entry(x.Kind, x.Name)
+		ch := catalogue.Change{ID: x.ID(), BasedOn: current.Revision, Entry: &x}
+		if rapid.IntRange(0, 4).Draw(t, "stale") == 0 {
+			ch.BasedOn = rapid.Uint64Range(0, c.Offset).Draw(t, "based on")
+		}
+		if rapid.IntRange(0, 4).Draw(t, "delete") == 0 {
+			ch.Entry = nil
+		}
+		e.Changes = append(e.Changes, ch)
+	}
+	return catalogue.Record{Edit: &e}
+}
+
+// Guards against instances that reach different catalogues from the same
+// records: in one run, in batches through the table, with repeats, from a
+// snapshot after expiry, or from a peer's snapshot.
+func TestReadersAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var log []catalogue.Numbered
+		states := []catalogue.Catalogue{{}}
+		var verdicts []catalogue.Verdict
+		for offset := uint64(1); offset <= uint64(rapid.IntRange(1, 30).Draw(t, "records")); offset++ {
+			r := drawRecord(t, states[offset-1])
+			next, v := states[offset-1].Apply(offset, r)
+			log, states, verdicts = append(log, numbered(offset, r)), append(states, next), append(verdicts, v)
+		}
+		last := states[len(states)-1]
+		same := func(how string, got catalogue.Catalogue) {
+			if fmt.Sprint(got.Snapshot()) != fmt.Sprint(last.Snapshot()) {
+				t.Fatalf("%s: %v, want %v", how, got.Snapshot(), last.Snapshot())
+			}
+		}
+		whole, again, err := catalogue.Replay(log)
+		if err != nil || fmt.Sprint(again) != fmt.Sprint(verdicts) {
+			t.Fatal(err, again, verdicts)
+		}
+		same("replay", whole)
+
+		earliest := rapid.IntRange(1, len(log)).Draw(t, "earliest")
+		if c, _, err := catalogue.Replay(log[earliest-1:]); err == nil {
+			same("replay after expiry", c)
+		} else if !errors.Is(err, catalogue.ErrGap) {
+			t.Fatal(err)
+		}
+
+		table := catalogue.NewTable()
+		begin := rapid.IntRange(0, len(log)).Draw(t, "adopted")
+		s := states[begin].Snapshot()
+		if begin > 0 {
+			peer := catalogue.Raw{Offset: uint64(begin)}
+			if _, ok, err := table.Commands().Apply(peer, catalogue.Record{Snapshot: &s}); !ok || err != nil {
+				t.Fatal(ok, err)
+			}
+		}
+		for n := 0; n < len(log); {
+			r := log[n]
+			v, applied, err := table.Commands().Apply(catalogue.Raw{Offset: r.Offset}, r.Record)
+			if err != nil && r.Offset != table.Queries().Current().Offset+1 && !errors.Is(err, catalogue.ErrGap) {
+				t.Fatal(err)
+			}
+			if applied && r.Record.Snapshot == nil && fmt.Sprint(v) != fmt.Sprint(verdicts[n]) {
+				t.Fatal(v, verdicts[n])
+			}
+			n++
+			// Records arrive again after a reconnect.
+			if rapid.IntRange(0, 4).Draw(t, "reconnect") == 0 {
+				n -= rapid.IntRange(0, min(n, 2)).Draw(t, "step back")
+			}
+		}
+		same("table", table.Queries().Current())
+	})
+}
+
+// Guards against a hold that can't be released because another instance's clock
+// is ahead, that comes back with an older copy, or that outlasts the take-out.
+func TestHolds(t *testing.T) {
+	is := is.New(t)
+	hold := catalogue.Hold{DataCentre: "espoo", Operator: "aino", Ends: start.Add(catalogue.MaxHold), Sequence: 900}
+	here, there := catalogue.NewTable(), catalogue.NewTable()
+	is.True(there.Commands().Hold(hold))
+	is.True(here.Commands().Hold(hold))
+	is.True(!here.Queries().IsOpen("espoo", start))
+	is.True(here.Queries().IsOpen("espoo", start.Add(catalogue.MaxHold)))
+	released := here.Commands().PlaceHold(catalogue.Hold{DataCentre: "espoo", Ends: start.Add(catalogue.MaxHold), Sequence: 5}.WithReleased())
+	is.Equal(released.Sequence, uint64(901))
+	is.True(here.Queries().IsOpen("espoo", start))
+	is.True(!here.Commands().Hold(hold)) // an older copy
+	is.True(there.Commands().Hold(released))
+	is.True(there.Queries().IsOpen("espoo", start))
+
+	again := here.Commands().PlaceHold(hold)
+	is.True(!here.Queries().IsOpen("espoo", start))
+	base := apply(t, catalogue.Catalogue{}, entry(catalogue.ClassKind, "recall"), entry(catalogue.DataCentreKind, "espoo"))
+	espoo, _ := base.Entry(catalogue.DataCentreKind, "espoo")
+	out := apply(t, base, espoo.WithState(catalogue.TakenOut))
+	is.True(here.Commands().Adopt(out, 0))
+	is.True(!here.Queries().IsOpen("espoo", start)) // by the catalogue
+	espoo, _ = out.Entry(catalogue.DataCentreKind, "espoo")
+	is.True(here.Commands().Adopt(apply(t, out, espoo.WithState(catalogue.InService)), 0))
+	is.True(here.Queries().IsOpen("espoo", start))
+	is.True(!here.Commands().Hold(again)) // the copy of a peer that is behind
+	is.True(here.Queries().IsOpen("espoo", start.Add(time.Second)))
+}
--- a/catalogue/file.go
+++ b/catalogue/file.go
@@ -143,4 +143,3 @@
 	}
 	return changes
 }
-
--- a/catalogue/file_decode.go
+++ b/catalogue/file_decode.go
@@ -111,6 +111,8 @@
 		into.SetString(n.Value)
 	case *ast.LiteralNode:
 		into.SetString(n.Value.Value)
+	case *ast.IntegerNode, *ast.FloatNode, *ast.BoolNode:
+		d.fault(lineOf(node), path, "must be text, is %s; put it in quotes", describe(node))
 	default:
 		d.fault(lineOf(node), path, "must be text, is %s", describe(node))
 	}
@@ -182,9 +184,9 @@
 	case *ast.StringNode, *ast.LiteralNode:
 		return "text"
 	case *ast.IntegerNode, *ast.FloatNode, *ast.InfinityNode, *ast.NanNode:
-		return "a number (quotes make it text)"
+		return "a number"
 	case *ast.BoolNode:
-		return "true or false (quotes make it text)"
+		return "true or false"
 	case *ast.NullNode:
 		return "empty"
 	}
