--- /dev/null
+++ b/policy/instance_test.go
@@ -0,0 +1,163 @@
+package policy
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lycheecrank.example/backend"
+	"lycheecrank.example/catalogue"
+	"lycheecrank.example/counter"
+	"lycheecrank.example/dispatch"
+	"lycheecrank.example/event"
+	"lycheecrank.example/pipeline"
+	"lycheecrank.example/request"
+	"lycheecrank.example/worker"
+)
+
+// dispatcher is an instance that queues and dispatches steps for the pool.
+type dispatcher struct {
+	backends *backend.Table
+	table    *dispatch.Table
+	commands dispatch.Commands
+	measure  *measure
+	servers  map[string]*server
+	// share divides the limits of the servers.
+	share int
+}
+
+func newDispatcher(servers []*server, share int, m *measure) *dispatcher {
+	d := &dispatcher{
+		backends: backend.NewTable(event.Discard()), table: dispatch.NewTable(), measure: m, share: share, servers: map[string]*server{},
+	}
+	commands, queries := d.backends.Commands(), d.backends.Queries()
+	t := d.table
+	t.Reserve, t.Release, t.Return, t.Current = commands.Reserve, commands.Release, commands.Return, queries.Server
+	t.Rights = func(string, time.Time) backend.Rights { return backend.Rights{Cold: true, WarmShare: 1} }
+	t.Capacity = func(pool string, rank int, r backend.Rights) backend.Capacity {
+		return backend.CapacityOf(queries.Pool(pool), rank, r, time.Now())
+	}
+	t.MaxQueued = func(string) int { return 10_000 }
+	t.Failures = counter.NewSet("policy.failures")
+	t.Execute = d.execute
+	t.Decided = d.decided
+	d.commands = t.Commands()
+	d.join(servers)
+	return d
+}
+
+// join makes the instance know all servers.
+func (d *dispatcher) join(servers []*server) {
+	var specs []backend.Spec
+	for _, s := range servers {
+		spec := s.spec
+		spec.MaxInFlight, spec.ColdInFlight = max(1, spec.MaxInFlight/d.share), max(1, spec.ColdInFlight/d.share)
+		specs = append(specs, spec)
+		d.servers[spec.Name] = s
+	}
+	d.backends.Commands().Sync(specs, time.Now())
+}
+
+func (d *dispatcher) execute(ctx context.Context, a dispatch.Assignment) dispatch.Execution {
+	started := time.Now()
+	e := dispatch.Execution{Result: request.Result{Identity: a.Step.Identity(), Server: a.Server.Name}, Incarnation: "1"}
+	e.Failure = d.servers[a.Server.Name].perform(ctx, a.Step, d.measure)
+	e.Responded = time.Since(started)
+	return e
+}
+
+func (d *dispatcher) decided(o dispatch.Decision) {
+	if o.Server != "" {
+		d.measure.dispatched(o.Step.Rank)
+	}
+	d.measure.add(&d.measure.waiting[o.Step.Rank], -1)
+}
+
+// do queues a step. The step counts as waiting until the decision about it.
+func (d *dispatcher) do(ctx context.Context, step request.Step) (request.Result, error) {
+	d.measure.add(&d.measure.waiting[step.Rank], 1)
+	result, err := d.commands.Do(ctx, step, nil)
+	if err == nil {
+		return result, nil
+	}
+	f := request.AsFailure(err)
+	if isWithdrawn(f) {
+		d.measure.add(&d.measure.waiting[step.Rank], -1)
+	}
+	return result, f.WithDataCentre("here")
+}
+
+// isWithdrawn reports whether a step left the queue without a decision.
+func isWithdrawn(f request.Failure) bool {
+	return !f.Sent && f.Detail == "the deadline passed while the step waited"
+}
+
+// run works until the context ends.
+func (d *dispatcher) run(ctx context.Context, group *sync.WaitGroup) {
+	pool := worker.Pool[dispatch.Assignment]{Size: 20 * max(1, slots/d.share), Next: d.commands.Next, Execute: d.commands.Run}
+	group.Go(func() { _ = pool.Run(ctx, ctx) })
+	group.Go(func() { _ = d.commands.RunSweeps(ctx) })
+	group.Go(func() {
+		// The offset keeps reports and sweeps from falling on the same moment.
+		for pause(ctx, 1007*time.Millisecond) {
+			for _, s := range d.backends.Queries().All() {
+				d.backends.Commands().Report(s.Name, d.servers[s.Name].report(), time.Now())
+			}
+			d.commands.Wake()
+		}
+	})
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// newRunner returns the runner of an entry instance.
+func newRunner(execute func(context.Context, request.Step) (request.Result, error)) *pipeline.Runner {
+	c := catalogueOf()
+	return &pipeline.Runner{
+		Catalogue: func() (catalogue.Catalogue, bool) { return c, true },
+		Execute: func(ctx context.Context, step request.Step, _ request.Sink) (request.Result, error) {
+			return execute(ctx, step)
+		},
+		IsLeaving: func() bool { return false },
+		Requests:  request.NewTable().Commands(),
+		Budget:    pipeline.NewBudget(0.1, 100),
+		Refusals:  counter.NewSet("policy.refusals"), Retries: counter.NewSet("policy.retries"),
+		Logger: event.Discard(),
+	}
+}
+
+const ranks = 3
+
+// classes by rank, and the workspaces with their weights and their shares of the
+// load in percent.
+var (
+	classes    = [ranks]string{"urgent", "normal", "batch"}
+	mix        = [ranks]float64{0.2, 0.3, 0.5}
+	workspaces = []struct {
+		name   string
+		weight int
+		load   float64
+	}{{"a", 1, 0.4}, {"b", 1, 0.3}, {"c", 2, 0.15}, {"d", 2, 0.1}, {"e", 4, 0.05}}
+)
+
+func catalogueOf() catalogue.Catalogue {
+	all := map[catalogue.ID]catalogue.Entry{}
+	put := func(e catalogue.Entry) { all[e.ID()] = e }
+	for rank, name := range classes {
+		put(catalogue.Entry{Kind: catalogue.ClassKind, Name: name, Class: name, Rank: rank})
+	}
+	for _, w := range workspaces {
+		put(catalogue.Entry{Kind: catalogue.WorkspaceKind, Name: w.name, Class: classes[0], Weight: w.weight})
+	}
+	put(catalogue.Entry{Kind: catalogue.ServiceKind, Name: "step", Class: classes[0], Pool: "p", Repeatable: true})
+	return catalogue.Catalogue{}.WithEntries(1, all)
+}
