--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -154,7 +154,6 @@
 		if !ok {
 			continue
 		}
-		w = q.attainable(w, s, now)
 		q.remove(w)
 		q.charge(w)
 		t.order = append(append(append([]string{}, t.order[i+1:]...), t.order[:i]...), name)
--- a/dispatch/order_test.go
+++ b/dispatch/order_test.go
@@ -120,7 +120,7 @@
 		switch {
 		case w.Rank < s.Rank:
 			return fmt.Sprintf("class inverted: rank %d before rank %d", s.Rank, w.Rank)
-		case w.Rank == s.Rank && w.Workspace == s.Workspace && w.Deadline.After(time.Now()) && w.Deadline.Before(s.Deadline):
+		case w.Rank == s.Rank && w.Workspace == s.Workspace && w.Deadline.Before(l.waiting[s.RequestID].Deadline):
 			return "deadline inverted in workspace " + s.Workspace
 		}
 	}
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -10,7 +10,6 @@
 	"slices"
 	"time"
 
-	"lycheecrank.example/backend"
 	"lycheecrank.example/request"
 )
 
@@ -154,36 +153,6 @@
 	return true
 }
 
-// attainable returns the step with the earliest deadline that a chosen server
-// can meet, among those of the workspace of the best step. It is the best step
-// itself if the server can meet none.
-func (q *poolQueue) attainable(best *waiting, s backend.Server, now time.Time) *waiting {
-	steps := q.classes[best.step.Rank].workspaces[best.step.Workspace].steps
-	if w := steps.earliest(0, now.Add(s.LikelyTime()), s.Name); w != nil {
-		return w
-	}
-	return best
-}
-
-// earliest returns the step with the earliest deadline not before a moment, in
-// the part of the heap under i, that doesn't avoid a server. It visits only the
-// steps with earlier deadlines and their children.
-func (h byDeadline) earliest(i int, from time.Time, server string) *waiting {
-	if i >= len(h) {
-		return nil
-	}
-	w := h[i]
-	if !w.step.Deadline.Before(from) && !slices.Contains(w.step.Avoid, server) {
-		return w
-	}
-	first := h.earliest(2*i+1, from, server)
-	second := h.earliest(2*i+2, from, server)
-	if first == nil || (second != nil && second.step.Deadline.Before(first.step.Deadline)) {
-		return second
-	}
-	return first
-}
-
 // charge notes that a workspace got the service of one step.
 func (q *poolQueue) charge(w *waiting) {
 	c := q.classes[w.step.Rank]
