Refuse a step that the best free server can't finish in time

A step whose time was too short for the best free server took its slot and failed. It is refused at the moment of choice now (deadlineUnattainable, not sent, with a decision), so that the order stays exact, and the entry instance may try it again. Measured is the mean time and twice the mean distance from it.

TestOrder notes the steps that Next has refused before it judges the one that was dispatched; they wait no more.

--- a/backend/choose.go
+++ b/backend/choose.go
@@ -43,6 +43,11 @@
 	return s.ServiceTime + s.ServiceTime*time.Duration(s.InFlight)/time.Duration(max(1, s.Allowed))
 }
 
+// LikelyTime is a time within which nearly all steps succeed at the server, 0 if
+// none is known: for evenly spread times the mean and twice the mean distance
+// from it.
+func (s Server) LikelyTime() time.Duration { return s.ServiceTime + 2*s.Deviation }
+
 // Choose returns the free server with the shortest expected time. It takes one
 // of the avoided servers only if no other is free.
 func Choose(servers []Server, rank int, avoid []string, r Rights, now time.Time) (Server, bool) {
--- a/backend/observation.go
+++ b/backend/observation.go
@@ -87,6 +87,9 @@
 	if s.isSlow(o.Responded) {
 		return s.WithCold(now)
 	}
+	if s.ServiceTime > 0 {
+		s.Deviation = smooth(s.Deviation, (o.Responded - s.ServiceTime).Abs())
+	}
 	s.ServiceTime = smooth(s.ServiceTime, o.Responded)
 	if s.Warmth == Warm || o.Sent.Before(s.ColdSince) {
 		return s
--- a/backend/server.go
+++ b/backend/server.go
@@ -61,6 +61,8 @@
 	InFlight int
 	// ServiceTime is the smoothed time of a successful step, 0 if unknown.
 	ServiceTime time.Duration
+	// Deviation is the smoothed distance of a successful step from ServiceTime.
+	Deviation time.Duration
 	// ListedLeaving and ReportedLeaving tell that the server is leaving, as the
 	// list of instances and its own load report say. Both lag, so either counts.
 	ListedLeaving   bool
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -146,11 +146,7 @@
 	t := c.table
 	for i, name := range t.order {
 		q := t.pools[name]
-		w := q.best()
-		if w == nil {
-			continue
-		}
-		s, ok := t.Reserve(name, w.step.Rank, w.step.Avoid, t.Rights(name, now), now)
+		w, s, ok := c.reserve(q, now)
 		if !ok {
 			continue
 		}
@@ -163,6 +159,33 @@
 	return Assignment{}, false
 }
 
+// reserve takes a slot for the best step of a pool. A step that the best free
+// server can't finish in time is refused: it would waste the slot, and passing
+// it over would break the order. The caller holds the lock.
+func (c Commands) reserve(q *poolQueue, now time.Time) (*waiting, backend.Server, bool) {
+	t := c.table
+	for w := q.best(); w != nil; w = q.best() {
+		s, ok := t.Reserve(q.name, w.step.Rank, w.step.Avoid, t.Rights(q.name, now), now)
+		if !ok {
+			break
+		}
+		if !now.Add(s.LikelyTime()).After(w.step.Deadline) {
+			return w, s, true
+		}
+		t.Return(s.Name)
+		c.refuse(q, w, refusal(request.ReasonDeadlineUnattainable, "a step takes "+s.LikelyTime().String()+" at the best free server"), now)
+	}
+	return nil, backend.Server{}, false
+}
+
+// refuse takes a waiting step out of the queue. The caller holds the lock.
+func (c Commands) refuse(q *poolQueue, w *waiting, f *request.Failure, now time.Time) {
+	q.remove(w)
+	c.table.leave()
+	c.table.decide(Decision{Step: w.step, Enqueued: w.enqueued, Reason: f.Reason, At: now})
+	w.done <- Outcome{Failure: f}
+}
+
 // Run executes an assignment and reports its outcome. It is the job of a
 // worker. The call to the server ends with the worker's context or with the
 // context of the step, whichever ends first.
--- a/dispatch/order_test.go
+++ b/dispatch/order_test.go
@@ -170,6 +170,8 @@
 		if !ok {
 			return ""
 		}
+		// Steps that were refused on the way wait no more.
+		s.forget(l)
 		step := l.waiting[a.Step.RequestID]
 		fault := l.fault(step)
 		if fault == "" {
--- a/dispatch/refusal_test.go
+++ b/dispatch/refusal_test.go
@@ -17,16 +17,6 @@
 	return request.Step{RequestID: id, Workspace: "a", Rank: rank, Weight: 1, Deadline: time.Now().Add(d)}
 }
 
-// learn makes the table know that a step takes 100 ms at each server, of which
-// the site has two slots.
-func (s *site) learn() {
-	for _, v := range s.servers.Queries().All() {
-		commands := s.servers.Commands()
-		commands.Reserve("p", 0, nil, s.rights, time.Now())
-		commands.Release(v.Name, backend.Observation{Sent: time.Now(), Responded: 100 * time.Millisecond}, time.Now())
-	}
-}
-
 // pauseCases are what may happen while a worker is paused between the choice of
 // a server and the sending.
 var pauseCases = []struct {
@@ -124,29 +114,29 @@
 				s.add(stepWithin("r", 0, time.Second))
 			}},
 			{"less time than the fastest server needs", func(s *site) {
-				s.learn()
+				s.measured(100 * time.Millisecond)
 				s.add(stepWithin("r", 0, 99*time.Millisecond))
 			}},
 			{"just enough time", func(s *site) {
-				s.learn()
+				s.measured(100 * time.Millisecond)
 				s.add(stepWithin("r", 0, 100*time.Millisecond))
 			}},
 			{"too many ahead", func(s *site) {
-				s.learn()
+				s.measured(100 * time.Millisecond)
 				for n := range 40 {
 					s.add(stepWithin(fmt.Sprintf("ahead%d", n), 1, time.Hour))
 				}
 				s.add(stepWithin("r", 1, 1900*time.Millisecond))
 			}},
 			{"too many, but of a lower class", func(s *site) {
-				s.learn()
+				s.measured(100 * time.Millisecond)
 				for n := range 40 {
 					s.add(stepWithin(fmt.Sprintf("behind%d", n), 2, time.Hour))
 				}
 				s.add(stepWithin("r", 1, 1900*time.Millisecond))
 			}},
 			{"swept when the deadline can't be met any more", func(s *site) {
-				s.learn()
+				s.measured(100 * time.Millisecond)
 				s.add(stepWithin("r", 0, 500*time.Millisecond))
 				time.Sleep(400 * time.Millisecond)
 				s.commands.Sweep(time.Now())
