Forget measured times that are older than 5 s when refusing

A pool that was slow once refused every step with less time than it took then (deadlineUnattainable), and as refused steps bring no measurement it never stopped. Found by TestSlowOnce: refused after 10 s of rest before, served after.

--- a/backend/choose.go
+++ b/backend/choose.go
@@ -43,10 +43,25 @@
 	return s.ServiceTime + s.ServiceTime*time.Duration(s.InFlight)/time.Duration(max(1, s.Allowed))
 }
 
+// maxTimeAge is the age at which a measured time counts as unknown for
+// refusals. Refused steps bring no measurement, so that a pool that was slow
+// once would otherwise refuse for ever.
+const maxTimeAge = 5 * time.Second
+
+// isMeasured reports whether the time of a step is known and not too old.
+func (s Server) isMeasured(now time.Time) bool {
+	return s.ServiceTime > 0 && now.Sub(s.measuredAt) <= maxTimeAge
+}
+
 // LikelyTime is a time within which nearly all steps succeed at the server, 0 if
 // none is known: for evenly spread times the mean and twice the mean distance
 // from it.
-func (s Server) LikelyTime() time.Duration { return s.ServiceTime + 2*s.Deviation }
+func (s Server) LikelyTime(now time.Time) time.Duration {
+	if !s.isMeasured(now) {
+		return 0
+	}
+	return s.ServiceTime + 2*s.Deviation
+}
 
 // Choose returns the free server with the shortest expected time. It takes one
 // of the avoided servers only if no other is free.
@@ -80,7 +95,8 @@
 type Capacity struct {
 	// Slots is the number of steps that may be in flight.
 	Slots int
-	// Fastest is the shortest known service time, 0 if none is known.
+	// Fastest is the shortest service time, 0 if that of a server is unknown:
+	// it may be the fastest.
 	Fastest time.Duration
 	// PerSecond is the number of steps a second at the known service times.
 	PerSecond float64
@@ -93,12 +109,14 @@
 // CapacityOf returns the capacity of some servers for steps of a rank.
 func CapacityOf(servers []Server, rank int, r Rights, now time.Time) Capacity {
 	var c Capacity
+	unknown := false
 	for _, s := range servers {
 		limit := s.Limit(r)
 		if limit == 0 || rank > s.LowestRank || s.blockedUntil.Sub(now) > longBlock {
 			continue
 		}
 		c.Slots += limit
+		unknown = unknown || !s.isMeasured(now)
 		if s.ServiceTime <= 0 {
 			continue
 		}
@@ -107,5 +125,8 @@
 			c.Fastest = s.ServiceTime
 		}
 	}
+	if unknown {
+		c.Fastest = 0
+	}
 	return c
 }
--- a/backend/observation.go
+++ b/backend/observation.go
@@ -91,6 +91,7 @@
 		s.Deviation = smooth(s.Deviation, (o.Responded - s.ServiceTime).Abs())
 	}
 	s.ServiceTime = smooth(s.ServiceTime, o.Responded)
+	s.measuredAt = now
 	if s.Warmth == Warm || o.Sent.Before(s.ColdSince) {
 		return s
 	}
--- a/backend/server.go
+++ b/backend/server.go
@@ -63,6 +63,8 @@
 	ServiceTime time.Duration
 	// Deviation is the smoothed distance of a successful step from ServiceTime.
 	Deviation time.Duration
+	// measuredAt is when ServiceTime was last measured.
+	measuredAt time.Time
 	// ListedLeaving and ReportedLeaving tell that the server is leaving, as the
 	// list of instances and its own load report say. Both lag, so either counts.
 	ListedLeaving   bool
--- a/dispatch/attainable_test.go
+++ b/dispatch/attainable_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"lycheecrank.example/backend"
@@ -58,3 +59,25 @@
 		s.servers.Commands().Release(v.Name, backend.Observation{Sent: time.Now(), Responded: took}, time.Now())
 	}
 }
+
+// Guards against a pool that was slow once and refuses all steps for ever, since
+// refused steps bring no new measurements.
+func TestSlowOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(2, 1)
+		s.measured(3 * time.Second)
+		s.add(stepWithin("early", 0, time.Second))
+		time.Sleep(10 * time.Second)
+		s.add(stepWithin("late", 0, time.Second))
+		if a, ok := s.take(); ok {
+			s.run(a)
+		}
+		if o := s.outcome("early"); !strings.HasPrefix(o, "deadlineUnattainable") {
+			t.Errorf("early: %s", o)
+		}
+		if o := s.outcome("late"); o != "ran" {
+			t.Errorf("late: %s", o)
+		}
+		s.running.Wait()
+	})
+}
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -169,11 +169,11 @@
 		if !ok {
 			break
 		}
-		if !now.Add(s.LikelyTime()).After(w.step.Deadline) {
+		if !now.Add(s.LikelyTime(now)).After(w.step.Deadline) {
 			return w, s, true
 		}
 		t.Return(s.Name)
-		c.refuse(q, w, refusal(request.ReasonDeadlineUnattainable, "a step takes "+s.LikelyTime().String()+" at the best free server"), now)
+		c.refuse(q, w, refusal(request.ReasonDeadlineUnattainable, "a step takes "+s.LikelyTime(now).String()+" at the best free server"), now)
 	}
 	return nil, backend.Server{}, false
 }
