Choose among servers in place and benchmark dispatch

Each reservation copied all views of the pool. They lie in one slice by pool now, which is read in place; Queries.Capacity reads it in place too.

--- /dev/null
+++ b/backend/bench_test.go
@@ -0,0 +1,39 @@
+package backend_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lycheecrank.example/backend"
+	"lycheecrank.example/event"
+)
+
+// BenchmarkChoose measures the choice among the servers of a pool, and the
+// reservation of a slot with its return.
+func BenchmarkChoose(b *testing.B) {
+	rights := backend.Rights{Cold: true, WarmShare: 1}
+	for _, n := range []int{5, 20, 100, 600} {
+		table := backend.NewTable(event.Discard())
+		var specs []backend.Spec
+		for i := range n {
+			specs = append(specs, server(fmt.Sprintf("s%03d", i)))
+		}
+		now := time.Now()
+		table.Commands().Sync(specs, now)
+		servers := table.Queries().Pool("p")
+		b.Run(fmt.Sprintf("choose/servers=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				backend.Choose(servers, 0, nil, rights, now)
+			}
+		})
+		b.Run(fmt.Sprintf("reserve/servers=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				s, _ := table.Commands().Reserve("p", 0, nil, rights, now)
+				table.Commands().Return(s.Name)
+			}
+		})
+	}
+}
--- a/backend/choose.go
+++ b/backend/choose.go
@@ -66,21 +66,25 @@
 // Choose returns the free server with the shortest expected time. It takes one
 // of the avoided servers only if no other is free.
 func Choose(servers []Server, rank int, avoid []string, r Rights, now time.Time) (Server, bool) {
-	var best Server
-	found, bestAvoided := false, false
-	for _, s := range servers {
-		if !s.IsFree(rank, r, now) {
+	best, bestAvoided := -1, false
+	for i := range servers {
+		s := &servers[i]
+		// The first comparison spares most of the work in a busy pool.
+		if s.InFlight >= s.Allowed || !s.IsFree(rank, r, now) {
 			continue
 		}
 		avoided := slices.Contains(avoid, s.Name)
-		if !found || isBetter(s, best, avoided, bestAvoided) {
-			best, found, bestAvoided = s, true, avoided
+		if best < 0 || isBetter(s, &servers[best], avoided, bestAvoided) {
+			best, bestAvoided = i, avoided
 		}
 	}
-	return best, found
+	if best < 0 {
+		return Server{}, false
+	}
+	return servers[best], true
 }
 
-func isBetter(s, best Server, avoided, bestAvoided bool) bool {
+func isBetter(s, best *Server, avoided, bestAvoided bool) bool {
 	if avoided != bestAvoided {
 		return bestAvoided
 	}
@@ -110,7 +114,8 @@
 func CapacityOf(servers []Server, rank int, r Rights, now time.Time) Capacity {
 	var c Capacity
 	unknown := false
-	for _, s := range servers {
+	for i := range servers {
+		s := &servers[i]
 		limit := s.Limit(r)
 		if limit == 0 || rank > s.LowestRank || s.blockedUntil.Sub(now) > longBlock {
 			continue
--- a/backend/commands.go
+++ b/backend/commands.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"slices"
 	"time"
 
 	"lycheecrank.example/event"
@@ -20,30 +19,19 @@
 	defer t.mu.Unlock()
 	next := make(map[string]Server, len(specs))
 	for _, sp := range specs {
-		if old, ok := t.byName[sp.Name]; ok {
+		if old, ok := t.server(sp.Name); ok {
 			next[sp.Name] = old.WithSpec(sp, now)
 			continue
 		}
 		next[sp.Name] = NewServer(sp, now)
 	}
-	for name, old := range t.byName {
+	for name := range t.places {
+		old, _ := t.server(name)
 		if _, wanted := next[name]; !wanted && old.InFlight > 0 {
 			next[name] = old.WithTakenOut()
 		}
 	}
-	t.byName = next
-	t.pools = poolsOf(next)
-}
-
-func poolsOf(servers map[string]Server) map[string][]string {
-	pools := map[string][]string{}
-	for name, s := range servers {
-		pools[s.Pool] = append(pools[s.Pool], name)
-	}
-	for _, names := range pools {
-		slices.Sort(names)
-	}
-	return pools
+	t.replace(next)
 }
 
 // Reserve takes a slot at the best free server of a pool for a step.
@@ -51,12 +39,12 @@
 	t := c.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s, ok := Choose(t.pool(pool), rank, avoid, r, now)
+	s, ok := Choose(t.pools[pool], rank, avoid, r, now)
 	if !ok {
 		return Server{}, false
 	}
 	s = s.WithReserved()
-	t.byName[s.Name] = s
+	t.set(s)
 	return s, true
 }
 
@@ -91,21 +79,23 @@
 	t := c.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for name, s := range t.byName {
-		t.byName[name] = s.WithCold(now)
+	for _, servers := range t.pools {
+		for i, s := range servers {
+			servers[i] = s.WithCold(now)
+		}
 	}
 }
 
 func (c Commands) change(name string, next func(Server) Server) {
 	t := c.table
 	t.mu.Lock()
-	old, ok := t.byName[name]
+	old, ok := t.server(name)
 	if !ok {
 		t.mu.Unlock()
 		return
 	}
 	s := next(old)
-	t.byName[name] = s
+	t.set(s)
 	t.mu.Unlock()
 	c.log(old, s)
 }
--- a/backend/queries.go
+++ b/backend/queries.go
@@ -2,8 +2,8 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
+	"time"
 )
 
 // Queries reads a Table. Concurrent calls are safe.
@@ -16,8 +16,7 @@
 	t := q.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s, ok := t.byName[name]
-	return s, ok
+	return t.server(name)
 }
 
 // Pool returns the views of the servers of a pool by name.
@@ -25,7 +24,15 @@
 	t := q.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.pool(pool)
+	return slices.Clone(t.pools[pool])
+}
+
+// Capacity returns the capacity of a pool for steps of a rank.
+func (q Queries) Capacity(pool string, rank int, r Rights, now time.Time) Capacity {
+	t := q.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return CapacityOf(t.pools[pool], rank, r, now)
 }
 
 // All returns all views by name.
@@ -33,7 +40,12 @@
 	t := q.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return slices.SortedFunc(maps.Values(t.byName), func(a, b Server) int { return cmp.Compare(a.Name, b.Name) })
+	all := make([]Server, 0, len(t.places))
+	for _, servers := range t.pools {
+		all = append(all, servers...)
+	}
+	slices.SortFunc(all, func(a, b Server) int { return cmp.Compare(a.Name, b.Name) })
+	return all
 }
 
 // HasUsable reports whether a pool has a server that is not leaving and serves
@@ -41,13 +53,3 @@
 func (q Queries) HasUsable(pool string, rank int) bool {
 	return slices.ContainsFunc(q.Pool(pool), func(s Server) bool { return !s.IsLeaving() && rank <= s.LowestRank })
 }
-
-// pool returns the views of a pool; the caller holds the lock.
-func (t *Table) pool(pool string) []Server {
-	names := t.pools[pool]
-	servers := make([]Server, 0, len(names))
-	for _, n := range names {
-		servers = append(servers, t.byName[n])
-	}
-	return servers
-}
