--- a/backend/table.go
+++ b/backend/table.go
@@ -14,7 +14,7 @@
 	// Logger gets the events of servers that turn cold, warm or leave.
 	Logger *event.Logger
 
-	mu     *lock.Ranked
+	mu *lock.Ranked
 	// pools holds the views of each pool by name, places where a server's is.
 	pools  map[string][]Server
 	places map[string]place
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -258,14 +258,18 @@
 	t.mu.Lock()
 	waitingSteps := 0
 	for _, q := range t.pools {
-		q.each(func(w *waiting) {
-			capacity, known := capacities[poolRank{q.name, w.step.Rank}]
-			if known && sweepReason(w, capacity, now) != "" && q.remove(w) {
+		for rank, class := range q.classes {
+			capacity, known := capacities[poolRank{q.name, rank}]
+			if !known {
+				continue
+			}
+			for _, w := range class.hopeless(capacity, now) {
+				q.remove(w)
 				refused = append(refused, w)
 				t.leave()
 				t.decide(Decision{Step: w.step, Enqueued: w.enqueued, Reason: sweepReason(w, capacity, now), At: now})
 			}
-		})
+		}
 		waitingSteps += q.count
 	}
 	if waitingSteps > 0 {
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"lycheecrank.example/backend"
 	"lycheecrank.example/request"
 )
 
@@ -172,13 +173,26 @@
 	return n
 }
 
-// each calls visit for every waiting step.
-func (q *poolQueue) each(visit func(*waiting)) {
-	for _, c := range q.classes {
-		for _, ws := range c.workspaces {
-			for _, w := range slices.Clone(ws.steps) {
-				visit(w)
-			}
+// hopeless returns the steps that can't be served any more.
+func (c *classQueue) hopeless(capacity backend.Capacity, now time.Time) []*waiting {
+	var found []*waiting
+	for _, ws := range c.workspaces {
+		if capacity.Slots == 0 {
+			found = append(found, ws.steps...)
+			continue
 		}
+		found = ws.steps.due(0, now.Add(capacity.Fastest), found)
+	}
+	return found
+}
+
+// due appends the steps with a deadline before a moment, in the part of the heap
+// under i. It visits only these and their children.
+func (h byDeadline) due(i int, until time.Time, found []*waiting) []*waiting {
+	if i >= len(h) || !h[i].step.Deadline.Before(until) {
+		return found
 	}
+	found = append(found, h[i])
+	found = h.due(2*i+1, until, found)
+	return h.due(2*i+2, until, found)
 }
