--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -146,11 +146,7 @@
 	t := c.table
 	for i, name := range t.order {
 		q := t.pools[name]
-		w := q.best()
-		if w == nil {
-			continue
-		}
-		s, ok := t.Reserve(name, w.step.Rank, w.step.Avoid, t.Rights(name, now), now)
+		w, s, ok := c.reserve(q, now)
 		if !ok {
 			continue
 		}
@@ -163,6 +159,33 @@
 	return Assignment{}, false
 }
 
+// reserve takes a slot for the best step of a pool. A step that the best free
+// server can't finish in time is refused: it would waste the slot, and passing
+// it over would break the order. The caller holds the lock.
+func (c Commands) reserve(q *poolQueue, now time.Time) (*waiting, backend.Server, bool) {
+	t := c.table
+	for w := q.best(); w != nil; w = q.best() {
+		s, ok := t.Reserve(q.name, w.step.Rank, w.step.Avoid, t.Rights(q.name, now), now)
+		if !ok {
+			break
+		}
+		if !now.Add(s.LikelyTime(now)).After(w.step.Deadline) {
+			return w, s, true
+		}
+		t.Return(s.Name)
+		c.refuse(q, w, refusal(request.ReasonDeadlineUnattainable, "a step takes "+s.LikelyTime(now).String()+" at the best free server"), now)
+	}
+	return nil, backend.Server{}, false
+}
+
+// refuse takes a waiting step out of the queue. The caller holds the lock.
+func (c Commands) refuse(q *poolQueue, w *waiting, f *request.Failure, now time.Time) {
+	q.remove(w)
+	c.table.leave()
+	c.table.decide(Decision{Step: w.step, Enqueued: w.enqueued, Reason: f.Reason, At: now})
+	w.done <- Outcome{Failure: f}
+}
+
 // Run executes an assignment and reports its outcome. It is the job of a
 // worker. The call to the server ends with the worker's context or with the
 // context of the step, whichever ends first.
@@ -235,14 +258,18 @@
 	t.mu.Lock()
 	waitingSteps := 0
 	for _, q := range t.pools {
-		q.each(func(w *waiting) {
-			capacity, known := capacities[poolRank{q.name, w.step.Rank}]
-			if known && sweepReason(w, capacity, now) != "" && q.remove(w) {
+		for rank, class := range q.classes {
+			capacity, known := capacities[poolRank{q.name, rank}]
+			if !known {
+				continue
+			}
+			for _, w := range class.hopeless(capacity, now) {
+				q.remove(w)
 				refused = append(refused, w)
 				t.leave()
 				t.decide(Decision{Step: w.step, Enqueued: w.enqueued, Reason: sweepReason(w, capacity, now), At: now})
 			}
-		})
+		}
 		waitingSteps += q.count
 	}
 	if waitingSteps > 0 {
--- a/dispatch/order_test.go
+++ b/dispatch/order_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -169,6 +170,8 @@
 		if !ok {
 			return ""
 		}
+		// Steps that were refused on the way wait no more.
+		s.forget(l)
 		step := l.waiting[a.Step.RequestID]
 		fault := l.fault(step)
 		if fault == "" {
@@ -185,9 +188,8 @@
 			l.assigned = slices.Delete(l.assigned, n, n+1)
 		}
 	case "cancel":
-		for id := range l.waiting {
-			s.cancel(id)
-			break
+		if ids := slices.Sorted(maps.Keys(l.waiting)); len(ids) > 0 {
+			s.cancel(ids[m.pick%len(ids)])
 		}
 	case "sweep":
 		s.commands.Sweep(time.Now())
