Give a server that ended a connection its cold limit until it is known again

Cause: a warm server that restarts behind its address kept its full limit until an answer or a load report named the new incarnation. With no step in flight there was no sign at all.

Seen in the scenario of cold starts, where an engine is killed and restarted under 12 requests a second: stepFailures {serverFailed: 2, serverCold: 2} at the owner, fellOver 1 at the engine, while it had started 1 step.

Ruled out: a second dispatcher (one owner all the time), a slot given back while the engine still works (mostInFlightCold was 1, the fall came from the step above it), and a load report of the former process (it names the new incarnation and starts the server cold).

The connections to backend servers now report an end that is not from this side, between calls as well. The server then counts as cold until an answer or a report from after that moment names the same incarnation, which takes a report's lag.

--- a/backend/choose.go
+++ b/backend/choose.go
@@ -19,11 +19,14 @@
 	if s.IsLeaving() {
 		return 0
 	}
-	if s.Warmth != Warm {
-		if r.Cold {
-			return s.Allowed
+	if s.Warmth != Warm || !s.doubtedSince.IsZero() {
+		switch {
+		case !r.Cold:
+			return 0
+		case !s.doubtedSince.IsZero():
+			return min(s.Allowed, s.ColdInFlight)
 		}
-		return 0
+		return s.Allowed
 	}
 	if r.WarmShare == 0 {
 		return 0
--- a/backend/commands.go
+++ b/backend/commands.go
@@ -78,6 +78,18 @@
 	c.change(name, func(s Server) Server { return s.WithReport(r, now) })
 }
 
+// ConnectionLost notes that the server at an address has ended a connection.
+func (c Commands) ConnectionLost(address string, now time.Time) {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, s := range t.byName {
+		if s.Address == address {
+			t.byName[name] = s.WithConnectionLost(now)
+		}
+	}
+}
+
 // SetListedLeaving notes whether a server is leaving, as the list of instances
 // says.
 func (c Commands) SetListedLeaving(name string, leaving bool) {
--- a/backend/observation.go
+++ b/backend/observation.go
@@ -42,7 +42,7 @@
 func (s Server) WithObservation(o Observation, now time.Time) Server {
 	s.InFlight--
 	if o.Incarnation != "" {
-		s = s.withIncarnation(o.Incarnation, now)
+		s = s.withIncarnation(o.Incarnation, o.Sent, now)
 	}
 	switch o.Reason {
 	case "":
@@ -63,8 +63,13 @@
 	return s
 }
 
-func (s Server) withIncarnation(incarnation string, now time.Time) Server {
+// withIncarnation returns the server after it gave its incarnation to a step
+// that was sent, or in a report that was measured, at some time.
+func (s Server) withIncarnation(incarnation string, at, now time.Time) Server {
 	if s.Incarnation == incarnation {
+		if at.After(s.doubtedSince) {
+			s.doubtedSince = time.Time{}
+		}
 		return s
 	}
 	restarted := s.Incarnation != ""
@@ -144,7 +149,7 @@
 	}
 	s.reportedAt = r.MeasuredAt
 	if r.Incarnation != "" {
-		s = s.withIncarnation(r.Incarnation, now)
+		s = s.withIncarnation(r.Incarnation, r.MeasuredAt, now)
 	}
 	s.ReportedLeaving = r.Leaving
 	if r.Cold {
--- a/backend/server.go
+++ b/backend/server.go
@@ -74,6 +74,10 @@
 	reportedAt   time.Time
 	failures     int
 	blockedUntil time.Time
+	// doubtedSince is when a connection of the server was lost, which may mean a
+	// restart. It is zero once an answer or report from after that moment came
+	// from the same incarnation.
+	doubtedSince time.Time
 }
 
 // NewServer returns the view of a server of which only the catalogue is known.
@@ -104,6 +108,16 @@
 	s.Allowed = s.ColdInFlight
 	s.successes = 0
 	s.reportedWarm = false
+	s.doubtedSince = time.Time{}
+	return s
+}
+
+// WithConnectionLost returns the server after it has ended a connection. A warm
+// one counts as cold until it shows that it is the same incarnation.
+func (s Server) WithConnectionLost(now time.Time) Server {
+	if s.Warmth != Cold {
+		s.doubtedSince = now
+	}
 	return s
 }
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -160,7 +160,7 @@
 }
 
 func (i *Instance) buildDispatch() {
-	i.stages = stage.NewClient(backendHTTP())
+	i.stages = stage.NewClient(backendHTTP(i.connectionLost))
 	i.stages.Dropped = i.resultDropped
 	steps := dispatch.NewTable()
 	steps.Reserve, steps.Release, steps.Return = i.backendCommands.Reserve, i.backendCommands.Release, i.backendCommands.Return
@@ -246,11 +246,12 @@
 }
 
 // backendHTTP returns a client for backend servers. It uses HTTP/1.1, on which
-// net/http repeats no call of which a byte was written.
-func backendHTTP() *http.Client {
+// net/http repeats no call of which a byte was written. It tells lost about each
+// connection that a server has ended.
+func backendHTTP(lost func(address string)) *http.Client {
 	const perServer = 256
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: 500 * time.Millisecond}).DialContext,
+		DialContext:         watchedDialer(lost),
 		MaxIdleConnsPerHost: perServer,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
