--- /dev/null
+++ b/bench/table.go
@@ -0,0 +1,87 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"lycheecrank.example/lock"
+)
+
+// rankTally is above all ranks of the product, as nothing is locked while the
+// tally is.
+const rankTally = lock.RankCounter + 20
+
+// Histograms go from 1 µs to 2 min with three significant digits.
+const (
+	lowestMicros  = 1
+	highestMicros = 120_000_000
+	digits        = 3
+)
+
+// allClasses is the name under which all requests are counted together.
+const allClasses = "all"
+
+// tally holds the counts of one class.
+type tally struct {
+	sent       int64
+	verdicts   map[Verdict]int64
+	reasons    map[Verdict]map[string]int64
+	latency    *hdrhistogram.Histogram
+	firstPiece *hdrhistogram.Histogram
+	gap        *hdrhistogram.Histogram
+	perSecond  []secondTally
+}
+
+// secondTally counts the requests that were meant to be sent in one second.
+type secondTally struct {
+	sent  int64
+	whole int64
+	lost  int64
+}
+
+func newTally() *tally {
+	histogram := func() *hdrhistogram.Histogram { return hdrhistogram.New(lowestMicros, highestMicros, digits) }
+	return &tally{
+		verdicts: map[Verdict]int64{}, reasons: map[Verdict]map[string]int64{},
+		latency: histogram(), firstPiece: histogram(), gap: histogram(),
+	}
+}
+
+// second returns the counts of the second of an intended time.
+func (t *tally) second(at time.Duration) *secondTally {
+	n := int(at / time.Second)
+	for len(t.perSecond) <= n {
+		t.perSecond = append(t.perSecond, secondTally{})
+	}
+	return &t.perSecond[n]
+}
+
+// Table counts the replies to a load by class. Create it with NewTable.
+type Table struct {
+	mu      *lock.Ranked
+	byClass map[string]*tally
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{mu: lock.New(rankTally, "bench tally"), byClass: map[string]*tally{}}
+}
+
+// of returns the tallies that a class counts under. The lock is held.
+func (t *Table) of(class string) []*tally {
+	var both []*tally
+	for _, c := range []string{class, allClasses} {
+		if t.byClass[c] == nil {
+			t.byClass[c] = newTally()
+		}
+		both = append(both, t.byClass[c])
+	}
+	return both
+}
+
+// Commands returns what changes the table.
+func (t *Table) Commands() Commands { return Commands{t} }
+
+// Queries returns what reads the table.
+func (t *Table) Queries() Queries { return Queries{t} }
