--- a/bench/commands.go
+++ b/bench/commands.go
@@ -24,6 +24,9 @@
 	t := c.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if v == Whole {
+		t.wholeByTarget[a.Target]++
+	}
 	for _, one := range t.of(a.Class) {
 		one.answered(a, r, v, reason, took)
 	}
--- a/bench/driver.go
+++ b/bench/driver.go
@@ -32,6 +32,8 @@
 	// Send sends one request and returns its reply. The start is the intended
 	// time.
 	Send func(ctx context.Context, a Arrival, start time.Time) Reply
+	// Judged is called with the verdict on each request, unless it is nil.
+	Judged func(a Arrival, v Verdict)
 	// Progress is called once a second while the load runs, unless it is nil.
 	Progress func(Progress)
 }
@@ -57,6 +59,7 @@
 	stop()
 	_ = group.Wait()
 	r.Classes = table.Queries().Classes()
+	r.WholeByTarget = table.Queries().WholeByTarget()
 	r.Machine.LoadAfter = loadAverage()
 	r.Machine.GeneratorCPUSeconds = (CPUTime() - spent).Seconds()
 	return r
@@ -101,6 +104,9 @@
 	took := time.Since(at)
 	v, reason := Judge(a, reply, took)
 	c.Answered(a, reply, v, reason, took)
+	if d.Judged != nil {
+		d.Judged(a, v)
+	}
 }
 
 func (d Driver) watch(ctx context.Context, q Queries) {
--- a/bench/queries.go
+++ b/bench/queries.go
@@ -51,6 +51,14 @@
 	return results
 }
 
+// WholeByTarget returns the number of whole answers in time by target.
+func (q Queries) WholeByTarget() map[string]int64 {
+	t := q.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.wholeByTarget)
+}
+
 func boolRank(b bool) int {
 	if b {
 		return 1
--- a/bench/result.go
+++ b/bench/result.go
@@ -86,7 +86,9 @@
 	StartedAt time.Time     `json:"startedAt"`
 	Machine   Machine       `json:"machine"`
 	Classes   []ClassResult `json:"classes"`
-	Cell      *CellResult   `json:"cell,omitempty"`
+	// WholeByTarget is the number of whole answers in time by target.
+	WholeByTarget map[string]int64 `json:"wholeByTarget,omitempty"`
+	Cell          *CellResult      `json:"cell,omitempty"`
 }
 
 // Class returns the result of a class.
--- a/bench/table.go
+++ b/bench/table.go
@@ -59,13 +59,14 @@
 
 // Table counts the replies to a load by class. Create it with NewTable.
 type Table struct {
-	mu      *lock.Ranked
-	byClass map[string]*tally
+	mu            *lock.Ranked
+	byClass       map[string]*tally
+	wholeByTarget map[string]int64
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{mu: lock.New(rankTally, "bench tally"), byClass: map[string]*tally{}}
+	return &Table{mu: lock.New(rankTally, "bench tally"), byClass: map[string]*tally{}, wholeByTarget: map[string]int64{}}
 }
 
 // of returns the tallies that a class counts under. The lock is held.
--- a/cmd/lycheebench/main.go
+++ b/cmd/lycheebench/main.go
@@ -28,9 +28,11 @@
 		Usage: "measure instances under an open-loop load",
 		Commands: []*cli.Command{
 			runCommand(),
+			cellCommand(),
 			reportCommand(),
 			compareCommand(),
 			overheadCommand(),
+			controlCommand(),
 			instanceCommand(),
 		},
 	}
