--- a/cmd/lycheectl/catalogue.go
+++ b/cmd/lycheectl/catalogue.go
@@ -35,11 +35,6 @@
 	)
 }
 
-// group returns a command that only has subcommands.
-func group(name, usage string, commands ...*cli.Command) *cli.Command {
-	return &cli.Command{Name: name, Usage: usage, Commands: commands}
-}
-
 func applyFile(ctx context.Context, c *cli.Command, k *console.Console) (result, error) {
 	file, err := readFile(c)
 	if err != nil {
--- a/cmd/lycheectl/main.go
+++ b/cmd/lycheectl/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
 	"lycheecrank.example/console"
@@ -37,6 +38,7 @@
 		Version:               instance.Version,
 		EnableShellCompletion: true,
 		Flags:                 globalFlags(),
+		Action:                onlySubcommands,
 		Commands: []*cli.Command{
 			catalogueCommand(),
 			statusCommand(),
@@ -49,6 +51,22 @@
 	return root
 }
 
+// group returns a command that only has subcommands.
+func group(name, usage string, commands ...*cli.Command) *cli.Command {
+	return &cli.Command{Name: name, Usage: usage, Commands: commands, Action: onlySubcommands}
+}
+
+// onlySubcommands shows the help, or refuses an unknown subcommand.
+func onlySubcommands(_ context.Context, c *cli.Command) error {
+	if c.Args().Present() {
+		return eris.Wrapf(console.ErrUsage, "%s has no command %q", c.FullName(), c.Args().First())
+	}
+	if c == c.Root() {
+		return cli.ShowRootCommandHelp(c)
+	}
+	return cli.ShowSubcommandHelp(c)
+}
+
 // quiet leaves the printing of errors and the exit to run.
 func quiet(c *cli.Command) {
 	c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error { return err }
--- a/cmd/lycheectl/precedence.go
+++ b/cmd/lycheectl/precedence.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 
+	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
 	"lycheecrank.example/console"
@@ -65,5 +66,6 @@
 	if dir == "" {
 		return nil, nil
 	}
-	return console.ReadKeys(os.DirFS(dir))
+	keys, err := console.ReadKeys(os.DirFS(dir))
+	return keys, eris.Wrap(err, dir)
 }
--- a/cmd/lycheectl/report.go
+++ b/cmd/lycheectl/report.go
@@ -89,7 +89,11 @@
 // to most.
 func arguments(c *cli.Command, least, most int) ([]string, error) {
 	if n := c.Args().Len(); n < least || n > most {
-		return nil, eris.Wrapf(console.ErrUsage, "%s takes %s", c.FullName(), c.ArgsUsage)
+		takes := c.ArgsUsage
+		if most == 0 {
+			takes = "no arguments"
+		}
+		return nil, eris.Wrapf(console.ErrUsage, "%s takes %s", c.FullName(), takes)
 	}
 	return append(c.Args().Slice(), make([]string, most-c.Args().Len())...), nil
 }
--- a/console/precedence.go
+++ b/console/precedence.go
@@ -109,7 +109,11 @@
 		}
 		seen[f.Batch] = true
 	}
-	b.WriteString(v.Report.Text())
+	text := v.Report.Text()
+	if v.Report.Intact() && !v.Intact() {
+		text = strings.TrimSuffix(strings.TrimSuffix(text, "intact\n"), "no records\n") + "not intact\n"
+	}
+	b.WriteString(text)
 	return b.String()
 }
 
