--- a/cmd/lycheectl/instance_test.go
+++ b/cmd/lycheectl/instance_test.go
@@ -119,3 +119,9 @@
 		t.Error(w.transcript.String())
 	}
 }
+
+// Guards against a command line that looks for the decision records in another
+// stream than the one that the instances append to.
+func TestStreamOfRecords(t *testing.T) {
+	is.New(t).Equal(console.PrecedenceStream, instance.PrecedenceStream)
+}
--- a/console/difference.go
+++ b/console/difference.go
@@ -46,7 +46,7 @@
 		}
 		b.WriteByte('\n')
 		for _, f := range x.Fields {
-			fmt.Fprintf(&b, "  %s: %s -> %s\n", f.Field, orNone(f.Before), orNone(f.After))
+			fmt.Fprintf(&b, "  %s: %s -> %s\n", f.Field, orNone(cell(f.Before)), orNone(cell(f.After)))
 		}
 	}
 	return b.String()
--- a/editor/editor_test.go
+++ b/editor/editor_test.go
@@ -6,11 +6,13 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
 	"lycheecrank.example/catalogue"
 	"lycheecrank.example/codec"
@@ -29,7 +31,8 @@
 // handler that breaks the connection is an error.
 func (t handlerTransport) RoundTrip(req *http.Request) (*http.Response, error) {
 	done := make(chan *http.Response, 1)
-	go func() {
+	var running sync.WaitGroup
+	running.Go(func() {
 		defer func() {
 			if recover() != nil {
 				close(done)
@@ -38,7 +41,7 @@
 		w := httptest.NewRecorder()
 		t.handler.ServeHTTP(w, req)
 		done <- w.Result()
-	}()
+	})
 	select {
 	case res, ok := <-done:
 		if !ok {
@@ -126,13 +129,15 @@
 		is := is.New(t)
 		_, e := newEditor(store.Options{})
 		decisions := make(chan catalogue.Decision, 2)
+		var group errgroup.Group
 		for range 2 {
-			go func() {
+			group.Go(func() error {
 				v, err := e.Submit(t.Context(), classEdit("recall", 0))
-				is.NoErr(err)
 				decisions <- v.Decision
-			}()
+				return err
+			})
 		}
+		is.NoErr(group.Wait())
 		got := map[catalogue.Decision]int{<-decisions: 1}
 		got[<-decisions]++
 		is.Equal(got, map[catalogue.Decision]int{catalogue.Accepted: 1, catalogue.Conflict: 1})
