--- a/backend/commands.go
+++ b/backend/commands.go
@@ -71,11 +71,12 @@
 	t := c.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for name, s := range t.byName {
-		if s.Address == address {
-			t.byName[name] = s.WithConnectionLost(now)
+	t.changeAll(func(s Server) Server {
+		if s.Address != address {
+			return s
 		}
-	}
+		return s.WithConnectionLost(now)
+	})
 }
 
 // SetListedLeaving notes whether a server is leaving, as the list of instances
@@ -91,11 +92,7 @@
 	t := c.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, servers := range t.pools {
-		for i, s := range servers {
-			servers[i] = s.WithCold(now)
-		}
-	}
+	t.changeAll(func(s Server) Server { return s.WithCold(now) })
 }
 
 func (c Commands) change(name string, next func(Server) Server) {
--- a/backend/table.go
+++ b/backend/table.go
@@ -51,6 +51,15 @@
 	t.pools[p.pool][p.index] = s
 }
 
+// changeAll swaps all views. The caller holds the lock.
+func (t *Table) changeAll(next func(Server) Server) {
+	for _, servers := range t.pools {
+		for i, s := range servers {
+			servers[i] = next(s)
+		}
+	}
+}
+
 // replace makes the table hold exactly some servers. The caller holds the lock.
 func (t *Table) replace(servers map[string]Server) {
 	t.pools, t.places = map[string][]Server{}, make(map[string]place, len(servers))
