Let the silence of an owner count only while the log answers

Cause: after an outage of the log longer than the silence of 11.1 s every owner counted as silent, so other instances took its pools over at the moment when the log returned. The new owner knew none of the servers as warm and had no right to cold ones for 6.6 s, so the pools had no service: up to 77 of 125 requests were refused with noServer for 6 to 8 s after a hang of the log. A slow renewal by the former owner was ruled out, since it repeats one each second.

Silence now counts from the moment when the log has answered again, and nothing is taken while it doesn't answer. The next candidate of a pool watches the load reports of its servers, so that it knows the warm ones when it takes the pool over or stands in for an owner that can't be reached, which it does after 2 s in place of 6 s.

--- a/backend/observation.go
+++ b/backend/observation.go
@@ -21,6 +21,9 @@
 	// failure in a row.
 	minBlock = 100 * time.Millisecond
 	maxBlock = 5 * time.Second
+	// watchedUntilWarm is how long the reports of a server that this instance only
+	// watches must say warm. It is longer than reports usually lag.
+	watchedUntilWarm = 2 * time.Second
 	// failuresUntilCold: that many failures in a row count as a cold server.
 	failuresUntilCold = 3
 )
@@ -161,10 +164,28 @@
 			return s.WithCold(now)
 		}
 		s.reportedWarm = false
+		s.warmSince = time.Time{}
 		return s
 	}
 	if r.MeasuredAt.After(s.ColdSince) {
 		s.reportedWarm = true
 	}
-	return s.raised()
+	return s.watchedWarm(r.MeasuredAt).raised()
+}
+
+// watchedWarm returns the server after a report that says warm. An instance that
+// takes a pool over has only watched its servers; those that have said warm for
+// a while without a restart count as warm, or the pool would be without service
+// until they have been warmed up a second time.
+func (s Server) watchedWarm(measuredAt time.Time) Server {
+	if !s.watched {
+		return s
+	}
+	if s.warmSince.IsZero() {
+		s.warmSince = measuredAt
+	}
+	if measuredAt.Sub(s.warmSince) >= watchedUntilWarm {
+		s.Warmth, s.Allowed = Warm, s.MaxInFlight
+	}
+	return s
 }
--- a/backend/server.go
+++ b/backend/server.go
@@ -75,7 +75,12 @@
 	// reportedWarm tells that a fresh report from after ColdSince says warm.
 	reportedWarm bool
 	// reportedAt is when the latest report was measured.
-	reportedAt   time.Time
+	reportedAt time.Time
+	// watched tells that this instance has neither sent the server work nor found
+	// it cold, so that reports are all that is known of it. warmSince is when the
+	// first one of a series that says warm was measured.
+	watched      bool
+	warmSince    time.Time
 	failures     int
 	blockedUntil time.Time
 	// doubtedSince is when a connection of the server was lost, which may mean a
@@ -86,7 +91,7 @@
 
 // NewServer returns the view of a server of which only the catalogue is known.
 func NewServer(spec Spec, now time.Time) Server {
-	return Server{Spec: spec, Allowed: spec.ColdInFlight, ColdSince: now}
+	return Server{Spec: spec, Allowed: spec.ColdInFlight, ColdSince: now, watched: true}
 }
 
 // WithSpec returns the server with a new catalogue entry. Another address is
@@ -112,6 +117,7 @@
 	s.Allowed = s.ColdInFlight
 	s.successes = 0
 	s.reportedWarm = false
+	s.watched = false
 	s.doubtedSince = time.Time{}
 	return s
 }
@@ -128,6 +134,7 @@
 // WithReserved returns the server with one more step in flight.
 func (s Server) WithReserved() Server {
 	s.InFlight++
+	s.watched = false
 	return s
 }
 
--- a/instance/contact.go
+++ b/instance/contact.go
@@ -14,10 +14,12 @@
 	logger  *event.Logger
 	last    atomic.Pointer[time.Time]
 	lost    atomic.Bool
+	// heard is told of each answer.
+	heard func(at time.Time)
 }
 
 func newContact(logger *event.Logger) *contact {
-	return &contact{started: time.Now(), logger: logger}
+	return &contact{started: time.Now(), logger: logger, heard: func(time.Time) {}}
 }
 
 // note takes an answer or a failure of the log. Each outage is logged once, not
@@ -31,6 +33,7 @@
 	}
 	now := time.Now()
 	c.last.Store(&now)
+	c.heard(now)
 	if c.lost.Swap(false) {
 		c.logger.Write(event.LogAvailable, stream)
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -153,6 +153,7 @@
 	terms := ownership.NewTable(self, ownership.DefaultTiming(), ownership.NewState(0), time.Now())
 	terms.Logger = i.Logger
 	i.ownershipCommands, i.ownershipQueries = terms.Commands(), terms.Queries()
+	i.contact.heard = i.ownershipCommands.Heard
 	i.keeper = &ownership.Keeper{
 		Table: terms, Append: i.appendOwnership, Pools: i.ownPools,
 		Candidates: i.candidates, IsIdle: i.hasNoWork,
--- a/instance/watch.go
+++ b/instance/watch.go
@@ -83,14 +83,15 @@
 	}
 }
 
-// runLoad asks the servers of the pools that this instance dispatches for.
+// runLoad asks the servers of the pools that this instance dispatches for, or
+// would take over next.
 func (i *Instance) runLoad(ctx context.Context) error {
 	return every(ctx, loadInterval, func(ctx context.Context) {
 		i.followOpen()
 		var group errgroup.Group
 		now := time.Now()
 		for _, s := range i.backendQueries.All() {
-			if i.rights(s.Pool, now) == (backend.Rights{}) {
+			if !i.watchesPool(s.Pool, now) {
 				continue
 			}
 			group.Go(func() error {
@@ -103,6 +104,12 @@
 	})
 }
 
+// watchesPool reports whether this instance dispatches for a pool, or is the
+// next one to do so and must know its servers then.
+func (i *Instance) watchesPool(pool string, now time.Time) bool {
+	return i.rights(pool, now) != (backend.Rights{}) || i.ownershipQueries.IsNext(pool, i.candidates())
+}
+
 func (i *Instance) askLoad(ctx context.Context, s backend.Server) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
--- a/ownership/commands.go
+++ b/ownership/commands.go
@@ -47,6 +47,22 @@
 	t.report(before, &next)
 }
 
+// heardInterval bounds how often the view changes for answers of the log.
+const heardInterval = 250 * time.Millisecond
+
+// Heard notes that the log has answered this instance. Without it the instance
+// assumes that the log always answers.
+func (c Commands) Heard(at time.Time) {
+	t := c.table
+	if at.Sub(t.current.Load().heard) < heardInterval {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	next := t.current.Load().withHeard(at, t.timing.ContactGap)
+	t.current.Store(&next)
+}
+
 // begin returns the sequence number of a record whose append starts at the given
 // time.
 func (c Commands) begin(at time.Time) uint64 {
--- a/ownership/keeper.go
+++ b/ownership/keeper.go
@@ -186,6 +186,9 @@
 // isDue reports whether this instance should attempt to take a term now.
 func (k *Keeper) isDue(v *view, term Term, candidates []member.Instance, now time.Time) bool {
 	t := k.Table
+	if !v.hearsLog(now, t.timing.ContactGap) {
+		return false
+	}
 	due := t.vacantFrom(v, term)
 	if last, ok := k.taken[term.Key.Pool]; ok && now.Sub(last) < t.timing.TakeRetry || now.Before(due) {
 		return false
@@ -195,21 +198,27 @@
 }
 
 // vacantFrom returns when the first candidate may take a term: at once after a
-// release or if the pool never had an owner, else after the owner's silence. A
+// release or if the pool never had an owner, else after the owner's silence,
+// which counts only while the log answers: after an outage every owner was
+// silent, and must have the time to renew. A
 // reader that has not seen the whole stream listens that long before it takes
 // anything, since an owner may not have renewed yet.
 func (t *Table) vacantFrom(v *view, term Term) time.Time {
 	sign := v.lastSign(term.Key)
 	switch {
 	case !term.Released && !v.isNew(term):
-		return sign.Add(t.timing.Silence)
+		return latest(sign, v.listening).Add(t.timing.Silence)
 	case v.state.IsWhole():
 		return sign
 	}
-	if heard := v.since.Add(t.timing.Silence); heard.After(sign) {
-		return heard
+	return latest(sign, v.since.Add(t.timing.Silence))
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return sign
+	return b
 }
 
 func (k *Keeper) release(ctx context.Context, former map[string]lease) error {
--- a/ownership/queries.go
+++ b/ownership/queries.go
@@ -36,6 +36,14 @@
 	return Rights{}
 }
 
+// IsNext reports whether this instance is the next candidate for a pool after
+// its owner.
+func (q Queries) IsNext(pool string, candidates []member.Instance) bool {
+	t := q.table
+	term := t.current.Load().state.Term(Key{pool, t.self.DataCentre})
+	return !term.IsOwnedBy(t.self.Instance, t.self.Incarnation) && t.rank(term, candidates) == 0
+}
+
 // Route returns the instance that a step for a pool in a data centre goes to:
 // the owner, or, with standIn set, the best other candidate if there is no owner
 // or it can't be reached. It returns an empty name if nobody can be reached. The
--- a/ownership/timing.go
+++ b/ownership/timing.go
@@ -16,6 +16,9 @@
 	// Wait is how long a new owner, after a takeover without a settled release,
 	// gives cold servers nothing and warm ones half.
 	Wait time.Duration
+	// ContactGap is how long the log may give no answer before this instance no
+	// longer counts the silence of an owner: both may have lost the log.
+	ContactGap time.Duration
 	// StandIn is how long an unreachable owner must have shown no renewal before
 	// the next candidate serves warm servers at half limits.
 	StandIn time.Duration
@@ -40,7 +43,9 @@
 // 10.53%. Silence must exceed 10 s x 1.1053 = 11.053 s, so that the old lease has
 // ended, and Silence + Wait must exceed (10 s + 6 s) x 1.1053 = 17.685 s, so that
 // the old owner's calls have passed their deadlines of at most 6 s. StandIn is
-// longer than one renewal that fails and is repeated. LapsedRenewal is longer
+// short, since a killed owner leaves its pools without service until then; an
+// owner that lives and can't be reached may go on meanwhile, which warm servers
+// bear. ContactGap is two reads of the log that fail. LapsedRenewal is longer
 // than Silence with every delay of rank, so that others can take over.
 func DefaultTiming() Timing {
 	return Timing{
@@ -48,7 +53,8 @@
 		Renewal:       4 * time.Second,
 		Silence:       11100 * time.Millisecond,
 		Wait:          6600 * time.Millisecond,
-		StandIn:       6 * time.Second,
+		ContactGap:    4 * time.Second,
+		StandIn:       2 * time.Second,
 		RankDelay:     400 * time.Millisecond,
 		Retry:         time.Second,
 		TakeRetry:     3 * time.Second,
@@ -69,6 +75,7 @@
 		{&t.Renewal, &d.Renewal},
 		{&t.Silence, &d.Silence},
 		{&t.Wait, &d.Wait},
+		{&t.ContactGap, &d.ContactGap},
 		{&t.StandIn, &d.StandIn},
 		{&t.RankDelay, &d.RankDelay},
 		{&t.Retry, &d.Retry},
--- a/ownership/view.go
+++ b/ownership/view.go
@@ -16,6 +16,10 @@
 	since time.Time
 	// progress is when the last record was received.
 	progress time.Time
+	// heard is when the log last answered this instance, zero if that is not
+	// reported, and listening since when it has answered without a long gap.
+	heard     time.Time
+	listening time.Time
 	// own holds the terms of this instance by pool.
 	own map[string]lease
 	// standIns holds the pools that this instance serves for their owners.
@@ -38,6 +42,21 @@
 	return v.since
 }
 
+// withHeard returns the view after the log has answered.
+func (v view) withHeard(at time.Time, gap time.Duration) view {
+	if at.Sub(v.heard) > gap {
+		v.listening = at
+	}
+	v.heard = at
+	return v
+}
+
+// hearsLog reports whether the log has answered lately, or whether that is not
+// reported.
+func (v *view) hearsLog(now time.Time, gap time.Duration) bool {
+	return v.heard.IsZero() || now.Sub(v.heard) <= gap
+}
+
 // withState returns the view after a record was received.
 func (v view) withState(s State, at time.Time) view {
 	v.state, v.progress = s, at
