--- a/scenario/load_test.go
+++ b/scenario/load_test.go
@@ -273,3 +273,33 @@
 	}
 	return l.sent, answered
 }
+
+// accounted LOAD STANDIN... checks that the operations which the services have
+// executed are those of the load's answers: all that ran, none that was refused
+// as not run, and the others at most once.
+func accounted(s *scene, args []string) (string, error) {
+	l, err := s.load(args)
+	if err != nil || len(args) < 2 {
+		return "", eris.New("usage: accounted LOAD STANDIN...")
+	}
+	_ = l.group.Wait()
+	executed := 0
+	for _, name := range args[1:] {
+		all, err := s.countsOf(name)
+		if err != nil {
+			return "", err
+		}
+		if all["executedTwice"] > 0 {
+			return "", eris.Errorf("%s executed %d keys twice", name, all["executedTwice"])
+		}
+		executed += int(all["executed"])
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ran := l.tallies[whole] + l.tallies[late]
+	most := ran + l.tallies[unknown] + l.tallies[lost]
+	if executed < ran || executed > most {
+		return "", eris.Errorf("%d operations were executed, but %d ran and at most %d may have run", executed, ran, most)
+	}
+	return fmt.Sprintf("executed %d of %d to %d\n", executed, ran, most), nil
+}
--- a/scenario/main_test.go
+++ b/scenario/main_test.go
@@ -136,6 +136,6 @@
 func queries() map[string]verb {
 	return map[string]verb{
 		"run": run, "outcome": outcome, "get": get, "post": post, "status": status,
-		"counts": counts, "unchanged": unchanged, "owner": owner, "load-progress": progress, "load-result": result,
+		"counts": counts, "unchanged": unchanged, "owner": owner, "load-progress": progress, "load-result": result, "accounted": accounted,
 	}
 }
--- a/scenario/operate_test.go
+++ b/scenario/operate_test.go
@@ -31,6 +31,9 @@
 	"configuration": 9 * time.Second,
 	"leaving":       5 * time.Second,
 	"takenOut":      5 * time.Second,
+	// The lease runs out 10 s after the last renewal; the rest is the time until
+	// the status shows it.
+	"lease": 11 * time.Second,
 	// A new owner takes over after 11 s of silence and waits 6 s before it gives
 	// servers their full limits.
 	"ownerChange": 17 * time.Second,
