--- a/policy/compare_test.go
+++ b/policy/compare_test.go
@@ -1,3 +1,8 @@
+// The comparison runs in 10 s without the checks of races and locks, and takes
+// more than 10 min with them. Those checks run in the package dispatch.
+
+//go:build !race && !lockcheck
+
 package policy
 
 import (
