--- a/instance/catalogue.go
+++ b/instance/catalogue.go
@@ -14,15 +14,23 @@
 	"lycheecrank.example/platform"
 )
 
-const (
-	// A snapshot is appended after this many records, or after a quarter of the
-	// shortest retention of 1 h, so that it is there before records expire.
-	snapshotRecords = 1000
-	snapshotAge     = 15 * time.Minute
-	// snapshotCheck is spread by a random part, so that instances rarely append
-	// the same snapshot. Doing it twice is harmless.
-	snapshotCheck = 20 * time.Second
-)
+// snapshotPolicy says when an instance appends a snapshot of the catalogue.
+type snapshotPolicy struct {
+	// records and age are how many records, or how much time, may follow the
+	// latest snapshot.
+	records uint64
+	age     time.Duration
+	// check is the time between two looks. It is spread by a random part of the
+	// same length, so that instances rarely append the same snapshot. Doing it
+	// twice is harmless.
+	check time.Duration
+}
+
+// defaultSnapshots allows a quarter of the shortest retention of 1 h, so that a
+// snapshot is there before records expire.
+func defaultSnapshots() snapshotPolicy {
+	return snapshotPolicy{records: 1000, age: 15 * time.Minute, check: 20 * time.Second}
+}
 
 // catalogueFollower returns the follower of the catalogue's stream.
 func (i *Instance) catalogueFollower() *follower {
@@ -176,12 +184,12 @@
 	last := time.Now()
 	lastAt := uint64(0)
 	for ctx.Err() == nil {
-		sleep(ctx, snapshotCheck+rand.N(snapshotCheck))
+		sleep(ctx, i.snapshots.check+rand.N(i.snapshots.check))
 		at := i.catalogueQueries.SnapshotAt()
 		if at != lastAt {
 			last, lastAt = time.Now(), at
 		}
-		due := i.catalogueQueries.RecordsSinceSnapshot() >= snapshotRecords || time.Since(last) >= snapshotAge
+		due := i.catalogueQueries.RecordsSinceSnapshot() >= i.snapshots.records || time.Since(last) >= i.snapshots.age
 		if !due || !i.catalogueQueries.Known() || ctx.Err() != nil {
 			continue
 		}
--- /dev/null
+++ b/instance/catalogue_test.go
@@ -0,0 +1,277 @@
+package instance
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lycheecrank.example/catalogue"
+	"lycheecrank.example/codec"
+	"lycheecrank.example/editor"
+	"lycheecrank.example/peer"
+	"lycheecrank.example/platform"
+	"lycheecrank.example/standin"
+	"lycheecrank.example/standin/store"
+)
+
+// revisionSampler watches the catalogue of instances until stop and keeps the
+// first step back that it sees.
+type revisionSampler struct {
+	current map[string]func() catalogue.Catalogue
+	fault   string
+	stop    func()
+}
+
+// watchRevisions starts a sampler, whose step back fails the test at its end.
+func watchRevisions(s *site) *revisionSampler {
+	r := &revisionSampler{current: map[string]func() catalogue.Catalogue{}}
+	for _, n := range s.all() {
+		r.current[n.self.Instance] = n.catalogueQueries.Current
+	}
+	r.run(s.ctx)
+	s.t.Cleanup(func() {
+		r.stop()
+		if r.fault != "" {
+			s.t.Error(r.fault)
+		}
+	})
+	return r
+}
+
+func (r *revisionSampler) run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	var sampling sync.WaitGroup
+	r.stop = func() {
+		cancel()
+		sampling.Wait()
+	}
+	sampling.Go(func() {
+		last := map[string]catalogue.Catalogue{}
+		_ = every(ctx, time.Millisecond, func(context.Context) {
+			for name, current := range r.current {
+				c := current()
+				if l := last[name]; (c.Revision < l.Revision || c.Offset < l.Offset) && r.fault == "" {
+					r.fault = fmt.Sprintf("%s went back from revision %d to %d, offset %d to %d", name, l.Revision, c.Revision, l.Offset, c.Offset)
+				}
+				last[name] = c
+			}
+		})
+	})
+}
+
+// Guards against a sampler that would miss a catalogue that goes back.
+func TestRevisionSamplerSeesStepBack(t *testing.T) {
+	is := is.New(t)
+	seen := make(chan struct{}, 4)
+	revision := uint64(3)
+	r := &revisionSampler{current: map[string]func() catalogue.Catalogue{"broken": func() catalogue.Catalogue {
+		revision--
+		seen <- struct{}{}
+		return catalogue.Catalogue{Revision: revision, Offset: 1}
+	}}}
+	r.run(t.Context())
+	<-seen
+	<-seen
+	r.stop()
+	is.True(r.fault != "") // the step back is reported
+}
+
+// Guards against two instances that judge a race of operators differently, and
+// against a loser that believes to have won.
+func TestConflictingEditsHaveOneVerdict(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t, siteOptions{}, "a", "b")
+	s.startNodes(nil, "a1", "b1")
+	watchRevisions(s)
+	base, err := s.editor.Load(s.ctx)
+	is.NoErr(err)
+	verdicts := make([]catalogue.Verdict, 2)
+	var racing sync.WaitGroup
+	for n := range verdicts {
+		e := catalogue.Entry{Kind: catalogue.WorkspaceKind, Name: "lab", Owner: "tests", Class: "gold", Weight: 10 + n}
+		racing.Go(func() {
+			verdicts[n], _ = s.editor.Submit(s.ctx, editor.NewEdit("operator", changesOf(base.Catalogue, e)))
+		})
+	}
+	racing.Wait()
+	winner := 0
+	if verdicts[1].Decision == catalogue.Accepted {
+		winner = 1
+	}
+	is.Equal(verdicts[winner].Decision, catalogue.Accepted)
+	is.Equal(verdicts[1-winner].Decision, catalogue.Conflict)
+	s.awaitOffset(configurationBound, max(verdicts[0].Offset, verdicts[1].Offset), s.all()...)
+	for _, n := range s.all() {
+		e, _ := n.catalogueQueries.Current().Entry(catalogue.WorkspaceKind, "lab")
+		is.Equal(e.Weight, 10+winner)
+		is.Equal(n.catalogueQueries.Current().Revision, verdicts[winner].Offset)
+	}
+}
+
+// Guards against an accepted edit that is late or reverts on an instance whose
+// log is slow, cut off or freezes, or that comes back after it was cut off from
+// everything. The broken variant has no neighbours to pass records on.
+func TestEditInForceWithinBound(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, siteOptions{}, "a", "b")
+	s.startNodes(nil, "a1", "a2", "b1")
+	watchRevisions(s)
+	a1 := s.nodes["a1"]
+	alone := func(from, to string) bool { return from == "a1" || to == "a1" }
+	none := func(string, string) bool { return false }
+	for _, c := range []struct {
+		name  string
+		fault logFault
+	}{
+		{"slow", logFault{Delay: 500 * time.Millisecond}},
+		{"down", logFault{Down: true}},
+		{"frozen", logFault{Frozen: true}},
+	} {
+		a1.log.set(c.fault)
+		s.awaitOffset(configurationBound, s.weigh(5), s.all()...)
+		a1.log.set(logFault{})
+	}
+
+	a1.log.set(logFault{Down: true})
+	s.network.setCut(alone)
+	before := a1.catalogueQueries.Current().Offset
+	missed := s.weigh(6)
+	s.awaitOffset(configurationBound, missed, s.nodes["a2"], s.nodes["b1"])
+	if after := a1.catalogueQueries.Current().Offset; after != before {
+		t.Fatal("an instance that is cut off from everything got the edit, so the cases above prove nothing")
+	}
+	for n := range 3 {
+		missed = s.weigh(7 + n)
+	}
+	s.network.setCut(none)
+	s.awaitOffset(configurationBound, missed, a1)
+	a1.log.set(logFault{})
+	s.awaitOffset(configurationBound, s.weigh(20), s.all()...)
+}
+
+// Guards against an edit that is applied twice, or lost, because the answer of
+// its append was lost.
+func TestLostAnswerOfEdit(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t, siteOptions{}, "a")
+	s.startNodes(nil, "a1", "a2")
+	watchRevisions(s)
+	lossy := newFaultyLog(s.log)
+	lossy.set(logFault{LoseAnswer: true})
+	h, err := s.editor.Load(s.ctx)
+	is.NoErr(err)
+	e := catalogue.Entry{Kind: catalogue.WorkspaceKind, Name: "lab", Owner: "tests", Class: "gold", Weight: 9}
+	v, err := editor.Editor{Log: lossy.client()}.Submit(s.ctx, editor.NewEdit("operator", changesOf(h.Catalogue, e)))
+	is.NoErr(err)
+	is.Equal(v.Decision, catalogue.Accepted)
+	s.awaitOffset(configurationBound, v.Offset, s.all()...)
+	page, err := s.log.Read(s.ctx, catalogue.Stream, 0)
+	is.NoErr(err)
+	is.Equal(page.Next, v.Offset+1) // the edit is in the log once
+}
+
+// Guards against an instance that starts during an outage of the log and never
+// gets a catalogue, with records at its neighbours or a snapshot only.
+func TestStartDuringOutage(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, siteOptions{}, "a", "b")
+	s.startNodes(nil, "a1", "b1")
+	offset := s.weigh(3)
+	s.awaitOffset(configurationBound, offset, s.all()...)
+	n := s.prepare("a2", "a")
+	n.log.set(logFault{Down: true})
+	n.start()
+	watchRevisions(s)
+	s.awaitOffset(configurationBound, offset, n)
+	s.awaitServing(configurationBound, "findings", n)
+	s.awaitOffset(configurationBound, s.weigh(4), s.all()...)
+}
+
+// Guards against records of peers that take the catalogue back, leave a gap or
+// count twice.
+func TestRecordsOfPeersOutOfOrder(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t, siteOptions{}, "a")
+	s.startNodes(nil, "a1")
+	for w := range 4 {
+		s.weigh(w + 2)
+	}
+	page, err := s.log.Read(s.ctx, catalogue.Stream, 0)
+	is.NoErr(err)
+	records := page.Records
+	n := s.prepare("a2", "a") // never runs: only these records reach it
+	watchNode := &revisionSampler{current: map[string]func() catalogue.Catalogue{"a2": n.catalogueQueries.Current}}
+	watchNode.run(s.ctx)
+	defer watchNode.stop()
+	offset := func() uint64 { return n.catalogueQueries.Current().Offset }
+	last := uint64(len(records))
+
+	n.takeRecords(peer.CatalogueStream, records[1:2])
+	is.Equal(offset(), uint64(0)) // a gap is not applied
+	n.takeRecords(peer.CatalogueStream, records[:2])
+	n.takeRecords(peer.CatalogueStream, records[:1])
+	is.Equal(offset(), uint64(2)) // older records change nothing
+	n.takeRecords(peer.CatalogueStream, records[3:])
+	is.Equal(offset(), uint64(2)) // a gap is not applied
+	n.takeRecords(peer.CatalogueStream, append([]platform.Record{records[1], records[1], records[2]}, records[2:]...))
+	is.Equal(offset(), last)
+	revision := n.catalogueQueries.Current().Revision
+	is.Equal(revision, last)
+
+	old := catalogue.FromSnapshot(catalogue.Snapshot{Through: 2, Revision: 2}).Snapshot()
+	data, err := codec.Marshal(catalogue.Record{Snapshot: &old})
+	is.NoErr(err)
+	n.takeRecords(peer.CatalogueStream, []platform.Record{{Offset: 2, Data: data}})
+	is.Equal(n.catalogueQueries.Current().Revision, revision) // an old snapshot changes nothing
+	e, _ := n.catalogueQueries.Current().Entry(catalogue.WorkspaceKind, "lab")
+	is.Equal(e.Weight, 5)
+	watchNode.stop()
+	is.Equal(watchNode.fault, "")
+}
+
+// Guards against snapshots that come too late for new instances, against a
+// doubled snapshot that changes anything, and against an instance that can't
+// follow once the records that it needs have expired.
+func TestSnapshots(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const retain = 8
+	s := newSite(t, siteOptions{Platform: standin.PlatformOptions{Store: store.Options{Retain: retain}}}, "a")
+	quick := func(n *node) { n.snapshots = snapshotPolicy{records: 4, age: time.Hour, check: 50 * time.Millisecond} }
+	s.startNodes(quick, "a1", "a2")
+	watchRevisions(s)
+	behind := s.nodes["a2"]
+	behind.log.set(logFault{Down: true})
+	s.network.setCut(func(string, string) bool { return true })
+	a1 := s.nodes["a1"]
+	for w := range 2 * retain {
+		s.awaitOffset(configurationBound, s.weigh(w+2), a1)
+		s.await(configurationBound, "a snapshot in time", func() bool { return a1.catalogueQueries.RecordsSinceSnapshot() < 4 })
+	}
+	page, err := s.log.Read(s.ctx, catalogue.Stream, 0)
+	is.NoErr(err)
+	is.True(page.Earliest > behind.catalogueQueries.Current().Offset+1) // the next record of a2 has expired
+
+	entries := a1.catalogueQueries.Current().Entries()
+	is.NoErr(a1.appendSnapshot(s.ctx))
+	is.NoErr(a1.appendSnapshot(s.ctx))
+	page, err = s.log.Read(s.ctx, catalogue.Stream, 0)
+	is.NoErr(err)
+	through := page.Next - 1
+	s.awaitOffset(configurationBound, through, a1)
+	is.Equal(a1.catalogueQueries.Current().Entries(), entries)
+
+	fresh := s.prepare("a3", "a").start()
+	behind.log.set(logFault{})
+	s.awaitOffset(configurationBound, through, fresh, behind)
+	for _, n := range s.all() {
+		is.Equal(n.catalogueQueries.Current().Entries(), entries)
+	}
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -51,6 +51,9 @@
 	closed atomic.Bool
 	// refusing is set once the balancer has had time to notice the leaving.
 	refusing atomic.Bool
+	// timing is that of the terms; its zero fields stand for the defaults.
+	timing    ownership.Timing
+	snapshots snapshotPolicy
 
 	catalogueCommands catalogue.Commands
 	catalogueQueries  catalogue.Queries
@@ -107,6 +110,8 @@
 		Ready:    func(string, string) {},
 		self:     peer.Hello{Instance: s.Instance.Name, Incarnation: uuid.NewString(), DataCentre: s.Instance.DataCentre},
 		recent:   newRecentRecords(),
+
+		snapshots: defaultSnapshots(),
 		counters: counters{
 			refusals: counter.NewSet("refusals"), retries: counter.NewSet("retries"),
 			failures: counter.NewSet("stepFailures"), dropped: counter.NewSet("droppedResults"),
@@ -150,7 +155,7 @@
 
 func (i *Instance) buildOwnership() {
 	self := ownership.Self{Instance: i.self.Instance, Incarnation: i.self.Incarnation, DataCentre: i.self.DataCentre}
-	terms := ownership.NewTable(self, ownership.DefaultTiming(), ownership.NewState(0), time.Now())
+	terms := ownership.NewTable(self, i.timing, ownership.NewState(0), time.Now())
 	terms.Logger = i.Logger
 	i.ownershipCommands, i.ownershipQueries = terms.Commands(), terms.Queries()
 	i.keeper = &ownership.Keeper{
