End holds early everywhere and with the take-out

A hold also outlived the take-out that the catalogue records, so that a data centre stayed closed after its return, and the end of a hold was ignored if the clock of its instance lagged behind that of the one that placed the hold. A name that is not in the catalogue was accepted.

The digest now holds the end of a hold for as long as the replaced one can last, a catalogue that takes a data centre out ends its hold on every instance with the same sequence number, and a new hold gets a number above the known one. Reordered digests were ruled out as the cause: a lower sequence number never counted.

--- a/catalogue/commands.go
+++ b/catalogue/commands.go
@@ -71,9 +71,11 @@
 
 // adopt swaps the view. The caller holds the lock.
 func (c Commands) adopt(v view, next Catalogue, recent []Raw) {
+	now := time.Now()
+	v.holds = v.holds.withTakenOut(v.catalogue, next, now)
 	v.catalogue = next
 	v.recent = recent
-	v.adoptedAt = time.Now()
+	v.adoptedAt = now
 	c.table.current.Store(&v)
 }
 
--- a/catalogue/hold.go
+++ b/catalogue/hold.go
@@ -54,3 +54,18 @@
 	next[hold.DataCentre] = hold
 	return Holds{byDataCentre: next}, true
 }
+
+// withTakenOut ends the holds on data centres that a newer catalogue takes out,
+// which records what they stand for. The end has the next sequence number on
+// every instance, so that it counts more than the hold that an instance with an
+// older catalogue passes on.
+func (h Holds) withTakenOut(before, after Catalogue, now time.Time) Holds {
+	for _, hold := range h.All() {
+		if now.Before(hold.Ends) && after.IsTakenOut(hold.DataCentre) && !before.IsTakenOut(hold.DataCentre) {
+			hold.Ends = now
+			hold.Sequence++
+			h, _ = h.With(hold)
+		}
+	}
+	return h
+}
--- a/instance/catalogue.go
+++ b/instance/catalogue.go
@@ -123,9 +123,15 @@
 func (i *Instance) followOpen() {
 	now := time.Now()
 	open := i.catalogueQueries.IsOpen(i.self.DataCentre, now)
-	if closed := !open; i.closed.Swap(closed) != closed && closed {
+	closed := !open
+	if i.closed.Swap(closed) == closed {
+		return
+	}
+	if closed {
 		i.backendCommands.Cool(now)
 	}
+	// Steps that wait here are refused, or may be served now.
+	i.dispatchCommands.Wake()
 }
 
 // serverSpecs returns the backend servers of this instance's data centre.
--- /dev/null
+++ b/instance/load_test.go
@@ -0,0 +1,131 @@
+package instance
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// loadLimit bounds the time of a load whose test never stops it.
+const loadLimit = time.Minute
+
+// load sends requests until it is stopped and keeps the answers.
+type load struct {
+	stop func()
+
+	mu       sync.Mutex
+	verdicts map[string]int
+	// lastSent is when the latest request that was answered had been sent.
+	lastSent time.Time
+}
+
+// startLoad sends requests for a target to instances, some at a time to each.
+func (s *site) startLoad(target string, atOnce int, nodes ...*node) *load {
+	ctx, cancel := context.WithTimeout(s.ctx, loadLimit)
+	l := &load{verdicts: map[string]int{}}
+	var senders sync.WaitGroup
+	for _, n := range nodes {
+		for range atOnce {
+			senders.Go(func() {
+				for ctx.Err() == nil {
+					sent := time.Now()
+					l.note(sent, verdictOf(n.ask(target, "")))
+				}
+			})
+		}
+	}
+	l.stop = func() {
+		cancel()
+		senders.Wait()
+	}
+	s.t.Cleanup(l.stop)
+	return l
+}
+
+func (l *load) note(sent time.Time, verdict string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.verdicts[verdict]++
+	if sent.After(l.lastSent) {
+		l.lastSent = sent
+	}
+}
+
+func (l *load) sentAfter(at time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lastSent.After(at)
+}
+
+// String lists the verdicts with their numbers.
+func (l *load) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var parts []string
+	for _, v := range slices.Sorted(maps.Keys(l.verdicts)) {
+		parts = append(parts, fmt.Sprintf("%s: %d", v, l.verdicts[v]))
+	}
+	return strings.Join(parts, ", ")
+}
+
+// isAllRan reports whether there were requests and all of them ran.
+func (l *load) isAllRan() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.verdicts) == 1 && l.verdicts["ran"] > 0
+}
+
+// startWatch keeps when a backend server last began to serve a request.
+type startWatch struct {
+	stop func()
+
+	mu    sync.Mutex
+	last  map[string]time.Time
+	count map[string]int64
+}
+
+// watchStarts watches the backend servers until stop.
+func (s *site) watchStarts() *startWatch {
+	ctx, cancel := context.WithCancel(s.ctx)
+	w := &startWatch{last: map[string]time.Time{}, count: map[string]int64{}}
+	var sampling sync.WaitGroup
+	servers := maps.Clone(s.servers)
+	sampling.Go(func() {
+		_ = every(ctx, 5*time.Millisecond, func(context.Context) {
+			for name, x := range servers {
+				w.note(name, x.Counts()["started"])
+			}
+		})
+	})
+	w.stop = func() {
+		cancel()
+		sampling.Wait()
+	}
+	s.t.Cleanup(w.stop)
+	return w
+}
+
+func (w *startWatch) note(name string, started int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if started > w.count[name] {
+		w.count[name], w.last[name] = started, time.Now()
+	}
+}
+
+// lastIn returns when a server whose name has the suffix last began to serve.
+func (w *startWatch) lastIn(suffix string) time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var last time.Time
+	for name, at := range w.last {
+		if strings.HasSuffix(name, suffix) && at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
--- a/instance/operator.go
+++ b/instance/operator.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
 	"lycheecrank.example/backend"
@@ -67,14 +69,34 @@
 	return s
 }
 
-// hold places a hold on a data centre.
+// errUnknownDataCentre is returned for a hold on a data centre that is not in
+// the catalogue.
+var errUnknownDataCentre = errors.New("data centre is not in the catalogue")
+
+// hold places a hold on a data centre; the duration 0 ends the hold.
 func (i *Instance) hold(_ context.Context, dataCentre, by string, d time.Duration) (time.Time, error) {
+	c := i.catalogueQueries.Current()
+	if _, known := c.Entry(catalogue.DataCentreKind, dataCentre); !known && i.catalogueQueries.Known() {
+		return time.Time{}, eris.Wrap(errUnknownDataCentre, dataCentre)
+	}
 	now := time.Now()
 	h := catalogue.Hold{
 		DataCentre: dataCentre, Operator: by,
-		Ends: now.Add(min(d, catalogue.MaxHold)), Sequence: uint64(now.UnixMicro()),
+		Ends: now.Add(min(max(d, 0), catalogue.MaxHold)), Sequence: i.nextHold(dataCentre, now),
 	}
 	i.catalogueCommands.Hold(h)
 	i.followOpen()
 	return h.Ends, nil
 }
+
+// nextHold returns the sequence number of a new hold. It is above that of the
+// known one, which an instance whose clock is ahead may have placed.
+func (i *Instance) nextHold(dataCentre string, now time.Time) uint64 {
+	next := uint64(now.UnixMicro())
+	for _, h := range i.catalogueQueries.Holds().All() {
+		if h.DataCentre == dataCentre {
+			next = max(next, h.Sequence+1)
+		}
+	}
+	return next
+}
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -71,7 +71,9 @@
 	}
 	now := time.Now()
 	for _, h := range i.catalogueQueries.Holds().All() {
-		if now.Before(h.Ends) {
+		// A hold that was ended early is passed on as long as the one that it
+		// replaces could still last on another instance.
+		if now.Sub(h.Ends) < catalogue.MaxHold {
 			d.Holds = append(d.Holds, peer.Hold{
 				DataCentre: h.DataCentre, Operator: h.Operator,
 				EndsInMs: h.Ends.Sub(now).Milliseconds(), Sequence: h.Sequence,
--- a/peer/digest.go
+++ b/peer/digest.go
@@ -12,7 +12,7 @@
 	// CatalogueOffset and OwnershipOffset are the last applied offsets.
 	CatalogueOffset uint64 `msgpack:"catalogueOffset"`
 	OwnershipOffset uint64 `msgpack:"ownershipOffset"`
-	// Holds are the holds on data centres that have not ended.
+	// Holds are the holds on data centres, with those that have ended lately.
 	Holds []Hold `msgpack:"holds,omitempty"`
 	// LogContactAgeMs is the time since the log last answered.
 	LogContactAgeMs int64 `msgpack:"logContactAgeMs"`
@@ -35,7 +35,7 @@
 type Hold struct {
 	DataCentre string `msgpack:"dataCentre"`
 	Operator   string `msgpack:"operator"`
-	// EndsInMs is the time until the hold ends by itself.
+	// EndsInMs is the time until the hold ends; negative if it has ended.
 	EndsInMs int64 `msgpack:"endsInMs"`
 	// Sequence orders the holds of a data centre.
 	Sequence uint64 `msgpack:"sequence"`
