Read the claims to their end before a key is called not run

GetOutcome answered notRun for a key that ran at another instance, if the record of its claim had not arrived: with the log cut off or its tail late. The claimer was ruled out as a cause, since it reads its own record back before it decides. The status of a key that no claim here stands for now needs the end of the stream, and is mayHaveRun with claimLogUnavailable if that can't be read. Before, TestOutcomeOfKey saw not_run for a key that ran, with the tail late and with the log down; it now sees ran and may_have_run.

A read of a stream whose pages are empty before its end fails now instead of being repeated without a pause, here and in the replay of the catalogue.

--- a/instance/catalogue.go
+++ b/instance/catalogue.go
@@ -61,6 +61,9 @@
 		if err != nil {
 			return err
 		}
+		if len(next.Records) == 0 && read < next.Next {
+			return eris.Wrapf(platform.ErrUnavailable, "read %s: a page before the end is empty", catalogue.Stream)
+		}
 		page.Records, page.Next = next.Records, next.Next
 	}
 	c, _, err := catalogue.Replay(numbered)
--- a/instance/claim.go
+++ b/instance/claim.go
@@ -6,6 +6,8 @@
 	"errors"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"lycheecrank.example/caller"
 	"lycheecrank.example/claim"
 	"lycheecrank.example/codec"
@@ -30,20 +32,41 @@
 		return i.claimCommands.Begin(stream, page.Earliest, since)
 	}
 	next := func() uint64 { return i.claimQueries.Through(stream) + 1 }
-	apply := func(records []platform.Record) error {
-		if len(records) == 0 {
+	apply := func(records []platform.Record) error { return i.applyClaims(stream, records) }
+	return i.follower(stream, begin, next, apply)
+}
+
+func (i *Instance) applyClaims(stream string, records []platform.Record) error {
+	if len(records) == 0 {
+		return nil
+	}
+	decoded := make([]claim.Record, len(records))
+	for n, r := range records {
+		if err := codec.Unmarshal(r.Data, &decoded[n]); err != nil {
+			i.Logger.Write(event.LogRecordUnread, stream, r.Offset, err)
+			decoded[n] = claim.Record{}
+		}
+	}
+	return i.claimCommands.Apply(stream, records[0].Offset, decoded)
+}
+
+// readClaims applies the records of a stream of claims through its present end.
+func (i *Instance) readClaims(ctx context.Context, stream string) error {
+	for {
+		page, err := i.platformLog.Read(ctx, stream, i.claimQueries.Through(stream)+1)
+		if err != nil {
+			return err
+		}
+		if err := i.applyClaims(stream, page.Records); err != nil {
+			return err
+		}
+		if i.claimQueries.Through(stream)+1 >= page.Next {
 			return nil
 		}
-		decoded := make([]claim.Record, len(records))
-		for n, r := range records {
-			if err := codec.Unmarshal(r.Data, &decoded[n]); err != nil {
-				i.Logger.Write(event.LogRecordUnread, stream, r.Offset, err)
-				decoded[n] = claim.Record{}
-			}
+		if len(page.Records) == 0 {
+			return eris.Wrapf(platform.ErrUnavailable, "read %s: a page before the end is empty", stream)
 		}
-		return i.claimCommands.Apply(stream, records[0].Offset, decoded)
 	}
-	return i.follower(stream, begin, next, apply)
 }
 
 // appendClaims appends records of claims in one append.
@@ -102,11 +125,25 @@
 }
 
 // keyStatus tells what became of a key.
-func (i *Instance) keyStatus(_ context.Context, workspace, text string) caller.KeyStatus {
+func (i *Instance) keyStatus(ctx context.Context, workspace, text string) caller.KeyStatus {
 	key, err := claim.ParseKey(text)
 	if err != nil {
 		return caller.KeyStatus{Outcome: request.MayHaveRun, Failure: request.Refuse(request.ReasonKeyMalformed, "the key is no UUIDv7")}
 	}
+	status := i.statusOf(key, workspace)
+	if status.Outcome != request.NotRun {
+		return status
+	}
+	// Another instance may have claimed the key in a record that has not arrived
+	// here, so that only the end of the stream shows that the key didn't run.
+	if err := i.readClaims(ctx, claim.StreamName(claim.StreamOf(key))); err != nil {
+		return caller.KeyStatus{Outcome: request.MayHaveRun, Failure: request.Refuse(request.ReasonClaimLogUnavailable, "the claims of the key can't be read now")}
+	}
+	return i.statusOf(key, workspace)
+}
+
+// statusOf tells what became of a key by the records that this instance has.
+func (i *Instance) statusOf(key claim.Key, workspace string) caller.KeyStatus {
 	state, known := i.claimQueries.State(key)
 	_, stands := state.Standing()
 	switch {
--- /dev/null
+++ b/instance/claim_test.go
@@ -0,0 +1,199 @@
+package instance
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+	"github.com/sebdah/goldie/v2"
+
+	callerv1 "lycheecrank.example/api/caller/v1"
+	"lycheecrank.example/catalogue"
+	"lycheecrank.example/pipeline"
+	"lycheecrank.example/platform"
+	"lycheecrank.example/request"
+)
+
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
+
+// executed returns how many calls that may not be repeated the plain services
+// have executed.
+func (s *site) executed() int64 {
+	total := int64(0)
+	for _, x := range s.servers {
+		total += x.Counts()["executed"]
+	}
+	return total
+}
+
+// askAtOnce sends one key to some instances at the same time and returns the
+// verdicts and the number of executions.
+func (s *site) askAtOnce(key string, nodes ...*node) ([]string, int64) {
+	before := s.executed()
+	verdicts := make([]string, len(nodes))
+	var asking sync.WaitGroup
+	for i, n := range nodes {
+		asking.Go(func() { verdicts[i] = verdictOf(n.ask("file", key)) })
+	}
+	asking.Wait()
+	return verdicts, s.executed() - before
+}
+
+// Guards against a key that runs at two instances at once, and against a loser
+// that calls the key not run. In the broken variant every instance grants the
+// claim itself.
+func TestSameKeyAtOnceRunsOnce(t *testing.T) {
+	t.Parallel()
+	for _, broken := range []bool{false, true} {
+		t.Run(fmt.Sprintf("broken %v", broken), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newSite(t, siteOptions{ServiceTime: 20 * time.Millisecond}, "a", "b")
+			s.startNodes(func(n *node) {
+				if broken {
+					n.runner.Claim = func(context.Context, request.Request) (pipeline.Claimed, error) {
+						return pipeline.Claimed{Finish: func(request.Outcome, []byte) {}}, nil
+					}
+				}
+			}, "a1", "a2", "b1")
+			s.awaitServing(setupBound, "status", s.all()...)
+			for range 10 {
+				verdicts, executed := s.askAtOnce(newKey(), s.all()...)
+				if broken {
+					is.True(executed > 1) // the check sees the second execution
+					continue
+				}
+				all := strings.Join(verdicts, ", ")
+				is.Equal(executed, int64(1))
+				is.True(strings.Contains(all, "ran"))
+				is.True(!strings.Contains(all, "not_run")) // the winner runs it
+			}
+		})
+	}
+}
+
+// Guards against a key that runs twice, or is refused untruthfully, after a
+// lost answer, an outage, a repeat, or its use for another request.
+func TestAtMostOnce(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, siteOptions{}, "a", "b")
+	s.startNodes(nil, "a1", "b1")
+	a1, b1 := s.nodes["a1"], s.nodes["b1"]
+	s.awaitServing(setupBound, "status", a1, b1)
+	var table strings.Builder
+	ran := newKey()
+	down := newKey()
+	unread := newKey()
+	other := &callerv1.RunRequest{Workspace: "museum", Target: "file", Key: ran, Input: []byte("helmet"), TimeoutMs: askTimeout.Milliseconds()}
+	changed := &callerv1.RunRequest{Workspace: "lab", Target: "file", Key: ran, Input: []byte("bell"), TimeoutMs: askTimeout.Milliseconds()}
+	for _, c := range []struct {
+		name  string
+		fault logFault
+		ask   func() *callerv1.RunResponse
+	}{
+		{"answer of the claim's append lost", logFault{LoseAnswer: true}, func() *callerv1.RunResponse { return a1.ask("file", ran) }},
+		{"again at the same instance", logFault{}, func() *callerv1.RunResponse { return a1.ask("file", ran) }},
+		{"again at another instance", logFault{}, func() *callerv1.RunResponse { return b1.ask("file", ran) }},
+		{"another workspace with the key", logFault{}, func() *callerv1.RunResponse { return b1.send(other) }},
+		{"another input with the key", logFault{}, func() *callerv1.RunResponse { return b1.send(changed) }},
+		{"log down", logFault{Down: true}, func() *callerv1.RunResponse { return a1.ask("file", down) }},
+		{"log up again", logFault{}, func() *callerv1.RunResponse { return a1.ask("file", down) }},
+		{"claim appended but not read back", logFault{TailFrozen: true}, func() *callerv1.RunResponse { return a1.ask("file", unread) }},
+		{"the same once the claim was given back", logFault{}, func() *callerv1.RunResponse { return s.awaitRan(b1, unread) }},
+	} {
+		a1.log.set(c.fault)
+		before := s.executed()
+		a := c.ask()
+		fmt.Fprintf(&table, "%-42s %-32s executed %d\n", c.name, verdictOf(a), s.executed()-before)
+		a1.log.set(logFault{})
+	}
+	goldie.New(t).Assert(t, "atMostOnce", []byte(table.String()))
+}
+
+// awaitRan asks for a key until it ran, and returns the last answer.
+func (s *site) awaitRan(n *node, key string) *callerv1.RunResponse {
+	var a *callerv1.RunResponse
+	s.await(configurationBound, "the key runs", func() bool {
+		a = n.ask("file", key)
+		return a.GetOutcome() == callerv1.Outcome_OUTCOME_RAN
+	})
+	return a
+}
+
+// outcomeOf asks an instance what became of a key.
+func (n *node) outcomeOf(workspace, key string) (verdict, output string) {
+	res, err := n.client.GetOutcome(n.site.ctx, connect.NewRequest(&callerv1.GetOutcomeRequest{Workspace: workspace, Key: key}))
+	if err != nil {
+		return err.Error(), ""
+	}
+	return verdictOf(&callerv1.RunResponse{Outcome: res.Msg.GetOutcome(), Refusal: res.Msg.GetRefusal()}), string(res.Msg.GetOutput())
+}
+
+// Guards against an instance that calls a key not run which ran at another one,
+// because the records of the claim have not arrived, and against a workspace
+// that reads the outcome of another one's key.
+func TestOutcomeOfKey(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, siteOptions{}, "a", "b")
+	s.startNodes(nil, "a1", "b1")
+	a1, b1 := s.nodes["a1"], s.nodes["b1"]
+	s.awaitServing(setupBound, "status", a1, b1)
+	var table strings.Builder
+	for _, c := range []struct {
+		name      string
+		fault     logFault
+		workspace string
+		run       bool
+	}{
+		{"ran here or elsewhere", logFault{}, "lab", true},
+		{"ran, tail late", logFault{TailFrozen: true}, "lab", true},
+		{"ran, log down", logFault{Down: true}, "lab", true},
+		{"ran, another workspace asks", logFault{}, "museum", true},
+		{"ran, another workspace asks, tail late", logFault{TailFrozen: true}, "museum", true},
+		{"never sent", logFault{}, "lab", false},
+		{"never sent, log down", logFault{Down: true}, "lab", false},
+	} {
+		a1.log.set(c.fault)
+		key := newKey()
+		if c.run && verdictOf(b1.ask("file", key)) != "ran" {
+			t.Fatal("the request didn't run:", c.name)
+		}
+		verdict, output := a1.outcomeOf(c.workspace, key)
+		fmt.Fprintf(&table, "%-40s %-34s %s\n", c.name, verdict, strings.Map(withoutDigits, output))
+		a1.log.set(logFault{})
+	}
+	goldie.New(t).Assert(t, "outcomeOfKey", []byte(table.String()))
+}
+
+// withoutDigits drops the totals of outputs.
+func withoutDigits(r rune) rune {
+	if r >= '0' && r <= '9' {
+		return -1
+	}
+	return r
+}
+
+// Guards against a loop without a pause while the log serves pages without
+// records before the end of a stream.
+func TestEmptyPagesEndReads(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, siteOptions{}, "a")
+	n := s.prepare("a1", "a")
+	reads := 0
+	n.platformLog = n.bounded(&platform.Log{Read: func(context.Context, string, uint64) (platform.Page, error) {
+		if reads++; reads > 100 {
+			return platform.Page{Earliest: 1, Next: 1}, nil
+		}
+		return platform.Page{Earliest: 1, Next: 5}, nil
+	}})
+	is.True(n.readClaims(t.Context(), "claims.0") != nil)
+	is.True(n.replayCatalogue(t.Context(), platform.Page{Earliest: 1, Next: 5, Records: []platform.Record{{Offset: 1}}}) != nil)
+	is.Equal(reads, 2)
+	is.Equal(n.catalogueQueries.Current().Offset, catalogue.Catalogue{}.Offset)
+}
--- a/instance/faultylog_test.go
+++ b/instance/faultylog_test.go
@@ -16,6 +16,8 @@
 	Down bool
 	// Frozen holds calls and tails until the fault ends.
 	Frozen bool
+	// TailFrozen holds the tails alone.
+	TailFrozen bool
 	// Delay comes before each call.
 	Delay time.Duration
 	// LoseAnswer reports a failure after an append took effect.
@@ -57,7 +59,12 @@
 // pass applies the faults that come before the effect of a call.
 func (l *faultyLog) pass(ctx context.Context) (logFault, error) {
 	f, changed := l.current()
-	for f.Frozen {
+	return l.released(ctx, f, changed, func(f logFault) bool { return f.Frozen })
+}
+
+// released waits while the fault holds a call.
+func (l *faultyLog) released(ctx context.Context, f logFault, changed <-chan struct{}, holds func(logFault) bool) (logFault, error) {
+	for holds(f) {
 		select {
 		case <-changed:
 			f, changed = l.current()
@@ -114,7 +121,8 @@
 		}
 	})
 	err := l.inner.Tail(ctx, stream, from, func(records []platform.Record) error {
-		if _, err := l.pass(ctx); err != nil {
+		f, changed := l.current()
+		if _, err := l.released(ctx, f, changed, func(f logFault) bool { return f.Frozen || f.TailFrozen }); err != nil {
 			return err
 		}
 		return take(records)
