--- /dev/null
+++ b/instance/stop_test.go
@@ -0,0 +1,132 @@
+package instance
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/matryer/is"
+
+	callerv1 "lycheecrank.example/api/caller/v1"
+)
+
+// streamed runs a pipeline as a stream and returns what is wrong with it, or an
+// empty string.
+func (n *node) streamed(ctx context.Context) string {
+	stream, err := n.client.RunStream(ctx, connect.NewRequest(&callerv1.RunRequest{
+		Workspace: "lab", Target: "findings", Input: []byte("helmet"), TimeoutMs: 20_000,
+	}))
+	if err != nil {
+		return err.Error()
+	}
+	digest := sha256.New()
+	var end *callerv1.StreamEnd
+	for stream.Receive() {
+		switch e := stream.Msg().GetEvent().(type) {
+		case *callerv1.RunEvent_Piece:
+			_, _ = digest.Write(e.Piece.GetData())
+		case *callerv1.RunEvent_Restart:
+			digest.Reset()
+		case *callerv1.RunEvent_End:
+			end = e.End
+		}
+	}
+	switch {
+	case stream.Err() != nil:
+		return stream.Err().Error()
+	case end == nil:
+		return "no end mark"
+	case end.GetResponse().GetOutcome() != callerv1.Outcome_OUTCOME_RAN:
+		return verdictOf(end.GetResponse())
+	case string(digest.Sum(nil)) != string(end.GetSha256()):
+		return "pieces don't match the end mark"
+	}
+	return ""
+}
+
+// Guards against a stop that cuts streams off, fails requests of neighbours, or
+// leaves pools without an owner until the lease is over. The broken variant
+// doesn't wait for the requests in flight.
+func TestGracefulStop(t *testing.T) {
+	t.Parallel()
+	for _, broken := range []bool{false, true} {
+		t.Run(fmt.Sprintf("broken %v", broken), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newSite(t, siteOptions{TokensPerSecond: 16}, "a")
+			s.startNodes(func(n *node) {
+				if broken {
+					n.Settings.Drain.Limit = time.Millisecond
+				}
+			}, "a1", "a2")
+			s.awaitServing(setupBound, "findings", s.all()...)
+			s.awaitServing(setupBound, "status", s.all()...)
+			leaving, neighbour := s.ownerOf("models"), s.nodes["a1"]
+			if leaving == neighbour {
+				neighbour = s.nodes["a2"]
+			}
+			pools := leaving.ownershipQueries.State().Terms()
+			l := s.startLoad("status", 2, neighbour)
+			before := s.servers["models-a"].Counts()["started"]
+			faults := make([]string, 4)
+			var streams sync.WaitGroup
+			for i := range faults {
+				n := s.all()[i%2]
+				streams.Go(func() { faults[i] = n.streamed(s.ctx) })
+			}
+			s.await(setupBound, "streams at the engine", func() bool {
+				return leaving.requestQueries.InFlight() == 2 && s.servers["models-a"].Counts()["started"] > before
+			})
+
+			leaving.stop()
+			err := <-leaving.done
+			if broken {
+				is.True(errors.Is(err, ErrRequestsCutOff))
+				streams.Wait()
+				l.stop()
+				return
+			}
+			is.NoErr(err)
+			released := time.Now()
+			s.await(leavingBound, "all pools owned by the neighbour, with cold servers", func() bool {
+				for _, p := range pools {
+					if !neighbour.ownershipQueries.Rights(p.Key.Pool, time.Now()).Cold {
+						return false
+					}
+				}
+				return true
+			})
+			t.Logf("released terms taken after %v", time.Since(released))
+			streams.Wait()
+			for _, f := range faults {
+				is.Equal(f, "")
+			}
+			is.Equal(verdictOf(neighbour.ask("findings", "")), "ran")
+			l.stop()
+			if !l.isAllRan() {
+				t.Error("requests at the neighbour that didn't run:", l)
+			}
+		})
+	}
+}
+
+// ownerOf waits until a pool of data centre a has an owner and returns it.
+func (s *site) ownerOf(pool string) *node {
+	s.t.Helper()
+	var owner *node
+	s.await(setupBound, "an owner of "+pool, func() bool {
+		for _, n := range s.all() {
+			if n.self.DataCentre == "a" && n.ownershipQueries.Rights(pool, time.Now()).Cold {
+				owner = n
+				return true
+			}
+		}
+		return false
+	})
+	return owner
+}
