--- /dev/null
+++ b/instance/leaving_test.go
@@ -0,0 +1,58 @@
+package instance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lycheecrank.example/standin"
+	"lycheecrank.example/standin/fault"
+)
+
+// Guards against new work for a backend server later than 5 s after it said
+// that it is leaving, whichever of the two signs comes. A sign may lag so much
+// that the interval in which it is read (2 s for the list, 1 s for load reports)
+// still fits into the 5 s. In the broken variant no sign comes.
+func TestLeavingServerGetsNoNewWork(t *testing.T) {
+	t.Parallel()
+	const listLag, loadLag = 2 * time.Second, 3 * time.Second
+	for _, c := range []struct {
+		name             string
+		listLag, loadLag time.Duration
+		listDown         bool
+		fault            fault.Fault
+		broken           bool
+	}{
+		{name: "by the list", fault: fault.Fault{Leaving: true, Method: "Load", Fail: true}},
+		{name: "by the list, late", listLag: listLag, fault: fault.Fault{Leaving: true, Method: "Load", Fail: true}},
+		{name: "by its load report, list down", listDown: true, fault: fault.Fault{Leaving: true}},
+		{name: "by its load report, late, list down", loadLag: loadLag, listDown: true, fault: fault.Fault{Leaving: true}},
+		{name: "by both, late", listLag: listLag, loadLag: loadLag, fault: fault.Fault{Leaving: true}},
+		{name: "by neither", listDown: true, fault: fault.Fault{Leaving: true, Method: "Load", Fail: true}, broken: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			o := siteOptions{Platform: standin.PlatformOptions{ListLag: c.listLag}, LoadLag: c.loadLag, ServiceTime: 20 * time.Millisecond}
+			s := newSite(t, o, "a", "b")
+			s.startNodes(nil, "a1", "b1")
+			s.awaitServing(setupBound, "status", s.all()...)
+			l := s.startLoad("status", 2, s.nodes["a1"])
+			server := s.servers["registry-a"]
+			for _, n := range s.all() {
+				n.list.set(c.listDown)
+			}
+			server.SetFault(c.fault)
+			left := time.Now()
+			s.await(setupBound, "requests after the bound", func() bool { return l.sentAfter(left.Add(leavingBound)) })
+			l.stop()
+			late := server.Counts()["lastStartWhileLeavingMs"] > leavingBound.Milliseconds()
+			is.Equal(late, c.broken)                                         // work after the bound
+			is.True(server.Counts()["startedWhileLeaving"] > 0 || !c.broken) // the load reaches the server
+			if !l.isAllRan() {
+				t.Error("requests that didn't run:", l)
+			}
+		})
+	}
+}
