--- /dev/null
+++ b/instance/settings_test.go
@@ -0,0 +1,285 @@
+package instance
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/matryer/is"
+
+	callerv1 "lycheecrank.example/api/caller/v1"
+	"lycheecrank.example/backend"
+	"lycheecrank.example/precedence"
+	"lycheecrank.example/settings"
+	"lycheecrank.example/standin"
+	"lycheecrank.example/standin/fault"
+)
+
+// settingChecks shows for each setting that an instance uses it.
+var settingChecks = map[string]func(t *testing.T){
+	"instance.name":       checkIdentity,
+	"instance.dataCentre": checkIdentity,
+	"listen.callers":      checkIdentity,
+	"listen.peers":        checkIdentity,
+	"platform.log":        checkPlatform,
+	"platform.instances":  checkPlatform,
+	// No instance orders a model to be loaded yet, so that nothing calls the
+	// weight store. The check fails once something does.
+	"platform.weights":          checkPlatform,
+	"workers":                   checkLimits,
+	"limits.maxMessageBytes":    checkLimits,
+	"limits.maxInFlight":        checkLimits,
+	"drain.balancerLag":         checkDrain,
+	"drain.limit":               checkDrain,
+	"log.level":                 checkLogLevel,
+	"precedence.signingKeyFile": checkPrecedence,
+	"precedence.buffer":         checkPrecedence,
+	"precedence.interval":       checkPrecedence,
+	"timeouts.peerDial":         checkTimeouts,
+	"timeouts.platform":         checkTimeouts,
+	"retry.budgetPerRequest":    checkRetry,
+	"retry.budgetBurst":         checkRetry,
+}
+
+// Guards against a setting that is read and has no effect.
+func TestEachSettingIsUsed(t *testing.T) {
+	t.Parallel()
+	lines := strings.Split(strings.TrimSpace(settings.Settings{}.String()), "\n")
+	seen := map[string]bool{}
+	var checks []string
+	for _, l := range lines {
+		path, _, _ := strings.Cut(l, ":")
+		if settingChecks[path] == nil {
+			t.Error("no check of the setting", path)
+			continue
+		}
+		if name := fmt.Sprintf("%p", settingChecks[path]); !seen[name] {
+			seen[name] = true
+			checks = append(checks, path)
+		}
+	}
+	for _, path := range slices.Sorted(slices.Values(checks)) {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			settingChecks[path](t)
+		})
+	}
+}
+
+// bareSettings returns settings of an instance whose platform never answers.
+func bareSettings(t *testing.T, more string) settings.Settings {
+	t.Helper()
+	text := `
+instance: {name: a1, dataCentre: a}
+platform: {log: "http://127.0.0.1:1", instances: "http://127.0.0.1:1", weights: "http://127.0.0.1:1"}
+` + more
+	s, err := settings.Read([]byte(text), "settings")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// runFor runs an instance until do returns, and returns the error of Run.
+func runFor(t *testing.T, i *Instance, do func(callers, peers string)) error {
+	t.Helper()
+	ctx, stop := context.WithCancel(t.Context())
+	i.Ready = func(callers, peers string) {
+		defer stop()
+		do(callers, peers)
+	}
+	return i.Run(ctx)
+}
+
+func mustNew(t *testing.T, s settings.Settings, out *bytes.Buffer) *Instance {
+	t.Helper()
+	i, err := New(s, out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return i
+}
+
+func checkIdentity(t *testing.T) {
+	is := is.New(t)
+	s := bareSettings(t, `
+listen: {callers: "127.0.0.2:0", peers: "127.0.0.3:0"}
+drain: {balancerLag: 0s}
+`)
+	i := mustNew(t, s, &bytes.Buffer{})
+	status := i.status(t.Context())
+	is.Equal(status.Instance, "a1")
+	is.Equal(status.DataCentre, "a")
+	_ = runFor(t, i, func(callers, peers string) {
+		is.True(strings.HasPrefix(callers, "127.0.0.2:"))
+		is.True(strings.HasPrefix(peers, "127.0.0.3:"))
+	})
+}
+
+func checkPlatform(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, siteOptions{})
+	list, weights := standin.NewPlatform(standin.PlatformOptions{}), standin.NewPlatform(standin.PlatformOptions{})
+	x := s.settingsOf("a1", "a")
+	x.Platform.Instances = "http://" + s.start(list)
+	x.Platform.Weights = "http://" + s.start(weights)
+	i := mustNew(t, x, &bytes.Buffer{})
+	is.NoErr(runFor(t, i, func(string, string) {
+		s.await(setupBound, "calls of the platform", func() bool {
+			return i.catalogueQueries.Known() && list.Counts()["calls.List"] > 0 && list.Counts()["calls.Announce"] > 0
+		})
+	}))
+	is.Equal(list.Counts()["calls.Tail"], int64(0))
+	is.Equal(s.platform.Counts()["calls.List"], int64(0))
+	is.Equal(len(weights.Counts()), 0)
+}
+
+func checkLimits(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, siteOptions{ServiceTime: 500 * time.Millisecond}, "a")
+	x := s.settingsOf("a1", "a")
+	x.Workers, x.Limits.MaxInFlight, x.Limits.MaxMessageBytes = 1, 3, 2048
+	n := s.prepare("a1", "a")
+	i := mustNew(t, x, &bytes.Buffer{})
+	n.Instance = i
+	n.start()
+	// The server is warm, so that only the number of workers holds steps back.
+	s.warmRegistry(n)
+	_, err := n.client.Run(t.Context(), connect.NewRequest(&callerv1.RunRequest{
+		Workspace: "lab", Target: "status", Input: make([]byte, 4096), TimeoutMs: 1000,
+	}))
+	is.Equal(connect.CodeOf(err), connect.CodeResourceExhausted)
+
+	most := s.servers["registry-a"].Counts()["mostInFlight"]
+	var asking sync.WaitGroup
+	for range 3 {
+		asking.Go(func() { n.ask("status", "") })
+	}
+	s.await(setupBound, "three requests in flight", func() bool { return n.requestQueries.InFlight() == 3 })
+	is.Equal(verdictOf(n.ask("status", "")), "not_run queueFull")
+	asking.Wait()
+	is.Equal(most, int64(1))
+	is.Equal(s.servers["registry-a"].Counts()["mostInFlight"], int64(1))
+}
+
+// warmRegistry sends requests until the server of the registry is warm.
+func (s *site) warmRegistry(n *node) {
+	s.t.Helper()
+	s.await(setupBound, "a warm server", func() bool {
+		n.ask("status", "")
+		return slices.ContainsFunc(n.backendQueries.Pool("registry"), func(b backend.Server) bool { return b.Allowed > 1 })
+	})
+}
+
+func checkDrain(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, siteOptions{ServiceTime: 20 * time.Second}, "a")
+	x := s.settingsOf("a1", "a")
+	x.Drain.BalancerLag, x.Drain.Limit = 2*time.Second, time.Second
+	n := s.prepare("a1", "a")
+	n.Instance = mustNew(t, x, &bytes.Buffer{})
+	n.start()
+	s.ownerOf("registry")
+	stopped := time.Now()
+	n.stop()
+	s.await(setupBound, "not ready", func() bool { return !n.isReady() })
+	var asking sync.WaitGroup
+	asking.Go(func() {
+		n.send(&callerv1.RunRequest{Workspace: "lab", Target: "status", TimeoutMs: 30_000})
+	})
+	s.await(x.Drain.BalancerLag, "a request is taken while the balancer lags", func() bool { return n.requestQueries.InFlight() == 1 })
+	err := <-n.done
+	took := time.Since(stopped)
+	is.True(errors.Is(err, ErrRequestsCutOff))                     // at the limit
+	is.True(took >= x.Drain.BalancerLag+x.Drain.Limit)             // not before
+	is.True(took < x.Drain.BalancerLag+x.Drain.Limit+setupBound/3) // and not with the request's end
+	asking.Wait()
+}
+
+func (n *node) isReady() bool {
+	res, err := http.Get("http://" + n.callers + "/health/ready")
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+func checkLogLevel(t *testing.T) {
+	is := is.New(t)
+	started := func(level string) bool {
+		var out bytes.Buffer
+		s := bareSettings(t, "listen: {callers: \"127.0.0.1:0\", peers: \"127.0.0.1:0\"}\ndrain: {balancerLag: 0s}\nlog: {level: "+level+"}\n")
+		_ = runFor(t, mustNew(t, s, &out), func(string, string) {})
+		return strings.Contains(out.String(), Version)
+	}
+	is.True(started("info"))
+	is.True(!started("error"))
+}
+
+func checkPrecedence(t *testing.T) {
+	is := is.New(t)
+	missing := filepath.Join(t.TempDir(), "key.pem")
+	s := bareSettings(t, "precedence: {buffer: 100, interval: 300ms, signingKeyFile: "+missing+"}\n")
+	_, err := New(s, &bytes.Buffer{})
+	is.True(errors.Is(err, os.ErrNotExist))
+	s.Precedence.SigningKeyFile = ""
+	i := mustNew(t, s, &bytes.Buffer{})
+	for range 150 {
+		i.decisions.Add(precedence.Record{Kind: precedence.Admission})
+	}
+	b, ok := i.decisions.TakeBatch(1000)
+	is.True(ok)
+	is.True(len(b.Records) <= 100)
+	is.Equal(i.recorder.Interval, 300*time.Millisecond)
+}
+
+func checkTimeouts(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, siteOptions{})
+	x := s.settingsOf("a1", "a")
+	x.Timeouts.Platform = 100 * time.Millisecond
+	x.Timeouts.PeerDial = time.Nanosecond
+	i := mustNew(t, x, &bytes.Buffer{})
+	s.platform.SetFault(fault.Fault{Freeze: true})
+	defer s.platform.SetFault(fault.Fault{})
+	ctx, cancel := context.WithTimeout(t.Context(), setupBound)
+	defer cancel()
+	_, err := i.platformLog.Read(ctx, "catalogue", 0)
+	is.True(err != nil)
+	_, err = i.platformLog.Append(ctx, "catalogue", nil)
+	is.True(err != nil)
+	is.NoErr(ctx.Err()) // the calls ended by their own bound
+
+	var config net.ListenConfig
+	l, err := config.Listen(ctx, "tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	_, err = i.peerClient.Dial(ctx, l.Addr().String())
+	var timeout net.Error
+	is.True(errors.As(err, &timeout) && timeout.Timeout())
+	is.NoErr(ctx.Err())
+}
+
+func checkRetry(t *testing.T) {
+	is := is.New(t)
+	i := mustNew(t, bareSettings(t, "retry: {budgetPerRequest: 0.5, budgetBurst: 2}\n"), &bytes.Buffer{})
+	b := i.runner.Budget
+	is.True(b.Take() && b.Take())
+	is.True(!b.Take()) // the burst is used up
+	b.Earn()
+	is.True(!b.Take())
+	b.Earn()
+	is.True(b.Take()) // two requests earn one retry
+}
