--- a/catalogue/file.go
+++ b/catalogue/file.go
@@ -58,6 +58,9 @@
 	deleteLines []int
 	// partial tells that some entries could not be read.
 	partial bool
+	// faulty is what could be read of a file with faults. It serves to find
+	// further faults only.
+	faulty *File
 }
 
 // MaxFileBytes bounds the size of a file; the 600 servers and 230 workspaces of
@@ -66,12 +69,12 @@
 
 // ReadFile reads a catalogue file. The name stands in the messages. All faults
 // that can be found without the rest of the catalogue are reported at once, as
-// FileFaults; the file then holds the entries that could be read.
+// FileFaults; no part of such a file is to be used.
 func ReadFile(data []byte, name string) (File, error) {
 	r := fileReader{name: name, file: File{lines: map[ID]map[string]int{}}}
 	r.read(data)
 	if len(r.found) > 0 {
-		return r.file, r.faults()
+		return File{faulty: &r.file}, r.faults()
 	}
 	return r.file, nil
 }
@@ -80,13 +83,13 @@
 // with those that the file would have beside the entries of a catalogue. If some
 // entries could not be read it adds none, since others may refer to them.
 func (f File) CheckFurther(c Catalogue, found FileFaults) error {
-	if f.partial {
+	if f.faulty == nil || f.faulty.partial {
 		return found
 	}
-	r := fileReader{name: found.Name, file: f, found: slices.Clone(found.Faults)}
-	for _, fault := range Check(f.merged(c)) {
+	r := fileReader{name: found.Name, found: slices.Clone(found.Faults)}
+	for _, fault := range Check(f.faulty.merged(c)) {
 		if fault.Reference {
-			r.fault(f.line(fault.ID, fault.Field), fault.ID.String()+"."+fault.Field, "%s", fault.Message)
+			r.fault(f.faulty.line(fault.ID, fault.Field), fault.ID.String()+"."+fault.Field, "%s", fault.Message)
 		}
 	}
 	return r.faults()
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -51,6 +51,11 @@
 	closed atomic.Bool
 	// refusing is set once the balancer has had time to notice the leaving.
 	refusing atomic.Bool
+	// handingOver is set once this instance dispatches no new steps.
+	handingOver atomic.Bool
+	// timing is that of the terms; its zero fields stand for the defaults.
+	timing    ownership.Timing
+	snapshots snapshotPolicy
 
 	catalogueCommands catalogue.Commands
 	catalogueQueries  catalogue.Queries
@@ -107,6 +112,8 @@
 		Ready:    func(string, string) {},
 		self:     peer.Hello{Instance: s.Instance.Name, Incarnation: uuid.NewString(), DataCentre: s.Instance.DataCentre},
 		recent:   newRecentRecords(),
+
+		snapshots: defaultSnapshots(),
 		counters: counters{
 			refusals: counter.NewSet("refusals"), retries: counter.NewSet("retries"),
 			failures: counter.NewSet("stepFailures"), dropped: counter.NewSet("droppedResults"),
@@ -150,12 +157,12 @@
 
 func (i *Instance) buildOwnership() {
 	self := ownership.Self{Instance: i.self.Instance, Incarnation: i.self.Incarnation, DataCentre: i.self.DataCentre}
-	terms := ownership.NewTable(self, ownership.DefaultTiming(), ownership.NewState(0), time.Now())
+	terms := ownership.NewTable(self, i.timing, ownership.NewState(0), time.Now())
 	terms.Logger = i.Logger
 	i.ownershipCommands, i.ownershipQueries = terms.Commands(), terms.Queries()
 	i.contact.heard = i.ownershipCommands.Heard
 	i.keeper = &ownership.Keeper{
-		Table: terms, Append: i.appendOwnership, Pools: i.ownPools,
+		Table: terms, Append: i.appendOwnership, Pools: i.keptPools,
 		Candidates: i.candidates, IsIdle: i.hasNoWork,
 	}
 }
