--- a/ownership/lab_test.go
+++ b/ownership/lab_test.go
@@ -43,6 +43,7 @@
 // lab runs nodes with clocks of their own against one log, on the clock of a
 // synctest bubble, and checks their rights.
 type lab struct {
+	running sync.WaitGroup
 	variant variant
 	start   time.Time
 
@@ -106,8 +107,8 @@
 	}
 	l.nodes[name] = n
 	l.mu.Unlock()
-	go n.keeper.Run(ctx)
-	go n.tail()
+	l.running.Go(func() { n.keeper.Run(ctx) })
+	l.running.Go(n.tail)
 	return n
 }
 
@@ -194,14 +195,14 @@
 		return errLost
 	}
 	arrived := make(chan struct{})
-	go func() {
+	n.lab.running.Go(func() {
 		time.Sleep(k.appendDelay)
 		for _, r := range records {
 			n.lab.land(r)
 		}
 		close(arrived)
 		time.Sleep(k.answerDelay)
-	}()
+	})
 	answer := time.NewTimer(k.appendDelay + k.answerDelay)
 	defer answer.Stop()
 	select {
--- a/ownership/random_test.go
+++ b/ownership/random_test.go
@@ -224,12 +224,12 @@
 		l.set(n, func(n *node) { n.left = true })
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		done := make(chan struct{})
-		go func() {
+		l.running.Go(func() {
 			defer close(done)
 			defer cancel()
 			_ = n.keeper.Release(ctx)
 			l.set(n, func(n *node) { n.dead = true })
-		}()
+		})
 		return
 	}
 	l.set(n, func(n *node) { n.dead = true })
--- a/precedence/recorder_test.go
+++ b/precedence/recorder_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -68,7 +69,8 @@
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
-	go func() { done <- r.Run(ctx) }()
+	var running sync.WaitGroup
+	running.Go(func() { done <- r.Run(ctx) })
 	return log, table, func() error {
 		cancel()
 		err := <-done
@@ -179,13 +181,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		log, table, stop := run(t, 10000)
+		var adders sync.WaitGroup
 		for w := range 8 {
-			go func() {
+			adders.Go(func() {
 				for i := range 50 {
 					table.Commands().Add(decision(fmt.Sprintf("w%d-%d", w, i), i))
 					time.Sleep(time.Duration(w+1) * time.Millisecond)
 				}
-			}()
+			})
 		}
 		time.Sleep(2 * time.Minute)
 		is.NoErr(stop())
--- a/stage/cancel_test.go
+++ b/stage/cancel_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http/httptrace"
+	"sync"
 	"testing"
 	"time"
 
@@ -33,7 +34,8 @@
 	answered := make(chan stage.Execution, 1)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	go func() { answered <- r.client.Execute(ctx, r.step(), r.backend(), nil) }()
+	var calling sync.WaitGroup
+	calling.Go(func() { answered <- r.client.Execute(ctx, r.step(), r.backend(), nil) })
 	id := await(t, told, "the engine is not told")
 	e := await(t, answered, "the answer waits for the engine")
 	close(release)
