--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -84,7 +84,7 @@
 	}
 	wait := expectedWait(q.ahead(w.step.Rank), capacity)
 	if now.Add(wait + capacity.Fastest).After(w.step.Deadline) {
-		return refusal(request.ReasonDeadlineUnattainable, "the steps ahead take "+wait.String())
+		return refusal(request.ReasonDeadlineUnattainable, "the steps ahead take "+wait.String()+" and the step itself "+capacity.Fastest.String())
 	}
 	q.add(w)
 	t.unfinished++
@@ -146,11 +146,7 @@
 	t := c.table
 	for i, name := range t.order {
 		q := t.pools[name]
-		w := q.best()
-		if w == nil {
-			continue
-		}
-		s, ok := t.Reserve(name, w.step.Rank, w.step.Avoid, t.Rights(name, now), now)
+		w, s, ok := c.reserve(q, now)
 		if !ok {
 			continue
 		}
@@ -163,6 +159,33 @@
 	return Assignment{}, false
 }
 
+// reserve takes a slot for the best step of a pool. A step that the best free
+// server can't finish in time is refused: it would waste the slot, and passing
+// it over would break the order. The caller holds the lock.
+func (c Commands) reserve(q *poolQueue, now time.Time) (*waiting, backend.Server, bool) {
+	t := c.table
+	for w := q.best(); w != nil; w = q.best() {
+		s, ok := t.Reserve(q.name, w.step.Rank, w.step.Avoid, t.Rights(q.name, now), now)
+		if !ok {
+			break
+		}
+		if !now.Add(s.LikelyTime(now)).After(w.step.Deadline) {
+			return w, s, true
+		}
+		t.Return(s.Name)
+		c.refuse(q, w, refusal(request.ReasonDeadlineUnattainable, "a step takes "+s.LikelyTime(now).String()+" at the best free server"), now)
+	}
+	return nil, backend.Server{}, false
+}
+
+// refuse takes a waiting step out of the queue. The caller holds the lock.
+func (c Commands) refuse(q *poolQueue, w *waiting, f *request.Failure, now time.Time) {
+	q.remove(w)
+	c.table.leave()
+	c.table.decide(Decision{Step: w.step, Enqueued: w.enqueued, Reason: f.Reason, At: now})
+	w.done <- Outcome{Failure: f}
+}
+
 // Run executes an assignment and reports its outcome. It is the job of a
 // worker. The call to the server ends with the worker's context or with the
 // context of the step, whichever ends first.
@@ -195,10 +218,18 @@
 	if !now.Before(a.Step.Deadline) {
 		return refusal(request.ReasonDeadlinePassed, "the deadline passed before the step was sent")
 	}
-	if a.Server.Limit(c.table.Rights(a.Step.Pool, now)) == 0 {
+	s := c.table.current(a.Server)
+	rights := c.table.Rights(a.Step.Pool, now)
+	limit := s.Limit(rights)
+	if s.InFlight <= limit {
+		return nil
+	}
+	if limit == 0 && !s.IsLeaving() {
 		return refusal(request.ReasonRightEnded, "the right to dispatch to pool "+a.Step.Pool+" has ended")
 	}
-	return nil
+	f := request.Refuse(request.ReasonServerCold, s.Name+" may get less work than when it was chosen")
+	f.Server = s.Name
+	return &f
 }
 
 func (c Commands) finish(a Assignment, o Outcome) {
@@ -227,14 +258,18 @@
 	t.mu.Lock()
 	waitingSteps := 0
 	for _, q := range t.pools {
-		capacity, known := capacities[q.name]
-		q.each(func(w *waiting) {
-			if known && sweepReason(w, capacity, now) != "" && q.remove(w) {
+		for rank, class := range q.classes {
+			capacity, known := capacities[poolRank{q.name, rank}]
+			if !known {
+				continue
+			}
+			for _, w := range class.hopeless(capacity, now) {
+				q.remove(w)
 				refused = append(refused, w)
 				t.leave()
 				t.decide(Decision{Step: w.step, Enqueued: w.enqueued, Reason: sweepReason(w, capacity, now), At: now})
 			}
-		})
+		}
 		waitingSteps += q.count
 	}
 	if waitingSteps > 0 {
@@ -242,7 +277,7 @@
 	}
 	t.mu.Unlock()
 	for _, w := range refused {
-		r := sweepReason(w, capacities[w.step.Pool], now)
+		r := sweepReason(w, capacities[poolRank{w.step.Pool, w.step.Rank}], now)
 		w.done <- Outcome{Failure: refusal(r, "no server of pool "+w.step.Pool+" became free in time")}
 	}
 }
@@ -258,20 +293,28 @@
 	return ""
 }
 
-// capacities returns the capacity of each pool with waiting steps.
-func (c Commands) capacities(now time.Time) map[string]backend.Capacity {
+// poolRank names a class of a pool. Not every server of a pool serves every
+// class.
+type poolRank struct {
+	pool string
+	rank int
+}
+
+// capacities returns the capacity of each pool for the classes with waiting
+// steps.
+func (c Commands) capacities(now time.Time) map[poolRank]backend.Capacity {
 	t := c.table
-	var names []string
+	var keys []poolRank
 	t.mu.Lock()
 	for name, q := range t.pools {
-		if q.count > 0 {
-			names = append(names, name)
+		for _, r := range q.ranks() {
+			keys = append(keys, poolRank{name, r})
 		}
 	}
 	t.mu.Unlock()
-	capacities := make(map[string]backend.Capacity, len(names))
-	for _, n := range names {
-		capacities[n] = t.Capacity(n, 0, t.Rights(n, now))
+	capacities := make(map[poolRank]backend.Capacity, len(keys))
+	for _, k := range keys {
+		capacities[k] = t.Capacity(k.pool, k.rank, t.Rights(k.pool, now))
 	}
 	return capacities
 }
