Grant servers to waiting steps of the baseline in order of arrival

Every release woke all waiting steps, which then raced for the server, so that the golden file of leastInFlight changed from run to run and the baseline did not serve in order of arrival as it says. The tests of whole cells run in parallel.

--- a/bench/cell_test.go
+++ b/bench/cell_test.go
@@ -94,7 +94,8 @@
 			results := make([]string, 12)
 			d := baseline(balance, func(_ context.Context, step request.Step, s backend.Server, _ request.Sink) stage.Execution {
 				results[number(step.RequestID[len("bench-"):])] = fmt.Sprintf("at %v %s", time.Since(began), s.Name)
-				time.Sleep(time.Second)
+				// The times differ, so that no two servers become free at once.
+				time.Sleep(time.Second + time.Duration(number(step.RequestID[len("bench-"):]))*time.Millisecond)
 				return stage.Execution{Result: request.Result{Output: []byte("done")}}
 			})
 			var group errgroup.Group
@@ -125,6 +126,7 @@
 func TestCellRun(t *testing.T) {
 	for _, balance := range []string{Lycheecrank, RoundRobin, LeastInFlight} {
 		t.Run(balance, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
 			defer cancel()
--- a/bench/dispatcher.go
+++ b/bench/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -48,7 +49,16 @@
 	turn     int
 	turns    map[string]int
 	inFlight map[string]int
-	waiting  []chan struct{}
+	// waiting holds the steps without a server in order of arrival.
+	waiting []waiter
+}
+
+// waiter is a step that waits for a server.
+type waiter struct {
+	instance int
+	pool     string
+	// granted takes the server that the step may use; it holds one.
+	granted chan backend.Server
 }
 
 // NewDispatcher returns a dispatcher for the servers of a site.
@@ -89,7 +99,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.takenOut[dataCentre] = out
-	d.wakeAll()
+	d.grant()
 }
 
 // Kill ends an instance, counted from 1, with all its requests. The balancer
@@ -221,22 +231,31 @@
 // acquire returns a server for a step of an instance, and waits for one if the
 // limits allow none.
 func (d *Dispatcher) acquire(ctx context.Context, instance int, pool string) (backend.Server, error) {
-	for {
-		d.mu.Lock()
-		s, ok := d.pick(instance, pool)
-		if ok {
-			d.inFlight[slot(instance, s)]++
-			d.mu.Unlock()
-			return s, nil
-		}
-		free := make(chan struct{})
-		d.waiting = append(d.waiting, free)
-		d.mu.Unlock()
-		select {
-		case <-free:
-		case <-ctx.Done():
-			return s, ctx.Err()
-		}
+	w := waiter{instance, pool, make(chan backend.Server, 1)}
+	d.mu.Lock()
+	d.waiting = append(d.waiting, w)
+	d.grant()
+	d.mu.Unlock()
+	select {
+	case s := <-w.granted:
+		return s, nil
+	case <-ctx.Done():
+		d.abandon(w)
+		return backend.Server{}, ctx.Err()
+	}
+}
+
+// abandon removes a waiting step, and gives its server back if it was granted
+// one in the meantime.
+func (d *Dispatcher) abandon(w waiter) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.waiting = slices.DeleteFunc(d.waiting, func(o waiter) bool { return o.granted == w.granted })
+	select {
+	case s := <-w.granted:
+		d.inFlight[slot(w.instance, s)]--
+		d.grant()
+	default:
 	}
 }
 
@@ -244,15 +263,33 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.inFlight[slot(instance, s)]--
-	d.wakeAll()
+	d.grant()
 }
 
-// wakeAll lets all waiting steps look again, in order of arrival.
-func (d *Dispatcher) wakeAll() {
-	for _, w := range d.waiting {
-		close(w)
-	}
-	d.waiting = nil
+// queue names the steps that wait for the same servers.
+type queue struct {
+	instance int
+	pool     string
+}
+
+// grant gives free servers to the waiting steps in order of arrival. The lock is
+// held.
+func (d *Dispatcher) grant() {
+	full := map[queue]bool{}
+	d.waiting = slices.DeleteFunc(d.waiting, func(w waiter) bool {
+		q := queue{w.instance, w.pool}
+		if full[q] {
+			return false
+		}
+		s, ok := d.pick(w.instance, w.pool)
+		if !ok {
+			full[q] = true
+			return false
+		}
+		d.inFlight[slot(w.instance, s)]++
+		w.granted <- s
+		return true
+	})
 }
 
 func slot(instance int, s backend.Server) string { return fmt.Sprintf("%d/%s", instance, s.Name) }
--- a/bench/smoke_test.go
+++ b/bench/smoke_test.go
@@ -29,6 +29,7 @@
 // Guards against answers that are lost, doubled or foreign on their way through
 // instances, and against requests that the tool itself forgets to count.
 func TestSmoke(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
 	defer cancel()
