Measure streams of three stages, total cost of control and useful work in time

A line through means per instance hid the shared part of the cost, such as load reports. Useful work counted answers that came after the load had ended, and so exceeded the capacity.

--- a/bench/cell_test.go
+++ b/bench/cell_test.go
@@ -124,6 +124,7 @@
 // Guards against a run that loses, doubles or misjudges requests while a data
 // centre goes and comes, whatever the speed of the machine.
 func TestCellRun(t *testing.T) {
+	t.Parallel()
 	for _, balance := range []string{Lycheecrank, RoundRobin, LeastInFlight} {
 		t.Run(balance, func(t *testing.T) {
 			t.Parallel()
--- a/bench/cellrun.go
+++ b/bench/cellrun.go
@@ -261,7 +261,7 @@
 		}
 	}
 	if capacity := cell.CapacityPerSecond * r.Duration; capacity > 0 {
-		cell.UsefulShare = float64(useful[s.Cell.Scarce]) / capacity
+		cell.UsefulShare = float64(s.stepsByPool(r.WithinLoad)[s.Cell.Scarce]) / capacity
 	}
 	filings, err := s.site.filings(ctx)
 	if err != nil {
--- a/bench/commands.go
+++ b/bench/commands.go
@@ -26,6 +26,9 @@
 	defer t.mu.Unlock()
 	if v == Whole {
 		t.wholeByTarget[a.Target]++
+		if a.At+took <= t.until {
+			t.withinLoad[a.Target]++
+		}
 	}
 	for _, one := range t.of(a.Class) {
 		one.answered(a, r, v, reason, took)
--- a/bench/control.go
+++ b/bench/control.go
@@ -62,8 +62,9 @@
 	LoadBefore float64   `json:"loadBefore"`
 }
 
-// Slope is a line through the rows: what an instance costs, as Base + PerInstance
-// times the number of instances.
+// Slope is a line through the costs of all instances together: Base + PerInstance
+// times the number of instances. Base is what the cell costs however many
+// instances share it, such as load reports of its servers.
 type Slope struct {
 	Measure     string  `json:"measure"`
 	Base        float64 `json:"base"`
@@ -82,15 +83,15 @@
 	r.Slopes = nil
 	for _, m := range []struct {
 		name string
-		of   func(ControlRow) float64
+		of   func(r ControlRow, n float64) float64
 	}{
-		{"cpu", func(r ControlRow) float64 { return r.CPU }},
-		{"residentBytes", func(r ControlRow) float64 { return r.ResidentBytes }},
-		{"peerBytes", func(r ControlRow) float64 { return r.PeerBytes }},
-		{"platformBytes", func(r ControlRow) float64 { return r.PlatformBytes }},
-		{"logAppends", func(r ControlRow) float64 { return r.LogAppends }},
-		{"logReads", func(r ControlRow) float64 { return r.LogReads }},
-		{"listCalls", func(r ControlRow) float64 { return r.ListCalls }},
+		{"cpu", func(r ControlRow, n float64) float64 { return n * r.CPU }},
+		{"residentBytes", func(r ControlRow, n float64) float64 { return n * r.ResidentBytes }},
+		{"peerBytes", func(r ControlRow, n float64) float64 { return n * r.PeerBytes }},
+		{"platformBytes", func(r ControlRow, n float64) float64 { return n * r.PlatformBytes }},
+		{"logAppends", func(r ControlRow, _ float64) float64 { return r.LogAppends }},
+		{"logReads", func(r ControlRow, _ float64) float64 { return r.LogReads }},
+		{"listCalls", func(r ControlRow, _ float64) float64 { return r.ListCalls }},
 	} {
 		base, slope := fit(r.Rows, m.of)
 		r.Slopes = append(r.Slopes, Slope{m.name, base, slope})
@@ -99,10 +100,10 @@
 }
 
 // fit returns the line of least squares through a measure of the rows.
-func fit(rows []ControlRow, of func(ControlRow) float64) (base, slope float64) {
+func fit(rows []ControlRow, of func(r ControlRow, n float64) float64) (base, slope float64) {
 	var n, sx, sy, sxx, sxy float64
 	for _, r := range rows {
-		x, y := float64(r.Instances), of(r)
+		x, y := float64(r.Instances), of(r, float64(r.Instances))
 		n, sx, sy, sxx, sxy = n+1, sx+x, sy+y, sxx+x*x, sxy+x*y
 	}
 	if d := n*sxx - sx*sx; d != 0 {
@@ -122,7 +123,7 @@
 	}
 	_ = w.Flush()
 	for _, s := range r.Slopes {
-		fmt.Fprintf(&out, "%s = %.6g + %.6g * instances\n", s.Measure, s.Base, s.PerInstance)
+		fmt.Fprintf(&out, "%s of all = %.6g + %.6g * instances\n", s.Measure, s.Base, s.PerInstance)
 	}
 	return out.String()
 }
--- a/bench/driver.go
+++ b/bench/driver.go
@@ -41,7 +41,7 @@
 // Run sends all requests, waits for their answers and returns the result. A
 // context that ends stops the arrivals.
 func (d Driver) Run(ctx context.Context) Result {
-	table := NewTable()
+	table := NewTable(d.Load.Duration)
 	schedule := Schedule(d.Load)
 	r := Result{
 		Load: d.Load.Name, Balance: d.Balance, Seed: d.Load.Seed, PerSecond: d.Load.Arrivals.PerSecond,
@@ -59,7 +59,7 @@
 	stop()
 	_ = group.Wait()
 	r.Classes = table.Queries().Classes()
-	r.WholeByTarget = table.Queries().WholeByTarget()
+	r.WholeByTarget, r.WithinLoad = table.Queries().WholeByTarget(), table.Queries().WithinLoad()
 	r.Machine.LoadAfter = loadAverage()
 	r.Machine.GeneratorCPUSeconds = (CPUTime() - spent).Seconds()
 	return r
--- a/bench/overhead.go
+++ b/bench/overhead.go
@@ -14,6 +14,7 @@
 	callerv1 "lycheecrank.example/api/caller/v1"
 	"lycheecrank.example/api/caller/v1/callerv1connect"
 	"lycheecrank.example/backend"
+	"lycheecrank.example/catalogue"
 	"lycheecrank.example/lock"
 	"lycheecrank.example/request"
 	"lycheecrank.example/stage"
@@ -29,8 +30,11 @@
 	Logs   io.Writer
 	// Rates are the requests a second at which latency is measured, each for
 	// Duration; saturation and streams take as long.
-	Rates    []float64
-	Duration time.Duration
+	Rates []float64
+	// StreamRates are the streams a second at which the time of a whole stream of
+	// three stages is measured.
+	StreamRates []float64
+	Duration    time.Duration
 }
 
 // OverheadRow compares a call through an instance with a direct one.
@@ -45,6 +49,8 @@
 type OverheadResult struct {
 	Machine Machine       `json:"machine"`
 	Rows    []OverheadRow `json:"rows"`
+	// Streams compares whole streams of three stages and 32 tokens.
+	Streams []OverheadRow `json:"streams,omitempty"`
 	// SaturatedPerSecond is the rate with Saturating callers that each wait for
 	// their answer, PerCore the same over the instance's processor time.
 	Saturating         int     `json:"saturating"`
@@ -58,15 +64,21 @@
 
 // Text returns the result as a table.
 func (r OverheadResult) Text() string {
-	text := "per second  direct p50/p99 ms  through p50/p99 ms  added p50/p99 ms  ratio p50/p99  failed\n"
-	for _, o := range r.Rows {
+	const head = "per second  direct p50/p99 ms  through p50/p99 ms  added p50/p99 ms  ratio p50/p99  failed\n"
+	text := "calls\n" + head + overheadText(r.Rows) + "streams of three stages\n" + head + overheadText(r.Streams)
+	return text + fmt.Sprintf("saturated by %d callers: %.0f requests/s, %.0f requests/s a core of the instance\nstreams: %.0f tokens/s, %.0f tokens/s a core of the instance\nmachine load %.1f to %.1f on %d cores\n",
+		r.Saturating, r.SaturatedPerSecond, r.PerCore, r.TokensPerSecond, r.TokensPerCore, r.Machine.LoadBefore, r.Machine.LoadAfter, r.Machine.Cores)
+}
+
+func overheadText(rows []OverheadRow) string {
+	text := ""
+	for _, o := range rows {
 		text += fmt.Sprintf("%10.0f  %7.3f/%7.3f   %7.3f/%7.3f     %7.3f/%7.3f   %5.1f/%5.1f  %6d\n", o.PerSecond,
 			o.DirectMs.P50, o.DirectMs.P99, o.ThroughMs.P50, o.ThroughMs.P99,
 			o.ThroughMs.P50-o.DirectMs.P50, o.ThroughMs.P99-o.DirectMs.P99,
 			o.ThroughMs.P50/o.DirectMs.P50, o.ThroughMs.P99/o.DirectMs.P99, o.Failed)
 	}
-	return text + fmt.Sprintf("saturated by %d callers: %.0f requests/s, %.0f requests/s a core of the instance\nstreams: %.0f tokens/s, %.0f tokens/s a core of the instance\nmachine load %.1f to %.1f on %d cores\n",
-		r.Saturating, r.SaturatedPerSecond, r.PerCore, r.TokensPerSecond, r.TokensPerCore, r.Machine.LoadBefore, r.Machine.LoadAfter, r.Machine.Cores)
+	return text
 }
 
 // WriteFile writes the result as JSON.
@@ -92,6 +104,10 @@
 	m := overheadRun{Overhead: o, instance: i, direct: stage.NewClient(NewHTTP())}
 	m.caller = callerv1connect.NewPipelineServiceClient(NewHTTP(), "http://"+i.Address)
 	m.server = backend.Server{Spec: backend.Spec{Name: "portal-1", Address: s.Address("portal-1")}}
+	m.address = s.Address
+	if e, ok := cell.entry(catalogue.PipelineKind, "summary"); ok {
+		m.pipeline = e.Stages
+	}
 	if err := m.warm(ctx); err != nil {
 		return result, err
 	}
@@ -105,6 +121,8 @@
 	direct   *stage.Client
 	caller   callerv1connect.PipelineServiceClient
 	server   backend.Server
+	pipeline []catalogue.Stage
+	address  func(server string) string
 	numbers  atomic.Uint64
 }
 
@@ -127,14 +145,8 @@
 func (m *overheadRun) measure(ctx context.Context, r OverheadResult) (OverheadResult, error) {
 	r.Machine = Machine{Cores: cores(), LoadBefore: loadAverage()}
 	began := CPUTime()
-	for _, rate := range m.Rates {
-		row := OverheadRow{PerSecond: rate}
-		var failed, failedThrough int64
-		row.DirectMs, failed = m.paced(ctx, rate, m.directly)
-		row.ThroughMs, failedThrough = m.paced(ctx, rate, m.through)
-		row.Failed = failed + failedThrough
-		r.Rows = append(r.Rows, row)
-	}
+	r.Rows = m.compare(ctx, m.Rates, m.directly, m.through)
+	r.Streams = m.compare(ctx, m.StreamRates, m.directStream, m.streamed)
 	var err error
 	if r.SaturatedPerSecond, r.PerCore, err = m.saturate(ctx, saturating, m.through); err != nil {
 		return r, err
@@ -145,6 +157,20 @@
 	return r, err
 }
 
+// compare measures direct calls and those through the instance at some rates.
+func (m *overheadRun) compare(ctx context.Context, rates []float64, direct, through func(context.Context) error) []OverheadRow {
+	var rows []OverheadRow
+	for _, rate := range rates {
+		row := OverheadRow{PerSecond: rate}
+		var failed, failedThrough int64
+		row.DirectMs, failed = m.paced(ctx, rate, direct)
+		row.ThroughMs, failedThrough = m.paced(ctx, rate, through)
+		row.Failed = failed + failedThrough
+		rows = append(rows, row)
+	}
+	return rows
+}
+
 // paced calls at a steady rate without waiting for answers, and returns the
 // latencies from the intended times.
 func (m *overheadRun) paced(ctx context.Context, rate float64, call func(context.Context) error) (Percentiles, int64) {
@@ -230,6 +256,26 @@
 	return err
 }
 
+// directStream calls the servers of the pipeline one after the other, as a
+// caller without instances would.
+func (m *overheadRun) directStream(ctx context.Context) error {
+	id := fmt.Sprintf("direct-%d", m.numbers.Add(1))
+	step := request.Step{RequestID: id, Attempt: 1, Input: []byte(id + " helmet shell strap"), Deadline: time.Now().Add(5 * time.Second)}
+	for _, s := range m.pipeline {
+		step.Stage, step.Kind, step.Pool = s.Name, s.Kind, s.Pool
+		var sink request.Sink
+		if s.Kind == request.Generate {
+			sink = func(request.Piece) error { return nil }
+		}
+		e := m.direct.Execute(ctx, step, backend.Server{Spec: backend.Spec{Name: s.Pool + "-1", Address: m.address(s.Pool + "-1")}}, sink)
+		if e.Failure != nil {
+			return e.Failure
+		}
+		step.Input = e.Result.Output
+	}
+	return nil
+}
+
 func (m *overheadRun) streamed(ctx context.Context) error {
 	id := fmt.Sprintf("stream-%d", m.numbers.Add(1))
 	r := stream(ctx, m.caller, &callerv1.RunRequest{Workspace: "bench", Target: "summary", TimeoutMs: 5000, RequestId: id, Input: []byte(id + " helmet shell strap")}, time.Now())
--- a/bench/result_test.go
+++ b/bench/result_test.go
@@ -60,7 +60,7 @@
 // sample returns a result without a run. Every slowth answer is late.
 func sample(balance string, slowth int) Result {
 	l := readLoadFile("testdata/smoke.yaml")
-	table := NewTable()
+	table := NewTable(time.Minute)
 	for _, a := range Schedule(l) {
 		table.Commands().Sent(a)
 		r := Reply{FirstPiece: time.Duration(a.Number) * time.Millisecond, Gaps: []time.Duration{20 * time.Millisecond}}
--- a/bench/table.go
+++ b/bench/table.go
@@ -62,11 +62,15 @@
 	mu            *lock.Ranked
 	byClass       map[string]*tally
 	wholeByTarget map[string]int64
+	// until is the duration of the load, withinLoad the whole answers that came
+	// before its end by target.
+	until      time.Duration
+	withinLoad map[string]int64
 }
 
-// NewTable returns an empty table.
-func NewTable() *Table {
-	return &Table{mu: lock.New(rankTally, "bench tally"), byClass: map[string]*tally{}, wholeByTarget: map[string]int64{}}
+// NewTable returns an empty table for a load of some duration.
+func NewTable(duration time.Duration) *Table {
+	return &Table{mu: lock.New(rankTally, "bench tally"), byClass: map[string]*tally{}, wholeByTarget: map[string]int64{}, until: duration, withinLoad: map[string]int64{}}
 }
 
 // of returns the tallies that a class counts under. The lock is held.
--- a/cmd/lycheebench/load.go
+++ b/cmd/lycheebench/load.go
@@ -134,13 +134,14 @@
 		Usage: "measure what an instance adds to a call, and its throughput",
 		Flags: []cli.Flag{
 			&cli.FloatSliceFlag{Name: "rates", Value: []float64{50, 200, 800}, Usage: "requests a second"},
+			&cli.FloatSliceFlag{Name: "stream-rates", Value: []float64{25, 100}, Usage: "streams a second"},
 			&cli.DurationFlag{Name: "duration", Value: 5 * time.Second, Usage: "time for each measurement, at most 60s"},
 			&cli.StringFlag{Name: "result", Usage: "file for the result as JSON"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			r, err := bench.Overhead{
 				Launch: bench.LaunchProcess("instance"), Logs: c.Root().ErrWriter, Rates: c.FloatSlice("rates"),
-				Duration: min(c.Duration("duration"), time.Minute),
+				StreamRates: c.FloatSlice("stream-rates"), Duration: min(c.Duration("duration"), time.Minute),
 			}.Run(ctx)
 			if err != nil {
 				return err
