Count useful work only while the servers are full

A cell starts empty and drains after the load, so that neither the first answers nor those after the end belong to its share of the capacity.

--- a/bench/cell_result.go
+++ b/bench/cell_result.go
@@ -32,7 +32,8 @@
 	DoubledAtServers int64 `json:"doubledAtServers"`
 	FalseRefusals    int64 `json:"falseRefusals"`
 	// CapacityPerSecond is the capacity of the scarcest pool in requests, and
-	// UsefulShare the useful work at that pool before the end of the load over it.
+	// UsefulShare the useful work at that pool over it, without the first 2 s of
+	// the load and the time after its end.
 	CapacityPerSecond float64 `json:"capacityPerSecond"`
 	UsefulShare       float64 `json:"usefulShare"`
 }
--- a/bench/cellrun.go
+++ b/bench/cellrun.go
@@ -260,8 +260,9 @@
 			cell.Stages = append(cell.Stages, c)
 		}
 	}
-	if capacity := cell.CapacityPerSecond * r.Duration; capacity > 0 {
-		cell.UsefulShare = float64(s.stepsByPool(r.WithinLoad)[s.Cell.Scarce]) / capacity
+	counted := s.Load.Duration - settlingOf(s.Load.Duration)
+	if capacity := cell.CapacityPerSecond * counted.Seconds(); capacity > 0 {
+		cell.UsefulShare = float64(s.stepsByPool(r.Settled)[s.Cell.Scarce]) / capacity
 	}
 	filings, err := s.site.filings(ctx)
 	if err != nil {
--- a/bench/commands.go
+++ b/bench/commands.go
@@ -26,8 +26,8 @@
 	defer t.mu.Unlock()
 	if v == Whole {
 		t.wholeByTarget[a.Target]++
-		if a.At+took <= t.until {
-			t.withinLoad[a.Target]++
+		if at := a.At + took; at > settlingOf(t.until) && at <= t.until {
+			t.settled[a.Target]++
 		}
 	}
 	for _, one := range t.of(a.Class) {
--- a/bench/driver.go
+++ b/bench/driver.go
@@ -59,7 +59,7 @@
 	stop()
 	_ = group.Wait()
 	r.Classes = table.Queries().Classes()
-	r.WholeByTarget, r.WithinLoad = table.Queries().WholeByTarget(), table.Queries().WithinLoad()
+	r.WholeByTarget, r.Settled = table.Queries().WholeByTarget(), table.Queries().Settled()
 	r.Machine.LoadAfter = loadAverage()
 	r.Machine.GeneratorCPUSeconds = (CPUTime() - spent).Seconds()
 	return r
--- a/bench/queries.go
+++ b/bench/queries.go
@@ -59,13 +59,13 @@
 	return maps.Clone(t.wholeByTarget)
 }
 
-// WithinLoad returns the number of whole answers by target that came before the
-// end of the load.
-func (q Queries) WithinLoad() map[string]int64 {
+// Settled returns the number of whole answers by target that came after the
+// settling time and before the end of the load.
+func (q Queries) Settled() map[string]int64 {
 	t := q.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return maps.Clone(t.withinLoad)
+	return maps.Clone(t.settled)
 }
 
 func boolRank(b bool) int {
--- a/bench/result.go
+++ b/bench/result.go
@@ -88,11 +88,11 @@
 	Classes   []ClassResult `json:"classes"`
 	// WholeByTarget is the number of whole answers in time by target.
 	WholeByTarget map[string]int64 `json:"wholeByTarget,omitempty"`
-	// WithinLoad is how many of them came before the end of the load. Answers
-	// after it come from a queue that no longer grows, so they don't count as
-	// work that the cell did in the time of the load.
-	WithinLoad map[string]int64 `json:"withinLoad,omitempty"`
-	Cell       *CellResult      `json:"cell,omitempty"`
+	// Settled is how many of them came after the first 2 s and before the end of
+	// the load. Answers after it come from a queue that no longer grows, so they
+	// don't count as work that the cell did in the time of the load.
+	Settled map[string]int64 `json:"settled,omitempty"`
+	Cell    *CellResult      `json:"cell,omitempty"`
 }
 
 // Class returns the result of a class.
--- a/bench/table.go
+++ b/bench/table.go
@@ -57,20 +57,28 @@
 	return &t.perSecond[n]
 }
 
+// settling is longer than the longest service time of a cell: a share of the
+// capacity counts from then on, since the servers start empty and their first
+// answers take a service time.
+const settling = 2 * time.Second
+
+// settlingOf returns the settling time of a load, at most half of it.
+func settlingOf(load time.Duration) time.Duration { return min(settling, load/2) }
+
 // Table counts the replies to a load by class. Create it with NewTable.
 type Table struct {
 	mu            *lock.Ranked
 	byClass       map[string]*tally
 	wholeByTarget map[string]int64
-	// until is the duration of the load, withinLoad the whole answers that came
-	// before its end by target.
-	until      time.Duration
-	withinLoad map[string]int64
+	// until is the duration of the load, settled the whole answers by target that
+	// came after its settling time and before its end.
+	until   time.Duration
+	settled map[string]int64
 }
 
 // NewTable returns an empty table for a load of some duration.
 func NewTable(duration time.Duration) *Table {
-	return &Table{mu: lock.New(rankTally, "bench tally"), byClass: map[string]*tally{}, wholeByTarget: map[string]int64{}, until: duration, withinLoad: map[string]int64{}}
+	return &Table{mu: lock.New(rankTally, "bench tally"), byClass: map[string]*tally{}, wholeByTarget: map[string]int64{}, until: duration, settled: map[string]int64{}}
 }
 
 // of returns the tallies that a class counts under. The lock is held.
