--- a/bench/commands.go
+++ b/bench/commands.go
@@ -26,6 +26,9 @@
 	defer t.mu.Unlock()
 	if v == Whole {
 		t.wholeByTarget[a.Target]++
+		if at := a.At + took; at > settlingOf(t.until) && at <= t.until {
+			t.settled[a.Target]++
+		}
 	}
 	for _, one := range t.of(a.Class) {
 		one.answered(a, r, v, reason, took)
