--- a/instance/load_test.go
+++ b/instance/load_test.go
@@ -95,7 +95,7 @@
 	var sampling sync.WaitGroup
 	servers := maps.Clone(s.servers)
 	sampling.Go(func() {
-		_ = every(ctx, 5*time.Millisecond, func(context.Context) {
+		_ = every(ctx, 10*time.Millisecond, func(context.Context) {
 			for name, x := range servers {
 				w.note(name, x.Counts()["started"])
 			}
