--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -16,8 +16,13 @@
 	// Revision is the offset of the last accepted edit.
 	Revision uint64
 	entries  map[ID]Entry
-	servers  map[string][]Entry
-	judged   []string
+	// kinds, servers and pools index the entries, since each step of a request
+	// and each check of the pools reads them: the entries of a kind by name, the
+	// servers of a pool by name, the pools with servers in a data centre.
+	kinds   map[Kind][]Entry
+	servers map[string][]Entry
+	pools   map[string][]string
+	judged  []string
 }
 
 // maxJudged bounds the memory of judged edits. At 3,200 edits a day it reaches
@@ -32,19 +37,19 @@
 
 // Entries returns all entries by kind and name.
 func (c Catalogue) Entries() []Entry {
-	order := map[Kind]int{}
-	for i, k := range Kinds() {
-		order[k] = i
+	all := make([]Entry, 0, len(c.entries))
+	for _, k := range Kinds() {
+		all = append(all, c.kinds[k]...)
 	}
-	return slices.SortedFunc(maps.Values(c.entries), func(a, b Entry) int {
-		return cmp.Or(cmp.Compare(order[a.Kind], order[b.Kind]), cmp.Compare(a.Name, b.Name))
-	})
+	return all
 }
 
-// OfKind returns all entries of a kind by name.
-func (c Catalogue) OfKind(k Kind) []Entry {
-	return slices.DeleteFunc(c.Entries(), func(e Entry) bool { return e.Kind != k })
-}
+// OfKind returns all entries of a kind by name. The slice must not be changed.
+func (c Catalogue) OfKind(k Kind) []Entry { return c.kinds[k] }
+
+// PoolsIn returns the names of the pools that have servers in a data centre, in
+// alphabetical order. The slice must not be changed.
+func (c Catalogue) PoolsIn(dataCentre string) []string { return c.pools[dataCentre] }
 
 // Servers returns the backend servers of a pool by name.
 func (c Catalogue) Servers(pool string) []Entry { return c.servers[pool] }
@@ -91,14 +96,18 @@
 func (c Catalogue) WithEntries(offset uint64, entries map[ID]Entry) Catalogue {
 	c.Offset, c.Revision = offset, offset
 	c.entries = entries
-	c.servers = map[string][]Entry{}
-	for _, e := range entries {
+	c.kinds, c.servers, c.pools = map[Kind][]Entry{}, map[string][]Entry{}, map[string][]string{}
+	byName := slices.SortedFunc(maps.Values(entries), func(a, b Entry) int { return cmp.Compare(a.Name, b.Name) })
+	for _, e := range byName {
+		c.kinds[e.Kind] = append(c.kinds[e.Kind], e)
 		if e.Kind == ServerKind {
 			c.servers[e.Pool] = append(c.servers[e.Pool], e)
+			c.pools[e.DataCentre] = append(c.pools[e.DataCentre], e.Pool)
 		}
 	}
-	for _, s := range c.servers {
-		slices.SortFunc(s, func(a, b Entry) int { return cmp.Compare(a.Name, b.Name) })
+	for dc, pools := range c.pools {
+		slices.Sort(pools)
+		c.pools[dc] = slices.Compact(pools)
 	}
 	return c
 }
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -88,6 +88,7 @@
 	}
 	q.add(w)
 	t.unfinished++
+	t.arrived.Signal()
 	t.changed.Signal()
 	return nil
 }
@@ -324,16 +325,36 @@
 
 // RunSweeps sweeps until the context ends.
 func (c Commands) RunSweeps(ctx context.Context) error {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
+	timer := time.NewTimer(sweepInterval)
+	defer timer.Stop()
+	for c.awaitWaiting(ctx) {
+		timer.Reset(sweepInterval)
 		select {
 		case <-ctx.Done():
 			return nil
-		case now := <-ticker.C:
+		case now := <-timer.C:
 			c.Sweep(now)
 		}
 	}
+	return nil
+}
+
+// awaitWaiting waits until there is a step in the queue and reports false once
+// the context has ended.
+func (c Commands) awaitWaiting(ctx context.Context) bool {
+	t := c.table
+	stop := context.AfterFunc(ctx, func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.arrived.Broadcast()
+	})
+	defer stop()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for ctx.Err() == nil && !t.hasWaiting() {
+		t.arrived.Wait()
+	}
+	return ctx.Err() == nil
 }
 
 // AwaitIdle waits until no step is waiting or at a server, or the context ends,
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -50,6 +50,8 @@
 	// unfinished counts the steps that wait or are at a server.
 	unfinished int
 	idle       *sync.Cond
+	// arrived wakes the sweeps when a step comes to an empty queue.
+	arrived *sync.Cond
 }
 
 // Assignment is a step with a reserved slot at a server.
@@ -93,6 +95,7 @@
 	t := &Table{mu: lock.New(lock.RankDispatch, "dispatch"), pools: map[string]*poolQueue{}}
 	t.changed = sync.NewCond(t.mu)
 	t.idle = sync.NewCond(t.mu)
+	t.arrived = sync.NewCond(t.mu)
 	return t
 }
 
@@ -117,6 +120,16 @@
 	return s
 }
 
+// hasWaiting reports whether a step is in the queue. The caller holds the lock.
+func (t *Table) hasWaiting() bool {
+	for _, q := range t.pools {
+		if q.count > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // leave notes that a step is finished. The caller holds the lock.
 func (t *Table) leave() {
 	t.unfinished--
--- a/instance/catalogue.go
+++ b/instance/catalogue.go
@@ -175,17 +175,7 @@
 
 // ownPools returns the pools that have servers in this instance's data centre.
 func (i *Instance) ownPools() []string {
-	c := i.catalogueQueries.Current()
-	var pools []string
-	for _, p := range c.OfKind(catalogue.PoolKind) {
-		for _, s := range c.Servers(p.Name) {
-			if s.DataCentre == i.self.DataCentre {
-				pools = append(pools, p.Name)
-				break
-			}
-		}
-	}
-	return pools
+	return i.catalogueQueries.Current().PoolsIn(i.self.DataCentre)
 }
 
 // runSnapshots appends snapshots of the catalogue before its records expire.
--- a/instance/ownership.go
+++ b/instance/ownership.go
@@ -99,5 +99,5 @@
 	for _, d := range i.dispatchQueries.Depths() {
 		waiting[d.Pool] += d.Waiting
 	}
-	return slices.DeleteFunc(pools, func(p string) bool { return waiting[p] == 0 && i.hasNoWork(p) })
+	return slices.DeleteFunc(slices.Clone(pools), func(p string) bool { return waiting[p] == 0 && i.hasNoWork(p) })
 }
