--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -189,12 +189,14 @@
 
 // Run executes an assignment and reports its outcome. It is the job of a
 // worker. The call to the server ends with the worker's context or with the
-// context of the step, whichever ends first.
+// context of the step, whichever ends first, and with the cause of that one.
 func (c Commands) Run(ctx context.Context, a Assignment) {
 	t := c.table
-	ctx, cancel := context.WithDeadline(ctx, a.Step.Deadline)
-	defer cancel()
-	stop := context.AfterFunc(a.ctx, cancel)
+	ctx, done := context.WithDeadline(ctx, a.Step.Deadline)
+	defer done()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := context.AfterFunc(a.ctx, func() { cancel(context.Cause(a.ctx)) })
 	defer stop()
 	now := time.Now()
 	if f := c.checkRight(a, now); f != nil {
