Say so when the output of an earlier run is not kept

Cause: the record of a claim holds no output above 64 KiB, and drops old ones; a repeat with the key, or a question for its outcome, then got an empty output that could pass for the whole answer. Both now carry the reason outputNotKept, which the golden tables of reasons gain. The waits on conditions and the encoding of lists of records stood in several places and are one function each now.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -93,7 +93,7 @@
 		RequestId: a.Request.ID, Outcome: callerv1.Outcome(a.Outcome), Output: a.Output,
 		Class: a.Request.Class, ExecutionId: a.Request.Execution, CatalogueRevision: a.Request.Revision,
 	}
-	if a.Outcome != request.Ran {
+	if a.Failure.Reason != "" {
 		res.Refusal = asRefusal(a.Failure)
 	}
 	for _, s := range a.Stages {
--- a/codec/codec.go
+++ b/codec/codec.go
@@ -27,6 +27,19 @@
 	return buf.Bytes(), nil
 }
 
+// MarshalAll encodes records one by one.
+func MarshalAll[T any](records []T) ([][]byte, error) {
+	all := make([][]byte, 0, len(records))
+	for _, r := range records {
+		data, err := Marshal(r)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, data)
+	}
+	return all, nil
+}
+
 // Unmarshal decodes data into record, a pointer. It returns ErrMalformed if the
 // bytes are no such record.
 func Unmarshal(data []byte, record any) (err error) {
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lycheecrank.example/backend"
+	"lycheecrank.example/lock"
 	"lycheecrank.example/request"
 )
 
@@ -122,23 +123,20 @@
 // reports false once the context has ended.
 func (c Commands) Next(ctx context.Context) (Assignment, bool) {
 	t := c.table
-	stop := context.AfterFunc(ctx, func() {
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		t.changed.Broadcast()
-	})
-	defer stop()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for ctx.Err() == nil {
-		if a, ok := c.assign(time.Now()); ok {
-			// One change may have made several steps dispatchable.
-			t.changed.Signal()
-			return a, true
+	var a Assignment
+	ok := lock.WaitUntil(ctx, t.changed, func() (ok bool) {
+		if ctx.Err() == nil {
+			a, ok = c.assign(time.Now())
 		}
-		t.changed.Wait()
+		return ok
+	})
+	if ok {
+		// One change may have made several steps dispatchable.
+		t.changed.Signal()
 	}
-	return Assignment{}, false
+	return a, ok
 }
 
 // assign takes the best step of the first pool that has a free server. The
@@ -345,35 +343,18 @@
 // the context has ended.
 func (c Commands) awaitWaiting(ctx context.Context) bool {
 	t := c.table
-	stop := context.AfterFunc(ctx, func() {
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		t.arrived.Broadcast()
-	})
-	defer stop()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for ctx.Err() == nil && !t.hasWaiting() {
-		t.arrived.Wait()
-	}
-	return ctx.Err() == nil
+	return lock.WaitUntil(ctx, t.arrived, t.hasWaiting)
 }
 
 // AwaitIdle waits until no step is waiting or at a server, or the context ends,
 // and returns the number of steps that are left.
 func (c Commands) AwaitIdle(ctx context.Context) int {
 	t := c.table
-	stop := context.AfterFunc(ctx, func() {
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		t.idle.Broadcast()
-	})
-	defer stop()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for t.unfinished > 0 && ctx.Err() == nil {
-		t.idle.Wait()
-	}
+	lock.WaitUntil(ctx, t.idle, func() bool { return t.unfinished == 0 })
 	return t.unfinished
 }
 
--- a/instance/claim.go
+++ b/instance/claim.go
@@ -71,15 +71,11 @@
 
 // appendClaims appends records of claims in one append.
 func (i *Instance) appendClaims(ctx context.Context, stream string, records []claim.Record) error {
-	data := make([][]byte, 0, len(records))
-	for _, r := range records {
-		d, err := codec.Marshal(r)
-		if err != nil {
-			return errors.Join(claim.ErrNotAppended, err)
-		}
-		data = append(data, d)
+	data, err := codec.MarshalAll(records)
+	if err != nil {
+		return errors.Join(claim.ErrNotAppended, err)
 	}
-	_, err := i.platformLog.Append(ctx, stream, data...)
+	_, err = i.platformLog.Append(ctx, stream, data...)
 	if errors.Is(err, platform.ErrRateLimited) {
 		return errors.Join(claim.ErrNotAppended, err)
 	}
@@ -119,9 +115,18 @@
 	return claim.Digest(h.Sum(nil))
 }
 
-// storedAnswer is the answer to a repeat of a request that ran.
+// storedAnswer is the answer to a repeat of a request that ran. The record holds
+// no output above claim.MaxStoredResult; an empty answer must not pass for it.
 func storedAnswer(ran claim.AlreadyRan) *request.Answer {
-	return &request.Answer{Outcome: request.Ran, Output: ran.Result.Output}
+	a := &request.Answer{Outcome: request.Ran, Output: ran.Result.Output}
+	if len(ran.Result.Output) != ran.Result.Length {
+		a.Failure = outputNotKept()
+	}
+	return a
+}
+
+func outputNotKept() request.Failure {
+	return request.Refuse(request.ReasonOutputNotKept, "the request ran, and its output is no longer kept").WithSent(true)
 }
 
 // keyStatus tells what became of a key.
@@ -154,7 +159,8 @@
 	case !known || !stands:
 		return caller.KeyStatus{Outcome: request.NotRun}
 	case state.Outcome() == request.Ran:
-		return caller.KeyStatus{Outcome: request.Ran, Output: state.Result().Output}
+		stored := storedAnswer(claim.AlreadyRan{Result: state.Result()})
+		return caller.KeyStatus{Outcome: request.Ran, Output: stored.Output, Failure: stored.Failure}
 	default:
 		return caller.KeyStatus{Outcome: request.MayHaveRun, Running: state.Outcome() == 0}
 	}
--- a/instance/ownership.go
+++ b/instance/ownership.go
@@ -37,21 +37,17 @@
 		if err := i.ownershipCommands.Apply(r.Offset, record, received); err != nil {
 			return err
 		}
-		i.keepOwnershipRecord(r)
+		i.recent.add(r)
 	}
 	return nil
 }
 
 func (i *Instance) appendOwnership(ctx context.Context, records ...ownership.Record) error {
-	data := make([][]byte, 0, len(records))
-	for _, r := range records {
-		d, err := codec.Marshal(r)
-		if err != nil {
-			return err
-		}
-		data = append(data, d)
+	data, err := codec.MarshalAll(records)
+	if err != nil {
+		return err
 	}
-	_, err := i.platformLog.Append(ctx, peer.OwnershipStream, data...)
+	_, err = i.platformLog.Append(ctx, peer.OwnershipStream, data...)
 	return err
 }
 
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -166,10 +166,8 @@
 	return stream == peer.CatalogueStream
 }
 
-// keepOwnershipRecord keeps a record for peers that are cut off from the log.
-func (i *Instance) keepOwnershipRecord(r platform.Record) { i.recent.add(r) }
-
-// recentRecords holds the latest records of a stream.
+// recentRecords holds the latest records of a stream, for peers that are cut off
+// from the log.
 type recentRecords struct {
 	mu      *lock.Ranked
 	records []platform.Record
--- /dev/null
+++ b/instance/stored_test.go
@@ -0,0 +1,25 @@
+package instance
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lycheecrank.example/claim"
+	"lycheecrank.example/request"
+)
+
+// Guards against a repeat of a request whose output is not kept that gets an
+// empty answer as if it were the whole one.
+func TestStoredAnswerSaysWhatIsNotKept(t *testing.T) {
+	is := is.New(t)
+	kept := storedAnswer(claim.AlreadyRan{Result: claim.NewResult([]byte("filed"))})
+	is.Equal(string(kept.Output), "filed")
+	is.Equal(kept.Failure, request.Failure{})
+
+	large := claim.NewResult(make([]byte, claim.MaxStoredResult+1))
+	is.Equal(storedAnswer(claim.AlreadyRan{Result: large}).Failure.Reason, request.ReasonOutputNotKept)
+
+	empty := storedAnswer(claim.AlreadyRan{Result: claim.NewResult(nil)})
+	is.Equal(empty.Failure, request.Failure{})
+}
--- a/request/commands.go
+++ b/request/commands.go
@@ -1,6 +1,10 @@
 package request
 
-import "context"
+import (
+	"context"
+
+	"lycheecrank.example/lock"
+)
 
 // Commands changes a Table. Concurrent calls are safe.
 type Commands struct {
@@ -79,16 +83,8 @@
 // returns the number of requests that are left.
 func (c Commands) AwaitIdle(ctx context.Context) int {
 	t := c.table
-	stop := context.AfterFunc(ctx, func() {
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		t.idle.Broadcast()
-	})
-	defer stop()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for len(t.inFlight) > 0 && ctx.Err() == nil {
-		t.idle.Wait()
-	}
+	lock.WaitUntil(ctx, t.idle, func() bool { return len(t.inFlight) == 0 })
 	return len(t.inFlight)
 }
--- a/request/reason.go
+++ b/request/reason.go
@@ -40,6 +40,7 @@
 	ReasonDeadlinePassed       Reason = "deadlinePassed"
 	ReasonCancelled            Reason = "cancelled"
 	ReasonOutcomeUnknown       Reason = "outcomeUnknown"
+	ReasonOutputNotKept        Reason = "outputNotKept"
 )
 
 // reasonTraits says how a reason may be used.
@@ -86,6 +87,7 @@
 	{ReasonDeadlinePassed, false, true, true},
 	{ReasonCancelled, false, false, true},
 	{ReasonOutcomeUnknown, false, false, true},
+	{ReasonOutputNotKept, false, false, true},
 }
 
 // Reasons returns all reasons in a fixed order.
--- a/request/step.go
+++ b/request/step.go
@@ -136,7 +136,8 @@
 	Request Request
 	Outcome Outcome
 	Output  []byte
-	// Failure is set unless the outcome is Ran.
+	// Failure is set unless the outcome is Ran, and for an answer from the record
+	// of an earlier run whose output is not kept.
 	Failure Failure
 	Stages  []StageReport
 }
