Release the terms that were given up when their append failed

Cause: a leaving owner gives idle pools up one by one; the stop cancels the append of such a release, and the release at the end named only the terms still held. Seen as TestGracefulStop under the race detector on a busy machine: three pools not taken after 5 s, their last record a renewal. A slow takeover by the neighbour was ruled out, since no release was in the stream.

--- a/ownership/case_test.go
+++ b/ownership/case_test.go
@@ -273,3 +273,37 @@
 	is.True(term.Settled)
 	is.Equal(table.Queries().Rights(labPool, time.Now()), Rights{})
 }
+
+// Guards against a term that is given up and never released because its append
+// failed, such as when a stop cancels it: its pool would be without an owner
+// until the silence is over.
+func TestGivenUpTermIsReleasedInTheEnd(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(Self{"a", "a1", labCentre}, Timing{}, NewState(0), time.Now())
+	pools, offset, failing := []string{labPool}, uint64(0), false
+	k := Keeper{
+		Table: table,
+		Pools: func() []string { return pools },
+		Append: func(_ context.Context, records ...Record) error {
+			if failing {
+				return errLost
+			}
+			for _, r := range records {
+				offset++
+				is.NoErr(table.Commands().Apply(offset, r, time.Now()))
+			}
+			return nil
+		},
+		Candidates: func() []member.Instance { return nil },
+	}
+	k.step(t.Context())
+	pools, failing = nil, true
+	k.step(t.Context())
+	_, held := table.Queries().Owner(labPool, labCentre)
+	is.True(held) // the release is not in the log
+	is.Equal(table.Queries().Rights(labPool, time.Now()), Rights{})
+	failing = false
+	is.NoErr(k.Release(t.Context()))
+	_, held = table.Queries().Owner(labPool, labCentre)
+	is.True(!held)
+}
--- a/ownership/keeper.go
+++ b/ownership/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -34,6 +35,9 @@
 	renewal renewal
 	taken   map[string]time.Time
 	lapsed  bool
+	// givenUp holds the terms whose release has not been answered. Without it
+	// a stop that cancels the append would leave their pools without an owner.
+	givenUp map[string]lease
 }
 
 // renewal is the last attempt at a renewal.
@@ -77,7 +81,7 @@
 // Release ends all rights of the instance, then releases its terms. It repeats
 // the release until it is answered or the context has ended.
 func (k *Keeper) Release(ctx context.Context) error {
-	former := k.Table.Commands().leave()
+	former := withLeases(k.givenUp, k.Table.Commands().leave())
 	for {
 		err := k.release(ctx, former)
 		if err == nil || ctx.Err() != nil {
@@ -120,9 +124,19 @@
 func (k *Keeper) drop(ctx context.Context, pools []string) {
 	gone := slices.DeleteFunc(k.Table.current.Load().ownPools(), func(p string) bool { return slices.Contains(pools, p) })
 	if len(gone) > 0 {
-		// If the append fails, the terms end by silence.
-		_ = k.release(ctx, k.Table.Commands().giveUp(gone))
+		k.givenUp = withLeases(k.givenUp, k.Table.Commands().giveUp(gone))
 	}
+	if len(k.givenUp) > 0 && k.release(ctx, k.givenUp) == nil {
+		k.givenUp = nil
+	}
+}
+
+// withLeases returns the leases of two sets in a new one.
+func withLeases(a, b map[string]lease) map[string]lease {
+	all := make(map[string]lease, len(a)+len(b))
+	maps.Copy(all, a)
+	maps.Copy(all, b)
+	return all
 }
 
 func (k *Keeper) renew(ctx context.Context, now time.Time) {
