--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -325,10 +325,13 @@
 
 // RunSweeps sweeps until the context ends.
 func (c Commands) RunSweeps(ctx context.Context) error {
+	started := time.Now()
 	timer := time.NewTimer(sweepInterval)
 	defer timer.Stop()
 	for c.awaitWaiting(ctx) {
-		timer.Reset(sweepInterval)
+		// Sweeps keep to a fixed beat, so that they fall on no event of a step that
+		// came to an empty queue.
+		timer.Reset(sweepInterval - time.Since(started)%sweepInterval)
 		select {
 		case <-ctx.Done():
 			return nil
