Move the clients of our own platform interface to the package provider

Cause: the folder platform is to hold the adapter to the users' platform and nothing else, while it held the typed clients of our own interface (log, list of instances, weight store). The bounds of the promises stay.

--- a/bench/site.go
+++ b/bench/site.go
@@ -14,7 +14,7 @@
 
 	"lycheecrank.example/catalogue"
 	"lycheecrank.example/editor"
-	"lycheecrank.example/platform"
+	"lycheecrank.example/provider"
 	"lycheecrank.example/request"
 	"lycheecrank.example/stage"
 	"lycheecrank.example/standin"
@@ -162,7 +162,7 @@
 
 // edit submits entries to the catalogue.
 func (s *Site) edit(ctx context.Context, entries []catalogue.Entry) error {
-	e := editor.Editor{Log: platform.NewLog(http.DefaultClient, s.platformURL)}
+	e := editor.Editor{Log: provider.NewLog(http.DefaultClient, s.platformURL)}
 	h, err := e.Load(ctx)
 	if err != nil {
 		return err
--- a/cmd/lycheestand/demo.go
+++ b/cmd/lycheestand/demo.go
@@ -22,7 +22,7 @@
 	"lycheecrank.example/catalogue"
 	"lycheecrank.example/editor"
 	"lycheecrank.example/instance"
-	"lycheecrank.example/platform"
+	"lycheecrank.example/provider"
 	"lycheecrank.example/request"
 	"lycheecrank.example/settings"
 	"lycheecrank.example/standin"
@@ -152,7 +152,7 @@
 	if err != nil {
 		return err
 	}
-	e := editor.Editor{Log: platform.NewLog(http.DefaultClient, platformURL)}
+	e := editor.Editor{Log: provider.NewLog(http.DefaultClient, platformURL)}
 	v, err := e.Submit(ctx, editor.NewEdit("demo", file.Changes(catalogue.Catalogue{})))
 	if err != nil {
 		return err
--- a/console/code.go
+++ b/console/code.go
@@ -8,7 +8,7 @@
 	"lycheecrank.example/catalogue"
 	"lycheecrank.example/editor"
 	"lycheecrank.example/operator"
-	"lycheecrank.example/platform"
+	"lycheecrank.example/provider"
 )
 
 // Code is the exit code of a command. Scripts rely on the numbers.
@@ -83,8 +83,8 @@
 	{ErrNotInForce, NotInForce},
 	{ErrViolated, Violated},
 	{ErrNoInstance, Unavailable},
-	{platform.ErrUnavailable, Unavailable},
-	{platform.ErrRateLimited, Unavailable},
+	{provider.ErrUnavailable, Unavailable},
+	{provider.ErrRateLimited, Unavailable},
 	{operator.ErrUnavailable, Unavailable},
 }
 
--- a/console/console.go
+++ b/console/console.go
@@ -12,7 +12,7 @@
 	"lycheecrank.example/catalogue"
 	"lycheecrank.example/editor"
 	"lycheecrank.example/operator"
-	"lycheecrank.example/platform"
+	"lycheecrank.example/provider"
 )
 
 // Console is what commands and queries work with. Set the exported fields
@@ -23,9 +23,9 @@
 	// Submit appends an edit and returns the verdict on it.
 	Submit func(ctx context.Context, e catalogue.Edit) (catalogue.Verdict, error)
 	// List returns the platform's list of instances.
-	List func(ctx context.Context) ([]platform.Instance, error)
+	List func(ctx context.Context) ([]provider.Instance, error)
 	// Read returns a page of a stream of the log.
-	Read func(ctx context.Context, stream string, from uint64) (platform.Page, error)
+	Read func(ctx context.Context, stream string, from uint64) (provider.Page, error)
 	// Operator returns the client for the instance at an address.
 	Operator func(address string) operator.Client
 	// Seeds are addresses of instances to ask besides the platform's list.
@@ -38,8 +38,8 @@
 
 // New returns a console for the platform at a base URL.
 func New(client *http.Client, platformURL string, timeout time.Duration) *Console {
-	log := platform.NewLog(client, platformURL)
-	instances := platform.NewInstances(client, platformURL)
+	log := provider.NewLog(client, platformURL)
+	instances := provider.NewInstances(client, platformURL)
 	e := editor.Editor{Log: log, Timeout: timeout}
 	return &Console{
 		Load: e.Load, Submit: e.Submit, List: instances.List, Read: log.Read,
--- a/console/precedence.go
+++ b/console/precedence.go
@@ -10,8 +10,8 @@
 	"lycheecrank.example/catalogue"
 	"lycheecrank.example/codec"
 	"lycheecrank.example/editor"
-	"lycheecrank.example/platform"
 	"lycheecrank.example/precedence"
+	"lycheecrank.example/provider"
 )
 
 // PrecedenceStream is the stream of sealed decision records.
@@ -72,7 +72,7 @@
 	return e, nil
 }
 
-func (q Queries) readPage(ctx context.Context, stream string, from uint64) (platform.Page, error) {
+func (q Queries) readPage(ctx context.Context, stream string, from uint64) (provider.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, q.console.Timeout)
 	defer cancel()
 	return q.console.Read(ctx, stream, from)
--- a/console/status.go
+++ b/console/status.go
@@ -10,7 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lycheecrank.example/operator"
-	"lycheecrank.example/platform"
+	"lycheecrank.example/provider"
 )
 
 // askedAtOnce bounds how many instances are asked at the same time.
@@ -227,7 +227,7 @@
 	}
 	var entries []InstanceStatus
 	for _, i := range list {
-		if i.Role == platform.EntryRole {
+		if i.Role == provider.EntryRole {
 			entries = append(entries, InstanceStatus{Name: i.Name, DataCentre: i.DataCentre, Address: i.Address, Leaving: i.Leaving})
 		}
 	}
--- a/editor/editor.go
+++ b/editor/editor.go
@@ -15,7 +15,7 @@
 
 	"lycheecrank.example/catalogue"
 	"lycheecrank.example/codec"
-	"lycheecrank.example/platform"
+	"lycheecrank.example/provider"
 )
 
 // ErrUndecided is returned if an edit could not be read back: it may be in the
@@ -63,7 +63,7 @@
 
 // Editor works on the catalogue's stream of the log. Concurrent calls are safe.
 type Editor struct {
-	Log *platform.Log
+	Log *provider.Log
 	// Patience bounds the time in which an edit is read back; 0 means 10 s.
 	Patience time.Duration
 	// Timeout bounds each call to the log; 0 means 5 s.
@@ -95,7 +95,7 @@
 	return h, err
 }
 
-func (e Editor) read(ctx context.Context, stream string, from uint64) (platform.Page, error) {
+func (e Editor) read(ctx context.Context, stream string, from uint64) (provider.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, e.timeout())
 	defer cancel()
 	return e.Log.Read(ctx, stream, from)
@@ -108,29 +108,29 @@
 	return err
 }
 
-// Read returns a page of a stream from an offset on, as platform.Log.Read does.
-type Read func(ctx context.Context, stream string, from uint64) (platform.Page, error)
+// Read returns a page of a stream from an offset on, as provider.Log.Read does.
+type Read func(ctx context.Context, stream string, from uint64) (provider.Page, error)
 
 // readAttempts bounds how often a read starts anew because records expired
 // between two pages.
 const readAttempts = 3
 
 // ReadStream returns all retained records of a stream by offset. It returns
-// platform.ErrExpired if records expire faster than they are read.
-func ReadStream(ctx context.Context, read Read, stream string) ([]platform.Record, error) {
-	var records []platform.Record
+// provider.ErrExpired if records expire faster than they are read.
+func ReadStream(ctx context.Context, read Read, stream string) ([]provider.Record, error) {
+	var records []provider.Record
 	var err error
 	for range readAttempts {
 		records, err = readOnce(ctx, read, stream)
-		if !errors.Is(err, platform.ErrExpired) {
+		if !errors.Is(err, provider.ErrExpired) {
 			break
 		}
 	}
 	return records, err
 }
 
-func readOnce(ctx context.Context, read Read, stream string) ([]platform.Record, error) {
-	byOffset := map[uint64]platform.Record{}
+func readOnce(ctx context.Context, read Read, stream string) ([]provider.Record, error) {
+	byOffset := map[uint64]provider.Record{}
 	from := uint64(0)
 	for {
 		page, err := read(ctx, stream, from)
@@ -147,11 +147,11 @@
 			break
 		}
 		if next == from {
-			return nil, eris.Wrapf(platform.ErrUnavailable, "read %s: no records from offset %d on, but the stream ends at %d", stream, from, page.Next)
+			return nil, eris.Wrapf(provider.ErrUnavailable, "read %s: no records from offset %d on, but the stream ends at %d", stream, from, page.Next)
 		}
 		from = next
 	}
-	return slices.SortedFunc(maps.Values(byOffset), func(a, b platform.Record) int {
+	return slices.SortedFunc(maps.Values(byOffset), func(a, b provider.Record) int {
 		return cmp.Compare(a.Offset, b.Offset)
 	}), nil
 }
@@ -170,7 +170,7 @@
 		return catalogue.Verdict{}, err
 	}
 	appendErr := e.append(ctx, data)
-	if errors.Is(appendErr, platform.ErrRateLimited) {
+	if errors.Is(appendErr, provider.ErrRateLimited) {
 		return catalogue.Verdict{}, appendErr
 	}
 	ctx, cancel := context.WithTimeout(ctx, e.patience())
--- a/instance/catalogue.go
+++ b/instance/catalogue.go
@@ -11,7 +11,7 @@
 	"lycheecrank.example/catalogue"
 	"lycheecrank.example/codec"
 	"lycheecrank.example/event"
-	"lycheecrank.example/platform"
+	"lycheecrank.example/provider"
 )
 
 // snapshotPolicy says when an instance appends a snapshot of the catalogue.
@@ -36,13 +36,13 @@
 func (i *Instance) catalogueFollower() *follower {
 	return i.follower(catalogue.Stream, i.replayCatalogue, func() uint64 {
 		return i.catalogueQueries.Current().Offset + 1
-	}, func(records []platform.Record) error {
+	}, func(records []provider.Record) error {
 		return i.applyCatalogue(records, "log")
 	})
 }
 
 // replayCatalogue builds the catalogue from all retained records.
-func (i *Instance) replayCatalogue(ctx context.Context, page platform.Page) error {
+func (i *Instance) replayCatalogue(ctx context.Context, page provider.Page) error {
 	var numbered []catalogue.Numbered
 	snapshotAt := uint64(0)
 	for {
@@ -62,7 +62,7 @@
 			return err
 		}
 		if len(next.Records) == 0 && read < next.Next {
-			return eris.Wrapf(platform.ErrUnavailable, "read %s: a page before the end is empty", catalogue.Stream)
+			return eris.Wrapf(provider.ErrUnavailable, "read %s: a page before the end is empty", catalogue.Stream)
 		}
 		page.Records, page.Next = next.Records, next.Next
 	}
@@ -78,7 +78,7 @@
 
 // decodeCatalogue returns the record, or an empty one that changes nothing if
 // its bytes can't be read; all instances decide alike.
-func (i *Instance) decodeCatalogue(r platform.Record) catalogue.Record {
+func (i *Instance) decodeCatalogue(r provider.Record) catalogue.Record {
 	var record catalogue.Record
 	if err := codec.Unmarshal(r.Data, &record); err != nil {
 		i.Logger.Write(event.LogRecordUnread, catalogue.Stream, r.Offset, err)
@@ -88,7 +88,7 @@
 }
 
 // applyCatalogue applies records from the log or from a peer.
-func (i *Instance) applyCatalogue(records []platform.Record, source string) error {
+func (i *Instance) applyCatalogue(records []provider.Record, source string) error {
 	adopted := false
 	for _, r := range records {
 		v, applied, err := i.catalogueCommands.Apply(catalogue.Raw{Offset: r.Offset, Data: r.Data}, i.decodeCatalogue(r))
@@ -215,23 +215,23 @@
 
 // catalogueRecords returns the records after an offset for a peer. A peer that
 // is far behind gets one record with a snapshot of the state at its offset.
-func (i *Instance) catalogueRecords(after uint64) []platform.Record {
+func (i *Instance) catalogueRecords(after uint64) []provider.Record {
 	raw, ok := i.catalogueQueries.Since(after)
 	if !ok {
 		return i.snapshotForPeer()
 	}
-	records := make([]platform.Record, 0, len(raw))
+	records := make([]provider.Record, 0, len(raw))
 	for _, r := range raw {
-		records = append(records, platform.Record{Offset: r.Offset, Data: r.Data})
+		records = append(records, provider.Record{Offset: r.Offset, Data: r.Data})
 	}
 	return records
 }
 
-func (i *Instance) snapshotForPeer() []platform.Record {
+func (i *Instance) snapshotForPeer() []provider.Record {
 	s := i.catalogueQueries.Current().Snapshot()
 	data, err := codec.Marshal(catalogue.Record{Snapshot: &s})
 	if err != nil {
 		return nil
 	}
-	return []platform.Record{{Offset: s.Through, Data: data}}
+	return []provider.Record{{Offset: s.Through, Data: data}}
 }
--- a/instance/claim.go
+++ b/instance/claim.go
@@ -13,7 +13,7 @@
 	"lycheecrank.example/codec"
 	"lycheecrank.example/event"
 	"lycheecrank.example/pipeline"
-	"lycheecrank.example/platform"
+	"lycheecrank.example/provider"
 	"lycheecrank.example/request"
 )
 
@@ -24,7 +24,7 @@
 // claimFollower returns the follower of a stream of claims.
 func (i *Instance) claimFollower(n int) *follower {
 	stream := claim.StreamName(n)
-	begin := func(_ context.Context, page platform.Page) error {
+	begin := func(_ context.Context, page provider.Page) error {
 		since := time.Now()
 		if len(page.Records) > 0 {
 			since = page.Records[0].AppendedAt
@@ -32,11 +32,11 @@
 		return i.claimCommands.Begin(stream, page.Earliest, since)
 	}
 	next := func() uint64 { return i.claimQueries.Through(stream) + 1 }
-	apply := func(records []platform.Record) error { return i.applyClaims(stream, records) }
+	apply := func(records []provider.Record) error { return i.applyClaims(stream, records) }
 	return i.follower(stream, begin, next, apply)
 }
 
-func (i *Instance) applyClaims(stream string, records []platform.Record) error {
+func (i *Instance) applyClaims(stream string, records []provider.Record) error {
 	if len(records) == 0 {
 		return nil
 	}
@@ -64,7 +64,7 @@
 			return nil
 		}
 		if len(page.Records) == 0 {
-			return eris.Wrapf(platform.ErrUnavailable, "read %s: a page before the end is empty", stream)
+			return eris.Wrapf(provider.ErrUnavailable, "read %s: a page before the end is empty", stream)
 		}
 	}
 }
@@ -76,7 +76,7 @@
 		return errors.Join(claim.ErrNotAppended, err)
 	}
 	_, err = i.platformLog.Append(ctx, stream, data...)
-	if errors.Is(err, platform.ErrRateLimited) {
+	if errors.Is(err, provider.ErrRateLimited) {
 		return errors.Join(claim.ErrNotAppended, err)
 	}
 	return err
--- a/instance/follower.go
+++ b/instance/follower.go
@@ -6,7 +6,7 @@
 	"math/rand/v2"
 	"time"
 
-	"lycheecrank.example/platform"
+	"lycheecrank.example/provider"
 )
 
 // Pauses between attempts to reach the log. They grow to the larger one, so
@@ -19,14 +19,14 @@
 // follower keeps a table up to date with a stream of the log.
 type follower struct {
 	stream string
-	log    *platform.Log
+	log    *provider.Log
 	// begin takes the earliest retained page when the follower starts, and again
 	// when records that it needs have expired.
-	begin func(ctx context.Context, earliest platform.Page) error
+	begin func(ctx context.Context, earliest provider.Page) error
 	// next returns the offset that is wanted next.
 	next func() uint64
 	// apply takes records in offset order.
-	apply func(records []platform.Record) error
+	apply func(records []provider.Record) error
 	// contact is told whenever the log has answered or failed.
 	contact func(stream string, err error)
 }
@@ -42,7 +42,7 @@
 		if begun {
 			started := time.Now()
 			err := f.tail(ctx)
-			begun = !errors.Is(err, platform.ErrExpired)
+			begun = !errors.Is(err, provider.ErrExpired)
 			if time.Since(started) > maxLogPause {
 				wait = minLogPause
 			}
@@ -65,7 +65,7 @@
 
 // tail takes the records from the next one on until the stream breaks.
 func (f *follower) tail(ctx context.Context) error {
-	err := f.log.Tail(ctx, f.stream, f.next(), func(records []platform.Record) error {
+	err := f.log.Tail(ctx, f.stream, f.next(), func(records []provider.Record) error {
 		f.answered(ctx, nil)
 		return f.apply(records)
 	})
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -23,8 +23,8 @@
 	"lycheecrank.example/ownership"
 	"lycheecrank.example/peer"
 	"lycheecrank.example/pipeline"
-	"lycheecrank.example/platform"
 	"lycheecrank.example/precedence"
+	"lycheecrank.example/provider"
 	"lycheecrank.example/request"
 	"lycheecrank.example/settings"
 	"lycheecrank.example/stage"
@@ -43,8 +43,8 @@
 	Ready func(callers, peers string)
 
 	self        peer.Hello
-	platformLog *platform.Log
-	instances   *platform.Instances
+	platformLog *provider.Log
+	instances   *provider.Instances
 	contact     *contact
 	leaving     atomic.Bool
 	// closed tells that this data centre is taken out or on hold.
@@ -135,8 +135,8 @@
 
 func (i *Instance) buildPlatform() {
 	client := platformHTTP()
-	i.platformLog = i.bounded(platform.NewLog(client, i.Settings.Platform.Log))
-	i.instances = platform.NewInstances(client, i.Settings.Platform.Instances)
+	i.platformLog = i.bounded(provider.NewLog(client, i.Settings.Platform.Log))
+	i.instances = provider.NewInstances(client, i.Settings.Platform.Instances)
 }
 
 func (i *Instance) buildTables() {
@@ -195,15 +195,15 @@
 	}
 }
 
-func (i *Instance) follower(stream string, begin func(context.Context, platform.Page) error, next func() uint64, apply func([]platform.Record) error) *follower {
+func (i *Instance) follower(stream string, begin func(context.Context, provider.Page) error, next func() uint64, apply func([]provider.Record) error) *follower {
 	return &follower{stream: stream, log: i.platformLog, begin: begin, next: next, apply: apply, contact: i.contact.note}
 }
 
 // bounded returns a client of the log whose reads and appends take at most the
 // platform's timeout and count as contact when they are answered.
-func (i *Instance) bounded(l *platform.Log) *platform.Log {
+func (i *Instance) bounded(l *provider.Log) *provider.Log {
 	limit := i.Settings.Timeouts.Platform
-	return &platform.Log{
+	return &provider.Log{
 		Append: func(ctx context.Context, stream string, data ...[]byte) (uint64, error) {
 			ctx, cancel := context.WithTimeout(ctx, limit)
 			defer cancel()
@@ -211,7 +211,7 @@
 			i.contact.note(stream, err)
 			return first, err
 		},
-		Read: func(ctx context.Context, stream string, from uint64) (platform.Page, error) {
+		Read: func(ctx context.Context, stream string, from uint64) (provider.Page, error) {
 			ctx, cancel := context.WithTimeout(ctx, limit)
 			defer cancel()
 			page, err := l.Read(ctx, stream, from)
--- a/instance/ownership.go
+++ b/instance/ownership.go
@@ -11,12 +11,12 @@
 	"lycheecrank.example/member"
 	"lycheecrank.example/ownership"
 	"lycheecrank.example/peer"
-	"lycheecrank.example/platform"
+	"lycheecrank.example/provider"
 )
 
 // ownershipFollower returns the follower of the stream of terms.
 func (i *Instance) ownershipFollower() *follower {
-	begin := func(_ context.Context, page platform.Page) error {
+	begin := func(_ context.Context, page provider.Page) error {
 		if applied := i.ownershipQueries.State().Applied(); applied+1 < page.Earliest {
 			i.ownershipCommands.Restart(ownership.NewState(page.Earliest-1), time.Now())
 		}
@@ -26,7 +26,7 @@
 	return i.follower(peer.OwnershipStream, begin, next, i.applyOwnership)
 }
 
-func (i *Instance) applyOwnership(records []platform.Record) error {
+func (i *Instance) applyOwnership(records []provider.Record) error {
 	received := time.Now()
 	for _, r := range records {
 		var record ownership.Record
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -10,7 +10,7 @@
 	"lycheecrank.example/lock"
 	"lycheecrank.example/member"
 	"lycheecrank.example/peer"
-	"lycheecrank.example/platform"
+	"lycheecrank.example/provider"
 )
 
 // Gossip targets of a round: some of the own data centre, some of others.
@@ -136,7 +136,7 @@
 }
 
 // records returns the records of a stream after an offset.
-func (i *Instance) records(stream string, after uint64) []platform.Record {
+func (i *Instance) records(stream string, after uint64) []provider.Record {
 	switch stream {
 	case peer.CatalogueStream:
 		return i.catalogueRecords(after)
@@ -147,7 +147,7 @@
 }
 
 // takeRecords applies records that a peer passed on.
-func (i *Instance) takeRecords(stream string, records []platform.Record) {
+func (i *Instance) takeRecords(stream string, records []provider.Record) {
 	var err error
 	switch stream {
 	case peer.CatalogueStream:
@@ -162,7 +162,7 @@
 
 // acceptGap allows a snapshot of the catalogue in place of the records that a
 // peer no longer has.
-func (i *Instance) acceptGap(stream string, _ uint64, _ platform.Record) bool {
+func (i *Instance) acceptGap(stream string, _ uint64, _ provider.Record) bool {
 	return stream == peer.CatalogueStream
 }
 
@@ -170,14 +170,14 @@
 // from the log.
 type recentRecords struct {
 	mu      *lock.Ranked
-	records []platform.Record
+	records []provider.Record
 }
 
 func newRecentRecords() *recentRecords {
 	return &recentRecords{mu: lock.New(lock.RankPeer, "recent records")}
 }
 
-func (r *recentRecords) add(record platform.Record) {
+func (r *recentRecords) add(record provider.Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if n := len(r.records); n > 0 && r.records[n-1].Offset+1 != record.Offset {
@@ -188,17 +188,17 @@
 	}
 	r.records = append(r.records, record)
 	if len(r.records) > 2*recentLimit {
-		r.records = append([]platform.Record{}, r.records[recentLimit:]...)
+		r.records = append([]provider.Record{}, r.records[recentLimit:]...)
 	}
 }
 
 // since returns the records after an offset, or none if some are gone.
-func (r *recentRecords) since(after uint64) []platform.Record {
+func (r *recentRecords) since(after uint64) []provider.Record {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for n, record := range r.records {
 		if record.Offset == after+1 {
-			return append([]platform.Record{}, r.records[n:]...)
+			return append([]provider.Record{}, r.records[n:]...)
 		}
 	}
 	return nil
--- a/instance/watch.go
+++ b/instance/watch.go
@@ -10,7 +10,7 @@
 	"lycheecrank.example/catalogue"
 	"lycheecrank.example/event"
 	"lycheecrank.example/member"
-	"lycheecrank.example/platform"
+	"lycheecrank.example/provider"
 )
 
 const (
@@ -45,9 +45,9 @@
 func (i *Instance) announce(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, i.Settings.Timeouts.Platform)
 	defer cancel()
-	_ = i.instances.Announce(ctx, platform.Instance{
+	_ = i.instances.Announce(ctx, provider.Instance{
 		Name: i.self.Instance, Incarnation: i.self.Incarnation, DataCentre: i.self.DataCentre,
-		Role: platform.EntryRole, Address: i.addresses.callers, PeerAddress: i.addresses.peers,
+		Role: provider.EntryRole, Address: i.addresses.callers, PeerAddress: i.addresses.peers,
 		Leaving: i.leaving.Load(),
 	})
 }
@@ -61,22 +61,22 @@
 	}
 }
 
-func (i *Instance) takeList(list []platform.Instance) {
+func (i *Instance) takeList(list []provider.Instance) {
 	members := make([]member.Instance, 0, len(list))
 	for _, e := range list {
 		switch e.Role {
-		case platform.EntryRole:
+		case provider.EntryRole:
 			if e.Name != i.self.Instance {
 				members = append(members, asMember(e))
 			}
-		case platform.BackendRole:
+		case provider.BackendRole:
 			i.backendCommands.SetListedLeaving(e.Name, e.Leaving)
 		}
 	}
 	i.memberCommands.ReplaceList(append(members, i.asMember()), time.Now())
 }
 
-func asMember(e platform.Instance) member.Instance {
+func asMember(e provider.Instance) member.Instance {
 	return member.Instance{
 		Name: e.Name, Incarnation: e.Incarnation, DataCentre: e.DataCentre,
 		Address: e.Address, PeerAddress: e.PeerAddress, Leaving: e.Leaving, Reachable: true,
--- a/peer/call.go
+++ b/peer/call.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"lycheecrank.example/platform"
+	"lycheecrank.example/provider"
 	"lycheecrank.example/request"
 )
 
@@ -139,7 +139,7 @@
 // Fetch returns records of a stream after an offset, in the order of their
 // offsets and without a gap between them. The peer may answer with a part; no
 // records mean that it has none.
-func (c *Client) Fetch(ctx context.Context, address, stream string, after uint64) ([]platform.Record, error) {
+func (c *Client) Fetch(ctx context.Context, address, stream string, after uint64) ([]provider.Record, error) {
 	m := message{Type: fetchType, Fetch: &fetchBody{Stream: stream, After: after}}
 	answer, err := c.ask(ctx, address, m, recordsType)
 	if err != nil {
@@ -155,7 +155,7 @@
 
 // Send hands records of a stream to the peer, as many as fit a message, and
 // returns how many.
-func (c *Client) Send(ctx context.Context, address, stream string, records []platform.Record) (int, error) {
+func (c *Client) Send(ctx context.Context, address, stream string, records []provider.Record) (int, error) {
 	records = fitting(records)
 	m := message{Type: recordsType, Records: &recordsBody{Stream: stream, Records: records}}
 	if _, err := c.ask(ctx, address, m, takenType); err != nil {
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"lycheecrank.example/counter"
-	"lycheecrank.example/platform"
+	"lycheecrank.example/provider"
 	"lycheecrank.example/request"
 )
 
@@ -31,18 +31,18 @@
 	TakeDigest func(address string, d Digest)
 	// Exchange, Fetch and Send are those of Client.
 	Exchange func(ctx context.Context, address string, d Digest) (Digest, error)
-	Fetch    func(ctx context.Context, address, stream string, after uint64) ([]platform.Record, error)
-	Send     func(ctx context.Context, address, stream string, records []platform.Record) (int, error)
+	Fetch    func(ctx context.Context, address, stream string, after uint64) ([]provider.Record, error)
+	Send     func(ctx context.Context, address, stream string, records []provider.Record) (int, error)
 	// Records returns the records of a stream that this instance has after an
 	// offset, in order.
-	Records func(stream string, after uint64) []platform.Record
+	Records func(stream string, after uint64) []provider.Record
 	// TakeRecords applies records. They are consecutive, and the first one follows
 	// the offset of the digest, but for a gap that AcceptGap allows. The digest
 	// shows their offset afterwards.
-	TakeRecords func(stream string, records []platform.Record)
+	TakeRecords func(stream string, records []provider.Record)
 	// AcceptGap reports whether records may begin later than after+1, as with a
 	// snapshot. Nil accepts no gap.
-	AcceptGap func(stream string, after uint64, first platform.Record) bool
+	AcceptGap func(stream string, after uint64, first provider.Record) bool
 	// Failed is told about a target that did not answer; it may be nil.
 	Failed func(address string, err error)
 	// Counters counts refused records; it may be nil.
@@ -137,7 +137,7 @@
 }
 
 // take hands records over unless they leave a gap.
-func (g *Gossip) take(stream string, local uint64, records []platform.Record) error {
+func (g *Gossip) take(stream string, local uint64, records []provider.Record) error {
 	first := records[0]
 	isGap := first.Offset != local+1
 	if !isConsecutive(records, local) || (isGap && (g.AcceptGap == nil || !g.AcceptGap(stream, local, first))) {
--- a/peer/message.go
+++ b/peer/message.go
@@ -7,7 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"lycheecrank.example/codec"
-	"lycheecrank.example/platform"
+	"lycheecrank.example/provider"
 	"lycheecrank.example/request"
 )
 
@@ -74,7 +74,7 @@
 
 type recordsBody struct {
 	Stream  string            `msgpack:"stream"`
-	Records []platform.Record `msgpack:"records"`
+	Records []provider.Record `msgpack:"records"`
 }
 
 type executeBody struct {
--- a/peer/records.go
+++ b/peer/records.go
@@ -1,6 +1,6 @@
 package peer
 
-import "lycheecrank.example/platform"
+import "lycheecrank.example/provider"
 
 const (
 	// maxRecords and maxRecordsBytes bound a message of records, so that a long
@@ -10,7 +10,7 @@
 )
 
 // fitting returns the leading records that go into one message, at least one.
-func fitting(records []platform.Record) []platform.Record {
+func fitting(records []provider.Record) []provider.Record {
 	size := 0
 	for i, r := range records {
 		size += len(r.Data)
@@ -23,7 +23,7 @@
 
 // isConsecutive reports whether the records come after an offset and have no gap
 // between them.
-func isConsecutive(records []platform.Record, after uint64) bool {
+func isConsecutive(records []provider.Record, after uint64) bool {
 	for i, r := range records {
 		if r.Offset <= after || (i > 0 && r.Offset != records[i-1].Offset+1) {
 			return false
--- a/peer/server.go
+++ b/peer/server.go
@@ -11,7 +11,7 @@
 
 	"lycheecrank.example/counter"
 	"lycheecrank.example/event"
-	"lycheecrank.example/platform"
+	"lycheecrank.example/provider"
 	"lycheecrank.example/request"
 )
 
@@ -33,11 +33,11 @@
 	// TakeDigest takes what a peer knows.
 	TakeDigest func(from Hello, d Digest)
 	// Records returns records of a stream after an offset, in order.
-	Records func(stream string, after uint64) []platform.Record
+	Records func(stream string, after uint64) []provider.Record
 	// TakeRecords takes records that a peer handed over, without a gap between
 	// them. They may be known already, and the first one need not follow the last
 	// known one.
-	TakeRecords func(stream string, records []platform.Record)
+	TakeRecords func(stream string, records []provider.Record)
 	// CancelRequest cancels a request and reports whether it was in flight.
 	CancelRequest func(workspace, requestID string) bool
 	// Logger may be nil.
--- a/platform/log.go
+++ b/provider/log.go
@@ -1,6 +1,6 @@
-// Package platform has typed clients for the services that the platform
+// Package provider has typed clients for the services that the platform
 // offers: the append-only log, the list of instances and the weight store.
-package platform
+package provider
 
 import (
 	"context"
--- a/platform/weights.go
+++ b/provider/weights.go
@@ -1,4 +1,4 @@
-package platform
+package provider
 
 import (
 	"context"
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -9,7 +9,7 @@
 	"connectrpc.com/connect"
 	"github.com/google/uuid"
 
-	"lycheecrank.example/platform"
+	"lycheecrank.example/provider"
 	"lycheecrank.example/standin/work"
 )
 
@@ -64,13 +64,13 @@
 	if client == nil {
 		client = http.DefaultClient
 	}
-	instances := platform.NewInstances(client, b.options.Platform)
+	instances := provider.NewInstances(client, b.options.Platform)
 	return func(ctx context.Context, address string, leaving bool) error {
-		return instances.Announce(ctx, platform.Instance{
+		return instances.Announce(ctx, provider.Instance{
 			Name:        b.options.Name,
 			Incarnation: b.incarnation,
 			DataCentre:  b.options.DataCentre,
-			Role:        platform.BackendRole,
+			Role:        provider.BackendRole,
 			Address:     address,
 			Leaving:     leaving,
 		})
--- a/standin/errors.go
+++ b/standin/errors.go
@@ -7,7 +7,7 @@
 
 	"connectrpc.com/connect"
 
-	"lycheecrank.example/platform"
+	"lycheecrank.example/provider"
 	"lycheecrank.example/standin/work"
 )
 
@@ -43,8 +43,8 @@
 	{work.ErrUnknown, connect.CodeNotFound},
 	{work.ErrFenced, connect.CodeFailedPrecondition},
 	{work.ErrCorrupt, connect.CodeInvalidArgument},
-	{platform.ErrExpired, connect.CodeOutOfRange},
-	{platform.ErrRateLimited, connect.CodeResourceExhausted},
+	{provider.ErrExpired, connect.CodeOutOfRange},
+	{provider.ErrRateLimited, connect.CodeResourceExhausted},
 	{context.DeadlineExceeded, connect.CodeDeadlineExceeded},
 	{context.Canceled, connect.CodeCanceled},
 }
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -9,7 +9,7 @@
 
 	platformv1 "lycheecrank.example/api/platform/v1"
 	"lycheecrank.example/api/platform/v1/platformv1connect"
-	"lycheecrank.example/platform"
+	"lycheecrank.example/provider"
 	"lycheecrank.example/standin/store"
 )
 
@@ -113,7 +113,7 @@
 
 // dueRecords returns the records that are older than a lag, and how long until
 // the next one is; 0 if there is none.
-func dueRecords(records []platform.Record, lag time.Duration) (due []platform.Record, wait time.Duration) {
+func dueRecords(records []provider.Record, lag time.Duration) (due []provider.Record, wait time.Duration) {
 	for i, r := range records {
 		if wait := lag - time.Since(r.AppendedAt); wait > 0 {
 			return records[:i], wait
@@ -128,11 +128,11 @@
 	if i.GetName() == "" || i.GetIncarnation() == "" {
 		return nil, invalid("an instance needs a name and an incarnation")
 	}
-	h.commands.Announce(platform.Instance{
+	h.commands.Announce(provider.Instance{
 		Name:        i.GetName(),
 		Incarnation: i.GetIncarnation(),
 		DataCentre:  i.GetDataCentre(),
-		Role:        platform.Role(i.GetRole()),
+		Role:        provider.Role(i.GetRole()),
 		Address:     i.GetAddress(),
 		PeerAddress: i.GetPeerAddress(),
 		Leaving:     i.GetLeaving(),
@@ -173,7 +173,7 @@
 	return connect.NewResponse(&platformv1.ReserveResponse{Ticket: ticket.ID, BytesPerSecond: ticket.BytesPerSecond}), nil
 }
 
-func asRecords(from []platform.Record) []*platformv1.Record {
+func asRecords(from []provider.Record) []*platformv1.Record {
 	records := make([]*platformv1.Record, 0, len(from))
 	for _, r := range from {
 		records = append(records, &platformv1.Record{
--- a/standin/store/commands.go
+++ b/standin/store/commands.go
@@ -6,7 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"lycheecrank.example/platform"
+	"lycheecrank.example/provider"
 )
 
 // history is how long announcements are kept for listings that lag.
@@ -24,14 +24,14 @@
 func NewCommands(t *Table) *Commands { return &Commands{table: t} }
 
 // ReserveAppend takes a place under the limit of appends and returns how long
-// to wait for it. It returns platform.ErrRateLimited if the wait is above 1 s.
+// to wait for it. It returns provider.ErrRateLimited if the wait is above 1 s.
 func (c *Commands) ReserveAppend() (time.Duration, error) {
 	r := c.table.appends.Reserve()
 	if d := r.Delay(); d <= longestWait {
 		return d, nil
 	}
 	r.Cancel()
-	return 0, eris.Wrap(platform.ErrRateLimited, "append")
+	return 0, eris.Wrap(provider.ErrRateLimited, "append")
 }
 
 // Append adds records to a stream and returns the offset of the first.
@@ -59,7 +59,7 @@
 }
 
 // Announce enters an instance into the list or refreshes it.
-func (c *Commands) Announce(i platform.Instance) {
+func (c *Commands) Announce(i provider.Instance) {
 	t := c.table
 	t.lock.Lock()
 	defer t.lock.Unlock()
@@ -71,15 +71,15 @@
 	t.instances[i.Name] = append(seen, sighting{at: now, instance: i})
 }
 
-// Reserve returns a ticket of the weight store, or platform.ErrRateLimited.
-func (c *Commands) Reserve(model, version, reader string) (platform.Ticket, error) {
+// Reserve returns a ticket of the weight store, or provider.ErrRateLimited.
+func (c *Commands) Reserve(model, version, reader string) (provider.Ticket, error) {
 	if !c.table.reservations.Allow() {
-		return platform.Ticket{}, eris.Wrap(platform.ErrRateLimited, "reserve weights")
+		return provider.Ticket{}, eris.Wrap(provider.ErrRateLimited, "reserve weights")
 	}
 	t := c.table
 	t.lock.Lock()
 	defer t.lock.Unlock()
 	t.tickets++
 	id := fmt.Sprintf("%s/%s/%s/%d", model, version, reader, t.tickets)
-	return platform.Ticket{ID: id, BytesPerSecond: t.options.BytesPerSecond}, nil
+	return provider.Ticket{ID: id, BytesPerSecond: t.options.BytesPerSecond}, nil
 }
--- a/standin/store/table.go
+++ b/standin/store/table.go
@@ -8,7 +8,7 @@
 	"golang.org/x/time/rate"
 
 	"lycheecrank.example/lock"
-	"lycheecrank.example/platform"
+	"lycheecrank.example/provider"
 )
 
 // Options sets the limits of the platform. The zero value is useful.
@@ -68,7 +68,7 @@
 
 // stream is an immutable value; withRecords makes the next one.
 type stream struct {
-	records []platform.Record
+	records []provider.Record
 	next    uint64
 	// changed is closed when the next value replaces this one.
 	changed chan struct{}
@@ -83,7 +83,7 @@
 // behind the end of the older value.
 func (s stream) withRecords(data [][]byte, at time.Time, retain int) stream {
 	for _, d := range data {
-		s.records = append(s.records, platform.Record{Offset: s.next, Data: d, AppendedAt: at})
+		s.records = append(s.records, provider.Record{Offset: s.next, Data: d, AppendedAt: at})
 		s.next++
 	}
 	if retain > 0 && len(s.records) > retain {
@@ -96,5 +96,5 @@
 // sighting is an announcement of an instance.
 type sighting struct {
 	at       time.Time
-	instance platform.Instance
+	instance provider.Instance
 }
