--- /dev/null
+++ b/batch/choose.go
@@ -0,0 +1,138 @@
+package batch
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// crossingPenalty is the delay that is accepted for a result of penaltyBytes
+	// to be made in the data centre that uses it.
+	crossingPenalty = 120 * time.Millisecond
+	penaltyBytes    = 1 << 20
+	// bulkyBytes is the size from which the place of a result matters.
+	bulkyBytes = 256 << 10
+)
+
+// Call is a number of pieces on their way to a server.
+type Call struct {
+	Number uint64
+	Server Place
+	Pool   string
+	Pieces []Piece
+	SentAt time.Time
+	// Usual is the time that the pool declares for such a call, Expected what this
+	// server is expected to take.
+	Usual    time.Duration
+	Expected time.Duration
+}
+
+// Bytes returns the room that the results of the call take.
+func (c Call) Bytes() int64 {
+	total := int64(0)
+	for _, p := range c.Pieces {
+		total += p.Bytes
+	}
+	return total
+}
+
+// choose returns the next call of a pool, or false if no piece should be sent
+// now. Waiting pieces are sorted by urgency.
+func choose(spec Spec, servers []Server, waiting []Piece, now time.Time) (Call, bool) {
+	idle := 0
+	for _, s := range servers {
+		if s.Calls < spec.Slots && !s.isBlocked(now) {
+			idle++
+		}
+	}
+	if idle == 0 {
+		return Call{}, false
+	}
+	for _, p := range waiting {
+		s, ok := bestServer(spec, servers, p, now)
+		if !ok || s.Calls >= spec.Slots {
+			continue
+		}
+		pieces := fill(spec, s, p, waiting, share(spec, len(waiting), idle))
+		usual := spec.duration(len(pieces))
+		return Call{
+			Server: s.Place, Pool: spec.Pool, Pieces: pieces, SentAt: now,
+			Usual: usual, Expected: s.expected(spec, len(pieces)),
+		}, true
+	}
+	return Call{}, false
+}
+
+// minShare is the smallest number of pieces by which waiting pieces are split
+// among idle servers. Smaller calls cost more of the pool than they save time.
+const minShare = 4
+
+// share returns the largest number of pieces for one call if some servers are
+// idle.
+func share(spec Spec, waiting, idle int) int {
+	each := (waiting + idle - 1) / idle
+	return min(spec.Size, max(minShare, each))
+}
+
+// bestServer returns the server that is expected to end a piece first. A busy
+// one may be best: then the piece waits for it.
+func bestServer(spec Spec, servers []Server, p Piece, now time.Time) (Server, bool) {
+	best, bestCost := -1, time.Duration(0)
+	for i, s := range servers {
+		if s.isBlocked(now) || s.ID == p.Avoid && len(servers) > 1 || s.Held+p.Bytes > spec.Room {
+			continue
+		}
+		cost := s.expected(spec, 1) + penalty(p, s)
+		if s.Calls >= spec.Slots {
+			cost += max(s.Free.Sub(now), 0) + spec.ItemTime
+		}
+		if best < 0 || cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	if best < 0 {
+		return Server{}, false
+	}
+	return servers[best], true
+}
+
+func penalty(p Piece, s Server) time.Duration {
+	if p.Near == "" || p.Near == s.DataCentre || p.Bytes < bulkyBytes {
+		return 0
+	}
+	return time.Duration(float64(crossingPenalty) * float64(p.Bytes) / penaltyBytes)
+}
+
+// fill returns the pieces of a call that begins with one piece: all that may go
+// to the server in order of urgency, and the rest of a request that has begun.
+func fill(spec Spec, s Server, first Piece, waiting []Piece, limit int) []Piece {
+	room := spec.Room - s.Held - first.Bytes
+	pieces := []Piece{first}
+	add := func(p Piece) {
+		if p.Identity != first.Identity && p.Bytes <= room && p.Avoid != s.ID {
+			pieces = append(pieces, p)
+			room -= p.Bytes
+		}
+	}
+	for _, p := range waiting {
+		if len(pieces) < spec.Size && p.Request == first.Request && p.Stage == first.Stage {
+			add(p)
+		}
+	}
+	for _, p := range waiting {
+		if len(pieces) >= limit {
+			break
+		}
+		if (p.Request != first.Request || p.Stage != first.Stage) && penalty(p, s) == 0 {
+			add(p)
+		}
+	}
+	return pieces
+}
+
+// remove returns the waiting pieces without those of a call.
+func remove(waiting, taken []Piece) []Piece {
+	return slices.DeleteFunc(waiting, func(p Piece) bool {
+		return slices.ContainsFunc(taken, func(t Piece) bool { return t.Identity == p.Identity })
+	})
+}
--- /dev/null
+++ b/batch/commands.go
@@ -0,0 +1,177 @@
+package batch
+
+import (
+	"context"
+	"slices"
+	"time"
+)
+
+// Commands changes a Table. Concurrent calls are safe.
+type Commands struct{ table *Table }
+
+// SetPool takes over what a pool declares and which of its servers may get work.
+// What is known of a server that stays is kept.
+func (c Commands) SetPool(spec Spec, places []Place) {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.pools[spec.Pool]
+	if p == nil {
+		p = &pool{servers: map[string]Server{}}
+		t.pools[spec.Pool] = p
+	}
+	p.spec = spec
+	for id, s := range p.servers {
+		if s.Calls == 0 && !slices.ContainsFunc(places, func(pl Place) bool { return pl.ID == id }) {
+			delete(p.servers, id)
+		}
+	}
+	listed := make(map[string]bool, len(places))
+	for _, pl := range places {
+		listed[pl.ID] = true
+		s, ok := p.servers[pl.ID]
+		if !ok || s.Address != pl.Address {
+			p.servers[pl.ID] = newServer(pl)
+		}
+	}
+	for id, s := range p.servers {
+		s.isUnlisted = !listed[id]
+		p.servers[id] = s
+	}
+	t.changed.Broadcast()
+}
+
+// Enqueue adds pieces to the queue of their pool.
+func (c Commands) Enqueue(pieces []Piece) {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range pieces {
+		q := t.pools[p.Pool]
+		if q == nil {
+			q = &pool{spec: Spec{Pool: p.Pool}, servers: map[string]Server{}}
+			t.pools[p.Pool] = q
+		}
+		q.waiting = append(q.waiting, p)
+	}
+	t.changed.Broadcast()
+}
+
+// Withdraw removes the waiting pieces of a request.
+func (c Commands) Withdraw(request string) {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, q := range t.pools {
+		q.waiting = slices.DeleteFunc(q.waiting, func(p Piece) bool { return p.Request == request })
+	}
+}
+
+// Next blocks until a call is due. It reports false once the context has ended.
+func (c Commands) Next(ctx context.Context) (Call, bool) {
+	t := c.table
+	stop := context.AfterFunc(ctx, func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.changed.Broadcast()
+	})
+	defer stop()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for ctx.Err() == nil {
+		now := time.Now()
+		t.expire(now)
+		if call, ok := t.next(now); ok {
+			return call, true
+		}
+		t.wait(t.wakeAfter(now))
+	}
+	return Call{}, false
+}
+
+// wait waits for a change, at most for a time if one is given.
+func (t *Table) wait(limit time.Duration) {
+	if limit > 0 {
+		timer := time.AfterFunc(limit, t.rouse)
+		defer timer.Stop()
+	}
+	t.changed.Wait()
+}
+
+func (t *Table) rouse() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.changed.Broadcast()
+}
+
+// Made is a result of a call.
+type Made struct {
+	Piece  Piece
+	Handle string
+}
+
+// End takes over the results of a call. Pieces that are not among them use no
+// room.
+func (c Commands) End(call Call, made []Made, now time.Time) {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.pools[call.Pool]
+	unused := call.Bytes()
+	for _, m := range made {
+		unused -= m.Piece.Bytes
+		t.results[m.Handle] = result{
+			pool: call.Pool, server: call.Server.ID, address: call.Server.Address, dataCentre: call.Server.DataCentre,
+			bytes: m.Piece.Bytes, expires: now.Add(p.spec.Life),
+		}
+	}
+	if s, ok := p.servers[call.Server.ID]; ok && s.Address == call.Server.Address {
+		p.servers[s.ID] = s.WithEnd(now.Sub(call.SentAt), call.Usual, unused)
+	}
+	t.changed.Broadcast()
+}
+
+// Fail notes that a call failed as a whole. A server that is full counts as busy,
+// not as failed.
+func (c Commands) Fail(call Call, isFull bool, now time.Time) {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.pools[call.Pool]
+	if s, ok := p.servers[call.Server.ID]; ok && s.Address == call.Server.Address {
+		if isFull {
+			s = s.WithEnd(0, 0, call.Bytes()).WithFull(now)
+		} else {
+			s = s.WithFailure(call.Bytes(), now)
+		}
+		p.servers[s.ID] = s
+	}
+	t.changed.Broadcast()
+}
+
+// Crowded notes that a server had no room for a result.
+func (c Commands) Crowded(call Call, now time.Time) {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.pools[call.Pool]
+	if s, ok := p.servers[call.Server.ID]; ok {
+		p.servers[s.ID] = s.WithFull(now)
+	}
+}
+
+// Free gives back the room of results and returns their handles by the address
+// of their makers, which must be told.
+func (c Commands) Free(handles []string) map[string][]string {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	byMaker := map[string][]string{}
+	for _, h := range handles {
+		if address, ok := t.release(h); ok {
+			byMaker[address] = append(byMaker[address], h)
+		}
+	}
+	t.changed.Broadcast()
+	return byMaker
+}
--- /dev/null
+++ b/batch/piece.go
@@ -0,0 +1,72 @@
+// Package batch makes results of stages in calls of many pieces. Each pool has
+// one queue: whenever one of its servers is idle, the most urgent pieces go to it
+// in one call, as many as the call and the server's room for results allow.
+package batch
+
+import (
+	"cmp"
+	"time"
+)
+
+// Identity names a piece. A piece may be made again; its results are alike.
+type Identity struct {
+	Request string
+	Stage   int
+	Number  int
+}
+
+// Piece is a part of a stage of a request.
+type Piece struct {
+	Identity
+	Pool string
+	// Key is what a piece of a stage without inputs is made from.
+	Key string
+	// Inputs are the handles of the results that the piece needs.
+	Inputs []string
+	// Bytes is the approximate size of its result.
+	Bytes int64
+	// Rank is the class of the request; 0 is served first.
+	Rank int
+	// Start is the latest start that lets the request meet its objective.
+	Start time.Time
+	// Deadline is the end of the time that the request has.
+	Deadline time.Time
+	// Near is the data centre in which a large result will be used, empty if its
+	// place does not matter.
+	Near string
+	// Avoid is a server that failed or delays the piece.
+	Avoid string
+	// QueuedAt is when the piece was queued.
+	QueuedAt time.Time
+}
+
+// rankBias is by how much a class goes before the next one while all can still
+// meet their objectives.
+const rankBias = 150 * time.Millisecond
+
+// isLate reports whether the request can no longer meet its objective.
+func (p Piece) isLate(now time.Time) bool { return now.After(p.Start) }
+
+// compareUrgency orders pieces: those that can be on time by their latest start,
+// with a bias for better classes, then late ones by class and deadline. A late
+// piece that went first would make another one late as well.
+func compareUrgency(a, b Piece, now time.Time) int {
+	aLate, bLate := a.isLate(now), b.isLate(now)
+	switch {
+	case aLate != bLate:
+		if aLate {
+			return 1
+		}
+		return -1
+	case aLate:
+		return cmp.Or(cmp.Compare(a.Rank, b.Rank), a.Deadline.Compare(b.Deadline), compareIdentity(a, b))
+	}
+	return cmp.Or(a.biasedStart().Compare(b.biasedStart()), compareIdentity(a, b))
+}
+
+func (p Piece) biasedStart() time.Time { return p.Start.Add(time.Duration(p.Rank) * rankBias) }
+
+// compareIdentity keeps the pieces of a request together.
+func compareIdentity(a, b Piece) int {
+	return cmp.Or(cmp.Compare(a.Request, b.Request), cmp.Compare(a.Stage, b.Stage), cmp.Compare(a.Number, b.Number))
+}
--- a/cmd/lycheecrank/main.go
+++ b/cmd/lycheecrank/main.go
@@ -10,7 +10,9 @@
 
 	"github.com/urfave/cli/v3"
 
+	"lycheecrank.example/entry"
 	"lycheecrank.example/instance"
+	"lycheecrank.example/platform"
 	"lycheecrank.example/settings"
 )
 
@@ -34,6 +36,13 @@
 				Name: "serve", Usage: "run an instance until it gets SIGTERM or SIGINT",
 				Flags: []cli.Flag{config}, Action: serve,
 			},
+			{
+				Name: "entry", Usage: "run an instance on the users' platform until it gets SIGTERM or SIGINT",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "metrics", Value: ":9464", Usage: "address for counters, empty for none"},
+				},
+				Action: runEntry,
+			},
 			{
 				Name: "check", Usage: "check a file with settings and print them with their defaults",
 				Flags: []cli.Flag{config}, Action: check,
@@ -58,6 +67,19 @@
 	return i.Run(ctx)
 }
 
+// runEntry runs an instance with the settings that the platform gives.
+func runEntry(ctx context.Context, c *cli.Command) error {
+	s, err := platform.ReadSettings()
+	if err != nil {
+		return err
+	}
+	// Settings that change are read again; a hangup must not end the process.
+	signal.Ignore(syscall.SIGHUP)
+	i := entry.New(s, os.Stdout)
+	i.MetricsAddress = c.String("metrics")
+	return i.Run(ctx)
+}
+
 func check(_ context.Context, c *cli.Command) error {
 	s, err := read(c.String("config"))
 	if err != nil {
--- /dev/null
+++ b/delivery/desk.go
@@ -0,0 +1,159 @@
+package delivery
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lycheecrank.example/backend"
+	"lycheecrank.example/counter"
+	"lycheecrank.example/fleet"
+	"lycheecrank.example/pipeline"
+	"lycheecrank.example/preparation"
+	"lycheecrank.example/request"
+	"lycheecrank.example/route"
+)
+
+// Desk serves attempts. Set the exported fields before the first call;
+// concurrent calls are safe then.
+type Desk struct {
+	Routes route.Queries
+	Fleet  fleet.Queries
+	// Plain are the servers of pools without engines.
+	Plain backend.Commands
+	// Budget limits sends beyond the first one of an attempt.
+	Budget *pipeline.Budget
+	// Prepare has a request prepared by the coordinator. It fails with a
+	// request.Failure.
+	Prepare func(ctx context.Context, o preparation.Order) (preparation.Placement, error)
+	// Started and Ended tell the coordinator of the first event and of the end of a
+	// request at its engine; Abandon that a prepared request won't be sent.
+	Started func(pool, server, id string, took time.Duration)
+	Ended   func(pool, server, id string, isFailed bool)
+	Abandon func(id string)
+	// IsLeaving reports whether this instance shuts down so soon that long requests
+	// should go elsewhere.
+	IsLeaving func() bool
+	// Retries counts sends beyond the first one by reason.
+	Retries *counter.Set
+}
+
+// visit is an attempt with what the configuration says of it. It is an immutable
+// value.
+type visit struct {
+	attempt   Attempt
+	route     route.Route
+	pool      route.Pool
+	workspace string
+	rank      int
+	deadline  time.Time
+	objective time.Time
+}
+
+// Deliver serves an attempt until its answer is passed on or it has failed.
+func (d *Desk) Deliver(ctx context.Context, a Attempt) Verdict {
+	v, f := d.admit(a)
+	if f != nil {
+		return Verdict{Failure: f, Route: v.route.Name}
+	}
+	ctx, cancel := context.WithDeadline(ctx, v.deadline)
+	defer cancel()
+	d.Budget.Earn()
+	var result Verdict
+	if v.pool.Engine != nil || len(v.route.Stages) > 0 {
+		result = d.stream(ctx, v)
+	} else {
+		result = d.plain(ctx, v)
+	}
+	result.Route, result.Pool = v.route.Name, v.pool.Name
+	return result
+}
+
+// defaultLimit is the time of a request whose client and route name none.
+const defaultLimit = 30 * time.Second
+
+// admit finds the route, the workspace and the time of an attempt.
+func (d *Desk) admit(a Attempt) (visit, *request.Failure) {
+	now := time.Now()
+	c := d.Routes.Current()
+	if c.Version == 0 {
+		return visit{}, refuse(request.ReasonNoCatalogue, "no configuration yet")
+	}
+	r, ok := c.Match(a.Host, a.Path)
+	if !ok {
+		return visit{}, d.unknown(request.ReasonUnknownTarget, now)
+	}
+	v := visit{attempt: a, route: r, rank: r.Rank}
+	if c.NeedsKey(r) {
+		w, ok := c.Workspace(a.Key)
+		if !ok {
+			return v, d.unknown(request.ReasonUnknownWorkspace, now)
+		}
+		v.workspace = w.Name
+		if w.HasRank {
+			v.rank = w.Rank
+		}
+	}
+	name := r.Pool(xxhash.Sum64String(a.ID))
+	v.pool, ok = c.Pool(name)
+	if !ok {
+		v.pool = route.Pool{Name: name}
+	}
+	v.deadline, v.objective = times(a, r)
+	switch {
+	case !now.Before(v.deadline):
+		return v, refuse(request.ReasonDeadlineOver, "the time of the client is over")
+	case d.IsLeaving() && r.Kind == route.Stream:
+		f := request.Refuse(request.ReasonLeaving, "the instance shuts down").WithRetryAfter(leavingRetry)
+		return v, &f
+	}
+	return v, nil
+}
+
+// leavingRetry is when a client may come back to another instance.
+const leavingRetry = 50 * time.Millisecond
+
+func times(a Attempt, r route.Route) (deadline, objective time.Time) {
+	limit := a.Limit
+	if limit == 0 {
+		limit = defaultLimit
+	}
+	if r.Timeout > 0 {
+		limit = min(limit, r.Timeout)
+	}
+	deadline = a.ArrivedAt.Add(limit)
+	objective = deadline
+	if r.Objective > 0 && r.Objective < limit {
+		objective = a.ArrivedAt.Add(r.Objective)
+	}
+	return deadline, objective
+}
+
+// unknown refuses a request for a route or key that the configuration lacks. If
+// there may be a newer one, the client is asked to come back.
+func (d *Desk) unknown(reason request.Reason, now time.Time) *request.Failure {
+	if d.Routes.IsCurrent(now) {
+		return refuse(reason, "")
+	}
+	f := request.Refuse(request.ReasonNoCatalogue, "the configuration may be old").WithRetryAfter(staleRetry)
+	return &f
+}
+
+// staleRetry is when a client may come back while the configuration is old.
+const staleRetry = 300 * time.Millisecond
+
+func refuse(reason request.Reason, detail string) *request.Failure {
+	f := request.Refuse(reason, detail)
+	return &f
+}
+
+// retry reports whether a request may be sent once more and counts the reason.
+func (d *Desk) retry(reason string) bool {
+	if !d.Budget.Take() {
+		d.Retries.Add("budgetSpent")
+		return false
+	}
+	d.Retries.Add(reason)
+	return true
+}
--- /dev/null
+++ b/delivery/plain.go
@@ -0,0 +1,186 @@
+package delivery
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"lycheecrank.example/backend"
+	"lycheecrank.example/request"
+)
+
+const (
+	// keptAnswer is the size up to which an answer is held until it is whole, so
+	// that a request can be repeated after a cut answer.
+	keptAnswer = 1 << 20
+	// unsentTries bounds the sends of which the servers promise that nothing ran.
+	unsentTries = 3
+	// busyRetry is the pause before a server is looked for again.
+	busyRetry = 10 * time.Millisecond
+	// busyShare is the part of the time that a request has in which it may wait for
+	// a free server.
+	busyShare = 4
+	// fullRetry is when a client may come back after all servers were full.
+	fullRetry = 250 * time.Millisecond
+	// brokenRetry is when a client may come back after no server was reached.
+	brokenRetry = 200 * time.Millisecond
+)
+
+// plain serves an attempt by a plain service.
+func (d *Desk) plain(ctx context.Context, v visit) Verdict {
+	var result Verdict
+	var avoid []string
+	runs, unsent := 0, 0
+	for {
+		s, ok := d.reserve(ctx, v, avoid)
+		if !ok {
+			return result.withFailure(d.noServer(ctx, runs > 0))
+		}
+		sent := time.Now()
+		a, body, err := d.exchange(ctx, v, s)
+		result.Tries++
+		result.Server = s.Name
+		reason := outcomeOf(a, err)
+		d.Plain.Release(s.Name, backend.Observation{Reason: reason, Sent: sent, Responded: time.Since(sent), Incarnation: s.Incarnation}, time.Now())
+		avoid = append(avoid, s.Name)
+		isNotRun := errors.Is(err, ErrUnreached) || err == nil && a.IsNotRun
+		if isNotRun {
+			unsent++
+			if unsent < unsentTries && ctx.Err() == nil && d.retry("notRun") {
+				continue
+			}
+			return result.withFailure(notRun(ctx, reason, a))
+		}
+		runs++
+		isFailed := err != nil || a.Status >= 500
+		if isFailed && v.route.IsRepeatable() && runs < v.route.Attempts && ctx.Err() == nil && d.retry(string(reason)) {
+			continue
+		}
+		if err != nil {
+			return result.withFailure(mayHaveRun(ctx, err))
+		}
+		return pass(v, a, body, result)
+	}
+}
+
+// exchange sends a request and reads its whole answer, but for a large one, the
+// rest of which stays in the body of the answer.
+func (d *Desk) exchange(ctx context.Context, v visit, s backend.Server) (Answer, []byte, error) {
+	server, ok := d.Fleet.Server(s.Name, time.Now())
+	if !ok {
+		return Answer{}, nil, ErrUnreached
+	}
+	a, err := v.attempt.Send(ctx, Instruction{
+		Server: server, Workspace: v.workspace, Deadline: v.deadline, Rank: v.rank, IsRepeatable: v.route.IsRepeatable(),
+	})
+	if err != nil {
+		return Answer{}, nil, err
+	}
+	if a.IsNotRun {
+		_ = a.Body.Close()
+		return a, nil, nil
+	}
+	if !a.IsProper {
+		_ = a.Body.Close()
+		return a, nil, ErrBroken
+	}
+	body, err := io.ReadAll(io.LimitReader(a.Body, keptAnswer))
+	if err != nil {
+		_ = a.Body.Close()
+		return a, nil, ErrBroken
+	}
+	return a, body, nil
+}
+
+// pass passes a kept answer on, and the rest of a large one as it comes.
+func pass(v visit, a Answer, body []byte, result Verdict) Verdict {
+	defer func() { _ = a.Body.Close() }()
+	result.IsBegun = true
+	if a.Begin() != nil || v.attempt.Write(body) != nil {
+		return result.withFailure(request.Refuse(request.ReasonCancelled, "the client left").WithSent(true))
+	}
+	if len(body) < keptAnswer {
+		return result
+	}
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := a.Body.Read(buffer)
+		if n > 0 && v.attempt.Write(buffer[:n]) != nil {
+			return result.withFailure(request.Refuse(request.ReasonCancelled, "the client left").WithSent(true))
+		}
+		if errors.Is(err, io.EOF) {
+			return result
+		}
+		if err != nil {
+			return result.withFailure(request.Refuse(request.ReasonResultInvalid, "answer cut off").WithSent(true))
+		}
+	}
+}
+
+// reserve takes a place at a server and waits for one for a part of the time.
+func (d *Desk) reserve(ctx context.Context, v visit, avoid []string) (backend.Server, bool) {
+	limit := time.Now().Add(time.Until(v.deadline) / busyShare)
+	rights := backend.Rights{Cold: true, WarmShare: 1}
+	timer := time.NewTimer(busyRetry)
+	defer timer.Stop()
+	for {
+		now := time.Now()
+		if s, ok := d.Plain.Reserve(v.pool.Name, 0, avoid, rights, now); ok {
+			return s, true
+		}
+		if now.After(limit) {
+			return backend.Server{}, false
+		}
+		timer.Reset(busyRetry)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return backend.Server{}, false
+		}
+	}
+}
+
+// noServer is the failure of a request for which no server was free.
+func (d *Desk) noServer(ctx context.Context, mayHaveRun bool) request.Failure {
+	reason := request.ReasonNoServer
+	if errors.Is(ctx.Err(), context.Canceled) {
+		reason = request.ReasonCancelled
+	}
+	return request.Refuse(reason, "no free server").WithSent(mayHaveRun).WithRetryAfter(fullRetry)
+}
+
+// outcomeOf returns what a send showed of its server. An error status of the
+// service itself says nothing against the server.
+func outcomeOf(a Answer, err error) request.Reason {
+	switch {
+	case errors.Is(err, ErrUnreached):
+		return request.ReasonServerUnreachable
+	case err != nil:
+		return request.ReasonServerFailed
+	case a.IsNotRun:
+		return request.ReasonQueueFull
+	}
+	return ""
+}
+
+func notRun(ctx context.Context, reason request.Reason, a Answer) request.Failure {
+	if ctx.Err() != nil {
+		return request.Refuse(request.ReasonDeadlinePassed, "no server took the request in time")
+	}
+	retry := brokenRetry
+	if a.IsNotRun {
+		retry = fullRetry
+	}
+	return request.Refuse(reason, "no server took the request").WithRetryAfter(retry)
+}
+
+func mayHaveRun(ctx context.Context, err error) request.Failure {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return request.Refuse(request.ReasonDeadlinePassed, err.Error()).WithSent(true)
+	case ctx.Err() != nil:
+		return request.Refuse(request.ReasonCancelled, err.Error()).WithSent(true)
+	}
+	return request.Refuse(request.ReasonOutcomeUnknown, err.Error()).WithSent(true)
+}
--- /dev/null
+++ b/delivery/stream.go
@@ -0,0 +1,198 @@
+package delivery
+
+import (
+	"context"
+	"errors"
+	"io"
+	"slices"
+	"time"
+
+	"lycheecrank.example/preparation"
+	"lycheecrank.example/request"
+)
+
+// placeTries bounds the engines that are asked without running the request.
+const placeTries = 4
+
+// stream serves an attempt by a model engine.
+func (d *Desk) stream(ctx context.Context, v visit) Verdict {
+	s := &streaming{desk: d, visit: v, last: v.attempt.LastEvent, order: v.order()}
+	for {
+		done, isAgain := s.try(ctx)
+		if !isAgain {
+			return done
+		}
+	}
+}
+
+// order returns the order to prepare the request.
+func (v visit) order() preparation.Order {
+	o := preparation.Order{
+		Request: v.attempt.ID, Pool: v.pool.Name, Key: v.attempt.PieceKey, Prompt: v.attempt.Prompt, Rank: v.rank,
+	}
+	for i, st := range v.route.Stages {
+		pieces := 0
+		if i < len(v.attempt.Pieces) {
+			pieces = v.attempt.Pieces[i]
+		}
+		o.Stages = append(o.Stages, preparation.Stage{Pool: st.Pool, After: st.After, Bytes: st.ResultBytes, Pieces: pieces})
+	}
+	return o
+}
+
+// streaming is the state of a stream over all engines that it is sent to.
+type streaming struct {
+	desk  *Desk
+	visit visit
+	order preparation.Order
+	// last is the number of the last event that the client has.
+	last    int64
+	isBegun bool
+	runs    int
+	unsent  int
+	tries   int
+	server  string
+}
+
+func (s *streaming) verdict() Verdict {
+	return Verdict{IsBegun: s.isBegun, Server: s.server, Tries: s.tries}
+}
+
+// fail ends the attempt with a failure.
+func (s *streaming) fail(f request.Failure) (Verdict, bool) {
+	return s.verdict().withFailure(f.WithSent(s.runs > 0)), false
+}
+
+// try prepares the request and sends it once. It reports true if another try is
+// due.
+func (s *streaming) try(ctx context.Context) (Verdict, bool) {
+	d, v := s.desk, s.visit
+	now := time.Now()
+	s.order.Objective, s.order.Deadline = v.objective.Sub(now), v.deadline.Sub(now)
+	p, err := d.Prepare(ctx, s.order)
+	if err != nil {
+		return s.fail(request.AsFailure(err))
+	}
+	s.server = p.Server
+	server, ok := d.Fleet.Server(p.Server, time.Now())
+	if !ok || server.Address != p.Address {
+		d.Ended(v.pool.Name, p.Server, v.attempt.ID, false)
+		return s.unsentAgain(ctx, p.Server, request.Refuse(request.ReasonNoServer, "the engine is leaving"))
+	}
+	// A stream that is no longer read must not go on at its engine.
+	sending, cancel := context.WithCancel(ctx)
+	defer cancel()
+	sentAt := time.Now()
+	s.tries++
+	a, err := v.attempt.Send(sending, Instruction{
+		Server: server, Workspace: v.workspace, Deadline: v.deadline, Inputs: p.Inputs, IsPrepared: len(v.route.Stages) > 0,
+		Rank: v.rank, LastEvent: s.last, IsRepeatable: v.route.IsRepeatable(), IsModel: true,
+	})
+	switch {
+	case errors.Is(err, ErrUnreached):
+		d.Ended(v.pool.Name, p.Server, v.attempt.ID, ctx.Err() == nil)
+		return s.unsentAgain(ctx, p.Server, request.Refuse(request.ReasonServerUnreachable, "engine not reached").WithRetryAfter(brokenRetry))
+	case err != nil:
+		return s.broken(ctx, p.Server, err)
+	}
+	defer func() { _ = a.Body.Close() }()
+	switch {
+	case a.IsInputGone:
+		d.Ended(v.pool.Name, p.Server, v.attempt.ID, false)
+		s.order.IsRebuilt = true
+		return s.unsentAgain(ctx, "", request.Refuse(request.ReasonNoServer, "a result of a stage is gone").WithRetryAfter(brokenRetry))
+	case a.IsNotRun:
+		d.Ended(v.pool.Name, p.Server, v.attempt.ID, true)
+		return s.unsentAgain(ctx, p.Server, request.Refuse(request.ReasonQueueFull, "engine full").WithRetryAfter(fullRetry))
+	case !a.IsProper:
+		return s.broken(ctx, p.Server, ErrBroken)
+	case !a.isSuccess():
+		return s.passFailure(a, p.Server)
+	}
+	return s.forward(ctx, a, p.Server, sentAt)
+}
+
+// unsentAgain tries again after nothing has run.
+func (s *streaming) unsentAgain(ctx context.Context, avoid string, f request.Failure) (Verdict, bool) {
+	s.unsent++
+	if avoid != "" {
+		s.order.Avoid = append(slices.Clone(s.order.Avoid), avoid)
+	}
+	if ctx.Err() == nil && s.unsent < placeTries && s.desk.retry(string(f.Reason)) {
+		return Verdict{}, true
+	}
+	s.desk.Abandon(s.visit.attempt.ID)
+	return s.fail(f)
+}
+
+// broken goes on at another engine if the stream may be repeated.
+func (s *streaming) broken(ctx context.Context, server string, err error) (Verdict, bool) {
+	s.runs++
+	s.desk.Ended(s.visit.pool.Name, server, s.visit.attempt.ID, ctx.Err() == nil)
+	s.order.Avoid = append(slices.Clone(s.order.Avoid), server)
+	if s.visit.route.IsRepeatable() && s.runs < s.visit.route.Attempts && ctx.Err() == nil && s.desk.retry("streamBroken") {
+		return Verdict{}, true
+	}
+	s.desk.Abandon(s.visit.attempt.ID)
+	return s.fail(mayHaveRun(ctx, err))
+}
+
+// passFailure passes the failure of an engine on.
+func (s *streaming) passFailure(a Answer, server string) (Verdict, bool) {
+	s.runs++
+	s.desk.Ended(s.visit.pool.Name, server, s.visit.attempt.ID, false)
+	s.desk.Abandon(s.visit.attempt.ID)
+	if s.isBegun {
+		return s.fail(request.Refuse(request.ReasonServerFailed, "engine failed while the stream went on"))
+	}
+	body, err := io.ReadAll(io.LimitReader(a.Body, keptAnswer))
+	if err != nil {
+		return s.fail(request.Refuse(request.ReasonResultInvalid, "answer cut off"))
+	}
+	return pass(s.visit, a, body, s.verdict()), false
+}
+
+// forward passes the events of a stream on as they come.
+func (s *streaming) forward(ctx context.Context, a Answer, server string, sentAt time.Time) (Verdict, bool) {
+	d, v := s.desk, s.visit
+	events := eventReader{source: a.Body, last: s.last}
+	isStarted := false
+	for {
+		event, err := events.next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return s.broken(ctx, server, err)
+		}
+		if !isStarted {
+			isStarted = true
+			d.Started(v.pool.Name, server, v.attempt.ID, time.Since(sentAt))
+		}
+		if !s.isBegun {
+			if a.Begin() != nil {
+				return s.left(server)
+			}
+			s.isBegun = true
+		}
+		if v.attempt.Write(event) != nil {
+			return s.left(server)
+		}
+		s.last = events.last
+	}
+	s.runs++
+	d.Ended(v.pool.Name, server, v.attempt.ID, false)
+	if !s.isBegun && a.Begin() != nil {
+		return s.left(server)
+	}
+	s.isBegun = true
+	return s.verdict(), false
+}
+
+// left ends a stream whose client is gone.
+func (s *streaming) left(server string) (Verdict, bool) {
+	s.runs++
+	s.desk.Ended(s.visit.pool.Name, server, s.visit.attempt.ID, false)
+	s.desk.Abandon(s.visit.attempt.ID)
+	return s.fail(request.Refuse(request.ReasonCancelled, "the client left"))
+}
--- /dev/null
+++ b/engine/commands.go
@@ -0,0 +1,93 @@
+package engine
+
+import (
+	"slices"
+	"time"
+)
+
+// Commands changes a Table. Concurrent calls are safe.
+type Commands struct{ table *Table }
+
+// SetPool takes over what a pool declares and which of its engines may get work.
+// What is known of an engine that stays is kept, but for the memory of one that
+// has restarted.
+func (c Commands) SetPool(spec Spec, places []Place) {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.pools[spec.Pool]
+	if p == nil {
+		p = &pool{servers: map[string]Server{}}
+		t.pools[spec.Pool] = p
+	}
+	p.spec = spec
+	for id := range p.servers {
+		if !slices.ContainsFunc(places, func(pl Place) bool { return pl.ID == id }) {
+			delete(p.servers, id)
+		}
+	}
+	for _, pl := range places {
+		s, ok := p.servers[pl.ID]
+		switch {
+		case !ok || s.Address != pl.Address:
+			s = newServer(pl)
+		case s.Born != pl.Born:
+			s = s.WithEmptied()
+		}
+		s.Place = pl
+		p.servers[pl.ID] = s
+	}
+}
+
+// Reserve chooses an engine for a request and counts the request there.
+func (c Commands) Reserve(poolName, request string, p Prompt, n Needs, now time.Time) (Place, bool) {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	q := t.pools[poolName]
+	if q == nil {
+		return Place{}, false
+	}
+	s, ok := choose(q.spec, q.sorted(), p, n, now)
+	if !ok {
+		return Place{}, false
+	}
+	q.servers[s.ID] = s.WithRun(request, p, now)
+	return s.Place, true
+}
+
+// Started notes the first event of a request and the time that it took.
+func (c Commands) Started(poolName, id, request string, took time.Duration) {
+	c.change(poolName, id, func(s Server) Server { return s.WithStarted(request, took) })
+}
+
+// Ended notes that a request has ended at an engine.
+func (c Commands) Ended(poolName, id, request string) {
+	c.change(poolName, id, func(s Server) Server { return s.WithoutRun(request) })
+}
+
+// Failed notes that an engine failed a request, which has ended there.
+func (c Commands) Failed(poolName, id, request string, now time.Time) {
+	c.change(poolName, id, func(s Server) Server { return s.WithoutRun(request).WithFailure(now) })
+}
+
+// Learn takes over a placement that another chooser made.
+func (c Commands) Learn(poolName, id, request string, p Prompt, isRunning bool, now time.Time) {
+	c.change(poolName, id, func(s Server) Server {
+		if isRunning {
+			s = s.WithRun(request, p, now)
+		}
+		return s.WithCached(p, now)
+	})
+}
+
+func (c Commands) change(poolName, id string, next func(Server) Server) {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.pools[poolName]; p != nil {
+		if s, ok := p.servers[id]; ok {
+			p.servers[id] = next(s)
+		}
+	}
+}
--- /dev/null
+++ b/entry/apply.go
@@ -0,0 +1,162 @@
+package entry
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"lycheecrank.example/backend"
+	"lycheecrank.example/batch"
+	"lycheecrank.example/engine"
+	"lycheecrank.example/event"
+	"lycheecrank.example/feed"
+	"lycheecrank.example/fleet"
+	"lycheecrank.example/platform"
+	"lycheecrank.example/route"
+)
+
+// apply puts new records of a stream in force. It runs under the lock of the
+// feeds and does no I/O.
+func (i *Instance) apply(stream string, records []feed.Record) {
+	now := time.Now()
+	for _, r := range records {
+		if stream == platform.Operators {
+			i.applyOperators(r)
+		} else {
+			i.applyServer(r, now)
+		}
+	}
+	i.sync(now)
+}
+
+func (i *Instance) applyOperators(r feed.Record) {
+	if dataCentre, ok := strings.CutPrefix(r.Key, platform.EvacuationPrefix); ok {
+		i.fleet.Commands().SetEvacuated(dataCentre, !r.IsRemoved)
+		i.Logger.Write(event.Evacuation, dataCentre, !r.IsRemoved, r.Offset)
+		return
+	}
+	if r.Key != platform.ConfigurationKey || r.IsRemoved {
+		return
+	}
+	c, err := platform.DecodeConfiguration(r.Value)
+	if err != nil {
+		i.Logger.Write(event.LogRecordUnread, platform.Operators, r.Offset, err)
+		return
+	}
+	if i.routes.Commands().Adopt(c) {
+		i.Logger.Write(event.ConfigurationAdopted, c.Version, r.Offset, len(c.Pools()))
+	}
+}
+
+func (i *Instance) applyServer(r feed.Record, now time.Time) {
+	if r.IsRemoved {
+		i.removeServer(r.Key, now)
+		return
+	}
+	s, err := platform.DecodeServer(r.Key, r.Value, r.Offset, now)
+	if err != nil {
+		i.Logger.Write(event.LogRecordUnread, platform.Servers, r.Offset, err)
+		return
+	}
+	old, wasUsable := i.fleet.Queries().Server(s.ID, now)
+	if old.IsDraining != s.IsDraining || old.Address != s.Address || old.Born != s.Born || !wasUsable {
+		i.Logger.Write(event.ServerListed, s.ID, s.Pool, s.Address, s.DataCentre, s.IsDraining, r.Offset)
+	}
+	i.fleet.Commands().Announce(s)
+	i.plain.Commands().Report(s.ID, backend.Report{
+		Incarnation: incarnation(s), Cold: s.IsCold(now), Leaving: s.IsDraining, MeasuredAt: now,
+	}, now)
+}
+
+func incarnation(s fleet.Server) string {
+	return s.ID + "/" + time.UnixMilli(s.Born).UTC().Format(time.RFC3339Nano)
+}
+
+// removeServer takes a server off the list. If the store was away lately, its
+// entry may have lapsed though it lives.
+func (i *Instance) removeServer(id string, now time.Time) {
+	isLapse := now.UnixNano() < i.awayUntil.Load()
+	i.Logger.Write(event.ServerUnlisted, id, isLapse)
+	if isLapse {
+		i.fleet.Commands().Lapse(id, now)
+		return
+	}
+	i.fleet.Commands().Remove(id)
+}
+
+// syncInterval is how often the tables of servers are brought in line, for what
+// changes by time alone.
+const syncInterval = 500 * time.Millisecond
+
+func (i *Instance) runSync(ctx context.Context) error {
+	for pause(ctx, syncInterval) {
+		i.sync(time.Now())
+	}
+	return nil
+}
+
+// sync brings the servers that may get work in line with the configuration, the
+// entries and the evacuated data centres.
+func (i *Instance) sync(now time.Time) {
+	c := i.routes.Queries().Current()
+	var plain []backend.Spec
+	for _, p := range c.Pools() {
+		servers := i.fleet.Queries().Usable(p.Name, now)
+		switch {
+		case p.Engine != nil:
+			i.prepared.Engines.Commands().SetPool(engineSpec(p), enginePlaces(servers))
+		case p.Batch != nil:
+			i.prepared.Batches.Commands().SetPool(batchSpec(p), batchPlaces(servers))
+		default:
+			for _, s := range servers {
+				plain = append(plain, plainSpec(s))
+			}
+		}
+	}
+	i.plain.Commands().Sync(plain, now)
+}
+
+func engineSpec(p route.Pool) engine.Spec {
+	return engine.Spec{
+		Pool: p.Name, Slots: p.Engine.Slots, MemoryTokens: p.Engine.MemoryTokens,
+		TokenBytes: p.Engine.TokenBytes, ColdPerSecond: p.ColdPerSecond,
+	}
+}
+
+func enginePlaces(servers []fleet.Server) []engine.Place {
+	places := make([]engine.Place, 0, len(servers))
+	for _, s := range servers {
+		places = append(places, engine.Place{ID: s.ID, Address: s.Address, DataCentre: s.DataCentre, Born: s.Born})
+	}
+	return places
+}
+
+func batchSpec(p route.Pool) batch.Spec {
+	return batch.Spec{
+		Pool: p.Name, Slots: p.Batch.Slots, Size: p.Batch.Size, CallTime: p.Batch.CallTime,
+		ItemTime: p.Batch.ItemTime, Room: p.Batch.RoomBytes, Life: p.Batch.ResultLife,
+	}
+}
+
+func batchPlaces(servers []fleet.Server) []batch.Place {
+	places := make([]batch.Place, 0, len(servers))
+	for _, s := range servers {
+		places = append(places, batch.Place{ID: s.ID, Address: s.Address, DataCentre: s.DataCentre})
+	}
+	return places
+}
+
+const (
+	// lowestRank lets plain services serve all classes.
+	lowestRank = 1 << 20
+	// queueShare is how many requests an instance sends to a plain server beyond its
+	// slots: the servers queue a few, and other instances send as well.
+	queueShare = 2
+)
+
+func plainSpec(s fleet.Server) backend.Spec {
+	return backend.Spec{
+		Name: s.ID, Pool: s.Pool, DataCentre: s.DataCentre, Address: s.Address,
+		LowestRank: lowestRank, MaxInFlight: s.Slots + queueShare, ColdInFlight: s.Slots,
+	}
+}
--- /dev/null
+++ b/entry/beats.go
@@ -0,0 +1,279 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"lycheecrank.example/codec"
+	"lycheecrank.example/crew"
+	"lycheecrank.example/event"
+	"lycheecrank.example/peer"
+	"lycheecrank.example/platform"
+	"lycheecrank.example/preparation"
+	"lycheecrank.example/request"
+)
+
+const (
+	// beatInterval is how often instances hear of each other.
+	beatInterval = 250 * time.Millisecond
+	// beatLimit bounds a beat with its answer.
+	beatLimit = 700 * time.Millisecond
+	// knownEvery is the number of beats after which the known instances are told.
+	knownEvery = 8
+	// maxBreak is the longest break of this instance, such as a suspended machine,
+	// after which it may go on as coordinator.
+	maxBreak = 600 * time.Millisecond
+	// seedEvery is the number of beats between attempts to reach a seed that no
+	// known instance has the address of.
+	seedEvery = 4
+)
+
+// ask asks another instance something and decodes its reply.
+func ask[R any](ctx context.Context, i *Instance, address, subject string, question any) (R, error) {
+	var reply R
+	data, err := codec.Marshal(question)
+	if err != nil {
+		return reply, err
+	}
+	data, err = i.client.Ask(ctx, address, subject, data)
+	if err != nil {
+		return reply, err
+	}
+	return reply, codec.Unmarshal(data, &reply)
+}
+
+// reply decodes a question and encodes what answer makes of it.
+func reply[Q, R any](data []byte, answer func(Q) (R, error)) ([]byte, error) {
+	var question Q
+	if err := codec.Unmarshal(data, &question); err != nil {
+		return nil, request.Refuse(request.ReasonMalformed, err.Error())
+	}
+	r, err := answer(question)
+	if err != nil {
+		return nil, err
+	}
+	return codec.Marshal(r)
+}
+
+// answer answers the questions of other instances.
+func (i *Instance) answer(ctx context.Context, _ peer.Hello, subject string, data []byte) ([]byte, error) {
+	switch subject {
+	case beatSubject:
+		return reply(data, i.takeBeat)
+	case recordsSubject:
+		return reply(data, i.records)
+	case prepareSubject:
+		return reply(data, func(o preparation.Order) (preparation.Placement, error) { return i.prepared.Prepare(ctx, o) })
+	case noticeSubject:
+		return reply(data, i.takeNotices)
+	}
+	return nil, request.Refuse(request.ReasonMalformed, "unknown subject "+subject)
+}
+
+// takeBeat takes a beat of another instance and answers with the own one.
+func (i *Instance) takeBeat(b beatBody) (beatBody, error) {
+	now := time.Now()
+	i.hear(b, now)
+	// The records are asked for on the beats of this instance: hurry them if the
+	// other one has more.
+	if i.isBehind(b.Positions) {
+		i.hurryBeats()
+	}
+	return i.beat(len(b.Known) > 0), nil
+}
+
+func (i *Instance) isBehind(positions []position) bool {
+	return slices.ContainsFunc(positions, func(p position) bool {
+		return p.End > i.feeds.Queries().State(p.Stream).End
+	})
+}
+
+// hear notes a message of an instance and what it knows to be complete.
+func (i *Instance) hear(b beatBody, now time.Time) {
+	i.crew.Commands().Hear(b.Self, b.Known, now)
+	i.client.Forgive(b.Self.Address)
+	for _, p := range b.Positions {
+		if p.End != i.feeds.Queries().State(p.Stream).End {
+			continue
+		}
+		confirmed := now.Add(-time.Duration(p.AgeMs) * time.Millisecond)
+		i.feeds.Commands().Confirm(p.Stream, p.End, confirmed)
+		i.confirm(p.Stream, confirmed)
+	}
+}
+
+func (i *Instance) beat(isFull bool) beatBody {
+	v := i.view()
+	b := beatBody{Self: v.Self(), Positions: i.positions()}
+	if isFull {
+		b.Known = v.Known()
+	}
+	return b
+}
+
+func (i *Instance) records(q recordsQuestion) (recordsReply, error) {
+	s := i.feeds.Queries().State(q.Stream)
+	return recordsReply{Records: s.Since(q.From), End: s.End, AgeMs: time.Since(s.ConfirmedAt).Milliseconds()}, nil
+}
+
+// hurryBeats makes the next beats go out at once.
+func (i *Instance) hurryBeats() {
+	select {
+	case i.hurry <- struct{}{}:
+	default:
+	}
+}
+
+// runBeats tells the other instances that this one lives, and what it knows.
+func (i *Instance) runBeats(ctx context.Context) error {
+	var group errgroup.Group
+	defer func() { _ = group.Wait() }()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	coordinator := ""
+	lastBoot, lastRun := i.SinceBoot(), time.Now()
+	for round := 0; ; round++ {
+		select {
+		case <-timer.C:
+		case <-i.hurry:
+		case <-ctx.Done():
+			return nil
+		}
+		timer.Reset(beatInterval)
+		boot, now := i.SinceBoot(), time.Now()
+		if boot-lastBoot > now.Sub(lastRun)+maxBreak || now.Sub(lastRun) > beatInterval+2*maxBreak {
+			i.resume(boot-lastBoot, now)
+		}
+		lastBoot, lastRun = boot, now
+		i.crew.Commands().Forget(now)
+		for _, address := range i.targets(round, now) {
+			group.Go(func() error {
+				i.sendBeat(ctx, address, round%knownEvery == 0)
+				return nil
+			})
+		}
+		if c := i.view().Coordinator(now); c.Name != coordinator {
+			coordinator = c.Name
+			i.Logger.Write(event.CoordinatorChosen, c.Name, c.FitSince, len(i.view().Heard(now)), len(i.view().Known()))
+			i.introduce(c)
+		}
+	}
+}
+
+// resume takes up work after a break: others may have taken over meanwhile, and
+// what is known is old.
+func (i *Instance) resume(broke time.Duration, now time.Time) {
+	i.Logger.Write(event.Resumed, broke.Milliseconds())
+	i.crew.Commands().Restamp(now)
+	i.routes.Commands().Doubt()
+	i.feeds.Commands().Doubt()
+}
+
+// targets returns the addresses of a round: of each two instances the one with
+// the lower name beats, and the other one as well while it hears nothing.
+func (i *Instance) targets(round int, now time.Time) []string {
+	v := i.view()
+	var addresses []string
+	for _, m := range v.Known() {
+		if i.Settings.Name < m.Name || !slices.ContainsFunc(v.Heard(now), func(h crew.Mate) bool { return h.Name == m.Name }) || i.isLeaving() {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	if round%seedEvery == 0 {
+		for _, seed := range i.Settings.Seeds {
+			if seed != i.Settings.Peers && !slices.ContainsFunc(v.Known(), func(m crew.Mate) bool { return m.Address == seed }) {
+				addresses = append(addresses, seed)
+			}
+		}
+	}
+	return addresses
+}
+
+func (i *Instance) sendBeat(ctx context.Context, address string, isFull bool) {
+	ctx, cancel := context.WithTimeout(ctx, beatLimit)
+	defer cancel()
+	b, err := ask[beatBody](ctx, i, address, beatSubject, i.beat(isFull))
+	now := time.Now()
+	if err != nil {
+		i.failAddress(address, now)
+		return
+	}
+	i.hear(b, now)
+	i.level(ctx, address, b.Positions, now)
+}
+
+// failAddress notes that the instance at an address did not answer.
+func (i *Instance) failAddress(address string, now time.Time) {
+	for _, m := range i.view().Known() {
+		if m.Address == address {
+			i.crew.Commands().Fail(m.Name, now)
+		}
+	}
+}
+
+const (
+	// registerEvery is how often instances look for others in the store.
+	registerEvery = 5 * time.Second
+	// registerRetry is the pause after a failed look.
+	registerRetry = time.Second
+	registerLimit = 1500 * time.Millisecond
+)
+
+// runRegistration writes the entry of this instance to the store once and looks
+// for those of others.
+func (i *Instance) runRegistration(ctx context.Context) error {
+	isWritten := false
+	for {
+		wait := registerEvery
+		if !isWritten {
+			isWritten = i.register(ctx) == nil
+		}
+		if err := i.discover(ctx); err != nil || !isWritten {
+			wait = registerRetry
+		}
+		if !pause(ctx, wait) {
+			return nil
+		}
+	}
+}
+
+func (i *Instance) register(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, registerLimit)
+	defer cancel()
+	data, err := codec.Marshal(i.view().Self())
+	if err != nil {
+		return err
+	}
+	return i.store.Put(ctx, platform.Instances, i.Settings.Name, data)
+}
+
+// unregister removes the entry of an instance that leaves.
+func (i *Instance) unregister(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, registerRetry)
+	defer cancel()
+	if err := i.store.Put(ctx, platform.Instances, i.Settings.Name, nil); err != nil {
+		i.Logger.Write(event.LogUnavailable, platform.Instances, err)
+	}
+}
+
+func (i *Instance) discover(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, registerLimit)
+	defer cancel()
+	records, _, err := i.store.Newest(ctx, platform.Instances)
+	if err != nil {
+		return err
+	}
+	var known []crew.Mate
+	for _, r := range records {
+		var m crew.Mate
+		if err := codec.Unmarshal(r.Value, &m); err != nil {
+			continue
+		}
+		known = append(known, m)
+	}
+	i.crew.Commands().Learn(known, time.Now())
+	return nil
+}
--- /dev/null
+++ b/entry/feeds.go
@@ -0,0 +1,160 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"lycheecrank.example/event"
+	"lycheecrank.example/feed"
+	"lycheecrank.example/platform"
+)
+
+const (
+	// readWait is how long a read of the operators' stream waits for a record, and
+	// readLimit how long for its answer at all.
+	readWait  = 700 * time.Millisecond
+	readLimit = 1400 * time.Millisecond
+	// serversInterval is how often the coordinator reads the entries of servers.
+	serversInterval = 350 * time.Millisecond
+	// staleAge is the age of a copy from which on an instance reads the store
+	// itself: the coordinator passes records on in a third of it.
+	staleAge = 900 * time.Millisecond
+	// readPause is the pause between two looks whether to read the store.
+	readPause = 100 * time.Millisecond
+	// awayAge is the age of a copy from which on the store counts as having been
+	// away, awayGrace for how long after its return entries may still be missing.
+	awayAge   = 1500 * time.Millisecond
+	awayGrace = 2 * time.Second
+)
+
+// runOperators keeps the copy of the operators' stream up to date.
+func (i *Instance) runOperators(ctx context.Context) error {
+	return i.follow(ctx, platform.Operators, readWait, readPause)
+}
+
+// runServers keeps the copy of the servers' entries up to date.
+func (i *Instance) runServers(ctx context.Context) error {
+	return i.follow(ctx, platform.Servers, 0, serversInterval)
+}
+
+// follow reads a stream while this instance is the coordinator or its copy is
+// stale; else the coordinator passes records on with its beats.
+func (i *Instance) follow(ctx context.Context, stream string, wait, interval time.Duration) error {
+	isDown := false
+	for {
+		if i.isReader(stream) {
+			err := i.readStore(ctx, stream, wait)
+			if isDown != (err != nil) {
+				isDown = err != nil
+				i.reportStore(stream, err)
+			}
+			if err == nil && wait > 0 {
+				continue
+			}
+		}
+		if !pause(ctx, interval) {
+			return nil
+		}
+	}
+}
+
+func (i *Instance) isReader(stream string) bool {
+	now := time.Now()
+	isCoordinator := i.view().Coordinator(now).Name == i.Settings.Name
+	return isCoordinator || now.Sub(i.feeds.Queries().State(stream).ConfirmedAt) > staleAge
+}
+
+func (i *Instance) reportStore(stream string, err error) {
+	if err != nil {
+		i.Logger.Write(event.LogUnavailable, stream, err)
+		return
+	}
+	i.Logger.Write(event.LogAvailable, stream)
+}
+
+// readStore reads the records that the copy lacks, or all newest ones if the
+// history that it needs is gone.
+func (i *Instance) readStore(ctx context.Context, stream string, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, readLimit)
+	defer cancel()
+	state := i.feeds.Queries().State(stream)
+	asked := time.Now()
+	if state.End > 0 {
+		records, end, err := i.store.Read(ctx, stream, state.End, wait)
+		if err == nil {
+			// A read that waited for nothing shows that the copy was complete at its
+			// end, one that returned at once that it was when it was asked.
+			i.take(stream, records, end, asked)
+			return nil
+		}
+		if !errors.Is(err, platform.ErrExpired) {
+			return err
+		}
+	}
+	records, end, err := i.store.Newest(ctx, stream)
+	if err != nil {
+		return err
+	}
+	i.noteAway(stream)
+	i.feeds.Commands().TakeSnapshot(stream, records, end, asked, func(fresh []feed.Record) { i.apply(stream, fresh) })
+	i.confirm(stream, asked)
+	return nil
+}
+
+// take adds records to the copy of a stream and applies the new ones.
+func (i *Instance) take(stream string, records []feed.Record, end uint64, at time.Time) {
+	i.noteAway(stream)
+	i.feeds.Commands().Take(stream, records, end, at, func(fresh []feed.Record) { i.apply(stream, fresh) })
+	i.confirm(stream, at)
+	if len(records) > 0 {
+		i.hurryBeats()
+	}
+}
+
+func (i *Instance) confirm(stream string, at time.Time) {
+	if stream == platform.Operators {
+		i.routes.Commands().Confirm(at)
+	}
+}
+
+// noteAway notes that the copy of the servers' entries is continued after a time
+// in which entries may have lapsed.
+func (i *Instance) noteAway(stream string) {
+	state := i.feeds.Queries().State(stream)
+	if stream == platform.Servers && !state.ConfirmedAt.IsZero() && time.Since(state.ConfirmedAt) > awayAge {
+		i.awayUntil.Store(time.Now().Add(awayGrace).UnixNano())
+	}
+}
+
+// positions returns how far the copies reach.
+func (i *Instance) positions() []position {
+	now := time.Now()
+	var positions []position
+	for _, stream := range []string{platform.Operators, platform.Servers} {
+		s := i.feeds.Queries().State(stream)
+		positions = append(positions, position{Stream: stream, End: s.End, AgeMs: now.Sub(s.ConfirmedAt).Milliseconds()})
+	}
+	return positions
+}
+
+// level asks an instance for records that it has and this one lacks.
+func (i *Instance) level(ctx context.Context, address string, positions []position, now time.Time) {
+	for _, p := range positions {
+		state := i.feeds.Queries().State(p.Stream)
+		confirmed := now.Add(-time.Duration(p.AgeMs) * time.Millisecond)
+		if p.End <= state.End {
+			if p.End == state.End {
+				i.feeds.Commands().Confirm(p.Stream, p.End, confirmed)
+				i.confirm(p.Stream, confirmed)
+			}
+			continue
+		}
+		reply, err := ask[recordsReply](ctx, i, address, recordsSubject, recordsQuestion{Stream: p.Stream, From: state.End})
+		if err != nil {
+			return
+		}
+		at := time.Now().Add(-time.Duration(reply.AgeMs) * time.Millisecond)
+		i.take(p.Stream, reply.Records, reply.End, at)
+	}
+}
--- /dev/null
+++ b/entry/message.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"time"
+
+	"lycheecrank.example/crew"
+	"lycheecrank.example/engine"
+	"lycheecrank.example/feed"
+)
+
+// The subjects of questions between instances.
+const (
+	beatSubject    = "beat"
+	recordsSubject = "records"
+	prepareSubject = "prepare"
+	noticeSubject  = "notice"
+)
+
+// position says how far an instance's copy of a stream reaches and how old its
+// last confirmation is.
+type position struct {
+	Stream string `msgpack:"stream"`
+	End    uint64 `msgpack:"end"`
+	AgeMs  int64  `msgpack:"ageMs"`
+}
+
+// beatBody is what instances tell each other all the time; its answer is alike.
+type beatBody struct {
+	Self      crew.Mate   `msgpack:"self"`
+	Known     []crew.Mate `msgpack:"known,omitempty"`
+	Positions []position  `msgpack:"positions"`
+}
+
+// recordsQuestion asks for the records of a stream from an offset on.
+type recordsQuestion struct {
+	Stream string `msgpack:"stream"`
+	From   uint64 `msgpack:"from"`
+}
+
+type recordsReply struct {
+	Records []feed.Record `msgpack:"records"`
+	End     uint64        `msgpack:"end"`
+	AgeMs   int64         `msgpack:"ageMs"`
+}
+
+// noticeKind says what became of a prepared request.
+type noticeKind int
+
+// The kinds of notices.
+const (
+	startedNotice noticeKind = iota + 1
+	endedNotice
+	failedNotice
+	abandonedNotice
+	// runningNotice tells a new coordinator of a request that runs already.
+	runningNotice
+	// readNotice tells a new coordinator of a prompt that an engine has read.
+	readNotice
+)
+
+// notice tells the coordinator what became of a prepared request.
+type notice struct {
+	Kind    noticeKind    `msgpack:"kind"`
+	Pool    string        `msgpack:"pool"`
+	Server  string        `msgpack:"server"`
+	Request string        `msgpack:"request"`
+	Took    time.Duration `msgpack:"took,omitempty"`
+	Prompt  engine.Prompt `msgpack:"prompt,omitempty"`
+}
--- /dev/null
+++ b/entry/report.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"lycheecrank.example/delivery"
+	"lycheecrank.example/event"
+)
+
+const (
+	// maxServedLines bounds the lines a second on served attempts. Lines on failed
+	// ones are always written.
+	maxServedLines = 200
+	reportInterval = time.Second
+)
+
+// report writes a line for each attempt.
+type report struct {
+	logger *event.Logger
+	served atomic.Int64
+}
+
+func newReport(logger *event.Logger) *report { return &report{logger: logger} }
+
+// run begins a new second of lines and tells how many were left out.
+func (r *report) run(ctx context.Context) error {
+	for pause(ctx, reportInterval) {
+		if n := r.served.Swap(0); n > maxServedLines {
+			r.logger.Write(event.LinesDropped, n-maxServedLines)
+		}
+	}
+	return nil
+}
+
+// open returns the number of attempts in progress.
+func (r *report) open() int { return 0 }
+
+// reportAttempt counts and logs how an attempt ended.
+func (i *Instance) reportAttempt(a delivery.Attempt, v delivery.Verdict, status int) {
+	took := time.Since(a.ArrivedAt).Milliseconds()
+	version := i.routes.Queries().Current().Version
+	if v.Failure == nil {
+		if i.report.served.Add(1) <= maxServedLines {
+			i.Logger.Write(event.AttemptServed, a.ID, v.Route, v.Pool, v.Server, v.Tries, took, status, version)
+		}
+		return
+	}
+	i.refusals.Add(string(v.Failure.Reason))
+	i.Logger.Write(event.AttemptFailed, a.ID, v.Route, v.Pool, v.Server, v.Tries, took, status, version,
+		string(v.Failure.Reason), v.Failure.Detail, v.Failure.Sent)
+}
--- /dev/null
+++ b/feed/feed.go
@@ -0,0 +1,90 @@
+// Package feed keeps an instance's copy of keyed streams of the platform's
+// store: the newest record of each key. Copies are brought up to date from the
+// store or from other instances, in any order and more than once.
+package feed
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Record is the newest record of a key.
+type Record struct {
+	Key    string `msgpack:"key"`
+	Offset uint64 `msgpack:"offset"`
+	Value  []byte `msgpack:"value"`
+	// IsRemoved tells that the key was dropped.
+	IsRemoved bool `msgpack:"isRemoved"`
+}
+
+// State is a copy of a stream. It is an immutable value.
+type State struct {
+	// End is the offset up to which all records are known.
+	End uint64
+	// ConfirmedAt is when the copy was last known to be complete.
+	ConfirmedAt time.Time
+	records     map[string]Record
+}
+
+// WithRecords returns the state after records that complete it up to an offset,
+// and the records that were new to it, in the order of their offsets.
+func (s State) WithRecords(records []Record, end uint64) (State, []Record) {
+	var fresh []Record
+	for _, r := range records {
+		if old, ok := s.records[r.Key]; !ok || r.Offset > old.Offset {
+			fresh = append(fresh, r)
+		}
+	}
+	slices.SortFunc(fresh, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	s.End = max(s.End, end)
+	if len(fresh) == 0 {
+		return s, nil
+	}
+	next := make(map[string]Record, len(s.records)+len(fresh))
+	maps.Copy(next, s.records)
+	for _, r := range fresh {
+		next[r.Key] = r
+	}
+	s.records = next
+	return s, fresh
+}
+
+// WithSnapshot returns the state after the newest record of each key was read
+// while the stream ended at an offset. Keys that the snapshot lacks were removed
+// in history that is gone.
+func (s State) WithSnapshot(records []Record, end uint64) (State, []Record) {
+	present := make(map[string]bool, len(records))
+	for _, r := range records {
+		present[r.Key] = true
+	}
+	for _, r := range s.records {
+		if !present[r.Key] && !r.IsRemoved && r.Offset < end {
+			records = append(records, Record{Key: r.Key, Offset: end - 1, IsRemoved: true})
+		}
+	}
+	return s.WithRecords(records, end)
+}
+
+// WithConfirmation returns the state after it was known to be complete.
+func (s State) WithConfirmation(at time.Time) State {
+	if at.After(s.ConfirmedAt) {
+		s.ConfirmedAt = at
+	}
+	return s
+}
+
+// Since returns the records from an offset on, in the order of their offsets.
+func (s State) Since(from uint64) []Record {
+	var records []Record
+	for _, r := range s.records {
+		if r.Offset >= from {
+			records = append(records, r)
+		}
+	}
+	slices.SortFunc(records, func(a, b Record) int {
+		return cmp.Or(cmp.Compare(a.Offset, b.Offset), cmp.Compare(a.Key, b.Key))
+	})
+	return records
+}
--- /dev/null
+++ b/feed/table.go
@@ -0,0 +1,33 @@
+package feed
+
+import "lycheecrank.example/lock"
+
+// Table holds the copies of streams by name.
+type Table struct {
+	mu     *lock.Ranked
+	states map[string]State
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{mu: lock.New(lock.RankFeed, "feed"), states: map[string]State{}}
+}
+
+// Commands returns what changes the table.
+func (t *Table) Commands() Commands { return Commands{t} }
+
+// Queries returns what reads the table.
+func (t *Table) Queries() Queries { return Queries{t} }
+
+// Commands changes a table. Concurrent calls are safe.
+type Commands struct{ table *Table }
+
+// Queries reads a table. Concurrent calls are safe.
+type Queries struct{ table *Table }
+
+// State returns the copy of a stream.
+func (q Queries) State(stream string) State {
+	q.table.mu.Lock()
+	defer q.table.mu.Unlock()
+	return q.table.states[stream]
+}
--- a/lock/lock.go
+++ b/lock/lock.go
@@ -8,16 +8,20 @@
 
 // The ranks of all tables, lowest first. A goroutine locks them in rising order.
 const (
-	RankCatalogue  = 10
-	RankOwnership  = 20
-	RankMember     = 30
-	RankDispatch   = 40
-	RankBackend    = 50
-	RankRequest    = 60
-	RankClaim      = 70
-	RankPrecedence = 80
-	RankPeer       = 85
-	RankCounter    = 90
+	RankFeed        = 5
+	RankCatalogue   = 10
+	RankOwnership   = 20
+	RankMember      = 30
+	RankPreparation = 35
+	RankDispatch    = 40
+	RankBatch       = 45
+	RankBackend     = 50
+	RankEngine      = 55
+	RankRequest     = 60
+	RankClaim       = 70
+	RankPrecedence  = 80
+	RankPeer        = 85
+	RankCounter     = 90
 )
 
 // Ranked is a mutex with a rank. Create it with New.
--- a/peer/call.go
+++ b/peer/call.go
@@ -174,3 +174,13 @@
 	}
 	return answer.Cancelled.Found, nil
 }
+
+// Ask asks the instance at an address something of a subject and returns its
+// reply.
+func (c *Client) Ask(ctx context.Context, address, subject string, data []byte) ([]byte, error) {
+	answer, err := c.ask(ctx, address, message{Type: askType, Ask: &askBody{Subject: subject, Data: data}}, replyType)
+	if err != nil {
+		return nil, err
+	}
+	return answer.Reply.Data, nil
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -28,8 +28,10 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Connected is told about each new connection; it may be nil.
 	Connected func(address string, peer Hello)
-	Logger    *event.Logger
-	Counters  *counter.Set
+	// SilenceLimit is how long a peer may owe a message; 0 stands for 3 s.
+	SilenceLimit time.Duration
+	Logger       *event.Logger
+	Counters     *counter.Set
 
 	commands Commands
 	queries  Queries
@@ -74,6 +76,10 @@
 	c.running.Wait()
 }
 
+// Forgive lets the next exchange with an address connect at once, such as after
+// a message of the instance there.
+func (c *Client) Forgive(address string) { c.commands.forgive(address, time.Now()) }
+
 // connect returns the connection to an address. Its errors are failures with
 // ReasonPeerUnreachable, or the reason of the ended context, and nothing sent.
 func (c *Client) connect(ctx context.Context, address string) (*outbound, error) {
@@ -141,7 +147,7 @@
 	if err != nil {
 		return nil, Hello{}, eris.Wrap(err, "dial")
 	}
-	conn := newConnection(n)
+	conn := newConnection(n, c.SilenceLimit)
 	stop := context.AfterFunc(c.ctx, func() { conn.fail(ErrClosed) })
 	defer stop()
 	hello, err := conn.greet(c.Self)
--- a/peer/commands.go
+++ b/peer/commands.go
@@ -85,3 +85,14 @@
 	}
 	return open
 }
+
+// forgive ends the backoff of a link without a connection.
+func (c Commands) forgive(address string, now time.Time) {
+	t := c.Table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if link, ok := t.links[address]; ok && link.conn == nil && now.Before(link.RetryAt) {
+		link.RetryAt = now
+		t.links[address] = link
+	}
+}
--- a/peer/connection.go
+++ b/peer/connection.go
@@ -81,6 +81,8 @@
 // holds up another.
 type connection struct {
 	net net.Conn
+	// silence is how long the peer may owe a message.
+	silence time.Duration
 	// beat returns the time until it wants to be called again, whether a ping is
 	// due, or the error that ends the connection.
 	beat func(now time.Time) (next time.Duration, ping bool, err error)
@@ -98,9 +100,15 @@
 	control [][]byte
 }
 
-func newConnection(n net.Conn) *connection {
+// newConnection returns a connection with a limit of silence; 0 stands for
+// silenceLimit.
+func newConnection(n net.Conn, silence time.Duration) *connection {
+	if silence == 0 {
+		silence = silenceLimit
+	}
 	return &connection{
 		net:       n,
+		silence:   silence,
 		queue:     make(chan *outgoing, queuedFrames),
 		wake:      make(chan struct{}, 1),
 		done:      make(chan struct{}),
@@ -109,10 +117,10 @@
 	}
 }
 
-// greet exchanges hellos within silenceLimit.
+// greet exchanges hellos within the limit of silence.
 func (c *connection) greet(self Hello) (Hello, error) {
 	// Setting a deadline fails only on a closed connection, which reading tells.
-	_ = c.net.SetDeadline(time.Now().Add(silenceLimit))
+	_ = c.net.SetDeadline(time.Now().Add(c.silence))
 	data, err := message{Type: helloType, Hello: &self}.encode()
 	if err != nil {
 		return Hello{}, err
@@ -152,7 +160,7 @@
 func (c *connection) stopWriting(err error) {
 	if errors.Is(err, ErrPeerClosed) {
 		// Setting a deadline fails only on a closed connection, which reading tells.
-		_ = c.net.SetReadDeadline(time.Now().Add(silenceLimit))
+		_ = c.net.SetReadDeadline(time.Now().Add(c.silence))
 		return
 	}
 	c.fail(err)
@@ -253,7 +261,7 @@
 }
 
 func (c *connection) write() error {
-	buffer := bufio.NewWriterSize(deadlineWriter{c.net}, ioBuffer)
+	buffer := bufio.NewWriterSize(deadlineWriter{c.net, c.silence}, ioBuffer)
 	frames := FrameWriter{Writer: buffer}
 	ping, err := message{Type: pingType}.encode()
 	if err != nil {
@@ -335,14 +343,15 @@
 	return errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.ErrClosedPipe)
 }
 
-// deadlineWriter fails a write that the peer has not taken within silenceLimit.
+// deadlineWriter fails a write that the peer has not taken within a limit.
 // The reader of a live peer never waits, so such a peer is frozen.
 type deadlineWriter struct {
-	net net.Conn
+	net     net.Conn
+	silence time.Duration
 }
 
 func (d deadlineWriter) Write(data []byte) (int, error) {
-	if err := d.net.SetWriteDeadline(time.Now().Add(silenceLimit)); err != nil {
+	if err := d.net.SetWriteDeadline(time.Now().Add(d.silence)); err != nil {
 		return 0, err
 	}
 	n, err := d.net.Write(data)
--- a/peer/inbound.go
+++ b/peer/inbound.go
@@ -72,7 +72,7 @@
 	defer i.mu.Unlock()
 	limit := idleLimit
 	if i.waiting > 0 {
-		limit = silenceLimit
+		limit = i.silence
 	}
 	rest := i.received.Add(limit).Sub(now)
 	if rest <= 0 {
@@ -93,7 +93,7 @@
 		i.cancel(m.Exchange)
 	case creditType:
 		i.grant(m.Exchange, m.Credit.Bytes)
-	case executeType, digestType, fetchType, recordsType, cancelRequestType:
+	case executeType, digestType, fetchType, recordsType, cancelRequestType, askType:
 		return i.start(m)
 	default:
 		return eris.Wrapf(ErrMessageUnexpected, "%s from the dialling side", m.Type)
@@ -137,6 +137,9 @@
 	if m.Execute != nil {
 		a.size = len(m.Execute.Input)
 	}
+	if m.Ask != nil {
+		a.size = len(m.Ask.Data)
+	}
 	i.answers[a.id] = a
 	i.waiting++
 	i.openBytes += a.size
--- a/peer/message.go
+++ b/peer/message.go
@@ -43,8 +43,12 @@
 	cancelRequestType messageType = "cancelRequest"
 	// cancelledType answers a cancelRequest.
 	cancelledType messageType = "cancelled"
-	pingType      messageType = "ping"
-	pongType      messageType = "pong"
+	// askType asks the peer something of a subject.
+	askType messageType = "ask"
+	// replyType answers an ask.
+	replyType messageType = "reply"
+	pingType  messageType = "ping"
+	pongType  messageType = "pong"
 )
 
 // message is the envelope of all messages. The body that the type wants is set
@@ -65,6 +69,8 @@
 	Failure       *failureBody       `msgpack:"failure,omitempty"`
 	CancelRequest *cancelRequestBody `msgpack:"cancelRequest,omitempty"`
 	Cancelled     *cancelledBody     `msgpack:"cancelled,omitempty"`
+	Ask           *askBody           `msgpack:"ask,omitempty"`
+	Reply         *replyBody         `msgpack:"reply,omitempty"`
 }
 
 type fetchBody struct {
@@ -241,6 +247,16 @@
 	RequestID string `msgpack:"requestId"`
 }
 
+// askBody is a question whose encoding belongs to its subject.
+type askBody struct {
+	Subject string `msgpack:"subject"`
+	Data    []byte `msgpack:"data"`
+}
+
+type replyBody struct {
+	Data []byte `msgpack:"data"`
+}
+
 type cancelledBody struct {
 	Found bool `msgpack:"found"`
 }
@@ -298,6 +314,8 @@
 		{failureType, m.Failure != nil},
 		{cancelRequestType, m.CancelRequest != nil},
 		{cancelledType, m.Cancelled != nil},
+		{askType, m.Ask != nil},
+		{replyType, m.Reply != nil},
 	}
 	known, proper := isBodiless(m.Type), true
 	for _, b := range bodies {
--- a/peer/outbound.go
+++ b/peer/outbound.go
@@ -25,9 +25,9 @@
 	busySince time.Time
 	// owedSince is since when the peer owes a message; zero if it owes none.
 	owedSince time.Time
-	// silence fires when the peer may have owed a message for silenceLimit. The
-	// writer can't watch this, since a frozen peer may block it.
-	silence  *time.Timer
+	// watchdog fires when the peer may have owed a message for the silence limit.
+	// The writer can't watch this, since a frozen peer may block it.
+	watchdog *time.Timer
 	pinged   time.Time
 	received time.Time
 }
@@ -55,13 +55,13 @@
 		received:   now,
 	}
 	c.beat, c.handle = o.check, o.deliver
-	o.silence = time.AfterFunc(silenceLimit, o.watch)
+	o.watchdog = time.AfterFunc(c.silence, o.watch)
 	return o
 }
 
 // run runs the connection until it fails and returns the cause.
 func (o *outbound) run() error {
-	defer o.silence.Stop()
+	defer o.watchdog.Stop()
 	return o.connection.run()
 }
 
@@ -69,14 +69,14 @@
 func (o *outbound) owe(now time.Time) {
 	if o.owedSince.IsZero() {
 		o.owedSince = now
-		o.silence.Reset(silenceLimit)
+		o.watchdog.Reset(o.silence)
 	}
 }
 
 // watch fails the connection of a frozen peer.
 func (o *outbound) watch() {
 	o.mu.Lock()
-	isSilent := !o.owedSince.IsZero() && time.Since(o.owedSince) >= silenceLimit
+	isSilent := !o.owedSince.IsZero() && time.Since(o.owedSince) >= o.silence
 	o.mu.Unlock()
 	if isSilent {
 		o.fail(ErrSilent)
@@ -160,7 +160,7 @@
 	switch m.Type {
 	case pongType:
 		return nil
-	case digestType, recordsType, takenType, pieceType, endType, failureType, cancelledType:
+	case digestType, recordsType, takenType, pieceType, endType, failureType, cancelledType, replyType:
 	default:
 		return eris.Wrapf(ErrMessageUnexpected, "%s from the accepting side", m.Type)
 	}
--- a/peer/server.go
+++ b/peer/server.go
@@ -40,6 +40,11 @@
 	TakeRecords func(stream string, records []provider.Record)
 	// CancelRequest cancels a request and reports whether it was in flight.
 	CancelRequest func(workspace, requestID string) bool
+	// Ask answers a question of a subject; nil refuses all. Its errors reach the
+	// peer as failures.
+	Ask func(ctx context.Context, from Hello, subject string, data []byte) ([]byte, error)
+	// SilenceLimit is how long a peer may owe a message; 0 stands for 3 s.
+	SilenceLimit time.Duration
 	// Logger may be nil.
 	Logger *event.Logger
 	// Counters counts refused frames by reason; it may be nil.
@@ -95,7 +100,7 @@
 func (s *Server) serve(ctx context.Context, n net.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	c := newConnection(n)
+	c := newConnection(n, s.SilenceLimit)
 	stop := context.AfterFunc(ctx, func() { c.fail(ErrClosed) })
 	defer stop()
 	peer, err := c.greet(s.Self)
@@ -139,10 +144,24 @@
 	case cancelRequestType:
 		found := s.CancelRequest(m.CancelRequest.Workspace, m.CancelRequest.RequestID)
 		return message{Type: cancelledType, Cancelled: &cancelledBody{Found: found}}
+	case askType:
+		return s.reply(a.ctx, i.peer, m.Ask)
 	}
 	return s.execute(i, a, m.Execute)
 }
 
+func (s *Server) reply(ctx context.Context, from Hello, body *askBody) message {
+	if s.Ask == nil {
+		refused := request.Refuse(request.ReasonMalformed, "no subjects here")
+		return message{Type: failureType, Failure: asFailureBody(refused)}
+	}
+	data, err := s.Ask(ctx, from, body.Subject, body.Data)
+	if err != nil {
+		return message{Type: failureType, Failure: asFailureBody(request.AsFailure(err))}
+	}
+	return message{Type: replyType, Reply: &replyBody{Data: data}}
+}
+
 func (s *Server) take(body *recordsBody) message {
 	if !isConsecutive(body.Records, 0) {
 		s.counters.Add("recordsRefused")
--- /dev/null
+++ b/preparation/desk.go
@@ -0,0 +1,382 @@
+package preparation
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"lycheecrank.example/batch"
+	"lycheecrank.example/counter"
+	"lycheecrank.example/engine"
+	"lycheecrank.example/event"
+	"lycheecrank.example/request"
+	"lycheecrank.example/worker"
+)
+
+// Sentinel errors of calls of stages.
+var (
+	// ErrFull: the server had no place for the call and did nothing.
+	ErrFull = errors.New("stage server full")
+	// ErrMoved: another server answers at the address.
+	ErrMoved = errors.New("another server at the address of a stage server")
+)
+
+// Verdict says what became of a piece.
+type Verdict int
+
+// The verdicts.
+const (
+	// Made pieces have a handle.
+	Made Verdict = iota
+	// Late pieces had no time left.
+	Late
+	// InputGone pieces need their inputs made again.
+	InputGone
+	// NoRoom pieces found no room for their result.
+	NoRoom
+	// Failed pieces failed for another reason.
+	Failed
+)
+
+// Result is what a server says of a piece of a call.
+type Result struct {
+	Verdict Verdict
+	Handle  string
+}
+
+const (
+	// callWorkers bounds the calls of stages in progress.
+	callWorkers = 64
+	// callSlack and callFactor bound a call by its expected time: a server that
+	// takes longer is taken as gone and its pieces are made elsewhere.
+	callSlack  = 700 * time.Millisecond
+	callFactor = 3
+	// freeInterval is how often makers are told which results are given up.
+	freeInterval = 100 * time.Millisecond
+	// sweepInterval is how often jobs of instances that are gone are given up.
+	sweepInterval = time.Second
+	// engineRetry is the pause before an engine is looked for again.
+	engineRetry = 25 * time.Millisecond
+	// bulkyBytes is the size of results from which the engine is chosen before
+	// they are made, so that they are made near it.
+	bulkyBytes = 256 << 10
+	// closeReserve is the time before the deadline at which a request that can't
+	// be prepared is given up, so that its refusal arrives.
+	closeReserve = 60 * time.Millisecond
+)
+
+// Desk prepares requests. Set the exported fields before Run.
+type Desk struct {
+	// Call has the results of a call made. It returns one result for each piece.
+	Call func(ctx context.Context, call batch.Call) ([]Result, error)
+	// Free tells a maker that results are given up.
+	Free func(ctx context.Context, address string, handles []string) error
+	// Share returns the part of the bound of cold engines that this instance may
+	// use, from 0 to 1.
+	Share    func() float64
+	Logger   *event.Logger
+	Counters *counter.Set
+	Batches  *batch.Table
+	Engines  *engine.Table
+
+	table *Table
+	freed chan []string
+}
+
+// NewDesk returns a desk without jobs.
+func NewDesk() *Desk {
+	return &Desk{
+		Share:    func() float64 { return 1 },
+		Logger:   event.Discard(),
+		Counters: &counter.Set{},
+		Batches:  batch.NewTable(),
+		Engines:  engine.NewTable(),
+		table:    NewTable(),
+		freed:    make(chan []string, 1024),
+	}
+}
+
+// Queries reads the jobs.
+func (d *Desk) Queries() Queries { return d.table.Queries() }
+
+// Run makes the calls until the context ends.
+func (d *Desk) Run(ctx context.Context) error {
+	var group errgroup.Group
+	pool := worker.Pool[batch.Call]{Size: callWorkers, Next: d.Batches.Commands().Next, Execute: d.execute}
+	group.Go(func() error { return pool.Run(ctx, ctx) })
+	group.Go(func() error { return d.runFrees(ctx) })
+	group.Go(func() error { return d.runSweeps(ctx) })
+	return group.Wait()
+}
+
+// Prepare has the results of a request made, chooses its engine and counts the
+// request there. It fails with a request.Failure that nothing was sent.
+func (d *Desk) Prepare(ctx context.Context, o Order) (Placement, error) {
+	openedAt := time.Now()
+	reserve := min(closeReserve, o.Deadline/10)
+	ctx, cancel := context.WithTimeout(ctx, o.Deadline-reserve)
+	defer cancel()
+	if f, ok := d.refuse(o, openedAt); ok {
+		return Placement{}, f
+	}
+	done, s := d.table.Commands().open(o, d.near(o, openedAt), d.usual, openedAt)
+	d.apply(s)
+	select {
+	case <-done:
+	case <-ctx.Done():
+		d.Abandon(o.Request)
+		return Placement{}, d.ended(ctx, "stages")
+	}
+	p, err := d.place(ctx, o)
+	if err != nil {
+		d.Abandon(o.Request)
+		return Placement{}, err
+	}
+	p.WaitedMs = time.Since(openedAt).Milliseconds()
+	return p, nil
+}
+
+// refuse refuses a request early whose stages can't be done in its time, so that
+// its client can come back.
+func (d *Desk) refuse(o Order, now time.Time) (request.Failure, bool) {
+	for _, s := range o.Stages {
+		if s.Pieces == 0 {
+			continue
+		}
+		depth := d.Batches.Queries().Depth(s.Pool, now)
+		if depth.Delay+d.usual(s.Pool, callPieces) > o.Deadline {
+			f := request.Refuse(request.ReasonDeadlineUnattainable, s.Pool+" has work for "+depth.Delay.String())
+			return f.WithRetryAfter(min(depth.Delay, o.Deadline/4)), true
+		}
+	}
+	return request.Failure{}, false
+}
+
+func (d *Desk) usual(pool string, pieces int) time.Duration {
+	return d.Batches.Queries().CallTime(pool, pieces)
+}
+
+// near returns the data centre in which large results should be made: that of the
+// engine that would be chosen now.
+func (d *Desk) near(o Order, now time.Time) string {
+	for _, s := range o.Stages {
+		if s.Pieces == 0 || s.Bytes < bulkyBytes {
+			continue
+		}
+		p, _ := d.Engines.Queries().Nearest(o.Pool, o.Prompt, engine.Needs{Avoid: o.Avoid, Rate: 1}, now)
+		return p.DataCentre
+	}
+	return ""
+}
+
+func (d *Desk) ended(ctx context.Context, what string) request.Failure {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return request.Refuse(request.ReasonDeadlineUnattainable, "no time left at "+what)
+	}
+	return request.Refuse(request.ReasonCancelled, ctx.Err().Error())
+}
+
+// place chooses the engine and waits while none may get the request.
+func (d *Desk) place(ctx context.Context, o Order) (Placement, error) {
+	timer := time.NewTimer(engineRetry)
+	defer timer.Stop()
+	for {
+		j, ok := d.table.Commands().inputs(o.Request)
+		if !ok {
+			return Placement{}, request.Refuse(request.ReasonCancelled, "given up")
+		}
+		inputs := j.inputs()
+		needs := engine.Needs{Results: d.places(j), Avoid: o.Avoid, Rate: d.Share()}
+		p, ok := d.Engines.Commands().Reserve(o.Pool, o.Request, o.Prompt, needs, time.Now())
+		if ok {
+			return Placement{Server: p.ID, Address: p.Address, DataCentre: p.DataCentre, Inputs: inputs}, nil
+		}
+		d.Counters.Add("noEngine")
+		timer.Reset(engineRetry)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return Placement{}, d.ended(ctx, "engines")
+		}
+	}
+}
+
+// places returns the size of the results that the engine fetches by data centre.
+func (d *Desk) places(j job) map[string]int64 {
+	sizes := map[string]int64{}
+	for i, s := range j.order.Stages {
+		if len(j.followers(i)) > 0 {
+			continue
+		}
+		for _, h := range j.handles[i] {
+			if dc := d.Batches.Queries().DataCentre(h); dc != "" {
+				sizes[dc] += s.Bytes
+			}
+		}
+	}
+	return sizes
+}
+
+// Started notes the first event of a request: its engine has fetched the results.
+func (d *Desk) Started(pool, server, id string, took time.Duration) {
+	d.Engines.Commands().Started(pool, server, id, took)
+	d.free(d.table.Commands().close(id))
+}
+
+// Ended notes that a request has ended at its engine.
+func (d *Desk) Ended(pool, server, id string, isFailed bool) {
+	if isFailed {
+		d.Engines.Commands().Failed(pool, server, id, time.Now())
+	} else {
+		d.Engines.Commands().Ended(pool, server, id)
+	}
+}
+
+// Abandon gives a request up before it runs.
+func (d *Desk) Abandon(id string) {
+	d.Batches.Commands().Withdraw(id)
+	d.free(d.table.Commands().close(id))
+}
+
+// apply queues pieces and frees results.
+func (d *Desk) apply(s step) {
+	if len(s.queue) > 0 {
+		d.Batches.Commands().Enqueue(s.queue)
+	}
+	d.free(s.free)
+}
+
+// free gives results up. The makers are told later, many at a time.
+func (d *Desk) free(handles []string) {
+	if len(handles) == 0 {
+		return
+	}
+	select {
+	case d.freed <- handles:
+	default:
+		// The maker drops the results at the end of their life.
+		d.Counters.Add("freesDropped")
+	}
+}
+
+// execute makes one call and takes over what came of it.
+func (d *Desk) execute(ctx context.Context, call batch.Call) {
+	limit := callFactor*call.Expected + callSlack
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	results, err := d.Call(ctx, call)
+	now := time.Now()
+	if err != nil || len(results) != len(call.Pieces) {
+		d.fail(call, err, now)
+		return
+	}
+	var made []batch.Made
+	for i, r := range results {
+		if r.Verdict == Made {
+			made = append(made, batch.Made{Piece: call.Pieces[i], Handle: r.Handle})
+		}
+	}
+	d.Batches.Commands().End(call, made, now)
+	for i, r := range results {
+		d.settle(call, call.Pieces[i], r, now)
+	}
+}
+
+// settle takes over the result of a piece.
+func (d *Desk) settle(call batch.Call, p batch.Piece, r Result, now time.Time) {
+	switch r.Verdict {
+	case Made:
+		d.apply(d.table.Commands().record(p, r.Handle, d.usual, now))
+	case InputGone:
+		d.Counters.Add("inputGone")
+		d.apply(d.table.Commands().rebuild(p, d.usual, now))
+	case NoRoom:
+		d.Counters.Add("noRoom")
+		d.Batches.Commands().Crowded(call, now)
+		d.again(p, "")
+	case Late:
+		d.Counters.Add("pieceLate")
+	case Failed:
+		d.Counters.Add("pieceFailed")
+		d.again(p, call.Server.ID)
+	}
+}
+
+// fail has all pieces of a failed call made by other servers.
+func (d *Desk) fail(call batch.Call, err error, now time.Time) {
+	isFull := errors.Is(err, ErrFull)
+	reason := "callFailed"
+	if isFull {
+		reason = "callRefused"
+	}
+	d.Counters.Add(reason)
+	d.Logger.Write(event.StageCallFailed, call.Pool, call.Server.ID, len(call.Pieces), now.Sub(call.SentAt).Milliseconds(), err)
+	d.Batches.Commands().Fail(call, isFull, now)
+	for _, p := range call.Pieces {
+		d.again(p, call.Server.ID)
+	}
+}
+
+// again queues a piece once more.
+func (d *Desk) again(p batch.Piece, avoid string) {
+	if !d.table.Commands().retry(p) {
+		return
+	}
+	p.Avoid = avoid
+	d.Batches.Commands().Enqueue([]batch.Piece{p})
+}
+
+// runFrees tells makers which results are given up.
+func (d *Desk) runFrees(ctx context.Context) error {
+	var group errgroup.Group
+	defer func() { _ = group.Wait() }()
+	timer := time.NewTicker(freeInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return nil
+		}
+		for address, handles := range d.Batches.Commands().Free(d.takeFreed()) {
+			group.Go(func() error {
+				if err := d.Free(ctx, address, handles); err != nil {
+					d.Counters.Add("freeFailed")
+				}
+				return nil
+			})
+		}
+	}
+}
+
+// takeFreed returns the results that were given up since the last time.
+func (d *Desk) takeFreed() []string {
+	var handles []string
+	for {
+		select {
+		case h := <-d.freed:
+			handles = append(handles, h...)
+		default:
+			return handles
+		}
+	}
+}
+
+// runSweeps gives up jobs that nobody has ended.
+func (d *Desk) runSweeps(ctx context.Context) error {
+	timer := time.NewTicker(sweepInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return nil
+		}
+		for _, id := range d.table.Commands().lapsed(time.Now()) {
+			d.Counters.Add("jobLapsed")
+			d.Abandon(id)
+		}
+	}
+}
--- /dev/null
+++ b/preparation/job.go
@@ -0,0 +1,195 @@
+package preparation
+
+import (
+	"slices"
+	"time"
+
+	"lycheecrank.example/batch"
+)
+
+// job is an order in progress. It is an immutable value.
+type job struct {
+	order    Order
+	openedAt time.Time
+	// objective and deadline are the order's, as moments.
+	objective time.Time
+	deadline  time.Time
+	// near is the data centre in which the results will probably be used.
+	near string
+	// handles holds the result of each piece by stage; "" is not made yet.
+	handles [][]string
+	// queued tells for each stage that its pieces wait or are being made.
+	queued []bool
+	// consumed tells for each stage that its results are no longer needed.
+	consumed []bool
+	// tries counts the pieces that were made again.
+	tries int
+}
+
+func newJob(o Order, now time.Time) job {
+	j := job{
+		order: o, openedAt: now, objective: now.Add(o.Objective), deadline: now.Add(o.Deadline),
+		handles: make([][]string, len(o.Stages)), queued: make([]bool, len(o.Stages)), consumed: make([]bool, len(o.Stages)),
+	}
+	for i, s := range o.Stages {
+		j.handles[i] = make([]string, s.Pieces)
+	}
+	return j
+}
+
+// withNear returns the job with the data centre of its results.
+func (j job) withNear(dataCentre string) job {
+	j.near = dataCentre
+	return j
+}
+
+// withQueued returns the job after the pieces of a stage were queued.
+func (j job) withQueued(stage int) job {
+	j.queued = slices.Clone(j.queued)
+	j.queued[stage] = true
+	return j
+}
+
+// withHandle returns the job with a result.
+func (j job) withHandle(id batch.Identity, handle string) job {
+	j.handles = slices.Clone(j.handles)
+	j.handles[id.Stage] = slices.Clone(j.handles[id.Stage])
+	j.handles[id.Stage][id.Number] = handle
+	return j
+}
+
+// withConsumed returns the job after the results of a stage have been used up.
+func (j job) withConsumed(stage int) job {
+	j.consumed = slices.Clone(j.consumed)
+	j.consumed[stage] = true
+	return j
+}
+
+// withTry returns the job after one of its pieces has to be made again.
+func (j job) withTry() job {
+	j.tries++
+	return j
+}
+
+// withoutResults returns the job before any result was made.
+func (j job) withoutResults(now time.Time) job {
+	next := newJob(j.order, now)
+	next.openedAt, next.objective, next.deadline = j.openedAt, j.objective, j.deadline
+	next.near, next.tries = j.near, j.tries+1
+	return next
+}
+
+// isMade reports whether all results of a stage are there.
+func (j job) isMade(stage int) bool { return !slices.Contains(j.handles[stage], "") }
+
+// isReady reports whether a stage can be queued.
+func (j job) isReady(stage int) bool {
+	if j.queued[stage] || j.order.Stages[stage].Pieces == 0 {
+		return false
+	}
+	for _, before := range j.order.Stages[stage].After {
+		if !j.isMade(before) {
+			return false
+		}
+	}
+	return true
+}
+
+// isDone reports whether the results of all stages are there.
+func (j job) isDone() bool {
+	for i := range j.order.Stages {
+		if !j.isMade(i) {
+			return false
+		}
+	}
+	return true
+}
+
+// followers returns the stages that need the results of a stage.
+func (j job) followers(stage int) []int {
+	var f []int
+	for i, s := range j.order.Stages {
+		if s.Pieces > 0 && slices.Contains(s.After, stage) {
+			f = append(f, i)
+		}
+	}
+	return f
+}
+
+// usedUp returns the stages whose results no stage needs any more and that the
+// engine doesn't fetch.
+func (j job) usedUp() []int {
+	var used []int
+	for i := range j.order.Stages {
+		f := j.followers(i)
+		if len(f) == 0 || j.consumed[i] {
+			continue
+		}
+		if !slices.ContainsFunc(f, func(s int) bool { return !j.isMade(s) }) {
+			used = append(used, i)
+		}
+	}
+	return used
+}
+
+// inputs returns the results that the engine fetches: those that no stage
+// follows.
+func (j job) inputs() []string {
+	var handles []string
+	for i := range j.order.Stages {
+		if len(j.followers(i)) == 0 {
+			handles = append(handles, j.handles[i]...)
+		}
+	}
+	return handles
+}
+
+// kept returns all results that take room.
+func (j job) kept() []string {
+	var handles []string
+	for i, hs := range j.handles {
+		if j.consumed[i] {
+			continue
+		}
+		for _, h := range hs {
+			if h != "" {
+				handles = append(handles, h)
+			}
+		}
+	}
+	return handles
+}
+
+// pieces returns the pieces of a stage that are not made yet.
+func (j job) pieces(stage int, start, now time.Time) []batch.Piece {
+	s := j.order.Stages[stage]
+	var inputs []string
+	for _, before := range s.After {
+		inputs = append(inputs, j.handles[before]...)
+	}
+	key := ""
+	if len(s.After) == 0 {
+		key = j.order.Key
+	}
+	var pieces []batch.Piece
+	for n, h := range j.handles[stage] {
+		if h != "" {
+			continue
+		}
+		pieces = append(pieces, batch.Piece{
+			Identity: batch.Identity{Request: j.order.Request, Stage: stage, Number: n},
+			Pool:     s.Pool, Key: key, Inputs: inputs, Bytes: s.Bytes, Rank: j.order.Rank,
+			Start: start, Deadline: j.deadline, Near: j.near, QueuedAt: now,
+		})
+	}
+	return pieces
+}
+
+// depth returns the number of stages from a stage to the end, itself included.
+func (j job) depth(stage int) int {
+	longest := 0
+	for _, f := range j.followers(stage) {
+		longest = max(longest, j.depth(f))
+	}
+	return longest + 1
+}
--- /dev/null
+++ b/preparation/order.go
@@ -0,0 +1,51 @@
+// Package preparation brings requests to the point at which a model engine can
+// run them: it has the results of their stages made and chooses the engine. One
+// instance does this for all at a time, so that calls of stages are full and
+// engines are used evenly.
+package preparation
+
+import (
+	"time"
+
+	"lycheecrank.example/engine"
+)
+
+// Stage is a stage of an order.
+type Stage struct {
+	Pool string `msgpack:"pool"`
+	// After lists the numbers of the stages whose results it needs.
+	After []int `msgpack:"after"`
+	// Bytes is the approximate size of one result.
+	Bytes int64 `msgpack:"bytes"`
+	// Pieces is the number of pieces; 0 leaves the stage out.
+	Pieces int `msgpack:"pieces"`
+}
+
+// Order asks for the preparation of a request.
+type Order struct {
+	Request string        `msgpack:"request"`
+	Pool    string        `msgpack:"pool"`
+	Stages  []Stage       `msgpack:"stages"`
+	Key     string        `msgpack:"key"`
+	Prompt  engine.Prompt `msgpack:"prompt"`
+	// Rank is the class; 0 is served first.
+	Rank int `msgpack:"rank"`
+	// Objective and Deadline are the times that are left.
+	Objective time.Duration `msgpack:"objective"`
+	Deadline  time.Duration `msgpack:"deadline"`
+	// Avoid lists engines that refused or failed the request.
+	Avoid []string `msgpack:"avoid"`
+	// IsRebuilt asks to make all results again, since an engine found some gone.
+	IsRebuilt bool `msgpack:"isRebuilt"`
+}
+
+// Placement is a prepared request: where it runs and with which results.
+type Placement struct {
+	Server     string `msgpack:"server"`
+	Address    string `msgpack:"address"`
+	DataCentre string `msgpack:"dataCentre"`
+	// Inputs are the handles of the results that the engine fetches.
+	Inputs []string `msgpack:"inputs"`
+	// WaitedMs is the time that the preparation took.
+	WaitedMs int64 `msgpack:"waitedMs"`
+}
--- /dev/null
+++ b/preparation/table.go
@@ -0,0 +1,108 @@
+package preparation
+
+import (
+	"time"
+
+	"lycheecrank.example/batch"
+	"lycheecrank.example/lock"
+)
+
+// Table holds the jobs by request.
+type Table struct {
+	mu   *lock.Ranked
+	jobs map[string]*entry
+}
+
+// entry is a job and what waits for it.
+type entry struct {
+	job job
+	// changed is closed and replaced when the results are all there.
+	done chan struct{}
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{mu: lock.New(lock.RankPreparation, "preparation"), jobs: map[string]*entry{}}
+}
+
+// Commands returns what changes the table.
+func (t *Table) Commands() Commands { return Commands{t} }
+
+// Queries returns what reads the table.
+func (t *Table) Queries() Queries { return Queries{t} }
+
+// Commands changes a table. Concurrent calls are safe.
+type Commands struct{ table *Table }
+
+// Queries reads a table. Concurrent calls are safe.
+type Queries struct{ table *Table }
+
+// Open is the number of jobs.
+func (q Queries) Open() int {
+	q.table.mu.Lock()
+	defer q.table.mu.Unlock()
+	return len(q.table.jobs)
+}
+
+// step is what has to be done after a change of a job.
+type step struct {
+	queue []batch.Piece
+	free  []string
+}
+
+// advance queues the stages that have become ready and gives up results that are
+// used up. It is called under the lock.
+func (e *entry) advance(usual func(pool string, pieces int) time.Duration, now time.Time) step {
+	var s step
+	for i := range e.job.order.Stages {
+		if e.job.isReady(i) {
+			start := latestStart(e.job, i, usual)
+			s.queue = append(s.queue, e.job.pieces(i, start, now)...)
+			e.job = e.job.withQueued(i)
+		}
+	}
+	for _, i := range e.job.usedUp() {
+		s.free = append(s.free, e.job.handles[i]...)
+		e.job = e.job.withConsumed(i)
+	}
+	if e.job.isDone() {
+		select {
+		case <-e.done:
+		default:
+			close(e.done)
+		}
+	}
+	return s
+}
+
+const (
+	// engineTime is the usual time from the end of the preparation to the first
+	// event, beyond the reading of the prompt.
+	engineTime = 80 * time.Millisecond
+	// readRate is the number of prompt tokens that an engine reads in a
+	// millisecond; about half of a prompt is cached.
+	readRate = 80
+	// callPieces is the number of pieces of a usual call.
+	callPieces = 5
+	// stageWait is the usual wait between two stages.
+	stageWait = 30 * time.Millisecond
+)
+
+// latestStart estimates until when a stage must begin for the request to meet
+// its objective.
+func latestStart(j job, stage int, usual func(pool string, pieces int) time.Duration) time.Time {
+	left := engineTime + time.Duration(j.order.Prompt.Input)*time.Millisecond/readRate
+	for i := stage; ; {
+		left += usual(j.order.Stages[i].Pool, callPieces) + stageWait
+		next, longest := -1, 0
+		for _, f := range j.followers(i) {
+			if d := j.depth(f); d > longest {
+				next, longest = f, d
+			}
+		}
+		if next < 0 {
+			return j.objective.Add(-left)
+		}
+		i = next
+	}
+}
--- /dev/null
+++ b/route/route.go
@@ -0,0 +1,227 @@
+// Package route holds the operators' configuration on the users' platform: which
+// pool serves a request, under which limits, and which workspace a key belongs
+// to. A configuration is an immutable value; the table swaps it as a whole.
+package route
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind says how often a request of a route may run.
+type Kind int
+
+// The kinds of routes.
+const (
+	// Once marks requests that run at most once for each attempt of a client.
+	Once Kind = iota
+	// Idempotent marks requests that may run more than once.
+	Idempotent
+	// Stream marks answers that are a series of events. A stream runs at most once
+	// unless its route is resumable.
+	Stream
+)
+
+// Target is a pool that gets a share of a route's requests.
+type Target struct {
+	Pool string
+	// Weight is the share relative to the other targets.
+	Weight int
+}
+
+// Stage is a step of preparation that must be done before a request can run.
+type Stage struct {
+	Pool string
+	// After lists the numbers of the stages whose results it needs.
+	After []int
+	// ResultBytes is the approximate size of one result.
+	ResultBytes int64
+}
+
+// Route says how requests of a host and path prefix are served.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Targets is never empty.
+	Targets []Target
+	Stages  []Stage
+	// Timeout is the longest time that a request may stay unanswered, 0 for none.
+	Timeout time.Duration
+	// Objective is the time to the answer, or to the first event, within which a
+	// request counts as on time.
+	Objective time.Duration
+	// Gap is the longest pause between events of a stream that is on time.
+	Gap time.Duration
+	// Rank is the class; 0 is served first.
+	Rank int
+	// Attempts is the largest number of backend servers that one attempt of a
+	// client may be sent to, at least 1.
+	Attempts int
+	// IsAnonymous routes need no key.
+	IsAnonymous bool
+	// IsResumable streams may go on at another backend server after an event.
+	IsResumable bool
+}
+
+// IsRepeatable reports whether a request of the route may run more than once.
+func (r Route) IsRepeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Stream && r.IsResumable
+}
+
+// Pool returns the pool that serves a request. The same hash gets the same pool
+// as long as the targets stay.
+func (r Route) Pool(hash uint64) string {
+	total := uint64(0)
+	for _, t := range r.Targets {
+		total += uint64(max(0, t.Weight))
+	}
+	if total == 0 {
+		return r.Targets[0].Pool
+	}
+	at := hash % total
+	for _, t := range r.Targets {
+		w := uint64(max(0, t.Weight))
+		if at < w {
+			return t.Pool
+		}
+		at -= w
+	}
+	return r.Targets[0].Pool
+}
+
+// Engine is what a pool of model engines declares.
+type Engine struct {
+	// Slots is the number of requests that a server runs at once.
+	Slots int
+	// MemoryTokens is the memory of a server in tokens.
+	MemoryTokens int64
+	// TokenBytes is the memory of one token.
+	TokenBytes int64
+}
+
+// Batch is what a pool declares whose servers make results of stages.
+type Batch struct {
+	// Slots is the number of calls that a server works on at once.
+	Slots int
+	// Size is the largest number of pieces in a call.
+	Size int
+	// CallTime and ItemTime are the time of a call and of each piece in it.
+	CallTime time.Duration
+	ItemTime time.Duration
+	// RoomBytes is what a server keeps of results, ResultLife how long.
+	RoomBytes  int64
+	ResultLife time.Duration
+}
+
+// Pool is a set of backend servers that do the same work.
+type Pool struct {
+	Name       string
+	HealthPath string
+	// MaxConnections is what one server accepts from all instances together.
+	MaxConnections int
+	// ColdStart is how long a server stays cold after its start.
+	ColdStart time.Duration
+	// ColdPerSecond is how many requests a second a cold server bears; 0 if its
+	// servers have no cold start.
+	ColdPerSecond float64
+	// Engine and Batch are nil for pools of other kinds.
+	Engine *Engine
+	Batch  *Batch
+}
+
+// Workspace is a customer, known by its keys.
+type Workspace struct {
+	Name string
+	Keys []string
+	// Rank goes before the rank of the route if HasRank is set.
+	Rank    int
+	HasRank bool
+}
+
+// Limits bound what a client may send.
+type Limits struct {
+	HeaderBytes int64
+	BodyBytes   int64
+	HeaderTime  time.Duration
+	IdleTime    time.Duration
+}
+
+// Configuration is a version of the operators' configuration. It is an immutable
+// value.
+type Configuration struct {
+	// Version rises with each configuration; 0 means that none is known.
+	Version int64
+	Limits  Limits
+
+	routes     map[string][]Route
+	pools      map[string]Pool
+	workspaces map[string]Workspace
+	// hasWorkspaces tells that requests need a key.
+	hasWorkspaces bool
+}
+
+// NewConfiguration returns a configuration with the given parts.
+func NewConfiguration(version int64, limits Limits, routes []Route, pools []Pool, workspaces []Workspace) Configuration {
+	c := Configuration{
+		Version:       version,
+		Limits:        limits,
+		routes:        map[string][]Route{},
+		pools:         make(map[string]Pool, len(pools)),
+		workspaces:    map[string]Workspace{},
+		hasWorkspaces: len(workspaces) > 0,
+	}
+	for _, r := range routes {
+		host := strings.ToLower(r.Host)
+		c.routes[host] = append(c.routes[host], r)
+	}
+	for _, rs := range c.routes {
+		slices.SortStableFunc(rs, func(a, b Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for _, p := range pools {
+		c.pools[p.Name] = p
+	}
+	for _, w := range workspaces {
+		for _, k := range w.Keys {
+			c.workspaces[k] = w
+		}
+	}
+	return c
+}
+
+// Match returns the route with the longest prefix of a path.
+func (c Configuration) Match(host, path string) (Route, bool) {
+	for _, r := range c.routes[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// Pool returns a pool by its name.
+func (c Configuration) Pool(name string) (Pool, bool) {
+	p, ok := c.pools[name]
+	return p, ok
+}
+
+// Pools returns all pools by name.
+func (c Configuration) Pools() []Pool {
+	pools := make([]Pool, 0, len(c.pools))
+	for _, p := range c.pools {
+		pools = append(pools, p)
+	}
+	slices.SortFunc(pools, func(a, b Pool) int { return strings.Compare(a.Name, b.Name) })
+	return pools
+}
+
+// NeedsKey reports whether a request of a route needs a key.
+func (c Configuration) NeedsKey(r Route) bool { return c.hasWorkspaces && !r.IsAnonymous }
+
+// Workspace returns the workspace that holds a key.
+func (c Configuration) Workspace(key string) (Workspace, bool) {
+	w, ok := c.workspaces[key]
+	return w, ok
+}
--- /dev/null
+++ b/route/table.go
@@ -0,0 +1,33 @@
+package route
+
+import (
+	"sync/atomic"
+	"time"
+
+	"lycheecrank.example/lock"
+)
+
+// Table holds the configuration in force. Readers load it without a lock.
+type Table struct {
+	mu      *lock.Ranked
+	current atomic.Pointer[entry]
+}
+
+// entry is a configuration and when it was last known to be the newest one.
+type entry struct {
+	configuration Configuration
+	confirmedAt   time.Time
+}
+
+// NewTable returns a table without a configuration.
+func NewTable() *Table {
+	t := &Table{mu: lock.New(lock.RankCatalogue, "route")}
+	t.current.Store(&entry{})
+	return t
+}
+
+// Commands returns what changes the table.
+func (t *Table) Commands() Commands { return Commands{t} }
+
+// Queries returns what reads the table.
+func (t *Table) Queries() Queries { return Queries{t} }
