--- /dev/null
+++ b/batch/batch_test.go
@@ -0,0 +1,273 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sebdah/goldie/v2"
+	"golang.org/x/sync/errgroup"
+	"pgregory.net/rapid"
+)
+
+func spec() Spec {
+	return Spec{
+		Pool: "encoders", Slots: 1, Size: 6, CallTime: 200 * time.Millisecond, ItemTime: 10 * time.Millisecond,
+		Room: 10 << 20, Life: 4 * time.Second,
+	}
+}
+
+func pieces(request string, count, rank int, start time.Time) []Piece {
+	var ps []Piece
+	for n := range count {
+		ps = append(ps, Piece{
+			Identity: Identity{Request: request, Number: n}, Pool: "encoders", Bytes: 1 << 20, Rank: rank,
+			Start: start, Deadline: start.Add(5 * time.Second), QueuedAt: start,
+		})
+	}
+	return ps
+}
+
+func describe(c Call) string {
+	var names []string
+	for _, p := range c.Pieces {
+		names = append(names, fmt.Sprintf("%s/%d", p.Request, p.Number))
+	}
+	return c.Server.ID + " gets " + strings.Join(names, " ")
+}
+
+// Guards against calls with few pieces while many wait, calls in the wrong order
+// of classes, requests that are torn apart, and results made far from where they
+// are used.
+func TestCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var b strings.Builder
+		table := NewTable()
+		c, q := table.Commands(), table.Queries()
+		take := func(what string) []Call {
+			fmt.Fprintln(&b, what)
+			var calls []Call
+			for {
+				call, ok := table.next(time.Now())
+				if !ok {
+					d := q.Depth("encoders", time.Now())
+					fmt.Fprintf(&b, "  waiting %d, busy %d of %d, delay %v\n", d.Waiting, d.Busy, d.Servers, d.Delay.Round(time.Millisecond))
+					return calls
+				}
+				fmt.Fprintln(&b, " ", describe(call))
+				calls = append(calls, call)
+			}
+		}
+		end := func(calls []Call) {
+			time.Sleep(250 * time.Millisecond)
+			for i, call := range calls {
+				var made []Made
+				for _, p := range call.Pieces {
+					made = append(made, Made{p, fmt.Sprintf("%s/%s/%d", call.Server.ID, p.Request, p.Number)})
+				}
+				c.End(call, made, time.Now())
+				for _, m := range made {
+					c.Free([]string{m.Handle})
+				}
+				_ = i
+			}
+		}
+		c.SetPool(spec(), []Place{{ID: "s1", Address: "10.0.0.1:1", DataCentre: "a"}, {ID: "s2", Address: "10.0.0.2:1", DataCentre: "b"}})
+		soon := time.Now().Add(500 * time.Millisecond)
+		c.Enqueue(pieces("r1", 3, 1, soon))
+		first := take("three pieces of one request go to one server")
+		c.Enqueue(pieces("r2", 4, 1, soon.Add(time.Millisecond)))
+		c.Enqueue(pieces("r3", 4, 1, soon))
+		second := take("the more urgent request first, filled up")
+		end(append(first, second...))
+		end(take("the rest"))
+
+		c.Enqueue(pieces("low", 2, 2, time.Now().Add(50*time.Millisecond)))
+		c.Enqueue(pieces("high", 2, 0, time.Now().Add(100*time.Millisecond)))
+		c.Enqueue(pieces("late", 2, 0, time.Now().Add(-time.Second)))
+		end(take("classes, then late ones"))
+
+		near := pieces("near", 2, 1, time.Now().Add(time.Second))
+		for i := range near {
+			near[i].Near = "b"
+		}
+		c.Enqueue(near)
+		busy := take("a large result is made where it is used")
+		c.Enqueue(pieces("r4", 1, 1, time.Now().Add(time.Second)))
+		busy = append(busy, take("another one takes the other server")...)
+		again := pieces("near2", 1, 1, time.Now().Add(time.Second))
+		again[0].Near = "b"
+		c.Enqueue(again)
+		take("both are busy")
+		end(busy)
+		end(take("both are free"))
+
+		c.Enqueue(pieces("gone", 3, 1, time.Now().Add(time.Second)))
+		c.Withdraw("gone")
+		take("its client left")
+		goldie.New(t).Assert(t, "calls", []byte(b.String()))
+	})
+}
+
+// Guards against results for which a server has no room, and room that is never
+// given back.
+func TestRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable()
+		c := table.Commands()
+		s := spec()
+		s.Room = 4 << 20
+		c.SetPool(s, []Place{{ID: "s1", Address: "10.0.0.1:1"}})
+		c.Enqueue(pieces("r1", 6, 1, time.Now()))
+		call, ok := table.next(time.Now())
+		is.True(ok)
+		is.Equal(len(call.Pieces), 4) // the room of the server
+		c.End(call, []Made{{call.Pieces[0], "h0"}, {call.Pieces[1], "h1"}, {call.Pieces[2], "h2"}}, time.Now())
+		call, ok = table.next(time.Now()) // the fourth piece used no room
+		is.True(ok)
+		is.Equal(len(call.Pieces), 1)
+		c.End(call, []Made{{call.Pieces[0], "h3"}}, time.Now())
+		_, ok = table.next(time.Now())
+		is.True(!ok) // full
+		is.Equal(c.Free([]string{"h1", "unknown"}), map[string][]string{"10.0.0.1:1": {"h1"}})
+		is.Equal(c.Free([]string{"h1"}), map[string][]string{}) // once
+		call, ok = table.next(time.Now())
+		is.True(ok)
+		c.Fail(call, false, time.Now())
+		c.Enqueue(call.Pieces)
+		time.Sleep(s.Life) // results that nobody frees
+		table.expire(time.Now())
+		_, ok = table.next(time.Now())
+		is.True(ok)
+	})
+}
+
+// Guards against a waiting worker that misses a piece, a server that becomes
+// usable, or the end of its context.
+func TestNext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable()
+		c := table.Commands()
+		ctx, cancel := context.WithCancel(t.Context())
+		calls := make(chan Call, 8)
+		var group errgroup.Group
+		group.Go(func() error {
+			for {
+				call, ok := c.Next(ctx)
+				if !ok {
+					return nil
+				}
+				calls <- call
+			}
+		})
+		c.Enqueue(pieces("r1", 1, 0, time.Now()))
+		synctest.Wait()
+		is.Equal(len(calls), 0) // no server
+		c.SetPool(spec(), []Place{{ID: "s1", Address: "10.0.0.1:1"}})
+		synctest.Wait()
+		is.Equal(len(calls), 1)
+		call := <-calls
+		c.Fail(call, false, time.Now())
+		c.Enqueue(call.Pieces)
+		synctest.Wait()
+		is.Equal(len(calls), 0) // the server is blocked
+		time.Sleep(minBlock)
+		synctest.Wait()
+		is.Equal(len(calls), 1) // and usable again without any other change
+		c.SetPool(spec(), nil)
+		cancel()
+		is.NoErr(group.Wait())
+	})
+}
+
+// Guards against pieces that are lost or in two calls, and against room that is
+// counted wrongly, in any order of calls, failures, frees and changes of servers.
+func TestNothingIsLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		table := NewTable()
+		c := table.Commands()
+		all := []Place{{ID: "s1", Address: "10.0.0.1:1"}, {ID: "s2", Address: "10.0.0.2:1"}, {ID: "s3", Address: "10.0.0.3:1"}}
+		c.SetPool(spec(), all)
+		open := map[Identity]bool{}
+		var calls []Call
+		var handles []string
+		next := 0
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				next++
+				ps := pieces(fmt.Sprint(next), rapid.IntRange(1, 8).Draw(t, "pieces"), 0, now)
+				for _, p := range ps {
+					open[p.Identity] = true
+				}
+				c.Enqueue(ps)
+			case 1:
+				if call, ok := table.next(now); ok {
+					calls = append(calls, call)
+				}
+			case 2, 3:
+				if len(calls) == 0 {
+					continue
+				}
+				call := calls[0]
+				calls = calls[1:]
+				if rapid.Bool().Draw(t, "fails") {
+					c.Fail(call, rapid.Bool().Draw(t, "full"), now)
+					c.Enqueue(call.Pieces)
+					continue
+				}
+				var made []Made
+				for _, p := range call.Pieces {
+					if !open[p.Identity] {
+						t.Fatalf("%v made twice", p.Identity)
+					}
+					delete(open, p.Identity)
+					h := fmt.Sprintf("%d/%v", call.Number, p.Identity)
+					made = append(made, Made{p, h})
+					handles = append(handles, h)
+				}
+				c.End(call, made, now)
+			case 4:
+				c.SetPool(spec(), rapid.Permutation(all).Draw(t, "order")[:rapid.IntRange(0, 3).Draw(t, "servers")])
+			case 5:
+				c.Free(handles)
+				handles = nil
+			}
+		}
+		c.SetPool(spec(), all)
+		for len(calls) > 0 || len(open) > 0 {
+			now = now.Add(maxBlock)
+			table.expire(now.Add(spec().Life))
+			for _, call := range calls {
+				var made []Made
+				for _, p := range call.Pieces {
+					delete(open, p.Identity)
+					made = append(made, Made{p, fmt.Sprintf("%d/%v", call.Number, p.Identity)})
+				}
+				c.End(call, made, now)
+				for _, m := range made {
+					c.Free([]string{m.Handle})
+				}
+			}
+			calls = nil
+			if call, ok := table.next(now); ok {
+				calls = append(calls, call)
+			} else if len(open) > 0 {
+				t.Fatalf("%d pieces are lost", len(open))
+			}
+		}
+		for _, s := range table.pools["encoders"].servers {
+			if s.Calls != 0 {
+				t.Fatalf("%s has %d calls that nobody makes", s.ID, s.Calls)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/delivery/desk_test.go
@@ -0,0 +1,240 @@
+package delivery
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"testing/synctest"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"lycheecrank.example/backend"
+	"lycheecrank.example/counter"
+	"lycheecrank.example/event"
+	"lycheecrank.example/fleet"
+	"lycheecrank.example/pipeline"
+	"lycheecrank.example/preparation"
+	"lycheecrank.example/request"
+	"lycheecrank.example/route"
+)
+
+// rig is a desk whose servers answer from a script.
+type rig struct {
+	*Desk
+	// script holds the answers to the sends, in order.
+	script []sent
+	sends  []string
+	orders []string
+	// notices are what the coordinator was told.
+	notices []string
+	written strings.Builder
+	begun   int
+}
+
+// sent is the answer to a send.
+type sent struct {
+	answer Answer
+	body   io.Reader
+	err    error
+	takes  time.Duration
+}
+
+func newRig() *rig {
+	r := &rig{}
+	routes := route.NewTable()
+	kinds := []route.Route{
+		{Name: "lookup", Prefix: "/lookup/", Kind: route.Idempotent, Attempts: 2, Targets: []route.Target{{Pool: "registry"}}, Timeout: 800 * time.Millisecond},
+		{Name: "order", Prefix: "/order/", Kind: route.Once, Attempts: 1, Targets: []route.Target{{Pool: "registry"}}, Timeout: 800 * time.Millisecond},
+		{Name: "chat", Prefix: "/chat/", Kind: route.Stream, Attempts: 1, Targets: []route.Target{{Pool: "models"}}, Timeout: 5 * time.Second},
+		{Name: "draft", Prefix: "/draft/", Kind: route.Stream, IsResumable: true, Attempts: 2, Targets: []route.Target{{Pool: "models"}}, Timeout: 5 * time.Second, Stages: []route.Stage{{Pool: "encode"}}},
+	}
+	for i := range kinds {
+		kinds[i].Host = "x.example"
+	}
+	routes.Commands().Adopt(route.NewConfiguration(1, route.Limits{}, kinds,
+		[]route.Pool{{Name: "registry"}, {Name: "models", Engine: &route.Engine{Slots: 4}}},
+		[]route.Workspace{{Name: "parents", Keys: []string{"key"}}}))
+	routes.Commands().Confirm(time.Now())
+	servers := fleet.NewTable()
+	plain := backend.NewTable(event.Discard())
+	var specs []backend.Spec
+	for _, id := range []string{"s1", "s2", "s3"} {
+		servers.Commands().Announce(fleet.Server{ID: id, Pool: "registry", Address: id + ":1"})
+		specs = append(specs, backend.Spec{Name: id, Pool: "registry", Address: id + ":1", LowestRank: 9, MaxInFlight: 4, ColdInFlight: 4})
+	}
+	for _, id := range []string{"e1", "e2"} {
+		servers.Commands().Announce(fleet.Server{ID: id, Pool: "models", Address: id + ":1"})
+	}
+	plain.Commands().Sync(specs, time.Now())
+	r.Desk = &Desk{
+		Routes: routes.Queries(), Fleet: servers.Queries(), Plain: plain.Commands(), Budget: pipeline.NewBudget(1, 10),
+		Prepare: r.prepare, Retries: &counter.Set{}, IsLeaving: func() bool { return false },
+		Started: func(_, server, _ string, _ time.Duration) { r.notices = append(r.notices, "started "+server) },
+		Ended: func(_, server, _ string, isFailed bool) {
+			r.notices = append(r.notices, fmt.Sprintf("ended %s failed %v", server, isFailed))
+		},
+		Abandon: func(string) { r.notices = append(r.notices, "abandoned") },
+	}
+	return r
+}
+
+func (r *rig) prepare(_ context.Context, o preparation.Order) (preparation.Placement, error) {
+	r.orders = append(r.orders, fmt.Sprintf("avoid %v rebuilt %v", o.Avoid, o.IsRebuilt))
+	server := "e1"
+	if len(o.Avoid)%2 == 1 {
+		server = "e2"
+	}
+	return preparation.Placement{Server: server, Address: server + ":1", Inputs: []string{"h"}}, nil
+}
+
+func (r *rig) send(ctx context.Context, i Instruction) (Answer, error) {
+	r.sends = append(r.sends, fmt.Sprintf("%s as %s after %d", i.Server.ID, i.Workspace, i.LastEvent))
+	if len(r.sends) > len(r.script) {
+		return Answer{}, errors.New("sent too often")
+	}
+	s := r.script[len(r.sends)-1]
+	timer := time.NewTimer(s.takes)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return Answer{}, ErrBroken
+	}
+	if s.err != nil {
+		return Answer{}, s.err
+	}
+	a := s.answer
+	if s.body == nil {
+		s.body = strings.NewReader("")
+	}
+	a.Body = io.NopCloser(s.body)
+	a.Begin = func() error {
+		r.begun++
+		return nil
+	}
+	return a, nil
+}
+
+func (r *rig) attempt(path string) Attempt {
+	return Attempt{
+		ID: "a1", Host: "x.example", Path: path, Key: "key", ArrivedAt: time.Now(), Limit: 2 * time.Second, Pieces: []int{1},
+		Send: r.send,
+		Write: func(data []byte) error {
+			r.written.Write(data)
+			return nil
+		},
+	}
+}
+
+func ok(body string) sent {
+	return sent{answer: Answer{Status: 200, IsProper: true}, body: strings.NewReader(body)}
+}
+
+func status(code int) sent { return sent{answer: Answer{Status: code, IsProper: true}} }
+
+func refused() sent { return sent{answer: Answer{Status: 503, IsNotRun: true, IsProper: true}} }
+
+func broken(body string) sent {
+	return sent{answer: Answer{Status: 200, IsProper: true}, body: io.MultiReader(strings.NewReader(body), iotest.ErrReader(errors.New("reset")))}
+}
+
+// Guards against a request that runs twice, a refusal that is not true, a success
+// that isn't the server's whole answer, streams that are joined wrongly, and a
+// coordinator that is not told of the end.
+func TestOutcomes(t *testing.T) {
+	foreign := sent{answer: Answer{Status: 200}}
+	rows := []struct {
+		name, path string
+		script     []sent
+	}{
+		{"lookup served", "/lookup/1", []sent{ok("found")}},
+		{"lookup, server fails", "/lookup/1", []sent{status(500), ok("found")}},
+		{"lookup, servers fail", "/lookup/1", []sent{status(500), status(500), ok("never")}},
+		{"lookup, answer cut", "/lookup/1", []sent{broken("fou"), ok("found")}},
+		{"lookup, answer of another request", "/lookup/1", []sent{foreign, ok("found")}},
+		{"lookup, servers full", "/lookup/1", []sent{refused(), refused(), refused(), ok("never")}},
+		{"lookup, one not reached", "/lookup/1", []sent{{err: ErrUnreached}, ok("found")}},
+		{"lookup, no answer in time", "/lookup/1", []sent{{takes: time.Minute}}},
+		{"order served", "/order/1", []sent{ok("filed")}},
+		{"order, server fails", "/order/1", []sent{status(500), ok("never")}},
+		{"order, answer lost", "/order/1", []sent{{err: ErrBroken}, ok("never")}},
+		{"order, answer cut", "/order/1", []sent{broken("fil"), ok("never")}},
+		{"order, answer of another request", "/order/1", []sent{foreign, ok("never")}},
+		{"order, one full", "/order/1", []sent{refused(), ok("filed")}},
+		{"order, none reached", "/order/1", []sent{{err: ErrUnreached}, {err: ErrUnreached}, {err: ErrUnreached}, ok("never")}},
+		{"chat served", "/chat/1", []sent{ok(events(1, 3))}},
+		{"chat, engine full", "/chat/1", []sent{refused(), ok(events(1, 3))}},
+		{"chat, cut midway", "/chat/1", []sent{broken(events(1, 2)), ok("never")}},
+		{"chat, no answer", "/chat/1", []sent{{err: ErrBroken}, ok("never")}},
+		{"chat, engine fails", "/chat/1", []sent{status(500), ok("never")}},
+		{"draft, cut midway", "/draft/1", []sent{broken(events(1, 2) + "id: 3"), ok(events(3, 4))}},
+		{"draft, goes on wrongly", "/draft/1", []sent{broken(events(1, 2)), ok(events(2, 4))}},
+		{"draft, cut twice", "/draft/1", []sent{broken(events(1, 2)), broken(events(3, 3)), ok("never")}},
+		{"draft, result gone", "/draft/1", []sent{{answer: Answer{Status: 409, IsNotRun: true, IsInputGone: true, IsProper: true}}, ok(events(1, 2))}},
+		{"unknown route", "/nothing/1", nil},
+	}
+	var b strings.Builder
+	for _, row := range rows {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig()
+			r.script = row.script
+			v := r.Deliver(t.Context(), r.attempt(row.path))
+			fmt.Fprintf(&b, "%s\n  ", row.name)
+			if v.Failure == nil {
+				fmt.Fprint(&b, "answered")
+			} else {
+				fmt.Fprintf(&b, "%s, sent %v", v.Failure.Reason, v.Failure.Sent)
+			}
+			fmt.Fprintf(&b, ", begun %v (%d), %q after %v\n", v.IsBegun, r.begun, r.written.String(), time.Since(time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)))
+			for _, s := range r.sends {
+				fmt.Fprintf(&b, "  sent to %s\n", s)
+			}
+			for _, o := range r.orders {
+				fmt.Fprintf(&b, "  prepared: %s\n", o)
+			}
+			if len(r.notices) > 0 {
+				fmt.Fprintf(&b, "  told: %s\n", strings.Join(r.notices, ", "))
+			}
+		})
+	}
+	goldie.New(t).Assert(t, "outcomes", []byte(b.String()))
+}
+
+// Guards against 404 and 401 from an instance whose configuration may be old, and
+// against requests that are served without a right to be.
+func TestAdmission(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var b strings.Builder
+		r := newRig()
+		show := func(what string, a Attempt) {
+			v := r.Deliver(t.Context(), a)
+			reason := request.Reason("")
+			if v.Failure != nil {
+				reason = v.Failure.Reason
+			}
+			fmt.Fprintf(&b, "%-40s %s\n", what, reason)
+		}
+		noKey := r.attempt("/lookup/1")
+		noKey.Key = "other"
+		late := r.attempt("/lookup/1")
+		late.ArrivedAt = time.Now().Add(-3 * time.Second)
+		show("no route", r.attempt("/nothing/"))
+		show("unknown key", noKey)
+		show("no time left", late)
+		r.IsLeaving = func() bool { return true }
+		show("stream while the instance leaves", r.attempt("/chat/1"))
+		r.IsLeaving = func() bool { return false }
+		time.Sleep(time.Minute)
+		noKey.ArrivedAt = time.Now()
+		show("no route, old configuration", r.attempt("/nothing/"))
+		show("unknown key, old configuration", noKey)
+		r.Routes = route.NewTable().Queries()
+		show("no configuration", r.attempt("/lookup/1"))
+		goldie.New(t).Assert(t, "admission", []byte(b.String()))
+	})
+}
--- /dev/null
+++ b/entry/site_test.go
@@ -0,0 +1,399 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"lycheecrank.example/platform"
+	"lycheecrank.example/standin/site"
+)
+
+// setupBound is no promise: waits end by an event. It lies below the time limit
+// of go test, so that a test that never gets ready says what it waited for.
+const setupBound = 8 * time.Minute
+
+// testSite is a store, workers of each kind and some instances.
+type testSite struct {
+	t       *testing.T
+	store   *site.Store
+	workers map[string]*site.Worker
+	nodes   []*node
+	version int
+	routes  []map[string]any
+	tenants []map[string]any
+}
+
+// node is an instance of a test.
+type node struct {
+	*Instance
+	stop context.CancelFunc
+	done chan error
+}
+
+func newTestSite(t *testing.T) *testSite {
+	s := &testSite{t: t, store: site.NewStore(), workers: map[string]*site.Worker{}}
+	t.Cleanup(s.store.Close)
+	for _, pool := range []string{"registry", "models", "encode", "rerank"} {
+		for n := range 2 {
+			id := fmt.Sprintf("%s-%d", pool, n+1)
+			w := site.NewWorker(id)
+			t.Cleanup(w.Close)
+			w.Pause = 10 * time.Millisecond
+			if pool == "models" {
+				w.Events, w.NeedsInputs = 5, true
+			}
+			s.workers[id] = w
+			s.announce(id, pool, "ready")
+		}
+	}
+	s.routes = []map[string]any{
+		{"name": "order", "host": "shop.example", "pathPrefix": "/order/", "kind": "unsafe", "service": "registry", "maxAttempts": 1, "timeoutMs": 5000},
+		{"name": "lookup", "host": "shop.example", "pathPrefix": "/lookup/", "kind": "safe", "service": "registry", "maxAttempts": 2, "timeoutMs": 5000},
+		{
+			"name": "draft", "host": "shop.example", "pathPrefix": "/draft/", "kind": "streaming", "service": "models", "maxAttempts": 2,
+			"timeoutMs": 20000, "targetLatencyMs": 5000, "streamResume": true,
+			"stages": []map[string]any{{"service": "encode", "bytes": 1000}, {"service": "rerank", "after": []int{0}, "bytes": 1000}},
+		},
+	}
+	s.tenants = []map[string]any{{"name": "parents", "apiKeys": []string{"key-1"}}}
+	s.configure()
+	return s
+}
+
+// announce writes the entry of a worker.
+func (s *testSite) announce(id, pool, state string) {
+	s.store.PutJSON(platform.Servers, id, map[string]any{
+		"service": pool, "address": s.workers[id].Address(), "zone": "a", "slots": 4, "state": state, "sequence": 1,
+	})
+}
+
+// configure writes the next version of the configuration.
+func (s *testSite) configure() {
+	s.version++
+	pieces := map[string]any{"slots": 1, "batch": 8, "callMs": 10, "itemMs": 1, "headroomMb": 10, "handleS": 10}
+	s.store.PutJSON(platform.Operators, platform.ConfigurationKey, map[string]any{
+		"version": s.version, "routes": s.routes, "tenants": s.tenants,
+		"services": []map[string]any{
+			{"name": "registry"},
+			{"name": "models", "engine": map[string]any{"slots": 8, "kvCapacity": 100000, "kvTokenBytes": 100}},
+			{"name": "encode", "pieces": pieces},
+			{"name": "rerank", "pieces": pieces},
+		},
+	})
+}
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// start starts instances and waits until they are ready and hear each other.
+func (s *testSite) start(names ...string) {
+	s.t.Helper()
+	for _, name := range names {
+		i := New(platform.Settings{
+			Name: name, DataCentre: "a", Front: freeAddress(s.t), Ready: freeAddress(s.t), Peers: freeAddress(s.t),
+			Store: s.store.Address(), DrainGrace: 8 * time.Second, RetryRatio: 1, RetrySlack: 100,
+		}, io.Discard)
+		ctx, stop := context.WithCancel(context.Background())
+		n := &node{Instance: i, stop: stop, done: make(chan error, 1)}
+		var group errgroup.Group
+		group.Go(func() error {
+			n.done <- i.Run(ctx)
+			return nil
+		})
+		s.t.Cleanup(func() {
+			stop()
+			_ = group.Wait()
+		})
+		s.nodes = append(s.nodes, n)
+	}
+	for _, n := range s.nodes {
+		s.await(n.Settings.Name+" is ready", func() bool { return n.readyStatus() == http.StatusOK })
+		s.await(n.Settings.Name+" hears all", func() bool { return len(n.view().Heard(time.Now())) == len(s.nodes)-1 })
+	}
+}
+
+func (s *testSite) await(what string, met func() bool) {
+	s.t.Helper()
+	deadline := time.Now().Add(setupBound)
+	for !met() {
+		if time.Now().After(deadline) {
+			s.t.Fatal("never: " + what)
+		}
+		pause(s.t.Context(), 5*time.Millisecond)
+	}
+}
+
+func (n *node) readyStatus() int {
+	res, err := http.Get("http://" + n.Settings.Ready + "/readyz")
+	if err != nil {
+		return 0
+	}
+	_ = res.Body.Close()
+	return res.StatusCode
+}
+
+var attempts atomic.Int64
+
+// ask sends a request of a client and returns the status, the body, and the
+// headers. Status 0 stands for a broken answer.
+func (n *node) ask(method, path, key string) (int, string, http.Header) {
+	req, err := http.NewRequest(method, "http://"+n.Settings.Front+path, strings.NewReader("helmet"))
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	req.Host = "shop.example"
+	req.Header.Set("Attempt-Id", fmt.Sprintf("attempt%d", attempts.Add(1)))
+	req.Header.Set("Authorization", "Token "+key)
+	req.Header.Set("Deadline-Ms", "20000")
+	req.Header.Set("Pieces", "1,2")
+	req.Header.Set("Piece-Key", "k")
+	req.Header.Set("Token-Usage", "100,50")
+	req.Header.Set("Prompt-Prefix", "aa:60,bb:40")
+	req.Header.Set("Tenant", "forged")
+	req.Header.Set("Kv-Hold", "forged")
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.Close {
+		// The library takes the header away.
+		res.Header.Set("Connection", "close")
+	}
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, string(body), res.Header
+	}
+	return res.StatusCode, string(body), res.Header
+}
+
+func (s *testSite) runs(pool string) []site.Run {
+	return append(s.workers[pool+"-1"].Runs(), s.workers[pool+"-2"].Runs()...)
+}
+
+func (s *testSite) setFault(pool string, f site.Fault) {
+	s.workers[pool+"-1"].SetFault(f)
+	s.workers[pool+"-2"].SetFault(f)
+}
+
+func wholeStream() string {
+	var b strings.Builder
+	for n := 1; n <= 5; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %d\n\n", n, n)
+	}
+	return b.String()
+}
+
+// Guards against a path that breaks anywhere between a client and a worker:
+// routing, keys, headers, stages, streams, and results that stay at their makers.
+func TestPath(t *testing.T) {
+	is := is.New(t)
+	s := newTestSite(t)
+	s.start("n1", "n2", "n3")
+	for _, n := range s.nodes {
+		status, body, header := n.ask("POST", "/order/7?x=1%20y", "key-1")
+		is.Equal(status, 200)
+		is.True(strings.HasPrefix(body, "answer of registry"))
+		is.True(strings.HasPrefix(header.Get("Response-Seal"), "seal-of-registry"))
+		status, body, _ = n.ask("POST", "/draft/7", "key-1")
+		is.Equal(status, 200)
+		is.Equal(body, wholeStream())
+		status, _, _ = n.ask("GET", "/nothing/7", "key-1")
+		is.Equal(status, 404)
+		status, _, _ = n.ask("POST", "/order/7", "key-2")
+		is.Equal(status, 401)
+	}
+	runs := append(s.runs("registry"), s.runs("models")...)
+	is.Equal(len(runs), 6)
+	for _, r := range runs {
+		is.Equal(r.Body, "helmet")
+		is.Equal(r.Header.Get("Tenant"), "parents")
+		is.Equal(r.Header.Get("Authorization"), "")
+		is.Equal(r.Header.Get("Kv-Hold"), "")
+		is.True(r.Header.Get("Expect-Instance") != "")
+		is.True(r.Path == "/order/7?x=1%20y" || strings.HasPrefix(r.Path, "/draft/"))
+	}
+	s.await("all results are given up", func() bool {
+		return len(s.workers["encode-1"].Kept())+len(s.workers["encode-2"].Kept())+len(s.workers["rerank-1"].Kept())+len(s.workers["rerank-2"].Kept()) == 0
+	})
+}
+
+// Guards against requests that run twice, refusals that are not true and streams
+// that are joined wrongly when workers fail.
+func TestWorkerFaults(t *testing.T) {
+	is := is.New(t)
+	s := newTestSite(t)
+	s.start("n1")
+	n := s.nodes[0]
+	s.setFault("registry", site.Fault{LosesAnswers: true})
+	status, _, _ := n.ask("POST", "/order/1", "key-1")
+	is.Equal(status, 502)
+	is.Equal(len(s.runs("registry")), 1)
+	s.setFault("registry", site.Fault{HasForeignID: true})
+	status, _, _ = n.ask("POST", "/order/1", "key-1")
+	is.Equal(status, 502)
+	s.setFault("registry", site.Fault{IsFull: true})
+	before := len(s.runs("registry"))
+	status, _, header := n.ask("POST", "/order/1", "key-1")
+	is.Equal(status, 503)
+	is.True(header.Get("Retry-After") != "")
+	is.Equal(len(s.runs("registry")), before)
+	s.setFault("registry", site.Fault{Status: 500})
+	status, _, header = n.ask("POST", "/order/1", "key-1")
+	is.Equal(status, 500)
+	is.True(header.Get("Response-Seal") != "") // the worker's own answer
+	s.workers["models-1"].SetFault(site.Fault{CutAfter: 2})
+	s.workers["models-2"].SetFault(site.Fault{CutAfter: 4})
+	status, body, _ := n.ask("POST", "/draft/1", "key-1")
+	is.Equal(status, 200)
+	is.Equal(body, wholeStream())
+	s.setFault("models", site.Fault{CutAfter: 1})
+	status, body, _ = n.ask("POST", "/draft/1", "key-1")
+	is.Equal(status, 0) // cut twice: the client sees that it is not whole
+	is.Equal(body, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
+}
+
+// Guards against changes of operators that reach an instance late or not at all:
+// keys and routes while the store turns instances away, servers that leave, data
+// centres that are evacuated, and history that is dropped.
+func TestChanges(t *testing.T) {
+	is := is.New(t)
+	s := newTestSite(t)
+	s.start("n1", "n2")
+	s.tenants[0]["apiKeys"] = []string{"key-2"}
+	s.configure()
+	for _, n := range s.nodes {
+		s.await("the new key is in force", func() bool {
+			status, _, _ := n.ask("GET", "/lookup/1", "key-2")
+			return status == 200
+		})
+		status, _, _ := n.ask("GET", "/lookup/1", "key-1")
+		is.Equal(status, 401)
+	}
+	s.announce("registry-1", "registry", "draining")
+	for _, n := range s.nodes {
+		s.await("the leaving server is known", func() bool { return len(n.fleet.Queries().Usable("registry", time.Now())) == 1 })
+	}
+	before := len(s.workers["registry-1"].Runs())
+	for range 10 {
+		s.nodes[0].ask("GET", "/lookup/1", "key-2")
+	}
+	is.Equal(len(s.workers["registry-1"].Runs()), before)
+	s.store.Put(platform.Servers, "models-1", nil)
+	s.store.Forget(platform.Servers)
+	s.store.PutJSON(platform.Operators, platform.EvacuationPrefix+"a", map[string]any{})
+	for _, n := range s.nodes {
+		s.await("the evacuation is in force", func() bool { return n.fleet.Queries().IsEvacuated("a") })
+	}
+	s.store.Put(platform.Operators, platform.EvacuationPrefix+"a", nil)
+	for _, n := range s.nodes {
+		s.await("the data centre is back", func() bool { return !n.fleet.Queries().IsEvacuated("a") })
+		s.await("the removed engine is gone", func() bool { return len(n.fleet.Queries().Usable("models", time.Now())) == 1 })
+	}
+	s.store.SetDown(true)
+	s.await("the configuration is doubted", func() bool { return !s.nodes[0].routes.Queries().IsCurrent(time.Now()) })
+	status, _, _ := s.nodes[0].ask("GET", "/lookup/1", "key-2")
+	is.Equal(status, 200) // what is known goes on
+	status, _, _ = s.nodes[0].ask("GET", "/nothing/1", "key-2")
+	is.Equal(status, 503) // what is not known may exist
+}
+
+// Guards against requests that are cut off by a planned stop, and against a
+// coordinator that takes the preparation of others with it.
+func TestGracefulStop(t *testing.T) {
+	is := is.New(t)
+	s := newTestSite(t)
+	s.start("n1", "n2", "n3")
+	s.await("all agree on the coordinator", func() bool {
+		name := s.nodes[0].view().Coordinator(time.Now()).Name
+		for _, n := range s.nodes {
+			if n.view().Coordinator(time.Now()).Name != name {
+				return false
+			}
+		}
+		return true
+	})
+	name := s.nodes[0].view().Coordinator(time.Now()).Name
+	var leaving, other *node
+	for _, n := range s.nodes {
+		if n.Settings.Name == name {
+			leaving = n
+		} else {
+			other = n
+		}
+	}
+	s.workers["models-1"].Pause = 100 * time.Millisecond
+	s.workers["models-2"].Pause = 100 * time.Millisecond
+	before := len(s.runs("models"))
+	var group errgroup.Group
+	answers := make(chan string, 8)
+	for k := range 4 {
+		n := leaving
+		if k%2 == 0 {
+			n = other
+		}
+		group.Go(func() error {
+			status, body, _ := n.ask("POST", "/draft/1", "key-1")
+			answers <- fmt.Sprint(status, " ", body)
+			return nil
+		})
+	}
+	s.await("streams at the engines", func() bool { return len(s.runs("models")) == before+4 })
+	leaving.stop()
+	s.await("the instance says that it is leaving", func() bool { return leaving.readyStatus() == http.StatusServiceUnavailable })
+	s.await("another one is the coordinator", func() bool { return other.view().Coordinator(time.Now()).Name != name })
+	status, body, _ := other.ask("POST", "/draft/1", "key-1")
+	is.Equal(status, 200)
+	is.Equal(body, wholeStream())
+	status, _, header := leaving.ask("GET", "/lookup/1", "key-1")
+	is.Equal(status, 200) // clients that still come are served
+	is.Equal(header.Get("Connection"), "close")
+	is.NoErr(<-leaving.done)
+	is.NoErr(group.Wait())
+	for range 4 {
+		is.Equal(<-answers, "200 "+wholeStream())
+	}
+}
+
+// Guards against a client that leaves while its request goes on at a worker.
+func TestClientLeaves(t *testing.T) {
+	s := newTestSite(t)
+	s.workers["models-1"].Pause = time.Second
+	s.workers["models-2"].Pause = time.Second
+	s.start("n1")
+	client := &http.Client{Timeout: 700 * time.Millisecond}
+	req, err := http.NewRequest("POST", "http://"+s.nodes[0].Settings.Front+"/draft/1", strings.NewReader("helmet"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "shop.example"
+	req.Header.Set("Attempt-Id", "gone")
+	req.Header.Set("Authorization", "Token key-1")
+	req.Header.Set("Pieces", "1,1")
+	req.Header.Set("Piece-Key", "k")
+	res, err := client.Do(req)
+	if err == nil {
+		_ = res.Body.Close()
+		t.Fatal("answered in time")
+	}
+	s.await("the engine's work is ended", func() bool {
+		runs := s.runs("models")
+		return len(runs) == 1 && runs[0].IsCut
+	})
+}
--- /dev/null
+++ b/feed/feed_test.go
@@ -0,0 +1,79 @@
+package feed
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// Guards against copies that depend on the order in which records arrive, on
+// repeats of them, or on the instance that passed them on.
+func TestCopiesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		keys := rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b", "c"}), 1, 20).Draw(t, "keys")
+		var log []Record
+		for i, k := range keys {
+			isRemoved := rapid.Bool().Draw(t, "isRemoved")
+			log = append(log, Record{Key: k, Offset: uint64(i), Value: []byte{byte(i)}, IsRemoved: isRemoved})
+		}
+		end := uint64(len(log))
+		straight, _ := State{}.WithRecords(log, end)
+		shuffled := State{}
+		for _, r := range rapid.Permutation(append(log, log...)).Draw(t, "order") {
+			shuffled, _ = shuffled.WithRecords([]Record{r}, r.Offset+1)
+		}
+		relayed, _ := State{}.WithRecords(straight.Since(0), straight.End)
+		for _, s := range []State{shuffled, relayed} {
+			if s.End != straight.End || len(s.Since(0)) != len(straight.Since(0)) {
+				t.Fatalf("copies differ: %v, %v", s, straight)
+			}
+			for i, r := range s.Since(0) {
+				if other := straight.Since(0)[i]; r.Offset != other.Offset || r.IsRemoved != other.IsRemoved {
+					t.Fatalf("copies differ at %s: %v, %v", r.Key, r, other)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a server that stays listed after the record of its removal was
+// dropped from the history, and against an old snapshot that removes a newer
+// entry.
+func TestSnapshotRemovesMissingKeys(t *testing.T) {
+	is := is.New(t)
+	s, _ := State{}.WithRecords([]Record{{Key: "a", Offset: 1}, {Key: "b", Offset: 2}, {Key: "c", Offset: 9}}, 10)
+	s, fresh := s.WithSnapshot([]Record{{Key: "b", Offset: 5}}, 8)
+	is.Equal(len(fresh), 2)
+	is.Equal(fresh[0], Record{Key: "b", Offset: 5})
+	is.Equal(fresh[1], Record{Key: "a", Offset: 7, IsRemoved: true})
+	is.Equal(s.End, uint64(10))
+	is.Equal(s.Since(9), []Record{{Key: "c", Offset: 9}}) // newer than the snapshot
+}
+
+// Guards against records that are applied twice or with a gap in between, and
+// against a confirmation for a copy that lacks records.
+func TestTable(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	c, q := table.Commands(), table.Queries()
+	var applied []uint64
+	apply := func(rs []Record) {
+		for _, r := range rs {
+			applied = append(applied, r.Offset)
+		}
+	}
+	at := time.Unix(100, 0)
+	c.Take("op", []Record{{Key: "b", Offset: 1}, {Key: "a", Offset: 0}}, 2, at, apply)
+	c.Take("op", []Record{{Key: "a", Offset: 0}}, 1, at, apply)
+	c.TakeSnapshot("op", []Record{{Key: "a", Offset: 0}}, 3, at, apply)
+	is.Equal(applied, []uint64{0, 1, 2})
+	c.Confirm("op", 4, at.Add(time.Second)) // the copy ends at 3
+	is.Equal(q.State("op").ConfirmedAt, at)
+	c.Confirm("op", 3, at.Add(time.Second))
+	is.Equal(q.State("op").ConfirmedAt, at.Add(time.Second))
+	c.Doubt()
+	is.True(q.State("op").ConfirmedAt.IsZero())
+	is.Equal(q.State("op").End, uint64(3))
+}
--- a/peer/message_test.go
+++ b/peer/message_test.go
@@ -51,6 +51,8 @@
 		{Type: cancelType, Exchange: 6},
 		{Type: cancelRequestType, Exchange: 7, CancelRequest: &cancelRequestBody{Workspace: "tallies", RequestID: "r-1"}},
 		{Type: cancelledType, Exchange: 7, Cancelled: &cancelledBody{Found: true}},
+		{Type: askType, Exchange: 8, Ask: &askBody{Subject: "beat", Data: []byte("q")}},
+		{Type: replyType, Exchange: 8, Reply: &replyBody{Data: []byte("r")}},
 		{Type: pingType},
 		{Type: pongType},
 	}
--- a/preparation/commands.go
+++ b/preparation/commands.go
@@ -1,6 +1,7 @@
 package preparation
 
 import (
+	"slices"
 	"time"
 
 	"lycheecrank.example/batch"
@@ -65,7 +66,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.jobs[p.Request]
-	if e == nil || e.job.tries >= maxTries || e.job.handles[p.Stage][p.Number] != "" {
+	// Other pieces of the call report the same loss: the first one counts.
+	if e == nil || e.job.tries >= maxTries || !slices.Equal(p.Inputs, e.job.stageInputs(p.Stage)) {
 		return step{}
 	}
 	dropped := e.job.kept()
--- /dev/null
+++ b/preparation/desk_test.go
@@ -0,0 +1,287 @@
+package preparation
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sebdah/goldie/v2"
+	"golang.org/x/sync/errgroup"
+
+	"lycheecrank.example/batch"
+	"lycheecrank.example/engine"
+	"lycheecrank.example/request"
+)
+
+// rig is a desk with three pools of stages and one of engines, whose calls are
+// answered by a function.
+type rig struct {
+	*Desk
+	mu    sync.Mutex
+	calls []string
+	// kept are the results that makers hold.
+	kept map[string]bool
+	last int
+	// answer changes the result of a call; nil leaves it as it is.
+	answer func(call batch.Call, n int) ([]Result, error)
+}
+
+var pools = []string{"encode", "retrieve", "rerank"}
+
+func newRig(t *testing.T, servers int) *rig {
+	r := &rig{Desk: NewDesk(), kept: map[string]bool{}}
+	r.Call, r.Free = r.call, r.drop
+	for _, pool := range pools {
+		var places []batch.Place
+		for n := range servers {
+			places = append(places, batch.Place{ID: fmt.Sprintf("%s%d", pool, n+1), Address: fmt.Sprintf("%s%d:1", pool, n+1), DataCentre: "a"})
+		}
+		r.Batches.Commands().SetPool(batch.Spec{
+			Pool: pool, Slots: 1, Size: 8, CallTime: 200 * time.Millisecond, ItemTime: 10 * time.Millisecond,
+			Room: 20 << 20, Life: 4 * time.Second,
+		}, places)
+	}
+	r.Engines.Commands().SetPool(engine.Spec{Pool: "models", Slots: 8}, []engine.Place{{ID: "e1", Address: "e1:1", DataCentre: "a"}})
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error { return r.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		if err := group.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+	return r
+}
+
+func (r *rig) call(ctx context.Context, call batch.Call) ([]Result, error) {
+	r.mu.Lock()
+	n := len(r.calls)
+	var names []string
+	for _, p := range call.Pieces {
+		names = append(names, fmt.Sprintf("%s.%d.%d%v", p.Request, p.Stage, p.Number, p.Inputs))
+	}
+	r.calls = append(r.calls, call.Server.ID+" "+strings.Join(names, " "))
+	r.mu.Unlock()
+	timer := time.NewTimer(call.Usual)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.answer != nil {
+		if results, err := r.answer(call, n); results != nil || err != nil {
+			return results, err
+		}
+	}
+	var results []Result
+	for range call.Pieces {
+		r.last++
+		h := fmt.Sprintf("h%d", r.last)
+		r.kept[h] = true
+		results = append(results, Result{Verdict: Made, Handle: h})
+	}
+	return results, nil
+}
+
+func (r *rig) drop(_ context.Context, _ string, handles []string) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, h := range handles {
+		if !r.kept[h] {
+			return errors.New("given up twice: " + h)
+		}
+		delete(r.kept, h)
+	}
+	return nil
+}
+
+func (r *rig) keptCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.kept)
+}
+
+// chain is an order with three stages in line.
+func chain(id string) Order {
+	return Order{
+		Request: id, Pool: "models", Key: "k", Objective: 2 * time.Second, Deadline: 4 * time.Second,
+		Stages: []Stage{
+			{Pool: "encode", Pieces: 1, Bytes: 8000},
+			{Pool: "retrieve", After: []int{0}, Pieces: 3, Bytes: 60_000},
+			{Pool: "rerank", After: []int{1}, Pieces: 2, Bytes: 6000},
+		},
+	}
+}
+
+// describe tells what came of an order and what the makers were asked.
+func (r *rig) describe(p Placement, err error) string {
+	var b strings.Builder
+	if err != nil {
+		fmt.Fprintf(&b, "  failed: %v\n", err)
+	} else {
+		fmt.Fprintf(&b, "  at %s with %v after %d ms\n", p.Server, p.Inputs, p.WaitedMs)
+	}
+	for _, c := range r.calls {
+		fmt.Fprintf(&b, "  call %s\n", c)
+	}
+	for reason, n := range r.Counters.Values() {
+		fmt.Fprintf(&b, "  counted %s %d\n", reason, n)
+	}
+	return b.String()
+}
+
+// Guards against stages that begin without all of their inputs, pieces that are
+// lost when a server fails, is full, has no room or has lost an input, results
+// that nobody gives up, and answers after the deadline.
+func TestPrepare(t *testing.T) {
+	rows := []struct {
+		name    string
+		servers int
+		order   Order
+		answer  func(call batch.Call, n int) ([]Result, error)
+	}{
+		{"three stages", 1, chain("r"), nil},
+		{"a stage with no pieces", 1, Order{Request: "r", Pool: "models", Deadline: time.Second, Stages: []Stage{{Pool: "encode"}}}, nil},
+		{"a server fails", 2, chain("r"), func(_ batch.Call, n int) ([]Result, error) {
+			if n == 0 {
+				return nil, errors.New("connection reset")
+			}
+			return nil, nil
+		}},
+		{"a server is full", 1, chain("r"), func(_ batch.Call, n int) ([]Result, error) {
+			if n == 0 {
+				return nil, ErrFull
+			}
+			return nil, nil
+		}},
+		{"one piece of three fails", 2, chain("r"), func(_ batch.Call, n int) ([]Result, error) {
+			if n == 1 {
+				return []Result{{Verdict: Made, Handle: "x1"}, {Verdict: Failed}, {Verdict: Made, Handle: "x3"}}, nil
+			}
+			return nil, nil
+		}},
+		{"no room", 1, chain("r"), func(_ batch.Call, n int) ([]Result, error) {
+			if n == 0 {
+				return []Result{{Verdict: NoRoom}}, nil
+			}
+			return nil, nil
+		}},
+		{"an input is gone", 1, chain("r"), func(_ batch.Call, n int) ([]Result, error) {
+			if n == 1 {
+				return []Result{{Verdict: InputGone}, {Verdict: InputGone}, {Verdict: InputGone}}, nil
+			}
+			return nil, nil
+		}},
+		{"a server never answers rightly", 1, chain("r"), func(batch.Call, int) ([]Result, error) {
+			return []Result{{Verdict: Made, Handle: "x"}, {Verdict: Made, Handle: "y"}}, nil
+		}},
+		{"no server", 0, chain("r"), nil},
+	}
+	var b strings.Builder
+	for _, row := range rows {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(t, row.servers)
+			r.answer = row.answer
+			p, err := r.Prepare(t.Context(), row.order)
+			fmt.Fprintln(&b, row.name)
+			lines := strings.Split(strings.TrimSpace(r.describe(p, err)), "\n")
+			if len(lines) > 1 {
+				counted := slices.IndexFunc(lines, func(l string) bool { return strings.Contains(l, "counted") })
+				if counted >= 0 {
+					slices.Sort(lines[counted:])
+				}
+			}
+			fmt.Fprintln(&b, "  "+strings.Join(lines, "\n"))
+			r.Started("models", p.Server, "r", time.Millisecond)
+			r.Ended("models", p.Server, "r", false)
+			time.Sleep(10 * time.Second)
+			if r.keptCount() != 0 || r.Queries().Open() != 0 {
+				t.Errorf("%s: %d results are kept for nobody, %d jobs open", row.name, r.keptCount(), r.Queries().Open())
+			}
+		})
+	}
+	goldie.New(t).Assert(t, "prepare", []byte(b.String()))
+}
+
+// Guards against work for a client that has left, and against results that stay
+// at their makers.
+func TestClientLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t, 1)
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		defer cancel()
+		_, err := r.Prepare(ctx, chain("r"))
+		is.True(err != nil)
+		time.Sleep(10 * time.Second)
+		is.Equal(len(r.calls), 2) // the last stage was not begun
+		is.Equal(r.keptCount(), 0)
+		is.Equal(r.Queries().Open(), 0)
+	})
+}
+
+// Guards against results that are made again though they are still there when an
+// engine refuses, and against old ones when it says that they are gone.
+func TestPrepareAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t, 1)
+		r.Engines.Commands().SetPool(engine.Spec{Pool: "models", Slots: 8}, []engine.Place{{ID: "e1"}, {ID: "e2"}})
+		first, err := r.Prepare(t.Context(), chain("r"))
+		is.NoErr(err)
+		again := chain("r")
+		again.Avoid = []string{first.Server}
+		second, err := r.Prepare(t.Context(), again)
+		is.NoErr(err)
+		is.True(second.Server != first.Server)
+		is.Equal(second.Inputs, first.Inputs)
+		is.Equal(len(r.calls), 3)
+		again.IsRebuilt = true
+		third, err := r.Prepare(t.Context(), again)
+		is.NoErr(err)
+		is.Equal(len(r.calls), 6)
+		for _, h := range third.Inputs {
+			is.True(!slices.Contains(first.Inputs, h))
+		}
+	})
+}
+
+// Guards against a request that waits for its deadline though the work before it
+// can't be done in time.
+func TestEarlyRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		var group errgroup.Group
+		for n := range 40 {
+			group.Go(func() error {
+				o := chain(fmt.Sprint("r", n))
+				o.Stages[0].Pieces = 8
+				o.Deadline = time.Minute
+				_, err := r.Prepare(ctx, o)
+				return err
+			})
+		}
+		synctest.Wait()
+		begun := time.Now()
+		_, err := r.Prepare(ctx, chain("late"))
+		is.True(errors.Is(err, request.ReasonDeadlineUnattainable))
+		is.Equal(time.Since(begun), time.Duration(0))
+		is.True(request.AsFailure(err).RetryAfter > 0)
+		is.True(!request.AsFailure(err).Sent)
+		cancel()
+		is.True(group.Wait() != nil)
+	})
+}
--- a/preparation/job.go
+++ b/preparation/job.go
@@ -160,13 +160,19 @@
 	return handles
 }
 
-// pieces returns the pieces of a stage that are not made yet.
-func (j job) pieces(stage int, start, now time.Time) []batch.Piece {
-	s := j.order.Stages[stage]
+// stageInputs returns the results that a stage needs.
+func (j job) stageInputs(stage int) []string {
 	var inputs []string
-	for _, before := range s.After {
+	for _, before := range j.order.Stages[stage].After {
 		inputs = append(inputs, j.handles[before]...)
 	}
+	return inputs
+}
+
+// pieces returns the pieces of a stage that are not made yet.
+func (j job) pieces(stage int, start, now time.Time) []batch.Piece {
+	s := j.order.Stages[stage]
+	inputs := j.stageInputs(stage)
 	key := ""
 	if len(s.After) == 0 {
 		key = j.order.Key
--- /dev/null
+++ b/standin/site/store.go
@@ -0,0 +1,229 @@
+// Package site has stand-ins for what surrounds an instance on the users'
+// platform: the store, and workers of each kind. They speak the published
+// protocol over HTTP, have switches for faults, and keep what a test asks about.
+package site
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Store is a stand-in for the platform's store, with keyed streams of one
+// partition.
+type Store struct {
+	*httptest.Server
+
+	mu      sync.Mutex
+	streams map[string]*stream
+	changed chan struct{}
+	isDown  bool
+	calls   map[string]int
+}
+
+type stream struct {
+	records [][]byte
+	// first is the offset of the first retained record.
+	first  uint64
+	newest map[string]newest
+}
+
+type newest struct {
+	value  []byte
+	offset uint64
+}
+
+// NewStore starts a store on loopback.
+func NewStore() *Store {
+	s := &Store{streams: map[string]*stream{}, changed: make(chan struct{}), calls: map[string]int{}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /log-append", s.append)
+	mux.HandleFunc("GET /log-read", s.read)
+	mux.HandleFunc("GET /log-newest", s.newest)
+	s.Server = httptest.NewServer(s.guard(mux))
+	return s
+}
+
+// Address returns the IP and port of the store.
+func (s *Store) Address() string { return s.Listener.Addr().String() }
+
+// SetDown makes the store refuse all calls, or take them again.
+func (s *Store) SetDown(isDown bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isDown = isDown
+	s.wake()
+}
+
+// Calls returns the number of calls by path.
+func (s *Store) Calls() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.calls)
+}
+
+// Put writes a value of a key, as operators and workers do. No value drops the
+// key.
+func (s *Store) Put(topic, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.add(topic, append(append([]byte{byte(len(key))}, key...), value...))
+}
+
+// PutJSON writes a value as JSON.
+func (s *Store) PutJSON(topic, key string, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.Put(topic, key, data)
+}
+
+// Forget drops the history of a topic; the newest record of each key stays.
+func (s *Store) Forget(topic string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.stream(topic)
+	t.first = uint64(len(t.records))
+}
+
+// Newest returns the value of a key.
+func (s *Store) Newest(topic, key string) ([]byte, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n, ok := s.stream(topic).newest[key]
+	return n.value, ok
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) stream(topic string) *stream {
+	t := s.streams[topic]
+	if t == nil {
+		t = &stream{newest: map[string]newest{}}
+		s.streams[topic] = t
+	}
+	return t
+}
+
+func (s *Store) add(topic string, record []byte) {
+	t := s.stream(topic)
+	key := string(record[1 : 1+int(record[0])])
+	value := record[1+len(key):]
+	offset := uint64(len(t.records))
+	t.records = append(t.records, record)
+	if len(value) == 0 {
+		delete(t.newest, key)
+	} else {
+		t.newest[key] = newest{value, offset}
+	}
+	s.wake()
+}
+
+// guard counts calls and refuses them while the store is down.
+func (s *Store) guard(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.calls[r.URL.Path]++
+		isDown := s.isDown
+		s.mu.Unlock()
+		if isDown {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Store) append(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	topic := r.URL.Query().Get("topic")
+	offset := len(s.stream(topic).records)
+	for len(data) >= 4 {
+		size := binary.BigEndian.Uint32(data)
+		s.add(topic, slices.Clone(data[4:4+size]))
+		data = data[4+size:]
+	}
+	writeJSON(w, map[string]int{"offset": offset, "end": len(s.stream(topic).records)})
+}
+
+func (s *Store) read(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	from, err := strconv.ParseUint(query.Get("from"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	wait, err := strconv.Atoi(query.Get("waitMs"))
+	if err != nil {
+		wait = 0
+	}
+	limit := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer limit.Stop()
+	for {
+		s.mu.Lock()
+		t, changed := s.stream(query.Get("topic")), s.changed
+		first, end := t.first, uint64(len(t.records))
+		var records [][]byte
+		if from >= first && from < end {
+			records = slices.Clone(t.records[from:])
+		}
+		s.mu.Unlock()
+		if from < first {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(records) > 0 || wait == 0 {
+			writeRecords(w, end, first, records)
+			return
+		}
+		select {
+		case <-changed:
+		case <-limit.C:
+			wait = 0
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func writeRecords(w io.Writer, end, first uint64, records [][]byte) {
+	data := binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, end), first)
+	for _, r := range records {
+		data = append(binary.BigEndian.AppendUint32(data, uint32(len(r))), r...)
+	}
+	_, _ = w.Write(data)
+}
+
+func (s *Store) newest(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.stream(r.URL.Query().Get("topic"))
+	items := []map[string]any{}
+	for _, key := range slices.Sorted(maps.Keys(t.newest)) {
+		n := t.newest[key]
+		items = append(items, map[string]any{"key": key, "value": base64.StdEncoding.EncodeToString(n.value), "offset": n.offset})
+	}
+	writeJSON(w, map[string]any{"items": items, "more": false, "end": len(t.records)})
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/standin/site/worker.go
@@ -0,0 +1,205 @@
+package site
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Worker is a stand-in for a worker of any kind.
+type Worker struct {
+	*httptest.Server
+	// ID is what the worker calls itself, set before its first request.
+	ID string
+	// Events is the number of events of a stream; 0 makes it a plain service.
+	Events int
+	// Pause is the pause before each event or answer.
+	Pause time.Duration
+	// NeedsInputs refuses requests without results of stages.
+	NeedsInputs bool
+
+	mu      sync.Mutex
+	runs    []Run
+	fault   Fault
+	handles map[string]bool
+	made    int
+}
+
+// Run is a request that the worker has run.
+type Run struct {
+	Attempt string
+	Path    string
+	Body    string
+	Header  http.Header
+	// IsCut tells that the caller closed the connection before the end.
+	IsCut bool
+}
+
+// Fault is what a worker does wrongly, until it is changed.
+type Fault struct {
+	// IsFull refuses all requests.
+	IsFull bool
+	// LosesAnswers closes the connection after a request has run.
+	LosesAnswers bool
+	// CutAfter breaks a stream off after that many events, if it is not 0.
+	CutAfter int
+	// HasForeignID answers with the ID of another request.
+	HasForeignID bool
+	// Status is answered in place of 200, if it is not 0.
+	Status int
+}
+
+// NewWorker starts a worker on loopback.
+func NewWorker(id string) *Worker {
+	w := &Worker{ID: id, handles: map[string]bool{}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /stage-run", w.stageRun)
+	mux.HandleFunc("POST /stage-free", w.stageFree)
+	mux.HandleFunc("/", w.request)
+	w.Server = httptest.NewServer(mux)
+	return w
+}
+
+// Address returns the IP and port of the worker.
+func (w *Worker) Address() string { return w.Listener.Addr().String() }
+
+// SetFault changes what the worker does wrongly.
+func (w *Worker) SetFault(f Fault) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fault = f
+}
+
+// Runs returns the requests that the worker has run.
+func (w *Worker) Runs() []Run {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.runs)
+}
+
+// Kept returns the results that the worker keeps.
+func (w *Worker) Kept() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Sorted(maps.Keys(w.handles))
+}
+
+func (w *Worker) request(rw http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	if id := r.Header.Get("Expect-Instance"); id != "" && id != w.ID {
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	w.mu.Lock()
+	fault := w.fault
+	number := len(w.runs)
+	isRefused := fault.IsFull || w.NeedsInputs && r.Header.Get("Inputs") == ""
+	if !isRefused {
+		w.runs = append(w.runs, Run{Attempt: r.Header.Get("Attempt-Id"), Path: r.RequestURI, Body: string(body), Header: r.Header.Clone()})
+	}
+	w.mu.Unlock()
+	if isRefused {
+		rw.Header().Set("Not-Executed", "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if fault.LosesAnswers {
+		panic(http.ErrAbortHandler)
+	}
+	id := r.Header.Get("Attempt-Id")
+	if fault.HasForeignID {
+		id = "foreign"
+	}
+	rw.Header().Set("Attempt-Id", id)
+	rw.Header().Set("Response-Seal", "seal-of-"+w.ID)
+	if fault.Status != 0 {
+		rw.WriteHeader(fault.Status)
+	}
+	if w.Events == 0 {
+		time.Sleep(w.Pause)
+		fmt.Fprintf(rw, "answer of %s to %s", w.ID, r.Header.Get("Attempt-Id"))
+		return
+	}
+	w.stream(rw, r, fault, number)
+}
+
+func (w *Worker) stream(rw http.ResponseWriter, r *http.Request, fault Fault, number int) {
+	rw.Header().Set("Content-Type", "text/event-stream")
+	last, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if err != nil {
+		last = 0
+	}
+	sent := 0
+	for n := last + 1; n <= w.Events; n++ {
+		timer := time.NewTimer(w.Pause)
+		select {
+		case <-timer.C:
+		case <-r.Context().Done():
+			w.mu.Lock()
+			w.runs[number].IsCut = true
+			w.mu.Unlock()
+			return
+		}
+		if fault.CutAfter > 0 && sent == fault.CutAfter {
+			fmt.Fprintf(rw, "id: %d\nda", n)
+			_ = http.NewResponseController(rw).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprintf(rw, "id: %d\ndata: %d\n\n", n, n)
+		_ = http.NewResponseController(rw).Flush()
+		sent++
+	}
+}
+
+// stageItems is a call of a stage, or its answer.
+type stageItems struct {
+	Items []map[string]any `json:"items"`
+}
+
+func (w *Worker) stageRun(rw http.ResponseWriter, r *http.Request) {
+	var call stageItems
+	if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
+		rw.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	time.Sleep(w.Pause)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.fault.IsFull {
+		rw.Header().Set("Not-Executed", "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	var answer stageItems
+	for range call.Items {
+		w.made++
+		handle := fmt.Sprintf("%s/%d", w.Address(), w.made)
+		w.handles[handle] = true
+		answer.Items = append(answer.Items, map[string]any{"handle": handle})
+	}
+	writeJSON(rw, answer)
+}
+
+func (w *Worker) stageFree(_ http.ResponseWriter, r *http.Request) {
+	var freed struct {
+		Handles []string `json:"handles"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&freed); err != nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, h := range freed.Handles {
+		delete(w.handles, h)
+	}
+}
