--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -71,7 +71,7 @@
 				}
 				c.End(call, made, time.Now())
 				for _, m := range made {
-					c.Free([]string{m.Handle})
+					c.Release([]string{m.Handle})
 				}
 				_ = i
 			}
@@ -134,8 +134,10 @@
 		c.End(call, []Made{{call.Pieces[0], "h3"}}, time.Now())
 		_, ok = table.next(time.Now())
 		is.True(!ok) // full
-		is.Equal(c.Free([]string{"h1", "unknown"}), map[string][]string{"10.0.0.1:1": {"h1"}})
-		is.Equal(c.Free([]string{"h1"}), map[string][]string{}) // once
+		is.Equal(table.Queries().Makers([]string{"h1", "unknown"}), map[string][]string{"10.0.0.1:1": {"h1"}})
+		c.Release([]string{"h1", "unknown"})
+		c.Release([]string{"h1"}) // once
+		is.Equal(len(table.Queries().Makers([]string{"h1"})), 0)
 		call, ok = table.next(time.Now())
 		is.True(ok)
 		c.Fail(call, false, time.Now())
@@ -147,6 +149,27 @@
 	})
 }
 
+// Guards against calls for which the room is taken by results of an earlier
+// coordinator, and against a server that is taken as full for good.
+func TestUnknownResults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable()
+		c := table.Commands()
+		c.SetPool(spec(), []Place{{ID: "s1", Address: "10.0.0.1:1"}})
+		c.Correct("encoders", "s1", 2<<20, time.Now())
+		c.Enqueue(pieces("r1", 5, 1, time.Now()))
+		call, ok := table.next(time.Now())
+		is.True(ok)
+		is.Equal(len(call.Pieces), 2)
+		c.End(call, nil, time.Now())
+		time.Sleep(unknownLife)
+		call, ok = table.next(time.Now())
+		is.True(ok)
+		is.Equal(len(call.Pieces), 3)
+	})
+}
+
 // Guards against a waiting worker that misses a piece, a server that becomes
 // usable, or the end of its context.
 func TestNext(t *testing.T) {
@@ -238,7 +261,7 @@
 			case 4:
 				c.SetPool(spec(), rapid.Permutation(all).Draw(t, "order")[:rapid.IntRange(0, 3).Draw(t, "servers")])
 			case 5:
-				c.Free(handles)
+				c.Release(handles)
 				handles = nil
 			}
 		}
@@ -254,7 +277,7 @@
 				}
 				c.End(call, made, now)
 				for _, m := range made {
-					c.Free([]string{m.Handle})
+					c.Release([]string{m.Handle})
 				}
 			}
 			calls = nil
--- a/batch/choose.go
+++ b/batch/choose.go
@@ -53,7 +53,7 @@
 		if !ok || s.Calls >= spec.Slots {
 			continue
 		}
-		pieces := fill(spec, s, p, waiting, share(spec, len(waiting), idle))
+		pieces := fill(spec, s, p, waiting, share(spec, len(waiting), idle), now)
 		usual := spec.duration(len(pieces))
 		return Call{
 			Server: s.Place, Pool: spec.Pool, Pieces: pieces, SentAt: now,
@@ -79,7 +79,7 @@
 func bestServer(spec Spec, servers []Server, p Piece, now time.Time) (Server, bool) {
 	best, bestCost := -1, time.Duration(0)
 	for i, s := range servers {
-		if s.isBlocked(now) || s.ID == p.Avoid && len(servers) > 1 || s.Held+p.Bytes > spec.Room {
+		if s.isBlocked(now) || s.ID == p.Avoid && len(servers) > 1 || s.taken(now)+p.Bytes > spec.Room {
 			continue
 		}
 		cost := s.expected(spec, 1) + penalty(p, s)
@@ -105,8 +105,8 @@
 
 // fill returns the pieces of a call that begins with one piece: all that may go
 // to the server in order of urgency, and the rest of a request that has begun.
-func fill(spec Spec, s Server, first Piece, waiting []Piece, limit int) []Piece {
-	room := spec.Room - s.Held - first.Bytes
+func fill(spec Spec, s Server, first Piece, waiting []Piece, limit int, now time.Time) []Piece {
+	room := spec.Room - s.taken(now) - first.Bytes
 	pieces := []Piece{first}
 	add := func(p Piece) {
 		if p.Identity != first.Identity && p.Bytes <= room && p.Avoid != s.ID {
--- a/batch/commands.go
+++ b/batch/commands.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -38,7 +39,7 @@
 		s.isUnlisted = !listed[id]
 		p.servers[id] = s
 	}
-	t.changed.Broadcast()
+	t.changed.Signal()
 }
 
 // Enqueue adds pieces to the queue of their pool.
@@ -54,7 +55,7 @@
 		}
 		q.waiting = append(q.waiting, p)
 	}
-	t.changed.Broadcast()
+	t.changed.Signal()
 }
 
 // Withdraw removes the waiting pieces of a request.
@@ -82,6 +83,8 @@
 		now := time.Now()
 		t.expire(now)
 		if call, ok := t.next(now); ok {
+			// There may be more: the next worker looks.
+			t.changed.Signal()
 			return call, true
 		}
 		t.wait(t.wakeAfter(now))
@@ -101,7 +104,7 @@
 func (t *Table) rouse() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.changed.Broadcast()
+	t.changed.Signal()
 }
 
 // Made is a result of a call.
@@ -128,7 +131,7 @@
 	if s, ok := p.servers[call.Server.ID]; ok && s.Address == call.Server.Address {
 		p.servers[s.ID] = s.WithEnd(now.Sub(call.SentAt), call.Usual, unused)
 	}
-	t.changed.Broadcast()
+	t.changed.Signal()
 }
 
 // Fail notes that a call failed as a whole. A server that is full counts as busy,
@@ -146,7 +149,7 @@
 		}
 		p.servers[s.ID] = s
 	}
-	t.changed.Broadcast()
+	t.changed.Signal()
 }
 
 // Crowded notes that a server had no room for a result.
@@ -160,18 +163,53 @@
 	}
 }
 
-// Free gives back the room of results and returns their handles by the address
-// of their makers, which must be told.
-func (c Commands) Free(handles []string) map[string][]string {
+// Release gives back the room of results. It is called once their makers were
+// told, since the room is taken until then.
+func (c Commands) Release(handles []string) {
 	t := c.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	byMaker := map[string][]string{}
 	for _, h := range handles {
-		if address, ok := t.release(h); ok {
-			byMaker[address] = append(byMaker[address], h)
+		t.release(h)
+	}
+	t.changed.Signal()
+}
+
+// Adopt counts results that an earlier coordinator had made. Their handles begin
+// with the address of their maker.
+func (c Commands) Adopt(pool string, handles []string, bytes int64, now time.Time) {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.pools[pool]
+	if p == nil {
+		return
+	}
+	for _, h := range handles {
+		address, _, _ := strings.Cut(h, "/")
+		_, isKnown := t.results[h]
+		for id, s := range p.servers {
+			if s.Address == address && h != "" && !isKnown {
+				t.results[h] = result{pool: pool, server: id, address: address, dataCentre: s.DataCentre, bytes: bytes, expires: now.Add(p.spec.Life)}
+				p.servers[id] = s.WithAdopted(bytes)
+			}
 		}
 	}
-	t.changed.Broadcast()
-	return byMaker
+}
+
+// Correct takes over how much room a server says that it has free. The results
+// that this table doesn't know, such as those of an earlier coordinator, count
+// for a short time, after which the server is asked again if it has no room.
+func (c Commands) Correct(pool, id string, free int64, now time.Time) {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.pools[pool]
+	if p == nil {
+		return
+	}
+	if s, ok := p.servers[id]; ok {
+		p.servers[id] = s.WithUnknown(p.spec.Room-free-s.Held, now)
+	}
+	t.changed.Signal()
 }
--- a/batch/queries.go
+++ b/batch/queries.go
@@ -1,6 +1,10 @@
 package batch
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // Queries reads a Table. Concurrent calls are safe.
 type Queries struct{ table *Table }
@@ -12,6 +16,9 @@
 	// Servers is the number of servers that may get work, Busy how many have it.
 	Servers int
 	Busy    int
+	// RoomTaken is the share of the room of the servers that results take, from 0
+	// to 1.
+	RoomTaken float64
 	// Delay estimates how long a piece that is queued now waits.
 	Delay time.Duration
 }
@@ -26,18 +33,22 @@
 		return Depth{Pool: name}
 	}
 	d := Depth{Pool: name, Waiting: len(p.waiting)}
-	perSecond := 0.0
+	perSecond, taken := 0.0, int64(0)
 	for _, s := range p.servers {
 		if s.isUnlisted || s.isBlocked(now) {
 			continue
 		}
 		d.Servers++
 		d.Busy += min(1, s.Calls)
+		taken += s.taken(now)
 		full := s.expected(p.spec, p.spec.Size)
 		if full > 0 {
 			perSecond += float64(p.spec.Slots*p.spec.Size) / full.Seconds()
 		}
 	}
+	if room := int64(d.Servers) * p.spec.Room; room > 0 {
+		d.RoomTaken = float64(taken) / float64(room)
+	}
 	if perSecond > 0 {
 		d.Delay = time.Duration(float64(d.Waiting) / perSecond * float64(time.Second))
 	}
@@ -55,16 +66,40 @@
 	return 0
 }
 
-// Pools returns the names of all pools with something waiting or known servers.
-func (q Queries) Pools() []string {
+// Makers returns the handles of known results by the address of their makers.
+func (q Queries) Makers(handles []string) map[string][]string {
+	t := q.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	byMaker := map[string][]string{}
+	for _, h := range handles {
+		if r, ok := t.results[h]; ok {
+			byMaker[r.address] = append(byMaker[r.address], h)
+		}
+	}
+	return byMaker
+}
+
+// Servers returns the places of the servers of all pools by pool.
+func (q Queries) Servers() map[string][]Place {
 	t := q.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	names := make([]string, 0, len(t.pools))
-	for n := range t.pools {
-		names = append(names, n)
+	places := map[string][]Place{}
+	for name, p := range t.pools {
+		for _, s := range p.sortedServers() {
+			places[name] = append(places[name], s.Place)
+		}
 	}
-	return names
+	return places
+}
+
+// Pools returns the names of all pools, sorted.
+func (q Queries) Pools() []string {
+	t := q.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Sorted(maps.Keys(t.pools))
 }
 
 // DataCentre returns where a result is kept, empty if it is unknown.
--- a/batch/server.go
+++ b/batch/server.go
@@ -40,6 +40,9 @@
 	maxBlock = 3 * time.Second
 	// fullBlock is how long a server that was full is left alone.
 	fullBlock = 60 * time.Millisecond
+	// unknownLife is how long a server's word on its room holds. Reports are some
+	// hundred milliseconds old, and the unknown results go away by themselves.
+	unknownLife = 600 * time.Millisecond
 )
 
 // Server is what is known of a server of a pool. It is an immutable value.
@@ -54,6 +57,10 @@
 	// Slowness is the smoothed time of a call relative to the usual one.
 	Slowness float64
 
+	// unknown is the room that results take of which this table doesn't know, until
+	// unknownUntil.
+	unknown      int64
+	unknownUntil time.Time
 	failures     int
 	blockedUntil time.Time
 	// isUnlisted servers end their calls and get no new ones.
@@ -98,6 +105,29 @@
 	return s
 }
 
+// WithAdopted returns the server with a result that an earlier coordinator had
+// made. It is no longer unknown.
+func (s Server) WithAdopted(bytes int64) Server {
+	s.Held += bytes
+	s.unknown = max(0, s.unknown-bytes)
+	return s
+}
+
+// WithUnknown returns the server after it said how much room is taken by results
+// that are not counted.
+func (s Server) WithUnknown(bytes int64, now time.Time) Server {
+	s.unknown, s.unknownUntil = max(0, bytes), now.Add(unknownLife)
+	return s
+}
+
+// taken returns the room that is taken.
+func (s Server) taken(now time.Time) int64 {
+	if now.Before(s.unknownUntil) {
+		return s.Held + s.unknown
+	}
+	return s.Held
+}
+
 // WithFreed returns the server after results gave their room back.
 func (s Server) WithFreed(bytes int64) Server {
 	s.Held = max(0, s.Held-bytes)
--- a/batch/table.go
+++ b/batch/table.go
@@ -12,7 +12,9 @@
 // Table holds the pools with their waiting pieces, servers and results.
 type Table struct {
 	mu *lock.Ranked
-	// changed tells that a call may be possible.
+	// changed tells that a call may be possible. One waiting worker is woken, which
+	// wakes the next one if it finds a call: waking all for each piece cost most of
+	// the coordinator's processor time.
 	changed *sync.Cond
 	pools   map[string]*pool
 	results map[string]result
@@ -94,6 +96,7 @@
 		}
 		for _, s := range p.servers {
 			consider(s.blockedUntil)
+			consider(s.unknownUntil)
 		}
 		for _, r := range t.results {
 			if r.pool == p.spec.Pool {
@@ -113,11 +116,11 @@
 	}
 }
 
-// release forgets a result and returns the address of its maker.
-func (t *Table) release(handle string) (string, bool) {
+// release forgets a result.
+func (t *Table) release(handle string) {
 	r, ok := t.results[handle]
 	if !ok {
-		return "", false
+		return
 	}
 	delete(t.results, handle)
 	if p := t.pools[r.pool]; p != nil {
@@ -125,5 +128,4 @@
 			p.servers[r.server] = s.WithFreed(r.bytes)
 		}
 	}
-	return r.address, true
 }
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -66,7 +66,7 @@
 	case recordsSubject:
 		return reply(data, i.records)
 	case prepareSubject:
-		return reply(data, func(o preparation.Order) (preparation.Placement, error) { return i.prepared.Prepare(ctx, o) })
+		return reply(data, func(o preparation.Order) (preparation.Placement, error) { return i.prepareHere(ctx, o) })
 	case noticeSubject:
 		return reply(data, i.takeNotices)
 	}
@@ -159,6 +159,12 @@
 			coordinator = c.Name
 			i.Logger.Write(event.CoordinatorChosen, c.Name, c.FitSince, len(i.view().Heard(now)), len(i.view().Known()))
 			i.introduce(c)
+			if c.Name == i.Settings.Name {
+				i.prepared.TakeUp()
+				group.Go(func() error { return i.prepared.TakeOver(ctx) })
+			} else {
+				i.prepared.HandOver()
+			}
 		}
 	}
 }
--- a/entry/coordination.go
+++ b/entry/coordination.go
@@ -18,6 +18,10 @@
 const (
 	// prepareTries bounds the coordinators that are asked for one request.
 	prepareTries = 4
+	// freeMoves is the number of times that a request follows the coordinator before
+	// an instance is made to prepare it; movePause is the pause before it is asked.
+	freeMoves = 5
+	movePause = 15 * time.Millisecond
 	// noticePause collects notices for one message.
 	noticePause = 8 * time.Millisecond
 	// noticeLimit bounds the delivery of notices.
@@ -33,24 +37,33 @@
 func (i *Instance) prepare(ctx context.Context, o preparation.Order) (preparation.Placement, error) {
 	begun := time.Now()
 	var last error
-	for range prepareTries {
+	for tries, moves := 0, 0; tries < prepareTries; {
 		now := time.Now()
 		coordinator := i.view().Coordinator(now)
 		next := o
 		next.Objective -= now.Sub(begun)
 		next.Deadline -= now.Sub(begun)
+		next.IsForced = tries > 0 || moves > freeMoves
 		if next.Deadline <= 0 || ctx.Err() != nil {
 			break
 		}
 		p, err := i.prepareAt(ctx, coordinator, next)
-		if err == nil {
+		switch {
+		case err == nil && !p.IsMoved:
 			i.placed.add(o, p, coordinator, now)
 			return p, nil
-		}
-		last = err
-		if !errors.Is(err, request.ReasonPeerUnreachable) {
+		case err == nil:
+			o.Made = p.Made
+			o.IsRebuilt = false
+			moves++
+			i.retries.Add("coordinatorMoved")
+			pause(ctx, movePause)
+			continue
+		case !errors.Is(err, request.ReasonPeerUnreachable):
 			return p, err
 		}
+		last = err
+		tries++
 		i.crew.Commands().Fail(coordinator.Name, time.Now())
 		i.retries.Add("coordinatorUnreachable")
 	}
@@ -62,7 +75,7 @@
 
 func (i *Instance) prepareAt(ctx context.Context, coordinator crew.Mate, o preparation.Order) (preparation.Placement, error) {
 	if coordinator.Name == i.Settings.Name {
-		return i.prepared.Prepare(ctx, o)
+		return i.prepareHere(ctx, o)
 	}
 	p, err := ask[preparation.Placement](ctx, i, coordinator.Address, prepareSubject, o)
 	if err != nil {
@@ -74,6 +87,15 @@
 	return p, nil
 }
 
+// prepareHere prepares a request at this instance, unless another one is the
+// coordinator as far as this one sees.
+func (i *Instance) prepareHere(ctx context.Context, o preparation.Order) (preparation.Placement, error) {
+	if !o.IsForced && i.view().Coordinator(time.Now()).Name != i.Settings.Name {
+		return preparation.Placement{IsMoved: true, Made: o.Made}, nil
+	}
+	return i.prepared.Prepare(ctx, o)
+}
+
 func (i *Instance) started(pool, server, id string, took time.Duration) {
 	i.notices.add(i.placed.coordinatorOf(id), notice{Kind: startedNotice, Pool: pool, Server: server, Request: id, Took: took})
 }
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -103,7 +103,7 @@
 	i.client.SilenceLimit, i.client.Logger = silenceLimit, i.Logger
 	i.server = &peer.Server{Self: hello, SilenceLimit: silenceLimit, Logger: i.Logger, Ask: i.answer}
 	i.prepared = preparation.NewDesk()
-	i.prepared.Call, i.prepared.Free = i.stages.Call, i.stages.Free
+	i.prepared.Call, i.prepared.Free, i.prepared.Room = i.stages.Call, i.stages.Free, i.stages.Room
 	i.prepared.Share = func() float64 { return coldShare * i.crew.Queries().View().Share(time.Now()) }
 	i.prepared.Logger, i.prepared.Counters = i.Logger, i.dropped
 	i.placed = newPlacements()
--- a/entry/report.go
+++ b/entry/report.go
@@ -34,6 +34,22 @@
 	return nil
 }
 
+// runDepths writes how much waits at the pools of stages while this instance
+// prepares requests.
+func (i *Instance) runDepths(ctx context.Context) error {
+	for pause(ctx, reportInterval) {
+		now := time.Now()
+		for _, pool := range i.prepared.Batches.Queries().Pools() {
+			d := i.prepared.Batches.Queries().Depth(pool, now)
+			if d.Waiting == 0 && d.Busy == 0 {
+				continue
+			}
+			i.Logger.Write(event.PoolDepth, pool, d.Waiting, d.Servers, d.Busy, d.Delay.Milliseconds(), d.RoomTaken, i.prepared.Queries().Open())
+		}
+	}
+	return nil
+}
+
 // open returns the number of attempts in progress.
 func (r *report) open() int { return 0 }
 
--- a/event/events.go
+++ b/event/events.go
@@ -36,6 +36,7 @@
 	StageCallFailed      = Event{504, log.WarnLevel, "stage call failed", []string{"pool", "backendServer", "pieces", "ms", "error"}, "A call of a stage failed as a whole; its pieces are made by other servers."}
 	ServerListed         = Event{505, log.InfoLevel, "backend server listed", []string{"backendServer", "pool", "address", "dataCentre", "isDraining", "offset"}, "The entry of a backend server is new or has changed."}
 	ServerUnlisted       = Event{506, log.InfoLevel, "backend server unlisted", []string{"backendServer", "isLapse"}, "The entry of a backend server is gone; a lapse may only mean that the store was away."}
+	PoolDepth            = Event{507, log.InfoLevel, "pool depth", []string{"pool", "waiting", "servers", "busy", "delayMs", "roomTaken", "jobs"}, "Once a second on the coordinator while pieces wait: how much waits at a pool of stages and how long it will take."}
 	OwnershipTaken       = Event{601, log.InfoLevel, "ownership taken", []string{"pool", "dataCentre", "term"}, "This instance dispatches for a pool of its data centre."}
 	OwnershipLost        = Event{602, log.WarnLevel, "ownership lost", []string{"pool", "dataCentre", "term"}, "Another instance dispatches for the pool now."}
 	LeaseExpired         = Event{603, log.WarnLevel, "ownership lease expired", []string{"age"}, "The ownership lease ran out because the log did not answer; cold servers get nothing."}
@@ -50,7 +51,7 @@
 		CatalogueAdopted, CatalogueRefused, LogUnavailable, LogRecordUnread, CatalogueSnapshot, LogAvailable, ConfigurationAdopted, Evacuation,
 		PeerConnected, PeerLost, PeerFrameRefused, CoordinatorChosen,
 		RequestRefused, RequestFinished, ResultDropped, AttemptServed, AttemptFailed,
-		ServerCold, ServerWarm, ServerLeaving, StageCallFailed, ServerListed, ServerUnlisted,
+		ServerCold, ServerWarm, ServerLeaving, StageCallFailed, ServerListed, ServerUnlisted, PoolDepth,
 		OwnershipTaken, OwnershipLost, LeaseExpired,
 		ClaimUndecided, PrecedenceOverflow,
 	}
--- a/peer/client_fault_test.go
+++ b/peer/client_fault_test.go
@@ -413,3 +413,24 @@
 		stop()
 	})
 }
+
+// Guards against a live peer that counts as silent because an exchange takes
+// longer than the limit of silence, as with a limit below the usual ping.
+func TestLongExchangeIsNotSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, l := newServer(), newPipeListener()
+		s.SilenceLimit = 900 * time.Millisecond
+		s.Ask = func(_ context.Context, _ peer.Hello, _ string, data []byte) ([]byte, error) {
+			time.Sleep(5 * time.Second)
+			return data, nil
+		}
+		c := peer.NewClient(peer.Hello{Instance: "a-1"})
+		c.SilenceLimit, c.Dial = s.SilenceLimit, l.dial
+		stop := start(t, s, l, c)
+		defer stop()
+		reply, err := c.Ask(t.Context(), "b-1", "slow", []byte("q"))
+		is.NoErr(err)
+		is.Equal(string(reply), "q")
+	})
+}
--- a/peer/connection.go
+++ b/peer/connection.go
@@ -117,6 +117,11 @@
 	}
 }
 
+// pingEvery returns the interval of pings while exchanges are open. It lies well
+// below the limit of silence, since an exchange may take longer than that limit
+// without another message of the peer.
+func (c *connection) pingEvery() time.Duration { return min(busyPing, c.silence/3) }
+
 // greet exchanges hellos within the limit of silence.
 func (c *connection) greet(self Hello) (Hello, error) {
 	// Setting a deadline fails only on a closed connection, which reading tells.
--- a/peer/outbound.go
+++ b/peer/outbound.go
@@ -133,12 +133,12 @@
 	defer o.mu.Unlock()
 	due := latest(o.pinged, o.received).Add(idlePing)
 	if len(o.exchanges) > 0 {
-		due = latest(o.pinged, o.busySince).Add(busyPing)
+		due = latest(o.pinged, o.busySince).Add(o.pingEvery())
 	}
 	isPingDue := !now.Before(due)
 	if isPingDue {
 		o.pinged = now
-		due = now.Add(busyPing)
+		due = now.Add(o.pingEvery())
 		o.owe(now)
 	}
 	return due.Sub(now), isPingDue, nil
--- a/preparation/commands.go
+++ b/preparation/commands.go
@@ -7,17 +7,20 @@
 	"lycheecrank.example/batch"
 )
 
-// open adds a job, or takes up one whose results are still there. It returns the
-// channel that is closed when all results are there.
-func (c Commands) open(o Order, near string, usual usualTime, now time.Time) (<-chan struct{}, step) {
+// open adds a job, or takes up one whose results are still there. It reports
+// false while jobs are handed over.
+func (c Commands) open(o Order, near string, usual usualTime, now time.Time) (entry, step, bool) {
 	t := c.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.jobs[o.Request]
+	if t.isClosed && !o.IsForced || e != nil && e.isMoving {
+		return entry{}, step{}, false
+	}
 	var dropped []string
 	switch {
 	case e == nil:
-		e = &entry{job: newJob(o, now).withNear(near), done: make(chan struct{})}
+		e = newEntry(newJob(o, now).withNear(near))
 		t.jobs[o.Request] = e
 	case o.IsRebuilt:
 		dropped = e.job.kept()
@@ -26,7 +29,73 @@
 	}
 	s := e.advance(usual, now)
 	s.free = append(s.free, dropped...)
-	return e.done, s
+	return *e, s, true
+}
+
+// enter notes that pieces went into a call.
+func (c Commands) enter(pieces []batch.Piece) {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range pieces {
+		if e := t.jobs[p.Request]; e != nil {
+			e.job = e.job.withCalls(1)
+		}
+	}
+}
+
+// leave notes that pieces came out of a call, after what came of them was
+// recorded.
+func (c Commands) leave(pieces []batch.Piece) {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range pieces {
+		e := t.jobs[p.Request]
+		if e == nil {
+			continue
+		}
+		e.job = e.job.withCalls(-1)
+		if e.isMoving {
+			e.move()
+		}
+	}
+}
+
+// handOver lets all jobs go and takes no others until takeUp.
+func (c Commands) handOver() []string {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.isClosed = true
+	requests := make([]string, 0, len(t.jobs))
+	for id, e := range t.jobs {
+		e.isMoving = true
+		e.move()
+		requests = append(requests, id)
+	}
+	return requests
+}
+
+// takeUp takes jobs again.
+func (c Commands) takeUp() {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.isClosed = false
+}
+
+// forget removes a job without giving its results up and returns them.
+func (c Commands) forget(request string) [][]string {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.jobs[request]
+	if e == nil {
+		return nil
+	}
+	delete(t.jobs, request)
+	return e.job.made()
 }
 
 type usualTime = func(pool string, pieces int) time.Duration
@@ -41,6 +110,9 @@
 		return step{free: []string{handle}}
 	}
 	e.job = e.job.withHandle(p.Identity, handle)
+	if e.isMoving {
+		return step{}
+	}
 	return e.advance(usual, now)
 }
 
@@ -53,7 +125,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.jobs[p.Request]
-	if e == nil || e.job.handles[p.Stage][p.Number] != "" || e.job.tries >= maxTries {
+	if e == nil || e.job.handles[p.Stage][p.Number] != "" || e.job.tries >= maxTries || e.isMoving {
 		return false
 	}
 	e.job = e.job.withTry()
@@ -67,7 +139,7 @@
 	defer t.mu.Unlock()
 	e := t.jobs[p.Request]
 	// Other pieces of the call report the same loss: the first one counts.
-	if e == nil || e.job.tries >= maxTries || !slices.Equal(p.Inputs, e.job.stageInputs(p.Stage)) {
+	if e == nil || e.isMoving || e.job.tries >= maxTries || !slices.Equal(p.Inputs, e.job.stageInputs(p.Stage)) {
 		return step{}
 	}
 	dropped := e.job.kept()
--- a/preparation/desk.go
+++ b/preparation/desk.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -55,6 +56,8 @@
 	callFactor = 3
 	// freeInterval is how often makers are told which results are given up.
 	freeInterval = 100 * time.Millisecond
+	// tellLimit bounds short questions to servers of stages.
+	tellLimit = 500 * time.Millisecond
 	// sweepInterval is how often jobs of instances that are gone are given up.
 	sweepInterval = time.Second
 	// engineRetry is the pause before an engine is looked for again.
@@ -73,6 +76,8 @@
 	Call func(ctx context.Context, call batch.Call) ([]Result, error)
 	// Free tells a maker that results are given up.
 	Free func(ctx context.Context, address string, handles []string) error
+	// Room asks a server how many bytes of results it can still keep.
+	Room func(ctx context.Context, address string) (int64, error)
 	// Share returns the part of the bound of cold engines that this instance may
 	// use, from 0 to 1.
 	Share    func() float64
@@ -121,10 +126,16 @@
 	if f, ok := d.refuse(o, openedAt); ok {
 		return Placement{}, f
 	}
-	done, s := d.table.Commands().open(o, d.near(o, openedAt), d.usual, openedAt)
+	d.adopt(o, openedAt)
+	e, s, ok := d.table.Commands().open(o, d.near(o, openedAt), d.usual, openedAt)
+	if !ok {
+		return Placement{IsMoved: true, Made: o.Made}, nil
+	}
 	d.apply(s)
 	select {
-	case <-done:
+	case <-e.done:
+	case <-e.moved:
+		return Placement{IsMoved: true, Made: d.table.Commands().forget(o.Request)}, nil
 	case <-ctx.Done():
 		d.Abandon(o.Request)
 		return Placement{}, d.ended(ctx, "stages")
@@ -138,6 +149,26 @@
 	return p, nil
 }
 
+// adopt counts the results that an earlier coordinator had made.
+func (d *Desk) adopt(o Order, now time.Time) {
+	for i, handles := range o.Made {
+		if i < len(o.Stages) {
+			d.Batches.Commands().Adopt(o.Stages[i].Pool, handles, o.Stages[i].Bytes, now)
+		}
+	}
+}
+
+// HandOver lets all requests go that are not prepared yet, so that another
+// coordinator goes on with their results. Calls in progress are ended first.
+func (d *Desk) HandOver() {
+	for _, id := range d.table.Commands().handOver() {
+		d.Batches.Commands().Withdraw(id)
+	}
+}
+
+// TakeUp prepares requests again.
+func (d *Desk) TakeUp() { d.table.Commands().takeUp() }
+
 // refuse refuses a request early whose stages can't be done in its time, so that
 // its client can come back.
 func (d *Desk) refuse(o Order, now time.Time) (request.Failure, bool) {
@@ -263,6 +294,8 @@
 
 // execute makes one call and takes over what came of it.
 func (d *Desk) execute(ctx context.Context, call batch.Call) {
+	d.table.Commands().enter(call.Pieces)
+	defer d.table.Commands().leave(call.Pieces)
 	limit := callFactor*call.Expected + callSlack
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
@@ -279,6 +312,10 @@
 		}
 	}
 	d.Batches.Commands().End(call, made, now)
+	if slices.ContainsFunc(results, func(r Result) bool { return r.Verdict == NoRoom }) {
+		d.Batches.Commands().Crowded(call, now)
+		d.correct(ctx, call.Pool, call.Server)
+	}
 	for i, r := range results {
 		d.settle(call, call.Pieces[i], r, now)
 	}
@@ -294,7 +331,6 @@
 		d.apply(d.table.Commands().rebuild(p, d.usual, now))
 	case NoRoom:
 		d.Counters.Add("noRoom")
-		d.Batches.Commands().Crowded(call, now)
 		d.again(p, "")
 	case Late:
 		d.Counters.Add("pieceLate")
@@ -340,17 +376,53 @@
 		case <-ctx.Done():
 			return nil
 		}
-		for address, handles := range d.Batches.Commands().Free(d.takeFreed()) {
+		for address, handles := range d.Batches.Queries().Makers(d.takeFreed()) {
 			group.Go(func() error {
-				if err := d.Free(ctx, address, handles); err != nil {
-					d.Counters.Add("freeFailed")
-				}
+				d.tell(ctx, address, handles)
 				return nil
 			})
 		}
 	}
 }
 
+// tell tells a maker that results are given up, and counts their room as free
+// then.
+func (d *Desk) tell(ctx context.Context, address string, handles []string) {
+	ctx, cancel := context.WithTimeout(ctx, tellLimit)
+	defer cancel()
+	if err := d.Free(ctx, address, handles); err != nil {
+		d.Counters.Add("freeFailed")
+	}
+	d.Batches.Commands().Release(handles)
+}
+
+// TakeOver asks all servers of stages for their room, since an earlier
+// coordinator may have left results there.
+func (d *Desk) TakeOver(ctx context.Context) error {
+	var group errgroup.Group
+	for pool, places := range d.Batches.Queries().Servers() {
+		for _, p := range places {
+			group.Go(func() error {
+				d.correct(ctx, pool, p)
+				return nil
+			})
+		}
+	}
+	return group.Wait()
+}
+
+// correct asks a server for its room.
+func (d *Desk) correct(ctx context.Context, pool string, p batch.Place) {
+	ctx, cancel := context.WithTimeout(ctx, tellLimit)
+	defer cancel()
+	free, err := d.Room(ctx, p.Address)
+	if err != nil {
+		d.Counters.Add("roomUnknown")
+		return
+	}
+	d.Batches.Commands().Correct(pool, p.ID, free, time.Now())
+}
+
 // takeFreed returns the results that were given up since the last time.
 func (d *Desk) takeFreed() []string {
 	var handles []string
--- a/preparation/desk_test.go
+++ b/preparation/desk_test.go
@@ -38,6 +38,7 @@
 func newRig(t *testing.T, servers int) *rig {
 	r := &rig{Desk: NewDesk(), kept: map[string]bool{}}
 	r.Call, r.Free = r.call, r.drop
+	r.Room = func(context.Context, string) (int64, error) { return 20 << 20, nil }
 	for _, pool := range pools {
 		var places []batch.Place
 		for n := range servers {
@@ -124,6 +125,12 @@
 	}
 }
 
+// withBulky adds a stage whose large result the engine fetches.
+func withBulky(o Order) Order {
+	o.Stages = append(o.Stages, Stage{Pool: "encode", Pieces: 1, Bytes: 1 << 20})
+	return o
+}
+
 // describe tells what came of an order and what the makers were asked.
 func (r *rig) describe(p Placement, err error) string {
 	var b strings.Builder
@@ -141,7 +148,8 @@
 	return b.String()
 }
 
-// Guards against stages that begin without all of their inputs, pieces that are
+// Guards against stages that begin without all of their inputs, large results
+// that wait for other stages, pieces that are
 // lost when a server fails, is full, has no room or has lost an input, results
 // that nobody gives up, and answers after the deadline.
 func TestPrepare(t *testing.T) {
@@ -152,6 +160,7 @@
 		answer  func(call batch.Call, n int) ([]Result, error)
 	}{
 		{"three stages", 1, chain("r"), nil},
+		{"a large result beside a chain", 1, withBulky(chain("r")), nil},
 		{"a stage with no pieces", 1, Order{Request: "r", Pool: "models", Deadline: time.Second, Stages: []Stage{{Pool: "encode"}}}, nil},
 		{"a server fails", 2, chain("r"), func(_ batch.Call, n int) ([]Result, error) {
 			if n == 0 {
@@ -285,3 +294,45 @@
 		is.True(group.Wait() != nil)
 	})
 }
+
+// Guards against results that are made a second time, lost or given up while
+// another coordinator takes a request over, and against new work for requests
+// that are handed over.
+func TestHandOver(t *testing.T) {
+	for _, after := range []time.Duration{10 * time.Millisecond, 230 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			old, next := newRig(t, 1), newRig(t, 1)
+			next.last = 100 // handles differ
+			var group errgroup.Group
+			group.Go(func() error {
+				p, err := old.Prepare(t.Context(), chain("r"))
+				is.NoErr(err)
+				is.True(p.IsMoved)
+				o := chain("r")
+				o.Made = p.Made
+				p, err = next.Prepare(t.Context(), o)
+				is.NoErr(err)
+				is.Equal(len(p.Inputs), 2)
+				return nil
+			})
+			time.Sleep(after)
+			old.HandOver()
+			is.NoErr(group.Wait())
+			is.Equal(len(old.calls)+len(next.calls), 3) // each stage once
+			is.Equal(old.Queries().Open(), 0)
+			moved, err := old.Prepare(t.Context(), chain("r2"))
+			is.NoErr(err)
+			is.True(moved.IsMoved)
+			forced := chain("r3")
+			forced.IsForced = true
+			p, err := old.Prepare(t.Context(), forced)
+			is.NoErr(err)
+			is.True(!p.IsMoved)
+			old.TakeUp()
+			p, err = old.Prepare(t.Context(), chain("r4"))
+			is.NoErr(err)
+			is.True(!p.IsMoved)
+		})
+	}
+}
--- a/preparation/job.go
+++ b/preparation/job.go
@@ -22,10 +22,16 @@
 	queued []bool
 	// consumed tells for each stage that its results are no longer needed.
 	consumed []bool
+	// inCalls is the number of pieces in calls.
+	inCalls int
 	// tries counts the pieces that were made again.
 	tries int
 }
 
+// usedUpHandle stands for a result that was made and given up, in what one
+// coordinator tells the next.
+const usedUpHandle = "-"
+
 func newJob(o Order, now time.Time) job {
 	j := job{
 		order: o, openedAt: now, objective: now.Add(o.Objective), deadline: now.Add(o.Deadline),
@@ -33,10 +39,21 @@
 	}
 	for i, s := range o.Stages {
 		j.handles[i] = make([]string, s.Pieces)
+		if i < len(o.Made) && !o.IsRebuilt {
+			copy(j.handles[i], o.Made[i])
+			j.consumed[i] = slices.Contains(o.Made[i], usedUpHandle)
+		}
 	}
 	return j
 }
 
+// withCalls returns the job after some of its pieces went into a call, or came
+// out of one if the number is negative.
+func (j job) withCalls(pieces int) job {
+	j.inCalls += pieces
+	return j
+}
+
 // withNear returns the job with the data centre of its results.
 func (j job) withNear(dataCentre string) job {
 	j.near = dataCentre
@@ -73,9 +90,10 @@
 
 // withoutResults returns the job before any result was made.
 func (j job) withoutResults(now time.Time) job {
+	j.order.IsRebuilt = true
 	next := newJob(j.order, now)
 	next.openedAt, next.objective, next.deadline = j.openedAt, j.objective, j.deadline
-	next.near, next.tries = j.near, j.tries+1
+	next.near, next.tries, next.inCalls = j.near, j.tries+1, j.inCalls
 	return next
 }
 
@@ -92,7 +110,35 @@
 			return false
 		}
 	}
-	return true
+	return !j.isEarly(stage)
+}
+
+// isEarly reports whether large results for the engine would only wait for
+// another branch. They fill the room of their makers, which then can't work for
+// others.
+func (j job) isEarly(stage int) bool {
+	if j.order.Stages[stage].Bytes < bulkyBytes || len(j.followers(stage)) > 0 {
+		return false
+	}
+	for other := range j.order.Stages {
+		if other != stage && len(j.followers(other)) == 0 && j.unmadeDepth(other) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// unmadeDepth returns the number of stages up to a stage that have to be made one
+// after the other.
+func (j job) unmadeDepth(stage int) int {
+	if j.isMade(stage) {
+		return 0
+	}
+	longest := 0
+	for _, before := range j.order.Stages[stage].After {
+		longest = max(longest, j.unmadeDepth(before))
+	}
+	return longest + 1
 }
 
 // isDone reports whether the results of all stages are there.
@@ -132,6 +178,17 @@
 	return used
 }
 
+// made returns the results for another coordinator.
+func (j job) made() [][]string {
+	made := slices.Clone(j.handles)
+	for i, isUsedUp := range j.consumed {
+		if isUsedUp {
+			made[i] = slices.Repeat([]string{usedUpHandle}, len(made[i]))
+		}
+	}
+	return made
+}
+
 // inputs returns the results that the engine fetches: those that no stage
 // follows.
 func (j job) inputs() []string {
--- a/preparation/order.go
+++ b/preparation/order.go
@@ -37,6 +37,12 @@
 	Avoid []string `msgpack:"avoid"`
 	// IsRebuilt asks to make all results again, since an engine found some gone.
 	IsRebuilt bool `msgpack:"isRebuilt"`
+	// Made holds the results that an earlier coordinator had made, by stage and
+	// piece; "" is not made.
+	Made [][]string `msgpack:"made,omitempty"`
+	// IsForced asks an instance to prepare the request though it takes another one
+	// for the coordinator, since that one can't be reached.
+	IsForced bool `msgpack:"isForced,omitempty"`
 }
 
 // Placement is a prepared request: where it runs and with which results.
@@ -48,4 +54,8 @@
 	Inputs []string `msgpack:"inputs"`
 	// WaitedMs is the time that the preparation took.
 	WaitedMs int64 `msgpack:"waitedMs"`
+	// IsMoved tells that the request was not prepared here and has to be given to
+	// the coordinator, with the results that were made.
+	IsMoved bool       `msgpack:"isMoved,omitempty"`
+	Made    [][]string `msgpack:"made,omitempty"`
 }
--- a/preparation/table.go
+++ b/preparation/table.go
@@ -11,13 +11,19 @@
 type Table struct {
 	mu   *lock.Ranked
 	jobs map[string]*entry
+	// isClosed tells that no jobs are taken, but for forced ones.
+	isClosed bool
 }
 
 // entry is a job and what waits for it.
 type entry struct {
 	job job
-	// changed is closed and replaced when the results are all there.
-	done chan struct{}
+	// done is closed when the results are all there, moved when the job can be
+	// handed over.
+	done  chan struct{}
+	moved chan struct{}
+	// isMoving tells that the job is being handed over.
+	isMoving bool
 }
 
 // NewTable returns an empty table.
@@ -44,6 +50,24 @@
 	return len(q.table.jobs)
 }
 
+// newEntry returns an entry for a job.
+func newEntry(j job) *entry {
+	return &entry{job: j, done: make(chan struct{}), moved: make(chan struct{})}
+}
+
+// move lets a job go once none of its pieces is in a call. It is called under the
+// lock.
+func (e *entry) move() {
+	if e.job.inCalls > 0 {
+		return
+	}
+	select {
+	case <-e.moved:
+	default:
+		close(e.moved)
+	}
+}
+
 // step is what has to be done after a change of a job.
 type step struct {
 	queue []batch.Piece
