Stay in touch with five candidates only; pass changes on; keep queues in order

Change: beats go to the five first candidates for coordinator, which answer with the records that are missing; entries that only show that a server lives are not passed on; only a machine with the processor and link for it coordinates a large site; queues stay in order.

--- a/batch/choose.go
+++ b/batch/choose.go
@@ -1,9 +1,6 @@
 package batch
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// crossingPenalty is the delay that is accepted for a result of penaltyBytes
@@ -37,8 +34,8 @@
 }
 
 // choose returns the next call of a pool, or false if no piece should be sent
-// now. Waiting pieces are sorted by urgency.
-func choose(spec Spec, servers []Server, waiting []Piece, now time.Time) (Call, bool) {
+// now. The pieces are the most urgent ones of those that wait, in their order.
+func choose(spec Spec, servers []Server, waiting []Piece, size int, now time.Time) (Call, bool) {
 	idle := 0
 	for _, s := range servers {
 		if s.Calls < spec.Slots && !s.isBlocked(now) {
@@ -53,7 +50,7 @@
 		if !ok || s.Calls >= spec.Slots {
 			continue
 		}
-		pieces := fill(spec, s, p, waiting, share(spec, len(waiting), idle), now)
+		pieces := fill(spec, s, p, waiting, share(spec, size, idle), now)
 		usual := spec.duration(len(pieces))
 		return Call{
 			Server: s.Place, Pool: spec.Pool, Pieces: pieces, SentAt: now,
@@ -129,10 +126,3 @@
 	}
 	return pieces
 }
-
-// remove returns the waiting pieces without those of a call.
-func remove(waiting, taken []Piece) []Piece {
-	return slices.DeleteFunc(waiting, func(p Piece) bool {
-		return slices.ContainsFunc(taken, func(t Piece) bool { return t.Identity == p.Identity })
-	})
-}
--- a/batch/commands.go
+++ b/batch/commands.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"strings"
 	"time"
 )
@@ -16,29 +15,24 @@
 	t := c.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p := t.pools[spec.Pool]
-	if p == nil {
-		p = &pool{servers: map[string]Server{}}
-		t.pools[spec.Pool] = p
-	}
+	p := t.pool(spec.Pool)
 	p.spec = spec
+	servers := make(map[string]Server, len(places))
 	for id, s := range p.servers {
-		if s.Calls == 0 && !slices.ContainsFunc(places, func(pl Place) bool { return pl.ID == id }) {
-			delete(p.servers, id)
+		if s.Calls > 0 {
+			s.isUnlisted = true
+			servers[id] = s
 		}
 	}
-	listed := make(map[string]bool, len(places))
 	for _, pl := range places {
-		listed[pl.ID] = true
 		s, ok := p.servers[pl.ID]
 		if !ok || s.Address != pl.Address {
-			p.servers[pl.ID] = newServer(pl)
+			s = newServer(pl)
 		}
+		s.isUnlisted = false
+		servers[pl.ID] = s
 	}
-	for id, s := range p.servers {
-		s.isUnlisted = !listed[id]
-		p.servers[id] = s
-	}
+	p.setServers(servers)
 	t.changed.Signal()
 }
 
@@ -47,13 +41,9 @@
 	t := c.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := time.Now()
 	for _, p := range pieces {
-		q := t.pools[p.Pool]
-		if q == nil {
-			q = &pool{spec: Spec{Pool: p.Pool}, servers: map[string]Server{}}
-			t.pools[p.Pool] = q
-		}
-		q.waiting = append(q.waiting, p)
+		t.pool(p.Pool).queue.add(p, now)
 	}
 	t.changed.Signal()
 }
@@ -63,8 +53,8 @@
 	t := c.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, q := range t.pools {
-		q.waiting = slices.DeleteFunc(q.waiting, func(p Piece) bool { return p.Request == request })
+	for _, p := range t.pools {
+		p.queue.removeRequest(request)
 	}
 }
 
@@ -123,10 +113,10 @@
 	unused := call.Bytes()
 	for _, m := range made {
 		unused -= m.Piece.Bytes
-		t.results[m.Handle] = result{
-			pool: call.Pool, server: call.Server.ID, address: call.Server.Address, dataCentre: call.Server.DataCentre,
-			bytes: m.Piece.Bytes, expires: now.Add(p.spec.Life),
-		}
+		t.keep(p, m.Handle, result{
+			pool: call.Pool, server: call.Server.ID, address: call.Server.Address,
+			dataCentre: call.Server.DataCentre, bytes: m.Piece.Bytes,
+		}, now)
 	}
 	if s, ok := p.servers[call.Server.ID]; ok && s.Address == call.Server.Address {
 		p.servers[s.ID] = s.WithEnd(now.Sub(call.SentAt), call.Usual, unused)
@@ -190,7 +180,7 @@
 		_, isKnown := t.results[h]
 		for id, s := range p.servers {
 			if s.Address == address && h != "" && !isKnown {
-				t.results[h] = result{pool: pool, server: id, address: address, dataCentre: s.DataCentre, bytes: bytes, expires: now.Add(p.spec.Life)}
+				t.keep(p, h, result{pool: pool, server: id, address: address, dataCentre: s.DataCentre, bytes: bytes}, now)
 				p.servers[id] = s.WithAdopted(bytes)
 			}
 		}
--- a/batch/piece.go
+++ b/batch/piece.go
@@ -47,23 +47,6 @@
 // isLate reports whether the request can no longer meet its objective.
 func (p Piece) isLate(now time.Time) bool { return now.After(p.Start) }
 
-// compareUrgency orders pieces: those that can be on time by their latest start,
-// with a bias for better classes, then late ones by class and deadline. A late
-// piece that went first would make another one late as well.
-func compareUrgency(a, b Piece, now time.Time) int {
-	aLate, bLate := a.isLate(now), b.isLate(now)
-	switch {
-	case aLate != bLate:
-		if aLate {
-			return 1
-		}
-		return -1
-	case aLate:
-		return cmp.Or(cmp.Compare(a.Rank, b.Rank), a.Deadline.Compare(b.Deadline), compareIdentity(a, b))
-	}
-	return cmp.Or(a.biasedStart().Compare(b.biasedStart()), compareIdentity(a, b))
-}
-
 func (p Piece) biasedStart() time.Time { return p.Start.Add(time.Duration(p.Rank) * rankBias) }
 
 // compareIdentity keeps the pieces of a request together.
--- a/batch/queries.go
+++ b/batch/queries.go
@@ -1,7 +1,6 @@
 package batch
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -32,7 +31,7 @@
 	if p == nil {
 		return Depth{Pool: name}
 	}
-	d := Depth{Pool: name, Waiting: len(p.waiting)}
+	d := Depth{Pool: name, Waiting: p.queue.size()}
 	perSecond, taken := 0.0, int64(0)
 	for _, s := range p.servers {
 		if s.isUnlisted || s.isBlocked(now) {
@@ -87,7 +86,7 @@
 	defer t.mu.Unlock()
 	places := map[string][]Place{}
 	for name, p := range t.pools {
-		for _, s := range p.sortedServers() {
+		for _, s := range p.list() {
 			places[name] = append(places[name], s.Place)
 		}
 	}
@@ -99,7 +98,7 @@
 	t := q.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return slices.Sorted(maps.Keys(t.pools))
+	return slices.Clone(t.names)
 }
 
 // DataCentre returns where a result is kept, empty if it is unknown.
--- a/batch/table.go
+++ b/batch/table.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -17,6 +18,8 @@
 	// the coordinator's processor time.
 	changed *sync.Cond
 	pools   map[string]*pool
+	// names are the names of the pools, sorted.
+	names   []string
 	results map[string]result
 	last    uint64
 }
@@ -25,7 +28,12 @@
 type pool struct {
 	spec    Spec
 	servers map[string]Server
-	waiting []Piece
+	// ids are the IDs of the servers, sorted.
+	ids   []string
+	queue queue
+	// expiries are the ends of the results in the order in which they were made,
+	// which is that of their ends.
+	expiries []expiry
 }
 
 // result is a result that takes room at its maker.
@@ -36,7 +44,12 @@
 	// dataCentre is that of the maker.
 	dataCentre string
 	bytes      int64
-	expires    time.Time
+}
+
+// expiry is when a result is dropped by its maker.
+type expiry struct {
+	handle string
+	at     time.Time
 }
 
 // NewTable returns an empty table.
@@ -51,19 +64,30 @@
 // Queries returns what reads the table.
 func (t *Table) Queries() Queries { return Queries{t} }
 
+// pool returns a pool, which is added if it is new.
+func (t *Table) pool(name string) *pool {
+	p := t.pools[name]
+	if p == nil {
+		p = &pool{spec: Spec{Pool: name}, servers: map[string]Server{}}
+		t.pools[name] = p
+		t.names = slices.Sorted(maps.Keys(t.pools))
+	}
+	return p
+}
+
 // next returns the next call of any pool.
 func (t *Table) next(now time.Time) (Call, bool) {
-	for _, name := range slices.Sorted(maps.Keys(t.pools)) {
+	for _, name := range t.names {
 		p := t.pools[name]
-		if len(p.waiting) == 0 {
+		if p.queue.isEmpty() || !p.hasIdle(now) {
 			continue
 		}
-		slices.SortFunc(p.waiting, func(a, b Piece) int { return compareUrgency(a, b, now) })
-		call, ok := choose(p.spec, p.sortedServers(), p.waiting, now)
+		p.queue.age(now)
+		call, ok := choose(p.spec, p.list(), p.queue.first(lookAhead), p.queue.size(), now)
 		if !ok {
 			continue
 		}
-		p.waiting = remove(p.waiting, call.Pieces)
+		p.queue.remove(call.Pieces)
 		t.last++
 		call.Number = t.last
 		s := p.servers[call.Server.ID]
@@ -73,14 +97,31 @@
 	return Call{}, false
 }
 
-func (p *pool) sortedServers() []Server {
-	servers := make([]Server, 0, len(p.servers))
-	for _, id := range slices.Sorted(maps.Keys(p.servers)) {
+// hasIdle reports whether a server may get a call.
+func (p *pool) hasIdle(now time.Time) bool {
+	for _, id := range p.ids {
+		if s := p.servers[id]; s.Calls < p.spec.Slots && !s.isBlocked(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// list returns the servers by ID.
+func (p *pool) list() []Server {
+	servers := make([]Server, 0, len(p.ids))
+	for _, id := range p.ids {
 		servers = append(servers, p.servers[id])
 	}
 	return servers
 }
 
+// setServers takes over the servers of the pool.
+func (p *pool) setServers(servers map[string]Server) {
+	p.servers = servers
+	p.ids = slices.Sorted(maps.Keys(servers))
+}
+
 // wakeAfter returns when a blocked server may be used again or a result expires,
 // so that a waiting worker looks again; zero if nothing is due.
 func (t *Table) wakeAfter(now time.Time) time.Duration {
@@ -91,28 +132,35 @@
 		}
 	}
 	for _, p := range t.pools {
-		if len(p.waiting) == 0 {
+		if p.queue.isEmpty() {
 			continue
 		}
 		for _, s := range p.servers {
 			consider(s.blockedUntil)
 			consider(s.unknownUntil)
 		}
-		for _, r := range t.results {
-			if r.pool == p.spec.Pool {
-				consider(r.expires)
-			}
+		if len(p.expiries) > 0 {
+			consider(p.expiries[0].at)
 		}
 	}
 	return first
 }
 
+// keep adds a result.
+func (t *Table) keep(p *pool, handle string, r result, now time.Time) {
+	t.results[handle] = r
+	p.expiries = append(p.expiries, expiry{handle, now.Add(p.spec.Life)})
+}
+
 // expire gives back the room of results that their makers no longer keep.
 func (t *Table) expire(now time.Time) {
-	for handle, r := range t.results {
-		if !now.Before(r.expires) {
-			t.release(handle)
+	for _, p := range t.pools {
+		due := 0
+		for due < len(p.expiries) && !now.Before(p.expiries[due].at) {
+			t.release(p.expiries[due].handle)
+			due++
 		}
+		p.expiries = p.expiries[due:]
 	}
 }
 
@@ -129,3 +177,84 @@
 		}
 	}
 }
+
+// lookAhead is the number of waiting pieces among which a call is chosen. Others
+// wait behind them in any case.
+const lookAhead = 160
+
+// queue holds the waiting pieces of a pool in the order of their urgency.
+type queue struct {
+	// onTime can still meet their objectives, late can not.
+	onTime []Piece
+	late   []Piece
+}
+
+func (q *queue) isEmpty() bool { return len(q.onTime) == 0 && len(q.late) == 0 }
+
+func (q *queue) size() int { return len(q.onTime) + len(q.late) }
+
+// add puts a piece in its place.
+func (q *queue) add(p Piece, now time.Time) {
+	if p.isLate(now) {
+		q.late = insert(q.late, p, compareLate)
+		return
+	}
+	q.onTime = insert(q.onTime, p, compareOnTime)
+}
+
+func insert(pieces []Piece, p Piece, compare func(a, b Piece) int) []Piece {
+	at, _ := slices.BinarySearchFunc(pieces, p, compare)
+	return slices.Insert(pieces, at, p)
+}
+
+// age moves pieces that can no longer meet their objectives.
+func (q *queue) age(now time.Time) {
+	if !slices.ContainsFunc(q.onTime, func(p Piece) bool { return p.isLate(now) }) {
+		return
+	}
+	kept := make([]Piece, 0, len(q.onTime))
+	for _, p := range q.onTime {
+		if p.isLate(now) {
+			q.late = insert(q.late, p, compareLate)
+		} else {
+			kept = append(kept, p)
+		}
+	}
+	q.onTime = kept
+}
+
+// first returns the most urgent pieces.
+func (q *queue) first(most int) []Piece {
+	pieces := slices.Clone(q.onTime[:min(most, len(q.onTime))])
+	return append(pieces, q.late[:min(most-len(pieces), len(q.late))]...)
+}
+
+// remove takes pieces out.
+func (q *queue) remove(pieces []Piece) {
+	taken := make(map[Identity]bool, len(pieces))
+	for _, p := range pieces {
+		taken[p.Identity] = true
+	}
+	isTaken := func(p Piece) bool { return taken[p.Identity] }
+	q.onTime = slices.DeleteFunc(q.onTime, isTaken)
+	q.late = slices.DeleteFunc(q.late, isTaken)
+}
+
+// removeRequest takes the pieces of a request out.
+func (q *queue) removeRequest(request string) {
+	isOfRequest := func(p Piece) bool { return p.Request == request }
+	q.onTime = slices.DeleteFunc(q.onTime, isOfRequest)
+	q.late = slices.DeleteFunc(q.late, isOfRequest)
+}
+
+// compareOnTime orders pieces that can be on time by their latest start, with a
+// bias for better classes.
+func compareOnTime(a, b Piece) int {
+	return cmp.Or(a.biasedStart().Compare(b.biasedStart()), compareIdentity(a, b))
+}
+
+// compareLate orders late pieces by class and deadline. They go after the others:
+// a late piece that went first would make another one late as well.
+func compareLate(a, b Piece) int {
+	return cmp.Or(cmp.Compare(a.Rank, b.Rank), a.Deadline.Compare(b.Deadline), compareIdentity(a, b))
+}
--- a/crew/crew.go
+++ b/crew/crew.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -23,6 +24,9 @@
 	FitSince int64 `msgpack:"fitSince"`
 	// IsLeaving tells that the instance shuts down.
 	IsLeaving bool `msgpack:"isLeaving"`
+	// IsStrong tells that the machine has the processor and the link to coordinate
+	// a large site.
+	IsStrong bool `msgpack:"isStrong"`
 }
 
 // WithFitSince returns the instance after a break.
@@ -83,9 +87,57 @@
 	if a.IsLeaving != b.IsLeaving {
 		return b.IsLeaving
 	}
+	if a.IsStrong != b.IsStrong {
+		return a.IsStrong
+	}
 	return cmp.Or(cmp.Compare(a.FitSince, b.FitSince), cmp.Compare(a.Name, b.Name)) < 0
 }
 
+const (
+	// councilSize is the number of first candidates for coordinator that every
+	// instance stays in touch with. With all of them in touch with each other, the
+	// messages of n instances would grow with n squared.
+	councilSize = 5
+	// failedFor is how long an instance that did not answer is left out of the
+	// council.
+	failedFor = 1500 * time.Millisecond
+)
+
+// Council returns the first candidates for coordinator among the instances that
+// may live, which may include this one.
+func (v View) Council(now time.Time) []Mate {
+	council := []Mate{v.self}
+	for _, s := range v.others {
+		if s.isHeard(now) || now.Sub(s.failedAt) >= failedFor && now.Sub(s.lastSign()) < forgetAfter {
+			council = append(council, s.mate)
+		}
+	}
+	slices.SortFunc(council, func(a, b Mate) int {
+		if goesBefore(a, b) {
+			return -1
+		}
+		return 1
+	})
+	return council[:min(len(council), councilSize)]
+}
+
+// lastSign returns when the instance was last heard, or first heard of.
+func (s seen) lastSign() time.Time {
+	if s.heardAt.IsZero() {
+		return s.addedAt
+	}
+	return s.heardAt
+}
+
+// IsHeard reports whether an instance can be reached as far as is known.
+func (v View) IsHeard(name string, now time.Time) bool {
+	s, ok := v.others[name]
+	return ok && s.isHeard(now)
+}
+
+// Size returns the number of known instances, this one included.
+func (v View) Size() int { return len(v.others) + 1 }
+
 // Heard returns the other instances that can be reached, by name.
 func (v View) Heard(now time.Time) []Mate {
 	var mates []Mate
@@ -165,13 +217,13 @@
 // WithoutStale returns the view without instances that have not been heard for
 // long.
 func (v View) WithoutStale(now time.Time) View {
+	isStale := func(s seen) bool { return now.Sub(s.lastSign()) >= forgetAfter }
+	if !slices.ContainsFunc(slices.Collect(maps.Values(v.others)), isStale) {
+		return v
+	}
 	others := make(map[string]seen, len(v.others))
 	for name, s := range v.others {
-		last := s.heardAt
-		if last.IsZero() {
-			last = s.addedAt
-		}
-		if now.Sub(last) < forgetAfter {
+		if now.Sub(s.lastSign()) < forgetAfter {
 			others[name] = s
 		}
 	}
--- a/crew/crew_test.go
+++ b/crew/crew_test.go
@@ -87,3 +87,31 @@
 	is.Equal(len(v.Heard(at.Add(time.Hour))), 0)
 	is.Equal(v.Known(), []Mate{mate("n1", 10)}) // what it said itself goes first
 }
+
+// Guards against a large site in which some instances don't stay in touch with
+// the coordinator of the others, and against messages to instances that are dead.
+func TestCouncil(t *testing.T) {
+	is := is.New(t)
+	at := time.Unix(1000, 0)
+	var all []Mate
+	for n := range 60 {
+		m := mate(fmt.Sprintf("n%02d", n), int64(n))
+		m.IsStrong = n%2 == 1
+		all = append(all, m)
+	}
+	for _, self := range []Mate{all[0], all[1], all[40]} {
+		table := NewTable(self)
+		c := table.Commands()
+		c.Learn(all, at)
+		var names []string
+		for _, m := range table.Queries().View().Council(at) {
+			names = append(names, m.Name)
+		}
+		is.Equal(strings.Join(names, " "), "n01 n03 n05 n07 n09")
+	}
+	table := NewTable(all[40])
+	table.Commands().Learn(all, at)
+	table.Commands().Fail("n01", at)
+	is.Equal(table.Queries().View().Council(at.Add(time.Second))[0].Name, "n03")
+	is.Equal(table.Queries().View().Council(at.Add(failedFor))[0].Name, "n01") // tried again
+}
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -21,6 +21,8 @@
 	beatInterval = 250 * time.Millisecond
 	// beatLimit bounds a beat with its answer.
 	beatLimit = 700 * time.Millisecond
+	// largeSite is the number of instances from which on most beat half as often.
+	largeSite = 16
 	// knownEvery is the number of beats after which the known instances are told.
 	knownEvery = 8
 	// maxBreak is the longest break of this instance, such as a suspended machine,
@@ -63,8 +65,6 @@
 	switch subject {
 	case beatSubject:
 		return reply(data, i.takeBeat)
-	case recordsSubject:
-		return reply(data, i.records)
 	case prepareSubject:
 		return reply(data, func(o preparation.Order) (preparation.Placement, error) { return i.prepareHere(ctx, o) })
 	case noticeSubject:
@@ -73,36 +73,24 @@
 	return nil, request.Refuse(request.ReasonMalformed, "unknown subject "+subject)
 }
 
-// takeBeat takes a beat of another instance and answers with the own one.
+// takeBeat takes a beat of another instance and answers with the own one and what
+// the other one lacks.
 func (i *Instance) takeBeat(b beatBody) (beatBody, error) {
-	now := time.Now()
-	i.hear(b, now)
-	// The records are asked for on the beats of this instance: hurry them if the
-	// other one has more.
-	if i.isBehind(b.Positions) {
+	i.hear(b, time.Now())
+	answer := i.beat(len(b.Known) > 0)
+	answer.Missing = i.missing(b.Positions)
+	if slices.ContainsFunc(b.Positions, func(p position) bool { return p.End > i.feeds.Queries().State(p.Stream).End }) {
+		// The other one has more, which comes with the answer to a beat.
 		i.hurryBeats()
 	}
-	return i.beat(len(b.Known) > 0), nil
-}
-
-func (i *Instance) isBehind(positions []position) bool {
-	return slices.ContainsFunc(positions, func(p position) bool {
-		return p.End > i.feeds.Queries().State(p.Stream).End
-	})
+	return answer, nil
 }
 
 // hear notes a message of an instance and what it knows to be complete.
 func (i *Instance) hear(b beatBody, now time.Time) {
 	i.crew.Commands().Hear(b.Self, b.Known, now)
 	i.client.Forgive(b.Self.Address)
-	for _, p := range b.Positions {
-		if p.End != i.feeds.Queries().State(p.Stream).End {
-			continue
-		}
-		confirmed := now.Add(-time.Duration(p.AgeMs) * time.Millisecond)
-		i.feeds.Commands().Confirm(p.Stream, p.End, confirmed)
-		i.confirm(p.Stream, confirmed)
-	}
+	i.catchUp(b, now)
 }
 
 func (i *Instance) beat(isFull bool) beatBody {
@@ -114,11 +102,6 @@
 	return b
 }
 
-func (i *Instance) records(q recordsQuestion) (recordsReply, error) {
-	s := i.feeds.Queries().State(q.Stream)
-	return recordsReply{Records: s.Since(q.From), End: s.End, AgeMs: time.Since(s.ConfirmedAt).Milliseconds()}, nil
-}
-
 // hurryBeats makes the next beats go out at once.
 func (i *Instance) hurryBeats() {
 	select {
@@ -142,9 +125,9 @@
 		case <-ctx.Done():
 			return nil
 		}
-		timer.Reset(beatInterval)
+		timer.Reset(i.interval())
 		boot, now := i.SinceBoot(), time.Now()
-		if boot-lastBoot > now.Sub(lastRun)+maxBreak || now.Sub(lastRun) > beatInterval+2*maxBreak {
+		if boot-lastBoot > now.Sub(lastRun)+maxBreak || now.Sub(lastRun) > i.interval()+2*maxBreak {
 			i.resume(boot-lastBoot, now)
 		}
 		lastBoot, lastRun = boot, now
@@ -169,6 +152,17 @@
 	}
 }
 
+// interval returns the interval of beats: in a large site an instance that is no
+// candidate for coordinator beats half as often.
+func (i *Instance) interval() time.Duration {
+	v := i.view()
+	isMember := slices.ContainsFunc(v.Council(time.Now()), func(m crew.Mate) bool { return m.Name == i.Settings.Name })
+	if v.Size() > largeSite && !isMember {
+		return 2 * beatInterval
+	}
+	return beatInterval
+}
+
 // resume takes up work after a break: others may have taken over meanwhile, and
 // what is known is old.
 func (i *Instance) resume(broke time.Duration, now time.Time) {
@@ -178,19 +172,33 @@
 	i.feeds.Commands().Doubt()
 }
 
-// targets returns the addresses of a round: of each two instances the one with
-// the lower name beats, and the other one as well while it hears nothing.
+// targets returns the addresses of a round: the first candidates for coordinator,
+// which stay in touch with all. Between two of them the one with the lower name
+// beats, and the other one as well while it hears nothing. An instance that
+// leaves, or that has news of operators, tells all that it hears.
 func (i *Instance) targets(round int, now time.Time) []string {
 	v := i.view()
 	var addresses []string
-	for _, m := range v.Known() {
-		if i.Settings.Name < m.Name || !slices.ContainsFunc(v.Heard(now), func(h crew.Mate) bool { return h.Name == m.Name }) || i.isLeaving() {
+	add := func(m crew.Mate) {
+		if m.Name != i.Settings.Name && !slices.Contains(addresses, m.Address) {
 			addresses = append(addresses, m.Address)
 		}
 	}
-	if round%seedEvery == 0 {
+	council := v.Council(now)
+	isMember := slices.ContainsFunc(council, func(m crew.Mate) bool { return m.Name == i.Settings.Name })
+	for _, m := range council {
+		if !isMember || i.Settings.Name < m.Name || !v.IsHeard(m.Name, now) {
+			add(m)
+		}
+	}
+	if i.isPushing.Swap(false) || i.isLeaving() {
+		for _, m := range v.Heard(now) {
+			add(m)
+		}
+	}
+	if round%seedEvery == 0 && len(v.Heard(now)) < len(council)-1 || v.Size() == 1 {
 		for _, seed := range i.Settings.Seeds {
-			if seed != i.Settings.Peers && !slices.ContainsFunc(v.Known(), func(m crew.Mate) bool { return m.Address == seed }) {
+			if seed != i.Settings.Peers && !slices.Contains(addresses, seed) {
 				addresses = append(addresses, seed)
 			}
 		}
@@ -208,7 +216,6 @@
 		return
 	}
 	i.hear(b, now)
-	i.level(ctx, address, b.Positions, now)
 }
 
 // failAddress notes that the instance at an address did not answer.
@@ -222,7 +229,7 @@
 
 const (
 	// registerEvery is how often instances look for others in the store.
-	registerEvery = 5 * time.Second
+	registerEvery = 15 * time.Second
 	// registerRetry is the pause after a failed look.
 	registerRetry = time.Second
 	registerLimit = 1500 * time.Millisecond
--- a/entry/feeds.go
+++ b/entry/feeds.go
@@ -13,13 +13,14 @@
 const (
 	// readWait is how long a read of the operators' stream waits for a record, and
 	// readLimit how long for its answer at all.
-	readWait  = 700 * time.Millisecond
-	readLimit = 1400 * time.Millisecond
+	readWait  = 400 * time.Millisecond
+	readLimit = 1100 * time.Millisecond
 	// serversInterval is how often the coordinator reads the entries of servers.
 	serversInterval = 350 * time.Millisecond
 	// staleAge is the age of a copy from which on an instance reads the store
-	// itself: the coordinator passes records on in a third of it.
-	staleAge = 900 * time.Millisecond
+	// itself. The coordinator's own copy is up to readWait old, and instances of a
+	// large site hear of it each half second.
+	staleAge = 1500 * time.Millisecond
 	// readPause is the pause between two looks whether to read the store.
 	readPause = 100 * time.Millisecond
 	// awayAge is the age of a copy from which on the store counts as having been
@@ -83,9 +84,7 @@
 	if state.End > 0 {
 		records, end, err := i.store.Read(ctx, stream, state.End, wait)
 		if err == nil {
-			// A read that waited for nothing shows that the copy was complete at its
-			// end, one that returned at once that it was when it was asked.
-			i.take(stream, records, end, asked)
+			i.take(stream, records, end, completeAt(asked, wait, len(records) > 0))
 			return nil
 		}
 		if !errors.Is(err, platform.ErrExpired) {
@@ -102,12 +101,23 @@
 	return nil
 }
 
+// completeAt returns when a copy was complete after a read: one that waited for
+// nothing shows it for the end of its wait, any other one for when it was asked.
+func completeAt(asked time.Time, wait time.Duration, isFruitful bool) time.Time {
+	if !isFruitful && time.Since(asked) >= wait {
+		return asked.Add(wait)
+	}
+	return asked
+}
+
 // take adds records to the copy of a stream and applies the new ones.
 func (i *Instance) take(stream string, records []feed.Record, end uint64, at time.Time) {
 	i.noteAway(stream)
 	i.feeds.Commands().Take(stream, records, end, at, func(fresh []feed.Record) { i.apply(stream, fresh) })
 	i.confirm(stream, at)
-	if len(records) > 0 {
+	if len(records) > 0 && stream == platform.Operators {
+		// What operators ask for is in force everywhere as soon as possible.
+		i.isPushing.Store(true)
 		i.hurryBeats()
 	}
 }
@@ -138,23 +148,41 @@
 	return positions
 }
 
-// level asks an instance for records that it has and this one lacks.
-func (i *Instance) level(ctx context.Context, address string, positions []position, now time.Time) {
+// missing returns the records that an instance lacks whose copies reach some
+// positions.
+func (i *Instance) missing(positions []position) []streamRecords {
+	var missing []streamRecords
 	for _, p := range positions {
-		state := i.feeds.Queries().State(p.Stream)
-		confirmed := now.Add(-time.Duration(p.AgeMs) * time.Millisecond)
-		if p.End <= state.End {
-			if p.End == state.End {
-				i.feeds.Commands().Confirm(p.Stream, p.End, confirmed)
-				i.confirm(p.Stream, confirmed)
-			}
-			continue
+		if s := i.feeds.Queries().State(p.Stream); s.End > p.End {
+			missing = append(missing, streamRecords{Stream: p.Stream, From: p.End, Records: s.Since(p.End), End: s.End})
 		}
-		reply, err := ask[recordsReply](ctx, i, address, recordsSubject, recordsQuestion{Stream: p.Stream, From: state.End})
-		if err != nil {
-			return
+	}
+	return missing
+}
+
+// catchUp takes what another instance has beyond the copies of this one, and
+// notes which copies are complete.
+func (i *Instance) catchUp(b beatBody, now time.Time) {
+	for _, m := range b.Missing {
+		if i.feeds.Queries().State(m.Stream).End >= m.From {
+			i.take(m.Stream, m.Records, m.End, i.confirmedAt(b, m.Stream, now))
+		}
+	}
+	for _, p := range b.Positions {
+		at := i.confirmedAt(b, p.Stream, now)
+		if p.End == i.feeds.Queries().State(p.Stream).End {
+			i.feeds.Commands().Confirm(p.Stream, p.End, at)
+			i.confirm(p.Stream, at)
+		}
+	}
+}
+
+// confirmedAt returns when the copy of another instance was last complete.
+func (i *Instance) confirmedAt(b beatBody, stream string, now time.Time) time.Time {
+	for _, p := range b.Positions {
+		if p.Stream == stream {
+			return now.Add(-time.Duration(p.AgeMs) * time.Millisecond)
 		}
-		at := time.Now().Add(-time.Duration(reply.AgeMs) * time.Millisecond)
-		i.take(p.Stream, reply.Records, reply.End, at)
 	}
+	return time.Time{}
 }
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -60,8 +60,10 @@
 	// awayUntil is until when entries of servers that disappear may be missing
 	// because the store was away, in nanoseconds since the Unix epoch.
 	awayUntil atomic.Int64
-	// hurry wakes the beats before their time.
-	hurry chan struct{}
+	// hurry wakes the beats before their time; isPushing makes the next ones go to
+	// all instances that are heard.
+	hurry     chan struct{}
+	isPushing atomic.Bool
 
 	refusals *counter.Set
 	retries  *counter.Set
@@ -90,8 +92,10 @@
 	}
 	i.crew = crew.NewTable(crew.Mate{
 		Name: s.Name, Address: s.Peers, DataCentre: s.DataCentre, FitSince: time.Now().UnixMilli(),
+		IsStrong: s.Cores >= strongCores && s.LinkMbps >= strongLink,
 	})
 	i.plain = backend.NewTable(i.Logger)
+	i.feeds.Stream(platform.Servers, platform.IsSameServer)
 	i.assemble()
 	return i
 }
@@ -125,6 +129,9 @@
 }
 
 const (
+	// strongCores and strongLink are what the coordinator of a large site needs.
+	strongCores = 0.35
+	strongLink  = 50
 	// silenceLimit is how long another instance may owe an answer before its
 	// connection counts as dead. Beats are answered at once; a slow machine gets
 	// five times as much as it needs at its worst.
--- a/entry/message.go
+++ b/entry/message.go
@@ -11,7 +11,6 @@
 // The subjects of questions between instances.
 const (
 	beatSubject    = "beat"
-	recordsSubject = "records"
 	prepareSubject = "prepare"
 	noticeSubject  = "notice"
 )
@@ -29,18 +28,16 @@
 	Self      crew.Mate   `msgpack:"self"`
 	Known     []crew.Mate `msgpack:"known,omitempty"`
 	Positions []position  `msgpack:"positions"`
+	// Missing are the records that the other instance lacks, in an answer.
+	Missing []streamRecords `msgpack:"missing,omitempty"`
 }
 
-// recordsQuestion asks for the records of a stream from an offset on.
-type recordsQuestion struct {
-	Stream string `msgpack:"stream"`
-	From   uint64 `msgpack:"from"`
-}
-
-type recordsReply struct {
+// streamRecords completes a copy of a stream that reaches From.
+type streamRecords struct {
+	Stream  string        `msgpack:"stream"`
+	From    uint64        `msgpack:"from"`
 	Records []feed.Record `msgpack:"records"`
 	End     uint64        `msgpack:"end"`
-	AgeMs   int64         `msgpack:"ageMs"`
 }
 
 // noticeKind says what became of a prepared request.
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -4,6 +4,7 @@
 package feed
 
 import (
+	"bytes"
 	"cmp"
 	"maps"
 	"slices"
@@ -17,6 +18,9 @@
 	Value  []byte `msgpack:"value"`
 	// IsRemoved tells that the key was dropped.
 	IsRemoved bool `msgpack:"isRemoved"`
+	// changedAt is the offset of the record with which the value last changed in a
+	// way that matters.
+	changedAt uint64
 }
 
 // State is a copy of a stream. It is an immutable value.
@@ -25,7 +29,10 @@
 	End uint64
 	// ConfirmedAt is when the copy was last known to be complete.
 	ConfirmedAt time.Time
-	records     map[string]Record
+	// IsSame reports whether two values of a key mean the same, such as those that
+	// a server writes only to show that it lives. Nil compares the bytes.
+	IsSame  func(a, b []byte) bool
+	records map[string]Record
 }
 
 // WithRecords returns the state after records that complete it up to an offset,
@@ -33,9 +40,15 @@
 func (s State) WithRecords(records []Record, end uint64) (State, []Record) {
 	var fresh []Record
 	for _, r := range records {
-		if old, ok := s.records[r.Key]; !ok || r.Offset > old.Offset {
-			fresh = append(fresh, r)
+		old, ok := s.records[r.Key]
+		if ok && r.Offset <= old.Offset {
+			continue
 		}
+		r.changedAt = r.Offset
+		if ok && old.IsRemoved == r.IsRemoved && s.isSame(old.Value, r.Value) {
+			r.changedAt = old.changedAt
+		}
+		fresh = append(fresh, r)
 	}
 	slices.SortFunc(fresh, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
 	s.End = max(s.End, end)
@@ -75,11 +88,19 @@
 	return s
 }
 
-// Since returns the records from an offset on, in the order of their offsets.
+func (s State) isSame(a, b []byte) bool {
+	if s.IsSame == nil {
+		return bytes.Equal(a, b)
+	}
+	return s.IsSame(a, b)
+}
+
+// Since returns the records that changed from an offset on, in the order of their
+// offsets. Who has all records before that offset is up to date with them.
 func (s State) Since(from uint64) []Record {
 	var records []Record
 	for _, r := range s.records {
-		if r.Offset >= from {
+		if r.changedAt >= from {
 			records = append(records, r)
 		}
 	}
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -46,10 +46,29 @@
 	s, _ := State{}.WithRecords([]Record{{Key: "a", Offset: 1}, {Key: "b", Offset: 2}, {Key: "c", Offset: 9}}, 10)
 	s, fresh := s.WithSnapshot([]Record{{Key: "b", Offset: 5}}, 8)
 	is.Equal(len(fresh), 2)
-	is.Equal(fresh[0], Record{Key: "b", Offset: 5})
-	is.Equal(fresh[1], Record{Key: "a", Offset: 7, IsRemoved: true})
+	is.Equal(fresh[0].Key, "b")
+	is.Equal(fresh[0].Offset, uint64(5))
+	is.Equal(fresh[1].Key, "a")
+	is.Equal(fresh[1].Offset, uint64(7))
+	is.True(fresh[1].IsRemoved)
 	is.Equal(s.End, uint64(10))
-	is.Equal(s.Since(9), []Record{{Key: "c", Offset: 9}}) // newer than the snapshot
+	is.Equal(len(s.Since(9)), 1) // c is newer than the snapshot
+}
+
+// Guards against relays that repeat each sign of life of a server, and against
+// ones that leave out a change.
+func TestOnlyChangesArePassedOn(t *testing.T) {
+	is := is.New(t)
+	s := State{IsSame: func(a, b []byte) bool { return a[0] == b[0] }}
+	s, _ = s.WithRecords([]Record{{Key: "a", Offset: 0, Value: []byte("x1")}}, 1)
+	s, fresh := s.WithRecords([]Record{{Key: "a", Offset: 1, Value: []byte("x2")}}, 2)
+	is.Equal(len(fresh), 1)
+	is.Equal(len(s.Since(1)), 0) // only a sign of life
+	is.Equal(string(s.Since(0)[0].Value), "x2")
+	s, _ = s.WithRecords([]Record{{Key: "a", Offset: 2, Value: []byte("y1")}}, 3)
+	is.Equal(len(s.Since(2)), 1)
+	s, _ = s.WithRecords([]Record{{Key: "a", Offset: 3, IsRemoved: true, Value: []byte("y1")}}, 4)
+	is.Equal(len(s.Since(3)), 1) // a removal is a change
 }
 
 // Guards against records that are applied twice or with a gap in between, and
--- a/feed/table.go
+++ b/feed/table.go
@@ -13,6 +13,13 @@
 	return &Table{mu: lock.New(lock.RankFeed, "feed"), states: map[string]State{}}
 }
 
+// Stream adds a stream whose values mean the same if isSame says so.
+func (t *Table) Stream(name string, isSame func(a, b []byte) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.states[name] = State{IsSame: isSame}
+}
+
 // Commands returns what changes the table.
 func (t *Table) Commands() Commands { return Commands{t} }
 
--- a/route/queries.go
+++ b/route/queries.go
@@ -5,7 +5,7 @@
 // confirmationAge is how old the last confirmation may be for a refusal that
 // depends on a missing route or key. It lies below the time within which a
 // configuration must be in force everywhere.
-const confirmationAge = 1500 * time.Millisecond
+const confirmationAge = 1800 * time.Millisecond
 
 // Queries reads a table without taking a lock. Concurrent calls are safe.
 type Queries struct{ table *Table }
