--- a/cmd/lycheecrank/main.go
+++ b/cmd/lycheecrank/main.go
@@ -73,9 +73,11 @@
 	if err != nil {
 		return err
 	}
-	// Settings that change are read again; a hangup must not end the process.
-	signal.Ignore(syscall.SIGHUP)
 	i := entry.New(s, os.Stdout)
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
+	defer signal.Stop(changed)
+	i.Changed = changed
 	i.MetricsAddress = c.String("metrics")
 	return i.Run(ctx)
 }
--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -74,15 +74,15 @@
 	Status int
 	// IsNotRun tells that the server promises not to have run the request.
 	IsNotRun bool
+	// IsMisdirected tells that another server answered, so that the request has not
+	// reached the one that it was sent to.
+	IsMisdirected bool
 	// IsInputGone tells that a result that the request needs is gone.
 	IsInputGone bool
 	// IsProper tells that the answer belongs to the request and, if it is a
 	// success, is signed by the server.
 	IsProper bool
-	// IsUnframed tells that the answer ends with its connection, so that a cut can
-	// look like an end.
-	IsUnframed bool
-	Body       io.ReadCloser
+	Body     io.ReadCloser
 	// Begin passes the status and headers on to the client.
 	Begin func() error
 }
--- a/delivery/plain.go
+++ b/delivery/plain.go
@@ -14,7 +14,7 @@
 	// keptAnswer is the size up to which an answer is held until it is whole, so
 	// that a request can be repeated after a cut answer.
 	keptAnswer = 1 << 20
-	// unsentTries bounds the sends of which the servers promise that nothing ran.
+	// unsentTries bounds the sends that reached no server.
 	unsentTries = 3
 	// busyRetry is the pause before a server is looked for again.
 	busyRetry = 10 * time.Millisecond
@@ -31,11 +31,12 @@
 func (d *Desk) plain(ctx context.Context, v visit) Verdict {
 	var result Verdict
 	var avoid []string
-	runs, unsent := 0, 0
+	reached, unsent := 0, 0
+	mayHaveRunBefore := false
 	for {
 		s, ok := d.reserve(ctx, v, avoid)
 		if !ok {
-			return result.withFailure(d.noServer(ctx, runs > 0))
+			return result.withFailure(d.noServer(ctx, mayHaveRunBefore))
 		}
 		sent := time.Now()
 		a, body, err := d.exchange(ctx, v, s)
@@ -44,19 +45,24 @@
 		reason := outcomeOf(a, err)
 		d.Plain.Release(s.Name, backend.Observation{Reason: reason, Sent: sent, Responded: time.Since(sent), Incarnation: s.Incarnation}, time.Now())
 		avoid = append(avoid, s.Name)
-		isNotRun := errors.Is(err, ErrUnreached) || err == nil && a.IsNotRun
-		if isNotRun {
+		if errors.Is(err, ErrUnreached) || err == nil && a.IsMisdirected {
 			unsent++
-			if unsent < unsentTries && ctx.Err() == nil && d.retry("notRun") {
+			if unsent < unsentTries && ctx.Err() == nil && d.retry("unreached") {
 				continue
 			}
-			return result.withFailure(notRun(ctx, reason, a))
+			return result.withFailure(notRun(ctx, reason, a).WithSent(mayHaveRunBefore))
 		}
-		runs++
-		isFailed := err != nil || a.Status >= 500
-		if isFailed && v.route.IsRepeatable() && runs < v.route.Attempts && ctx.Err() == nil && d.retry(string(reason)) {
+		reached++
+		isNotRun := err == nil && a.IsNotRun
+		mayHaveRunBefore = mayHaveRunBefore || !isNotRun
+		isFailed := isNotRun || err != nil || a.Status >= 500
+		mayRepeat := isNotRun || v.route.IsRepeatable()
+		if isFailed && mayRepeat && reached < v.route.Attempts && ctx.Err() == nil && d.retry("server"+string(reason)) {
 			continue
 		}
+		if isNotRun {
+			return result.withFailure(notRun(ctx, reason, a).WithSent(mayHaveRunBefore))
+		}
 		if err != nil {
 			return result.withFailure(mayHaveRun(ctx, err))
 		}
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -11,7 +11,7 @@
 	"lycheecrank.example/request"
 )
 
-// placeTries bounds the engines that are asked without running the request.
+// placeTries bounds the sends that don't run the request.
 const placeTries = 4
 
 // stream serves an attempt by a model engine.
@@ -52,6 +52,8 @@
 	unsent  int
 	tries   int
 	server  string
+	// reached are the engines that the request was sent to.
+	reached []string
 }
 
 func (s *streaming) verdict() Verdict {
@@ -93,14 +95,25 @@
 		d.Ended(v.pool.Name, p.Server, v.attempt.ID, ctx.Err() == nil)
 		return s.unsentAgain(ctx, p.Server, request.Refuse(request.ReasonServerUnreachable, "engine not reached").WithRetryAfter(brokenRetry))
 	case err != nil:
+		s.reach(p.Server)
 		return s.broken(ctx, p.Server, err)
 	}
 	defer func() { _ = a.Body.Close() }()
+	if !a.IsMisdirected {
+		s.reach(p.Server)
+	}
 	switch {
 	case a.IsInputGone:
 		d.Ended(v.pool.Name, p.Server, v.attempt.ID, false)
-		s.order.IsRebuilt = true
+		s.order.IsRebuilt, s.order.Made = true, nil
+		if len(s.reached) >= v.route.Attempts {
+			s.order.Only = p.Server
+		}
 		return s.unsentAgain(ctx, "", request.Refuse(request.ReasonNoServer, "a result of a stage is gone").WithRetryAfter(brokenRetry))
+	case a.IsNotRun && len(s.reached) >= v.route.Attempts && !a.IsMisdirected:
+		d.Ended(v.pool.Name, p.Server, v.attempt.ID, true)
+		d.Abandon(v.attempt.ID)
+		return s.fail(request.Refuse(request.ReasonQueueFull, "engine full").WithRetryAfter(fullRetry))
 	case a.IsNotRun:
 		d.Ended(v.pool.Name, p.Server, v.attempt.ID, true)
 		return s.unsentAgain(ctx, p.Server, request.Refuse(request.ReasonQueueFull, "engine full").WithRetryAfter(fullRetry))
@@ -112,6 +125,13 @@
 	return s.forward(ctx, a, p.Server, sentAt)
 }
 
+// reach notes that the request was sent to an engine.
+func (s *streaming) reach(server string) {
+	if !slices.Contains(s.reached, server) {
+		s.reached = append(s.reached, server)
+	}
+}
+
 // unsentAgain tries again after nothing has run.
 func (s *streaming) unsentAgain(ctx context.Context, avoid string, f request.Failure) (Verdict, bool) {
 	s.unsent++
@@ -130,7 +150,7 @@
 	s.runs++
 	s.desk.Ended(s.visit.pool.Name, server, s.visit.attempt.ID, ctx.Err() == nil)
 	s.order.Avoid = append(slices.Clone(s.order.Avoid), server)
-	if s.visit.route.IsRepeatable() && s.runs < s.visit.route.Attempts && ctx.Err() == nil && s.desk.retry("streamBroken") {
+	if s.visit.route.IsRepeatable() && len(s.reached) < s.visit.route.Attempts && ctx.Err() == nil && s.desk.retry("streamBroken") {
 		return Verdict{}, true
 	}
 	s.desk.Abandon(s.visit.attempt.ID)
--- a/engine/choose.go
+++ b/engine/choose.go
@@ -28,6 +28,8 @@
 	Results map[string]int64
 	// Avoid lists engines that have refused or failed the request.
 	Avoid []string
+	// Only is the one engine that may be chosen, empty for any.
+	Only string
 	// Rate is the share of the bound of cold engines that the chooser may use,
 	// from 0 to 1.
 	Rate float64
@@ -72,7 +74,7 @@
 func choose(spec Spec, servers []Server, p Prompt, n Needs, now time.Time) (Server, bool) {
 	best, bestCost := -1, time.Duration(0)
 	for i, s := range servers {
-		if now.Before(s.blockedUntil) || contains(n.Avoid, s.ID) || !s.isWithinRate(spec, n.Rate, now) {
+		if n.Only != "" && n.Only != s.ID || now.Before(s.blockedUntil) || contains(n.Avoid, s.ID) || !s.isWithinRate(spec, n.Rate, now) {
 			continue
 		}
 		cost := s.cost(spec, p, n, now)
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -117,6 +117,7 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	coordinator := ""
+	pace := pace{}
 	lastBoot, lastRun := i.SinceBoot(), time.Now()
 	for round := 0; ; round++ {
 		select {
@@ -130,6 +131,11 @@
 		if boot-lastBoot > now.Sub(lastRun)+maxBreak || now.Sub(lastRun) > i.interval()+2*maxBreak {
 			i.resume(boot-lastBoot, now)
 		}
+		if pace.isSlow(now.Sub(lastRun)-i.interval(), now) && len(i.view().Heard(now)) > 0 && coordinator == i.Settings.Name {
+			// Others are faster.
+			i.Logger.Write(event.SteppedDown, pace.lag.Milliseconds())
+			i.crew.Commands().Restamp(now)
+		}
 		lastBoot, lastRun = boot, now
 		i.crew.Commands().Forget(now)
 		for _, address := range i.targets(round, now) {
@@ -152,6 +158,33 @@
 	}
 }
 
+// pace is how late this instance runs what is due.
+type pace struct {
+	lag      time.Duration
+	changeAt time.Time
+}
+
+const (
+	// slowLag is the smoothed lag from which on an instance is too slow to
+	// coordinate; a calm one lags by a few milliseconds.
+	slowLag = 60 * time.Millisecond
+	// lagWeight is the weight of a new sample of the lag.
+	lagWeight = 0.3
+	// stayPut keeps the work from being passed around when all are slow.
+	stayPut = 8 * time.Second
+)
+
+// isSlow takes a sample of the lag and reports whether the instance should leave
+// the coordination to another one.
+func (p *pace) isSlow(late time.Duration, now time.Time) bool {
+	p.lag += time.Duration(lagWeight * float64(max(0, late)-p.lag))
+	if p.lag < slowLag || now.Sub(p.changeAt) < stayPut {
+		return false
+	}
+	p.changeAt = now
+	return true
+}
+
 // interval returns the interval of beats: in a large site an instance that is no
 // candidate for coordinator beats half as often.
 func (i *Instance) interval() time.Duration {
@@ -197,7 +230,7 @@
 		}
 	}
 	if round%seedEvery == 0 && len(v.Heard(now)) < len(council)-1 || v.Size() == 1 {
-		for _, seed := range i.Settings.Seeds {
+		for _, seed := range *i.seeds.Load() {
 			if seed != i.Settings.Peers && !slices.Contains(addresses, seed) {
 				addresses = append(addresses, seed)
 			}
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -8,6 +8,7 @@
 	"context"
 	"io"
 	"net"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,8 @@
 	// SinceBoot returns the time since the machine was started, which goes on while
 	// it is suspended.
 	SinceBoot func() time.Duration
+	// Changed announces that the settings may have changed; it may be nil.
+	Changed <-chan os.Signal
 	// MetricsAddress is where counters are served, empty for nowhere.
 	MetricsAddress string
 	Logger         *event.Logger
@@ -60,6 +63,9 @@
 	// awayUntil is until when entries of servers that disappear may be missing
 	// because the store was away, in nanoseconds since the Unix epoch.
 	awayUntil atomic.Int64
+	// seeds and grace are those of the newest settings.
+	seeds atomic.Pointer[[]string]
+	grace atomic.Int64
 	// hurry wakes the beats before their time; isPushing makes the next ones go to
 	// all instances that are heard.
 	hurry     chan struct{}
@@ -95,6 +101,8 @@
 		IsStrong: s.Cores >= strongCores && s.LinkMbps >= strongLink,
 	})
 	i.plain = backend.NewTable(i.Logger)
+	i.seeds.Store(&s.Seeds)
+	i.grace.Store(int64(s.DrainGrace))
 	i.feeds.Stream(platform.Servers, platform.IsSameServer)
 	i.assemble()
 	return i
@@ -117,7 +125,7 @@
 		Routes:    i.routes.Queries(),
 		Fleet:     i.fleet.Queries(),
 		Plain:     i.plain.Commands(),
-		Budget:    pipeline.NewBudget(i.Settings.RetryRatio*budgetShare, max(minBurst, i.Settings.RetrySlack*slackShare)),
+		Budget:    pipeline.NewBudget(budgetOf(i.Settings)),
 		Prepare:   i.prepare,
 		Started:   i.started,
 		Ended:     i.ended,
@@ -147,6 +155,12 @@
 	minBurst    = 2.0
 )
 
+// budgetOf returns what each request adds to the retry budget of an instance, and
+// how much is saved up at most.
+func budgetOf(s platform.Settings) (perRequest, burst float64) {
+	return s.RetryRatio * budgetShare, max(minBurst, s.RetrySlack*slackShare)
+}
+
 func (i *Instance) countCall(call string, status int) {
 	if status == 0 {
 		i.calls.Add(call + ".noAnswer")
--- a/entry/run.go
+++ b/entry/run.go
@@ -50,7 +50,7 @@
 	group.Go(func() error { return i.server.Serve(work, listeners.peers) })
 	i.startMetrics(work, &group)
 	for _, task := range []func(context.Context) error{
-		i.runBeats, i.runOperators, i.runServers, i.runRegistration, i.runSync, i.runDepths,
+		i.runBeats, i.runOperators, i.runServers, i.runRegistration, i.runReload, i.runSync, i.runDepths,
 		i.prepared.Run, i.notices.run, i.report.run,
 	} {
 		group.Go(func() error { return task(work) })
@@ -137,7 +137,7 @@
 	i.Logger.Write(event.Leaving, "signal")
 	i.crew.Commands().Leave()
 	i.hurryBeats()
-	grace := i.Settings.DrainGrace
+	grace := time.Duration(i.grace.Load())
 	if grace <= 0 {
 		grace = defaultGrace
 	}
--- a/event/events.go
+++ b/event/events.go
@@ -12,6 +12,9 @@
 	Resumed              = Event{106, log.WarnLevel, "resumed after a break", []string{"brokeMs"}, "The process or its machine stood still; what it knows is doubted and it comes last in the choice of the coordinator."}
 	MetricsUnavailable   = Event{107, log.WarnLevel, "metrics unavailable", []string{"address", "error"}, "The address for counters could not be used; the instance serves without them."}
 	LinesDropped         = Event{108, log.InfoLevel, "lines dropped", []string{"count"}, "More attempts were served in a second than lines are written for; those of failed attempts were all written."}
+	SettingsAdopted      = Event{109, log.InfoLevel, "settings adopted", []string{"seeds", "graceMs", "retryRatio", "retrySlack"}, "The settings have changed; what can change without a start is in force."}
+	SettingsRefused      = Event{110, log.WarnLevel, "settings refused", []string{"error"}, "A signal announced settings that can't be used; the former ones stay in force."}
+	SteppedDown          = Event{111, log.WarnLevel, "stepped down", []string{"lagMs"}, "This coordinator runs too slowly and leaves the work to the next candidate."}
 	ListUnavailable      = Event{104, log.WarnLevel, "instance list unavailable", []string{"error"}, "The platform's list of instances did not answer; the last list stays in use."}
 	CatalogueAdopted     = Event{201, log.InfoLevel, "catalogue adopted", []string{"revision", "entries", "source"}, "A newer revision of the catalogue is in force on this instance."}
 	CatalogueRefused     = Event{202, log.InfoLevel, "catalogue edit refused", []string{"offset", "author", "verdict", "detail"}, "An edit in the log was refused; every instance refuses it alike."}
@@ -47,7 +50,7 @@
 // All returns every event by number.
 func All() []Event {
 	return []Event{
-		Started, Leaving, Stopped, ListUnavailable, EntryStarted, Resumed, MetricsUnavailable, LinesDropped,
+		Started, Leaving, Stopped, ListUnavailable, EntryStarted, Resumed, MetricsUnavailable, LinesDropped, SettingsAdopted, SettingsRefused, SteppedDown,
 		CatalogueAdopted, CatalogueRefused, LogUnavailable, LogRecordUnread, CatalogueSnapshot, LogAvailable, ConfigurationAdopted, Evacuation,
 		PeerConnected, PeerLost, PeerFrameRefused, CoordinatorChosen,
 		RequestRefused, RequestFinished, ResultDropped, AttemptServed, AttemptFailed,
--- a/pipeline/budget.go
+++ b/pipeline/budget.go
@@ -17,6 +17,14 @@
 	return &Budget{perRequest: perRequest, burst: burst, tokens: burst, mu: lock.New(lock.RankCounter, "budget")}
 }
 
+// Set changes what each request earns and how much is saved up at most.
+func (b *Budget) Set(perRequest, burst float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.perRequest, b.burst = perRequest, burst
+	b.tokens = min(b.tokens, burst)
+}
+
 // Earn adds what one request earns.
 func (b *Budget) Earn() {
 	b.mu.Lock()
--- a/preparation/desk.go
+++ b/preparation/desk.go
@@ -219,7 +219,7 @@
 			return Placement{}, request.Refuse(request.ReasonCancelled, "given up")
 		}
 		inputs := j.inputs()
-		needs := engine.Needs{Results: d.places(j), Avoid: o.Avoid, Rate: d.Share()}
+		needs := engine.Needs{Results: d.places(j), Avoid: o.Avoid, Only: o.Only, Rate: d.Share()}
 		p, ok := d.Engines.Commands().Reserve(o.Pool, o.Request, o.Prompt, needs, time.Now())
 		if ok {
 			return Placement{Server: p.ID, Address: p.Address, DataCentre: p.DataCentre, Inputs: inputs}, nil
--- a/preparation/order.go
+++ b/preparation/order.go
@@ -35,6 +35,8 @@
 	Deadline  time.Duration `msgpack:"deadline"`
 	// Avoid lists engines that refused or failed the request.
 	Avoid []string `msgpack:"avoid"`
+	// Only is the one engine that may get the request, empty for any.
+	Only string `msgpack:"only,omitempty"`
 	// IsRebuilt asks to make all results again, since an engine found some gone.
 	IsRebuilt bool `msgpack:"isRebuilt"`
 	// Made holds the results that an earlier coordinator had made, by stage and
