--- a/batch/choose.go
+++ b/batch/choose.go
@@ -7,6 +7,9 @@
 	// to be made in the data centre that uses it.
 	crossingPenalty = 120 * time.Millisecond
 	penaltyBytes    = 1 << 20
+	// inputPenalty is the delay that is accepted for inputs of penaltyBytes to be
+	// fetched within a data centre.
+	inputPenalty = 6 * time.Millisecond
 	// bulkyBytes is the size from which the place of a result matters.
 	bulkyBytes = 256 << 10
 )
@@ -93,13 +96,25 @@
 	return servers[best], true
 }
 
+// penalty returns the delay that is accepted to spare what a piece would move
+// between data centres if a server made it.
 func penalty(p Piece, s Server) time.Duration {
-	if p.Near == "" || p.Near == s.DataCentre || p.Bytes < bulkyBytes {
-		return 0
+	cost := 0.0
+	if p.Near != "" && p.Near != s.DataCentre && p.Bytes >= bulkyBytes {
+		cost += float64(crossingPenalty) * float64(p.Bytes)
 	}
-	return time.Duration(float64(crossingPenalty) * float64(p.Bytes) / penaltyBytes)
+	for dc, bytes := range p.InputBytes {
+		if dc != s.DataCentre {
+			cost += float64(inputPenalty) * float64(bytes)
+		}
+	}
+	return time.Duration(cost / penaltyBytes)
 }
 
+// smallPenalty is the penalty up to which a piece fills up the call of another
+// one.
+const smallPenalty = 25 * time.Millisecond
+
 // fill returns the pieces of a call that begins with one piece: all that may go
 // to the server in order of urgency, and the rest of a request that has begun.
 func fill(spec Spec, s Server, first Piece, waiting []Piece, limit int, now time.Time) []Piece {
@@ -120,7 +135,7 @@
 		if len(pieces) >= limit {
 			break
 		}
-		if (p.Request != first.Request || p.Stage != first.Stage) && penalty(p, s) == 0 {
+		if (p.Request != first.Request || p.Stage != first.Stage) && penalty(p, s) <= smallPenalty {
 			add(p)
 		}
 	}
--- a/batch/piece.go
+++ b/batch/piece.go
@@ -34,6 +34,9 @@
 	// Near is the data centre in which a large result will be used, empty if its
 	// place does not matter.
 	Near string
+	// InputBytes is the size of what all pieces of the stage fetch together, by the
+	// data centre that it comes from.
+	InputBytes map[string]int64
 	// Avoid is a server that failed or delays the piece.
 	Avoid string
 	// QueuedAt is when the piece was queued.
--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -59,6 +59,9 @@
 	// that the route has stages.
 	Inputs     []string
 	IsPrepared bool
+	// Source is the address of an engine that has more of the prompt, empty for
+	// none.
+	Source string
 	// Rank is the class for servers that honour one.
 	Rank int
 	// LastEvent is the event after which a stream goes on, 0 for the beginning.
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -87,7 +87,7 @@
 	sentAt := time.Now()
 	s.tries++
 	a, err := v.attempt.Send(sending, Instruction{
-		Server: server, Workspace: v.workspace, Deadline: v.deadline, Inputs: p.Inputs, IsPrepared: len(v.route.Stages) > 0,
+		Server: server, Workspace: v.workspace, Deadline: v.deadline, Inputs: p.Inputs, Source: p.Source, IsPrepared: len(v.route.Stages) > 0,
 		Rank: v.rank, LastEvent: s.last, IsRepeatable: v.route.IsRepeatable(), IsModel: true,
 	})
 	switch {
--- a/engine/choose.go
+++ b/engine/choose.go
@@ -12,6 +12,11 @@
 	// missFactor weighs tokens that have to be read again more than the time they
 	// take, since they also delay the other requests of the engine.
 	missFactor = 2
+	// fetchFactor is what a token costs that another engine has and hands over,
+	// relative to one that is read again.
+	fetchFactor = 0.2
+	// minFetch is the number of tokens from which on a transfer is worth its setup.
+	minFetch = 512
 	// runCost is the expected delay by each other request that runs at the engine.
 	runCost = 3 * time.Millisecond
 	// crossingCost weighs a megabyte of results that come from another data centre.
@@ -40,9 +45,14 @@
 	return time.Duration(max(0, tokens)) * time.Millisecond / readRate
 }
 
-// cost estimates the time to the first event, with what else a choice costs.
-func (s Server) cost(spec Spec, p Prompt, n Needs, now time.Time) time.Duration {
-	missing := p.Input - s.match(p, now)
+// cost estimates the time to the first event, with what else a choice costs, if
+// some engine has a number of the prompt's first tokens.
+func (s Server) cost(spec Spec, p Prompt, n Needs, elsewhere int64, now time.Time) time.Duration {
+	own := s.match(p, now)
+	missing := p.Input - own
+	if elsewhere-own >= minFetch {
+		missing -= int64((1 - fetchFactor) * float64(elsewhere-own))
+	}
 	used, unread := p.Tokens(), int64(0)
 	for _, r := range s.runs {
 		used += r.tokens
@@ -72,12 +82,16 @@
 
 // choose returns the engine with the lowest cost.
 func choose(spec Spec, servers []Server, p Prompt, n Needs, now time.Time) (Server, bool) {
+	elsewhere := int64(0)
+	for _, s := range servers {
+		elsewhere = max(elsewhere, s.matchWithin(p, sourceLife, now))
+	}
 	best, bestCost := -1, time.Duration(0)
 	for i, s := range servers {
 		if n.Only != "" && n.Only != s.ID || now.Before(s.blockedUntil) || contains(n.Avoid, s.ID) || !s.isWithinRate(spec, n.Rate, now) {
 			continue
 		}
-		cost := s.cost(spec, p, n, now)
+		cost := s.cost(spec, p, n, elsewhere, now)
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
@@ -88,6 +102,18 @@
 	return servers[best], true
 }
 
+// source returns the address of the engine from which a chosen one should fetch
+// the beginning of a prompt, empty for none.
+func source(servers []Server, chosen Server, p Prompt, now time.Time) string {
+	best, tokens := "", chosen.match(p, now)+minFetch
+	for _, s := range servers {
+		if m := s.matchWithin(p, sourceLife, now); m >= tokens && s.ID != chosen.ID && !now.Before(s.blockedUntil) {
+			best, tokens = s.Address, m+1
+		}
+	}
+	return best
+}
+
 func contains(ids []string, id string) bool {
 	for _, other := range ids {
 		if other == id {
--- a/engine/commands.go
+++ b/engine/commands.go
@@ -39,21 +39,31 @@
 	}
 }
 
+// Choice is where a request runs.
+type Choice struct {
+	Place
+	// Source is the address of an engine that has more of the prompt, empty for
+	// none.
+	Source string
+}
+
 // Reserve chooses an engine for a request and counts the request there.
-func (c Commands) Reserve(poolName, request string, p Prompt, n Needs, now time.Time) (Place, bool) {
+func (c Commands) Reserve(poolName, request string, p Prompt, n Needs, now time.Time) (Choice, bool) {
 	t := c.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	q := t.pools[poolName]
 	if q == nil {
-		return Place{}, false
+		return Choice{}, false
 	}
-	s, ok := choose(q.spec, q.sorted(), p, n, now)
+	servers := q.sorted()
+	s, ok := choose(q.spec, servers, p, n, now)
 	if !ok {
-		return Place{}, false
+		return Choice{}, false
 	}
+	choice := Choice{Place: s.Place, Source: source(servers, s, p, now)}
 	q.servers[s.ID] = s.WithRun(request, p, now)
-	return s.Place, true
+	return choice, true
 }
 
 // Started notes the first event of a request and the time that it took.
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -74,6 +74,9 @@
 const (
 	// cacheLife is how long a part counts as cached after its last use.
 	cacheLife = 30 * time.Second
+	// sourceLife is how long after its last use a part is worth a transfer. Later it
+	// is cheaper to read it again.
+	sourceLife = 8 * time.Second
 	// rateWindow is the window in which the bound of cold engines is counted.
 	rateWindow = time.Second
 	// An engine that failed is left alone for a time that doubles with each
@@ -159,11 +162,14 @@
 }
 
 // match returns the number of leading prompt tokens that the engine has cached.
-func (s Server) match(p Prompt, now time.Time) int64 {
+func (s Server) match(p Prompt, now time.Time) int64 { return s.matchWithin(p, cacheLife, now) }
+
+// matchWithin counts only parts that were used within a time.
+func (s Server) matchWithin(p Prompt, life time.Duration, now time.Time) int64 {
 	tokens := int64(0)
 	for _, part := range p.Parts {
 		at, ok := s.cached[part.ID]
-		if !ok || now.Sub(at) >= cacheLife {
+		if !ok || now.Sub(at) >= life {
 			break
 		}
 		tokens += part.Tokens
--- a/preparation/commands.go
+++ b/preparation/commands.go
@@ -9,7 +9,7 @@
 
 // open adds a job, or takes up one whose results are still there. It reports
 // false while jobs are handed over.
-func (c Commands) open(o Order, near string, usual usualTime, now time.Time) (entry, step, bool) {
+func (c Commands) open(o Order, near string, k knowledge, now time.Time) (entry, step, bool) {
 	t := c.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -27,7 +27,7 @@
 		e.job = e.job.withoutResults(now)
 		e.done = make(chan struct{})
 	}
-	s := e.advance(usual, now)
+	s := e.advance(k, now)
 	s.free = append(s.free, dropped...)
 	return *e, s, true
 }
@@ -98,10 +98,8 @@
 	return e.job.made()
 }
 
-type usualTime = func(pool string, pieces int) time.Duration
-
 // record takes over a result. The handle is to be freed if nobody wants it.
-func (c Commands) record(p batch.Piece, handle string, usual usualTime, now time.Time) step {
+func (c Commands) record(p batch.Piece, handle string, k knowledge, now time.Time) step {
 	t := c.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -113,7 +111,7 @@
 	if e.isMoving {
 		return step{}
 	}
-	return e.advance(usual, now)
+	return e.advance(k, now)
 }
 
 // maxTries bounds how many pieces of a request are made again.
@@ -133,7 +131,7 @@
 }
 
 // rebuild makes all results of a job again after one of them was found gone.
-func (c Commands) rebuild(p batch.Piece, usual usualTime, now time.Time) step {
+func (c Commands) rebuild(p batch.Piece, k knowledge, now time.Time) step {
 	t := c.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -144,7 +142,7 @@
 	}
 	dropped := e.job.kept()
 	e.job = e.job.withoutResults(now)
-	s := e.advance(usual, now)
+	s := e.advance(k, now)
 	s.free = append(s.free, dropped...)
 	return s
 }
--- a/preparation/desk.go
+++ b/preparation/desk.go
@@ -127,7 +127,7 @@
 		return Placement{}, f
 	}
 	d.adopt(o, openedAt)
-	e, s, ok := d.table.Commands().open(o, d.near(o, openedAt), d.usual, openedAt)
+	e, s, ok := d.table.Commands().open(o, d.near(o, openedAt), d.knowledge(), openedAt)
 	if !ok {
 		return Placement{IsMoved: true, Made: o.Made}, nil
 	}
@@ -189,6 +189,10 @@
 	return d.Batches.Queries().CallTime(pool, pieces)
 }
 
+func (d *Desk) knowledge() knowledge {
+	return knowledge{usual: d.usual, place: d.Batches.Queries().DataCentre}
+}
+
 // near returns the data centre in which large results should be made: that of the
 // engine that would be chosen now.
 func (d *Desk) near(o Order, now time.Time) string {
@@ -222,7 +226,7 @@
 		needs := engine.Needs{Results: d.places(j), Avoid: o.Avoid, Only: o.Only, Rate: d.Share()}
 		p, ok := d.Engines.Commands().Reserve(o.Pool, o.Request, o.Prompt, needs, time.Now())
 		if ok {
-			return Placement{Server: p.ID, Address: p.Address, DataCentre: p.DataCentre, Inputs: inputs}, nil
+			return Placement{Server: p.ID, Address: p.Address, DataCentre: p.DataCentre, Source: p.Source, Inputs: inputs}, nil
 		}
 		d.Counters.Add("noEngine")
 		timer.Reset(engineRetry)
@@ -325,10 +329,10 @@
 func (d *Desk) settle(call batch.Call, p batch.Piece, r Result, now time.Time) {
 	switch r.Verdict {
 	case Made:
-		d.apply(d.table.Commands().record(p, r.Handle, d.usual, now))
+		d.apply(d.table.Commands().record(p, r.Handle, d.knowledge(), now))
 	case InputGone:
 		d.Counters.Add("inputGone")
-		d.apply(d.table.Commands().rebuild(p, d.usual, now))
+		d.apply(d.table.Commands().rebuild(p, d.knowledge(), now))
 	case NoRoom:
 		d.Counters.Add("noRoom")
 		d.again(p, "")
--- a/preparation/job.go
+++ b/preparation/job.go
@@ -226,10 +226,25 @@
 	return inputs
 }
 
+// inputBytes returns the size of what the pieces of a stage fetch together, by the
+// data centre that it comes from.
+func (j job) inputBytes(stage int, place func(handle string) string) map[string]int64 {
+	sizes := map[string]int64{}
+	for _, before := range j.order.Stages[stage].After {
+		for _, h := range j.handles[before] {
+			if dc := place(h); dc != "" {
+				sizes[dc] += j.order.Stages[before].Bytes * int64(j.order.Stages[stage].Pieces)
+			}
+		}
+	}
+	return sizes
+}
+
 // pieces returns the pieces of a stage that are not made yet.
-func (j job) pieces(stage int, start, now time.Time) []batch.Piece {
+func (j job) pieces(stage int, start time.Time, place func(handle string) string, now time.Time) []batch.Piece {
 	s := j.order.Stages[stage]
 	inputs := j.stageInputs(stage)
+	sizes := j.inputBytes(stage, place)
 	key := ""
 	if len(s.After) == 0 {
 		key = j.order.Key
@@ -242,7 +257,7 @@
 		pieces = append(pieces, batch.Piece{
 			Identity: batch.Identity{Request: j.order.Request, Stage: stage, Number: n},
 			Pool:     s.Pool, Key: key, Inputs: inputs, Bytes: s.Bytes, Rank: j.order.Rank,
-			Start: start, Deadline: j.deadline, Near: j.near, QueuedAt: now,
+			Start: start, Deadline: j.deadline, Near: j.near, InputBytes: sizes, QueuedAt: now,
 		})
 	}
 	return pieces
--- a/preparation/order.go
+++ b/preparation/order.go
@@ -52,6 +52,9 @@
 	Server     string `msgpack:"server"`
 	Address    string `msgpack:"address"`
 	DataCentre string `msgpack:"dataCentre"`
+	// Source is the address of an engine from which the chosen one fetches the
+	// beginning of the prompt, empty for none.
+	Source string `msgpack:"source,omitempty"`
 	// Inputs are the handles of the results that the engine fetches.
 	Inputs []string `msgpack:"inputs"`
 	// WaitedMs is the time that the preparation took.
--- a/preparation/table.go
+++ b/preparation/table.go
@@ -74,14 +74,22 @@
 	free  []string
 }
 
+// knowledge is what the jobs have to know of the pools.
+type knowledge struct {
+	// usual returns the usual time of a call of a pool with some pieces.
+	usual func(pool string, pieces int) time.Duration
+	// place returns the data centre of a result, empty if it is unknown.
+	place func(handle string) string
+}
+
 // advance queues the stages that have become ready and gives up results that are
 // used up. It is called under the lock.
-func (e *entry) advance(usual func(pool string, pieces int) time.Duration, now time.Time) step {
+func (e *entry) advance(k knowledge, now time.Time) step {
 	var s step
 	for i := range e.job.order.Stages {
 		if e.job.isReady(i) {
-			start := latestStart(e.job, i, usual)
-			s.queue = append(s.queue, e.job.pieces(i, start, now)...)
+			start := latestStart(e.job, i, k.usual)
+			s.queue = append(s.queue, e.job.pieces(i, start, k.place, now)...)
 			e.job = e.job.withQueued(i)
 		}
 	}
