Refuse early what can't be done in time; take confirmations from answers only

Change: requests whose expected end is 1.2 s past the objective are refused when they arrive, and those that can't end in time while they wait; copies are confirmed by answers, from the moment of the question; only a lost connection takes a coordinator out; makers are told where their room gets short; notices carry the try.

--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -134,10 +134,16 @@
 		c.End(call, []Made{{call.Pieces[0], "h3"}}, time.Now())
 		_, ok = table.next(time.Now())
 		is.True(!ok) // full
-		is.Equal(table.Queries().Makers([]string{"h1", "unknown"}), map[string][]string{"10.0.0.1:1": {"h1"}})
+		due, rest := table.Queries().Due([]string{"h1", "unknown"}, 0.5)
+		is.Equal(due, map[string][]string{"10.0.0.1:1": {"h1"}})
+		is.Equal(len(rest), 0)
+		due, rest = table.Queries().Due([]string{"h1", "unknown"}, 2)
+		is.Equal(len(due), 0)
+		is.Equal(rest, []string{"h1"}) // there is room
 		c.Release([]string{"h1", "unknown"})
 		c.Release([]string{"h1"}) // once
-		is.Equal(len(table.Queries().Makers([]string{"h1"})), 0)
+		due, rest = table.Queries().Due([]string{"h1"}, 0)
+		is.Equal(len(due)+len(rest), 0)
 		call, ok = table.next(time.Now())
 		is.True(ok)
 		c.Fail(call, false, time.Now())
--- a/batch/queries.go
+++ b/batch/queries.go
@@ -32,7 +32,7 @@
 		return Depth{Pool: name}
 	}
 	d := Depth{Pool: name, Waiting: p.queue.size()}
-	perSecond, taken := 0.0, int64(0)
+	perSecond, taken := p.rate(now), int64(0)
 	for _, s := range p.servers {
 		if s.isUnlisted || s.isBlocked(now) {
 			continue
@@ -40,10 +40,6 @@
 		d.Servers++
 		d.Busy += min(1, s.Calls)
 		taken += s.taken(now)
-		full := s.expected(p.spec, p.spec.Size)
-		if full > 0 {
-			perSecond += float64(p.spec.Slots*p.spec.Size) / full.Seconds()
-		}
 	}
 	if room := int64(d.Servers) * p.spec.Room; room > 0 {
 		d.RoomTaken = float64(taken) / float64(room)
@@ -54,6 +50,71 @@
 	return d
 }
 
+// Wait estimates how long a piece of a class with a latest start would wait if it
+// were queued now.
+func (q Queries) Wait(name string, start time.Time, rank int, now time.Time) time.Duration {
+	t := q.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.pools[name]
+	if p == nil {
+		return 0
+	}
+	rate := p.rate(now)
+	if rate <= 0 {
+		return 0
+	}
+	ahead := p.queue.size()
+	// The identity sorts behind those of pieces with the same start.
+	if probe := (Piece{Identity: Identity{Request: "\uffff"}, Start: start, Rank: rank}); !probe.isLate(now) {
+		ahead, _ = slices.BinarySearchFunc(p.queue.onTime, probe, compareOnTime)
+	}
+	return time.Duration(float64(ahead) / rate * float64(time.Second))
+}
+
+// Doomed returns the requests with pieces that wait behind so many others that
+// they can't be made in their time. The last stages of a request take after more.
+func (q Queries) Doomed(after time.Duration, now time.Time) []string {
+	t := q.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var doomed []string
+	for _, name := range t.names {
+		p := t.pools[name]
+		rate := p.rate(now)
+		if rate <= 0 {
+			continue
+		}
+		for k, piece := range p.queue.late {
+			wait := crowding * float64(len(p.queue.onTime)+k) / rate
+			end := now.Add(time.Duration(wait*float64(time.Second)) + p.spec.CallTime + after)
+			if end.After(piece.Deadline) && !slices.Contains(doomed, piece.Request) {
+				doomed = append(doomed, piece.Request)
+			}
+		}
+	}
+	return doomed
+}
+
+// crowding is by how much late pieces wait longer than the queue before them
+// takes, since others that can be on time go first.
+const crowding = 1.5
+
+// rate returns the pieces a second that the servers of the pool make in full
+// calls.
+func (p *pool) rate(now time.Time) float64 {
+	perSecond := 0.0
+	for _, s := range p.servers {
+		if s.isUnlisted || s.isBlocked(now) {
+			continue
+		}
+		if full := s.expected(p.spec, p.spec.Size); full > 0 {
+			perSecond += float64(p.spec.Slots*p.spec.Size) / full.Seconds()
+		}
+	}
+	return perSecond
+}
+
 // CallTime returns the usual time of a call of a pool with some pieces.
 func (q Queries) CallTime(name string, pieces int) time.Duration {
 	t := q.table
@@ -65,18 +126,26 @@
 	return 0
 }
 
-// Makers returns the handles of known results by the address of their makers.
-func (q Queries) Makers(handles []string) map[string][]string {
+// Due returns the handles of known results by the address of their makers, for
+// makers whose room is taken beyond a share, and the handles of the others.
+func (q Queries) Due(handles []string, share float64) (due map[string][]string, rest []string) {
 	t := q.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	byMaker := map[string][]string{}
+	due = map[string][]string{}
 	for _, h := range handles {
-		if r, ok := t.results[h]; ok {
-			byMaker[r.address] = append(byMaker[r.address], h)
+		r, ok := t.results[h]
+		if !ok {
+			continue
+		}
+		p := t.pools[r.pool]
+		if float64(p.servers[r.server].Held) < share*float64(p.spec.Room) {
+			rest = append(rest, h)
+			continue
 		}
+		due[r.address] = append(due[r.address], h)
 	}
-	return byMaker
+	return due, rest
 }
 
 // Servers returns the places of the servers of all pools by pool.
--- a/delivery/desk.go
+++ b/delivery/desk.go
@@ -29,9 +29,9 @@
 	Prepare func(ctx context.Context, o preparation.Order) (preparation.Placement, error)
 	// Started and Ended tell the coordinator of the first event and of the end of a
 	// request at its engine; Abandon that a prepared request won't be sent.
-	Started func(pool, server, id string, took time.Duration)
+	Started func(pool, server, id string, try int, took time.Duration)
 	Ended   func(pool, server, id string, isFailed bool)
-	Abandon func(id string)
+	Abandon func(id string, try int)
 	// IsLeaving reports whether this instance shuts down so soon that long requests
 	// should go elsewhere.
 	IsLeaving func() bool
--- a/delivery/desk_test.go
+++ b/delivery/desk_test.go
@@ -74,11 +74,11 @@
 	r.Desk = &Desk{
 		Routes: routes.Queries(), Fleet: servers.Queries(), Plain: plain.Commands(), Budget: pipeline.NewBudget(1, 10),
 		Prepare: r.prepare, Retries: &counter.Set{}, IsLeaving: func() bool { return false },
-		Started: func(_, server, _ string, _ time.Duration) { r.notices = append(r.notices, "started "+server) },
+		Started: func(_, server, _ string, _ int, _ time.Duration) { r.notices = append(r.notices, "started "+server) },
 		Ended: func(_, server, _ string, isFailed bool) {
 			r.notices = append(r.notices, fmt.Sprintf("ended %s failed %v", server, isFailed))
 		},
-		Abandon: func(string) { r.notices = append(r.notices, "abandoned") },
+		Abandon: func(string, int) { r.notices = append(r.notices, "abandoned") },
 	}
 	return r
 }
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -70,6 +70,7 @@
 func (s *streaming) try(ctx context.Context) (Verdict, bool) {
 	d, v := s.desk, s.visit
 	now := time.Now()
+	s.order.Try++
 	s.order.Objective, s.order.Deadline = v.objective.Sub(now), v.deadline.Sub(now)
 	p, err := d.Prepare(ctx, s.order)
 	if err != nil {
@@ -112,7 +113,7 @@
 		return s.unsentAgain(ctx, "", request.Refuse(request.ReasonNoServer, "a result of a stage is gone").WithRetryAfter(brokenRetry))
 	case a.IsNotRun && len(s.reached) >= v.route.Attempts && !a.IsMisdirected:
 		d.Ended(v.pool.Name, p.Server, v.attempt.ID, true)
-		d.Abandon(v.attempt.ID)
+		d.Abandon(v.attempt.ID, s.order.Try)
 		return s.fail(request.Refuse(request.ReasonQueueFull, "engine full").WithRetryAfter(fullRetry))
 	case a.IsNotRun:
 		d.Ended(v.pool.Name, p.Server, v.attempt.ID, true)
@@ -141,7 +142,7 @@
 	if ctx.Err() == nil && s.unsent < placeTries && s.desk.retry(string(f.Reason)) {
 		return Verdict{}, true
 	}
-	s.desk.Abandon(s.visit.attempt.ID)
+	s.desk.Abandon(s.visit.attempt.ID, s.order.Try)
 	return s.fail(f)
 }
 
@@ -153,7 +154,7 @@
 	if s.visit.route.IsRepeatable() && len(s.reached) < s.visit.route.Attempts && ctx.Err() == nil && s.desk.retry("streamBroken") {
 		return Verdict{}, true
 	}
-	s.desk.Abandon(s.visit.attempt.ID)
+	s.desk.Abandon(s.visit.attempt.ID, s.order.Try)
 	return s.fail(mayHaveRun(ctx, err))
 }
 
@@ -161,7 +162,7 @@
 func (s *streaming) passFailure(a Answer, server string) (Verdict, bool) {
 	s.runs++
 	s.desk.Ended(s.visit.pool.Name, server, s.visit.attempt.ID, false)
-	s.desk.Abandon(s.visit.attempt.ID)
+	s.desk.Abandon(s.visit.attempt.ID, s.order.Try)
 	if s.isBegun {
 		return s.fail(request.Refuse(request.ReasonServerFailed, "engine failed while the stream went on"))
 	}
@@ -187,7 +188,7 @@
 		}
 		if !isStarted {
 			isStarted = true
-			d.Started(v.pool.Name, server, v.attempt.ID, time.Since(sentAt))
+			d.Started(v.pool.Name, server, v.attempt.ID, s.order.Try, time.Since(sentAt))
 		}
 		if !s.isBegun {
 			if a.Begin() != nil {
@@ -213,6 +214,6 @@
 func (s *streaming) left(server string) (Verdict, bool) {
 	s.runs++
 	s.desk.Ended(s.visit.pool.Name, server, s.visit.attempt.ID, false)
-	s.desk.Abandon(s.visit.attempt.ID)
+	s.desk.Abandon(s.visit.attempt.ID, s.order.Try)
 	return s.fail(request.Refuse(request.ReasonCancelled, "the client left"))
 }
--- a/engine/commands.go
+++ b/engine/commands.go
@@ -81,14 +81,28 @@
 	c.change(poolName, id, func(s Server) Server { return s.WithoutRun(request).WithFailure(now) })
 }
 
-// Learn takes over a placement that another chooser made.
-func (c Commands) Learn(poolName, id, request string, p Prompt, isRunning bool, now time.Time) {
-	c.change(poolName, id, func(s Server) Server {
-		if isRunning {
-			s = s.WithRun(request, p, now)
-		}
-		return s.WithCached(p, now)
-	})
+// Learned is a placement that another chooser made.
+type Learned struct {
+	Pool    string
+	Server  string
+	Request string
+	Prompt  Prompt
+	// IsRunning tells that the request has not ended yet.
+	IsRunning bool
+}
+
+// Learn takes over placements that another chooser made. A new coordinator gets
+// thousands at once, so that each engine is changed once for all of its own.
+func (c Commands) Learn(learned []Learned, now time.Time) {
+	type key struct{ pool, server string }
+	byServer := map[key][]Learned{}
+	for _, l := range learned {
+		k := key{l.Pool, l.Server}
+		byServer[k] = append(byServer[k], l)
+	}
+	for k, ls := range byServer {
+		c.change(k.pool, k.server, func(s Server) Server { return s.WithLearned(ls, now) })
+	}
 }
 
 func (c Commands) change(poolName, id string, next func(Server) Server) {
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -114,6 +114,20 @@
 	return s
 }
 
+// WithLearned returns the engine with requests that another chooser sent to it.
+func (s Server) WithLearned(learned []Learned, now time.Time) Server {
+	s.runs, s.cached = maps.Clone(s.runs), maps.Clone(s.cached)
+	for _, l := range learned {
+		if l.IsRunning {
+			s.runs[l.Request] = run{tokens: l.Prompt.Tokens()}
+		}
+		for _, part := range l.Prompt.Parts {
+			s.cached[part.ID] = now
+		}
+	}
+	return s
+}
+
 // WithStarted returns the engine after the first event of a request, which took
 // a time from the send.
 func (s Server) WithStarted(request string, took time.Duration) Server {
--- a/entry/apply.go
+++ b/entry/apply.go
@@ -58,8 +58,8 @@
 		i.Logger.Write(event.LogRecordUnread, platform.Servers, r.Offset, err)
 		return
 	}
-	old, wasUsable := i.fleet.Queries().Server(s.ID, now)
-	if old.IsDraining != s.IsDraining || old.Address != s.Address || old.Born != s.Born || !wasUsable {
+	old, _ := i.fleet.Queries().Server(s.ID, now)
+	if old.ID == "" || old.IsDraining != s.IsDraining || old.Address != s.Address || old.Born != s.Born {
 		i.Logger.Write(event.ServerListed, s.ID, s.Pool, s.Address, s.DataCentre, s.IsDraining, r.Offset)
 	}
 	i.fleet.Commands().Announce(s)
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -76,6 +77,7 @@
 // takeBeat takes a beat of another instance and answers with the own one and what
 // the other one lacks.
 func (i *Instance) takeBeat(b beatBody) (beatBody, error) {
+	// How old the positions are is not known: the beat may have waited on its way.
 	i.hear(b, time.Now())
 	answer := i.beat(len(b.Known) > 0)
 	answer.Missing = i.missing(b.Positions)
@@ -86,11 +88,10 @@
 	return answer, nil
 }
 
-// hear notes a message of an instance and what it knows to be complete.
+// hear notes a message of an instance.
 func (i *Instance) hear(b beatBody, now time.Time) {
 	i.crew.Commands().Hear(b.Self, b.Known, now)
 	i.client.Forgive(b.Self.Address)
-	i.catchUp(b, now)
 }
 
 func (i *Instance) beat(isFull bool) beatBody {
@@ -206,8 +207,7 @@
 }
 
 // targets returns the addresses of a round: the first candidates for coordinator,
-// which stay in touch with all. Between two of them the one with the lower name
-// beats, and the other one as well while it hears nothing. An instance that
+// which stay in touch with all. An instance that
 // leaves, or that has news of operators, tells all that it hears.
 func (i *Instance) targets(round int, now time.Time) []string {
 	v := i.view()
@@ -218,11 +218,8 @@
 		}
 	}
 	council := v.Council(now)
-	isMember := slices.ContainsFunc(council, func(m crew.Mate) bool { return m.Name == i.Settings.Name })
 	for _, m := range council {
-		if !isMember || i.Settings.Name < m.Name || !v.IsHeard(m.Name, now) {
-			add(m)
-		}
+		add(m)
 	}
 	if i.isPushing.Swap(false) || i.isLeaving() {
 		for _, m := range v.Heard(now) {
@@ -242,13 +239,18 @@
 func (i *Instance) sendBeat(ctx context.Context, address string, isFull bool) {
 	ctx, cancel := context.WithTimeout(ctx, beatLimit)
 	defer cancel()
+	asked := time.Now()
 	b, err := ask[beatBody](ctx, i, address, beatSubject, i.beat(isFull))
-	now := time.Now()
-	if err != nil {
-		i.failAddress(address, now)
-		return
+	switch {
+	case errors.Is(err, request.ReasonPeerUnreachable):
+		i.failAddress(address, time.Now())
+	case err != nil:
+		// An instance that answers late is not gone: its silence tells that.
+		i.dropped.Add("beatLate")
+	default:
+		i.hear(b, time.Now())
+		i.catchUp(b, asked)
 	}
-	i.hear(b, now)
 }
 
 // failAddress notes that the instance at an address did not answer.
--- a/entry/coordination.go
+++ b/entry/coordination.go
@@ -22,8 +22,9 @@
 	// an instance is made to prepare it; movePause is the pause before it is asked.
 	freeMoves = 5
 	movePause = 15 * time.Millisecond
-	// noticePause collects notices for one message.
-	noticePause = 8 * time.Millisecond
+	// noticePause collects notices for one message. The coordinator of a large site
+	// gets them from all instances.
+	noticePause = 50 * time.Millisecond
 	// noticeLimit bounds the delivery of notices.
 	noticeLimit = time.Second
 	// maxNotices bounds the notices that wait.
@@ -96,8 +97,8 @@
 	return i.prepared.Prepare(ctx, o)
 }
 
-func (i *Instance) started(pool, server, id string, took time.Duration) {
-	i.notices.add(i.placed.coordinatorOf(id), notice{Kind: startedNotice, Pool: pool, Server: server, Request: id, Took: took})
+func (i *Instance) started(pool, server, id string, try int, took time.Duration) {
+	i.notices.add(i.placed.coordinatorOf(id), notice{Kind: startedNotice, Pool: pool, Server: server, Request: id, Try: try, Took: took})
 }
 
 func (i *Instance) ended(pool, server, id string, isFailed bool) {
@@ -109,25 +110,29 @@
 	i.placed.end(id)
 }
 
-func (i *Instance) abandon(id string) {
-	i.notices.add(i.placed.coordinatorOf(id), notice{Kind: abandonedNotice, Request: id})
+func (i *Instance) abandon(id string, try int) {
+	i.notices.add(i.placed.coordinatorOf(id), notice{Kind: abandonedNotice, Request: id, Try: try})
 }
 
 // takeNotices takes over what became of prepared requests.
 func (i *Instance) takeNotices(notices []notice) (bool, error) {
 	now := time.Now()
+	var learned []engine.Learned
 	for _, n := range notices {
 		switch n.Kind {
 		case startedNotice:
-			i.prepared.Started(n.Pool, n.Server, n.Request, n.Took)
+			i.prepared.Started(n.Pool, n.Server, n.Request, n.Try, n.Took)
 		case endedNotice, failedNotice:
 			i.prepared.Ended(n.Pool, n.Server, n.Request, n.Kind == failedNotice)
 		case abandonedNotice:
-			i.prepared.Abandon(n.Request)
+			i.prepared.Abandon(n.Request, n.Try)
 		case runningNotice, readNotice:
-			i.prepared.Engines.Commands().Learn(n.Pool, n.Server, n.Request, n.Prompt, n.Kind == runningNotice, now)
+			learned = append(learned, engine.Learned{
+				Pool: n.Pool, Server: n.Server, Request: n.Request, Prompt: n.Prompt, IsRunning: n.Kind == runningNotice,
+			})
 		}
 	}
+	i.prepared.Engines.Commands().Learn(learned, now)
 	return true, nil
 }
 
--- a/entry/feeds.go
+++ b/entry/feeds.go
@@ -161,15 +161,16 @@
 }
 
 // catchUp takes what another instance has beyond the copies of this one, and
-// notes which copies are complete.
-func (i *Instance) catchUp(b beatBody, now time.Time) {
+// notes which copies were complete when it was asked. Its answer was made after
+// that moment.
+func (i *Instance) catchUp(b beatBody, asked time.Time) {
 	for _, m := range b.Missing {
 		if i.feeds.Queries().State(m.Stream).End >= m.From {
-			i.take(m.Stream, m.Records, m.End, i.confirmedAt(b, m.Stream, now))
+			i.take(m.Stream, m.Records, m.End, confirmedAt(b, m.Stream, asked))
 		}
 	}
 	for _, p := range b.Positions {
-		at := i.confirmedAt(b, p.Stream, now)
+		at := confirmedAt(b, p.Stream, asked)
 		if p.End == i.feeds.Queries().State(p.Stream).End {
 			i.feeds.Commands().Confirm(p.Stream, p.End, at)
 			i.confirm(p.Stream, at)
@@ -178,10 +179,10 @@
 }
 
 // confirmedAt returns when the copy of another instance was last complete.
-func (i *Instance) confirmedAt(b beatBody, stream string, now time.Time) time.Time {
+func confirmedAt(b beatBody, stream string, asked time.Time) time.Time {
 	for _, p := range b.Positions {
 		if p.Stream == stream {
-			return now.Add(-time.Duration(p.AgeMs) * time.Millisecond)
+			return asked.Add(-time.Duration(p.AgeMs) * time.Millisecond)
 		}
 	}
 	return time.Time{}
--- a/entry/message.go
+++ b/entry/message.go
@@ -61,6 +61,7 @@
 	Pool    string        `msgpack:"pool"`
 	Server  string        `msgpack:"server"`
 	Request string        `msgpack:"request"`
+	Try     int           `msgpack:"try,omitempty"`
 	Took    time.Duration `msgpack:"took,omitempty"`
 	Prompt  engine.Prompt `msgpack:"prompt,omitempty"`
 }
--- a/event/events.go
+++ b/event/events.go
@@ -33,6 +33,7 @@
 	ResultDropped        = Event{403, log.WarnLevel, "result dropped", []string{"request", "stage", "attempt", "reason"}, "A backend server answered with a late, doubled, foreign or truncated result."}
 	AttemptServed        = Event{404, log.InfoLevel, "attempt served", []string{"request", "route", "pool", "backendServer", "tries", "ms", "status", "configuration"}, "An attempt of a client got the answer of a backend server."}
 	AttemptFailed        = Event{405, log.InfoLevel, "attempt failed", []string{"request", "route", "pool", "backendServer", "tries", "ms", "status", "configuration", "reason", "detail", "sent"}, "An attempt of a client was refused or failed; sent tells whether it may have run, status 0 that its answer was cut."}
+	ResultsRebuilt       = Event{406, log.InfoLevel, "results rebuilt", []string{"request", "stage", "piece", "pool", "backendServer", "ageMs", "inputs"}, "A server found results of an earlier stage gone; the coordinator has them made again. ageMs is how long the piece waited."}
 	ServerCold           = Event{501, log.WarnLevel, "backend server cold", []string{"backendServer", "reason"}, "A backend server is treated as cold and gets its cold limit only."}
 	ServerWarm           = Event{502, log.InfoLevel, "backend server warm", []string{"backendServer"}, "A backend server has reached its full limit."}
 	ServerLeaving        = Event{503, log.InfoLevel, "backend server leaving", []string{"backendServer"}, "A backend server is leaving and gets no new work."}
@@ -53,7 +54,7 @@
 		Started, Leaving, Stopped, ListUnavailable, EntryStarted, Resumed, MetricsUnavailable, LinesDropped, SettingsAdopted, SettingsRefused, SteppedDown,
 		CatalogueAdopted, CatalogueRefused, LogUnavailable, LogRecordUnread, CatalogueSnapshot, LogAvailable, ConfigurationAdopted, Evacuation,
 		PeerConnected, PeerLost, PeerFrameRefused, CoordinatorChosen,
-		RequestRefused, RequestFinished, ResultDropped, AttemptServed, AttemptFailed,
+		RequestRefused, RequestFinished, ResultDropped, AttemptServed, AttemptFailed, ResultsRebuilt,
 		ServerCold, ServerWarm, ServerLeaving, StageCallFailed, ServerListed, ServerUnlisted, PoolDepth,
 		OwnershipTaken, OwnershipLost, LeaseExpired,
 		ClaimUndecided, PrecedenceOverflow,
--- a/preparation/commands.go
+++ b/preparation/commands.go
@@ -27,6 +27,7 @@
 		e.job = e.job.withoutResults(now)
 		e.done = make(chan struct{})
 	}
+	e.job.order.Try = max(e.job.order.Try, o.Try)
 	s := e.advance(k, now)
 	s.free = append(s.free, dropped...)
 	return *e, s, true
@@ -141,12 +142,36 @@
 		return step{}
 	}
 	dropped := e.job.kept()
+	if now.After(e.job.objective) {
+		// It waited for the whole life of its results and would do so again.
+		t.shed(p.Request)
+		return step{free: dropped}
+	}
 	e.job = e.job.withoutResults(now)
 	s := e.advance(k, now)
 	s.free = append(s.free, dropped...)
 	return s
 }
 
+// shed gives a request up that can't be done in time and returns its results.
+func (c Commands) shed(request string) []string {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.jobs[request]
+	if e == nil || e.isMoving {
+		return nil
+	}
+	t.shed(request)
+	return e.job.kept()
+}
+
+// shed removes a job and tells who waits for it. It is called under the lock.
+func (t *Table) shed(request string) {
+	close(t.jobs[request].shed)
+	delete(t.jobs, request)
+}
+
 // inputs returns the results that the engine fetches and where they are wanted.
 func (c Commands) inputs(request string) (job, bool) {
 	t := c.table
@@ -159,17 +184,24 @@
 	return e.job, true
 }
 
-// close removes a job and returns the results that it kept.
-func (c Commands) close(request string) []string {
+// close removes a job and returns the results that it kept, unless a later try of
+// the request has taken it up.
+func (c Commands) close(request string, try int) []string {
+	handles, _ := c.abandon(request, try)
+	return handles
+}
+
+// abandon does what close does and reports whether it did.
+func (c Commands) abandon(request string, try int) ([]string, bool) {
 	t := c.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.jobs[request]
-	if e == nil {
-		return nil
+	if e == nil || e.job.order.Try > try {
+		return nil, false
 	}
 	delete(t.jobs, request)
-	return e.job.kept()
+	return e.job.kept(), true
 }
 
 // lapsed returns the requests whose deadline has passed, such as those of an
--- a/preparation/desk.go
+++ b/preparation/desk.go
@@ -56,8 +56,12 @@
 	callFactor = 3
 	// freeInterval is how often makers are told which results are given up.
 	freeInterval = 100 * time.Millisecond
+	// minTaken is the part of a maker's room from which on it is told.
+	minTaken = 0.3
 	// tellLimit bounds short questions to servers of stages.
 	tellLimit = 500 * time.Millisecond
+	// anyTry stands for all preparations of a request.
+	anyTry = 1 << 30
 	// sweepInterval is how often jobs of instances that are gone are given up.
 	sweepInterval = time.Second
 	// engineRetry is the pause before an engine is looked for again.
@@ -113,6 +117,7 @@
 	group.Go(func() error { return pool.Run(ctx, ctx) })
 	group.Go(func() error { return d.runFrees(ctx) })
 	group.Go(func() error { return d.runSweeps(ctx) })
+	group.Go(func() error { return d.runShedding(ctx) })
 	return group.Wait()
 }
 
@@ -136,13 +141,15 @@
 	case <-e.done:
 	case <-e.moved:
 		return Placement{IsMoved: true, Made: d.table.Commands().forget(o.Request)}, nil
+	case <-e.shed:
+		return Placement{}, request.Refuse(request.ReasonDeadlineUnattainable, "too much before it at the stages").WithRetryAfter(shedRetry)
 	case <-ctx.Done():
-		d.Abandon(o.Request)
+		d.Abandon(o.Request, o.Try)
 		return Placement{}, d.ended(ctx, "stages")
 	}
 	p, err := d.place(ctx, o)
 	if err != nil {
-		d.Abandon(o.Request)
+		d.Abandon(o.Request, o.Try)
 		return Placement{}, err
 	}
 	p.WaitedMs = time.Since(openedAt).Milliseconds()
@@ -172,17 +179,51 @@
 // refuse refuses a request early whose stages can't be done in its time, so that
 // its client can come back.
 func (d *Desk) refuse(o Order, now time.Time) (request.Failure, bool) {
-	for _, s := range o.Stages {
-		if s.Pieces == 0 {
-			continue
+	if len(o.Made) > 0 || o.Try > 1 {
+		return request.Failure{}, false
+	}
+	j := newJob(o, now)
+	expected := time.Duration(0)
+	for i, s := range o.Stages {
+		if s.Pieces > 0 {
+			wait := d.Batches.Queries().Wait(s.Pool, latestStart(j, i, d.usual), o.Rank, now)
+			expected = max(expected, wait) + d.usual(s.Pool, callPieces)
 		}
-		depth := d.Batches.Queries().Depth(s.Pool, now)
-		if depth.Delay+d.usual(s.Pool, callPieces) > o.Deadline {
-			f := request.Refuse(request.ReasonDeadlineUnattainable, s.Pool+" has work for "+depth.Delay.String())
-			return f.WithRetryAfter(min(depth.Delay, o.Deadline/4)), true
+	}
+	if expected <= min(o.Objective+lateSlack, o.Deadline) {
+		return request.Failure{}, false
+	}
+	f := request.Refuse(request.ReasonDeadlineUnattainable, "the stages before it take "+expected.String())
+	return f.WithRetryAfter(min(expected-o.Objective, o.Deadline/4)), true
+}
+
+const (
+	// lateSlack is by how much a request may be expected to miss its objective and
+	// is still taken. Beyond it the work before it is more than a short burst.
+	lateSlack = 1200 * time.Millisecond
+	// shedInterval is how often requests are looked for that can't be done in time.
+	shedInterval = 100 * time.Millisecond
+	// shedRetry is when the client of such a request may come back.
+	shedRetry = 400 * time.Millisecond
+)
+
+// runShedding gives up requests that wait behind more than their time allows, so
+// that their clients know at once.
+func (d *Desk) runShedding(ctx context.Context) error {
+	timer := time.NewTicker(shedInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return nil
+		}
+		for _, id := range d.Batches.Queries().Doomed(engineTime, time.Now()) {
+			d.Counters.Add("shed")
+			d.Batches.Commands().Withdraw(id)
+			d.free(d.table.Commands().shed(id))
 		}
 	}
-	return request.Failure{}, false
 }
 
 func (d *Desk) usual(pool string, pieces int) time.Duration {
@@ -255,9 +296,9 @@
 }
 
 // Started notes the first event of a request: its engine has fetched the results.
-func (d *Desk) Started(pool, server, id string, took time.Duration) {
+func (d *Desk) Started(pool, server, id string, try int, took time.Duration) {
 	d.Engines.Commands().Started(pool, server, id, took)
-	d.free(d.table.Commands().close(id))
+	d.free(d.table.Commands().close(id, try))
 }
 
 // Ended notes that a request has ended at its engine.
@@ -269,10 +310,12 @@
 	}
 }
 
-// Abandon gives a request up before it runs.
-func (d *Desk) Abandon(id string) {
-	d.Batches.Commands().Withdraw(id)
-	d.free(d.table.Commands().close(id))
+// Abandon gives a preparation of a request up before it runs.
+func (d *Desk) Abandon(id string, try int) {
+	if handles, ok := d.table.Commands().abandon(id, try); ok {
+		d.Batches.Commands().Withdraw(id)
+		d.free(handles)
+	}
 }
 
 // apply queues pieces and frees results.
@@ -332,6 +375,7 @@
 		d.apply(d.table.Commands().record(p, r.Handle, d.knowledge(), now))
 	case InputGone:
 		d.Counters.Add("inputGone")
+		d.Logger.Write(event.ResultsRebuilt, p.Request, p.Stage, p.Number, p.Pool, call.Server.ID, now.Sub(p.QueuedAt).Milliseconds(), p.Inputs)
 		d.apply(d.table.Commands().rebuild(p, d.knowledge(), now))
 	case NoRoom:
 		d.Counters.Add("noRoom")
@@ -368,10 +412,13 @@
 	d.Batches.Commands().Enqueue([]batch.Piece{p})
 }
 
-// runFrees tells makers which results are given up.
+// runFrees tells makers which results are given up, where their room gets short:
+// elsewhere the results go at the end of their life, and telling all makers ten
+// times a second cost most of the processor time of a large site's coordinator.
 func (d *Desk) runFrees(ctx context.Context) error {
 	var group errgroup.Group
 	defer func() { _ = group.Wait() }()
+	var pending []string
 	timer := time.NewTicker(freeInterval)
 	defer timer.Stop()
 	for {
@@ -380,7 +427,10 @@
 		case <-ctx.Done():
 			return nil
 		}
-		for address, handles := range d.Batches.Queries().Makers(d.takeFreed()) {
+		pending = append(pending, d.takeFreed()...)
+		due, rest := d.Batches.Queries().Due(pending, minTaken)
+		pending = rest
+		for address, handles := range due {
 			group.Go(func() error {
 				d.tell(ctx, address, handles)
 				return nil
@@ -452,7 +502,7 @@
 		}
 		for _, id := range d.table.Commands().lapsed(time.Now()) {
 			d.Counters.Add("jobLapsed")
-			d.Abandon(id)
+			d.Abandon(id, anyTry)
 		}
 	}
 }
--- a/preparation/desk_test.go
+++ b/preparation/desk_test.go
@@ -27,16 +27,21 @@
 	mu    sync.Mutex
 	calls []string
 	// kept are the results that makers hold.
-	kept map[string]bool
+	kept map[string]time.Time
 	last int
 	// answer changes the result of a call; nil leaves it as it is.
 	answer func(call batch.Call, n int) ([]Result, error)
+	// slow is by how much calls take longer than usual.
+	slow time.Duration
 }
 
+// resultLife is how long the makers of a rig keep a result.
+const resultLife = 4 * time.Second
+
 var pools = []string{"encode", "retrieve", "rerank"}
 
 func newRig(t *testing.T, servers int) *rig {
-	r := &rig{Desk: NewDesk(), kept: map[string]bool{}}
+	r := &rig{Desk: NewDesk(), kept: map[string]time.Time{}}
 	r.Call, r.Free = r.call, r.drop
 	r.Room = func(context.Context, string) (int64, error) { return 20 << 20, nil }
 	for _, pool := range pools {
@@ -46,7 +51,7 @@
 		}
 		r.Batches.Commands().SetPool(batch.Spec{
 			Pool: pool, Slots: 1, Size: 8, CallTime: 200 * time.Millisecond, ItemTime: 10 * time.Millisecond,
-			Room: 20 << 20, Life: 4 * time.Second,
+			Room: 20 << 20, Life: resultLife,
 		}, places)
 	}
 	r.Engines.Commands().SetPool(engine.Spec{Pool: "models", Slots: 8}, []engine.Place{{ID: "e1", Address: "e1:1", DataCentre: "a"}})
@@ -71,7 +76,7 @@
 	}
 	r.calls = append(r.calls, call.Server.ID+" "+strings.Join(names, " "))
 	r.mu.Unlock()
-	timer := time.NewTimer(call.Usual)
+	timer := time.NewTimer(call.Usual + r.slow)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -89,7 +94,7 @@
 	for range call.Pieces {
 		r.last++
 		h := fmt.Sprintf("h%d", r.last)
-		r.kept[h] = true
+		r.kept[h] = time.Now().Add(resultLife)
 		results = append(results, Result{Verdict: Made, Handle: h})
 	}
 	return results, nil
@@ -99,7 +104,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, h := range handles {
-		if !r.kept[h] {
+		if _, ok := r.kept[h]; !ok {
 			return errors.New("given up twice: " + h)
 		}
 		delete(r.kept, h)
@@ -110,7 +115,13 @@
 func (r *rig) keptCount() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.kept)
+	n := 0
+	for _, end := range r.kept {
+		if time.Now().Before(end) {
+			n++
+		}
+	}
+	return n
 }
 
 // chain is an order with three stages in line.
@@ -212,7 +223,7 @@
 				}
 			}
 			fmt.Fprintln(&b, "  "+strings.Join(lines, "\n"))
-			r.Started("models", p.Server, "r", time.Millisecond)
+			r.Started("models", p.Server, "r", 1, time.Millisecond)
 			r.Ended("models", p.Server, "r", false)
 			time.Sleep(10 * time.Second)
 			if r.keptCount() != 0 || r.Queries().Open() != 0 {
@@ -279,6 +290,7 @@
 				o := chain(fmt.Sprint("r", n))
 				o.Stages[0].Pieces = 8
 				o.Deadline = time.Minute
+				o.Try = 2 // a later try is not refused at once
 				_, err := r.Prepare(ctx, o)
 				return err
 			})
@@ -336,3 +348,53 @@
 		})
 	}
 }
+
+// Guards against requests that wait until their deadline though nothing can be
+// done for them in time, and against a late word on one try that ends the next.
+func TestShedding(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t, 1)
+		r.slow = 900 * time.Millisecond
+		var group errgroup.Group
+		failed := make(chan time.Duration, 40)
+		for n := range 30 {
+			group.Go(func() error {
+				o := chain(fmt.Sprint("r", n))
+				o.Stages[0].Pieces = 4
+				o.Objective = time.Second
+				o.Deadline = 6 * time.Second
+				begun := time.Now()
+				if _, err := r.Prepare(t.Context(), o); err != nil {
+					is.True(errors.Is(err, request.ReasonDeadlineUnattainable))
+					failed <- time.Since(begun)
+				}
+				return nil
+			})
+		}
+		is.NoErr(group.Wait())
+		is.True(len(failed) > 10)
+		early := 0
+		for range len(failed) {
+			if <-failed < 4*time.Second {
+				early++
+			}
+		}
+		is.True(early > 10) // most are told well before their deadline
+	})
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t, 1)
+		o := chain("r")
+		o.Try = 2
+		var group errgroup.Group
+		group.Go(func() error {
+			_, err := r.Prepare(t.Context(), o)
+			return err
+		})
+		time.Sleep(300 * time.Millisecond)
+		r.Started("models", "e1", "r", 1, time.Millisecond)
+		r.Abandon("r", 1)
+		is.NoErr(group.Wait())
+	})
+}
--- a/preparation/order.go
+++ b/preparation/order.go
@@ -23,11 +23,14 @@
 
 // Order asks for the preparation of a request.
 type Order struct {
-	Request string        `msgpack:"request"`
-	Pool    string        `msgpack:"pool"`
-	Stages  []Stage       `msgpack:"stages"`
-	Key     string        `msgpack:"key"`
-	Prompt  engine.Prompt `msgpack:"prompt"`
+	Request string `msgpack:"request"`
+	// Try numbers the preparations of the request, so that a late word on an earlier
+	// one does not end a later one.
+	Try    int           `msgpack:"try"`
+	Pool   string        `msgpack:"pool"`
+	Stages []Stage       `msgpack:"stages"`
+	Key    string        `msgpack:"key"`
+	Prompt engine.Prompt `msgpack:"prompt"`
 	// Rank is the class; 0 is served first.
 	Rank int `msgpack:"rank"`
 	// Objective and Deadline are the times that are left.
