Explain requests from log files; weigh inputs without maps; rebuild while time is left

Change: input sizes in slices, 48 pieces at most wait past an idle server; rebuilding while there is more time than was spent. lycheectl explain shows a request's path from collected logs; placements, refusals at the coordinator and retries have their lines.

--- a/batch/choose.go
+++ b/batch/choose.go
@@ -14,6 +14,10 @@
 	bulkyBytes = 256 << 10
 )
 
+// patience is the number of pieces that may wait for a busy server, one after the
+// other, before an idle one is left idle.
+const patience = 48
+
 // Call is a number of pieces on their way to a server.
 type Call struct {
 	Number uint64
@@ -48,7 +52,10 @@
 	if idle == 0 {
 		return Call{}, false
 	}
-	for _, p := range waiting {
+	for k, p := range waiting {
+		if k >= patience {
+			break
+		}
 		s, ok := bestServer(spec, servers, p, now)
 		if !ok || s.Calls >= spec.Slots {
 			continue
@@ -103,9 +110,9 @@
 	if p.Near != "" && p.Near != s.DataCentre && p.Bytes >= bulkyBytes {
 		cost += float64(crossingPenalty) * float64(p.Bytes)
 	}
-	for dc, bytes := range p.InputBytes {
-		if dc != s.DataCentre {
-			cost += float64(inputPenalty) * float64(bytes)
+	for _, f := range p.Inflow {
+		if f.DataCentre != s.DataCentre {
+			cost += float64(inputPenalty) * float64(f.Bytes)
 		}
 	}
 	return time.Duration(cost / penaltyBytes)
--- a/batch/piece.go
+++ b/batch/piece.go
@@ -15,6 +15,12 @@
 	Number  int
 }
 
+// Inflow is a number of bytes that come from a data centre.
+type Inflow struct {
+	DataCentre string
+	Bytes      int64
+}
+
 // Piece is a part of a stage of a request.
 type Piece struct {
 	Identity
@@ -34,9 +40,8 @@
 	// Near is the data centre in which a large result will be used, empty if its
 	// place does not matter.
 	Near string
-	// InputBytes is the size of what all pieces of the stage fetch together, by the
-	// data centre that it comes from.
-	InputBytes map[string]int64
+	// Inflow is what all pieces of the stage fetch together.
+	Inflow []Inflow
 	// Avoid is a server that failed or delays the piece.
 	Avoid string
 	// QueuedAt is when the piece was queued.
--- a/batch/queries.go
+++ b/batch/queries.go
@@ -79,6 +79,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var doomed []string
+	seen := map[string]bool{}
 	for _, name := range t.names {
 		p := t.pools[name]
 		rate := p.rate(now)
@@ -88,7 +89,8 @@
 		for k, piece := range p.queue.late {
 			wait := crowding * float64(len(p.queue.onTime)+k) / rate
 			end := now.Add(time.Duration(wait*float64(time.Second)) + p.spec.CallTime + after)
-			if end.After(piece.Deadline) && !slices.Contains(doomed, piece.Request) {
+			if end.After(piece.Deadline) && !seen[piece.Request] {
+				seen[piece.Request] = true
 				doomed = append(doomed, piece.Request)
 			}
 		}
--- a/cmd/lycheectl/main.go
+++ b/cmd/lycheectl/main.go
@@ -45,6 +45,7 @@
 			dataCentreCommand(),
 			serverCommand(),
 			precedenceCommand(),
+			explainCommand(),
 		},
 	}
 	quiet(root)
--- a/delivery/desk.go
+++ b/delivery/desk.go
@@ -8,6 +8,7 @@
 
 	"lycheecrank.example/backend"
 	"lycheecrank.example/counter"
+	"lycheecrank.example/event"
 	"lycheecrank.example/fleet"
 	"lycheecrank.example/pipeline"
 	"lycheecrank.example/preparation"
@@ -37,6 +38,7 @@
 	IsLeaving func() bool
 	// Retries counts sends beyond the first one by reason.
 	Retries *counter.Set
+	Logger  *event.Logger
 }
 
 // visit is an attempt with what the configuration says of it. It is an immutable
@@ -149,11 +151,12 @@
 }
 
 // retry reports whether a request may be sent once more and counts the reason.
-func (d *Desk) retry(reason string) bool {
+func (d *Desk) retry(id, reason string, tries int) bool {
 	if !d.Budget.Take() {
 		d.Retries.Add("budgetSpent")
 		return false
 	}
 	d.Retries.Add(reason)
+	d.Logger.Write(event.AttemptRetried, id, reason, tries)
 	return true
 }
--- a/delivery/plain.go
+++ b/delivery/plain.go
@@ -47,7 +47,7 @@
 		avoid = append(avoid, s.Name)
 		if errors.Is(err, ErrUnreached) || err == nil && a.IsMisdirected {
 			unsent++
-			if unsent < unsentTries && ctx.Err() == nil && d.retry("unreached") {
+			if unsent < unsentTries && ctx.Err() == nil && d.retry(v.attempt.ID, "unreached", result.Tries) {
 				continue
 			}
 			return result.withFailure(notRun(ctx, reason, a).WithSent(mayHaveRunBefore))
@@ -57,7 +57,7 @@
 		mayHaveRunBefore = mayHaveRunBefore || !isNotRun
 		isFailed := isNotRun || err != nil || a.Status >= 500
 		mayRepeat := isNotRun || v.route.IsRepeatable()
-		if isFailed && mayRepeat && reached < v.route.Attempts && ctx.Err() == nil && d.retry("server"+string(reason)) {
+		if isFailed && mayRepeat && reached < v.route.Attempts && ctx.Err() == nil && d.retry(v.attempt.ID, "server"+string(reason), result.Tries) {
 			continue
 		}
 		if isNotRun {
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -139,7 +139,7 @@
 	if avoid != "" {
 		s.order.Avoid = append(slices.Clone(s.order.Avoid), avoid)
 	}
-	if ctx.Err() == nil && s.unsent < placeTries && s.desk.retry(string(f.Reason)) {
+	if ctx.Err() == nil && s.unsent < placeTries && s.desk.retry(s.visit.attempt.ID, string(f.Reason), s.tries) {
 		return Verdict{}, true
 	}
 	s.desk.Abandon(s.visit.attempt.ID, s.order.Try)
@@ -151,7 +151,7 @@
 	s.runs++
 	s.desk.Ended(s.visit.pool.Name, server, s.visit.attempt.ID, ctx.Err() == nil)
 	s.order.Avoid = append(slices.Clone(s.order.Avoid), server)
-	if s.visit.route.IsRepeatable() && len(s.reached) < s.visit.route.Attempts && ctx.Err() == nil && s.desk.retry("streamBroken") {
+	if s.visit.route.IsRepeatable() && len(s.reached) < s.visit.route.Attempts && ctx.Err() == nil && s.desk.retry(s.visit.attempt.ID, "streamBroken", s.tries) {
 		return Verdict{}, true
 	}
 	s.desk.Abandon(s.visit.attempt.ID, s.order.Try)
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -132,6 +132,7 @@
 		Abandon:   i.abandon,
 		IsLeaving: func() bool { return i.leavingFor() > refuseStreamsAfter },
 		Retries:   i.retries,
+		Logger:    i.Logger,
 	}
 	i.store.Count = i.countCall
 }
--- a/event/events.go
+++ b/event/events.go
@@ -27,13 +27,16 @@
 	PeerConnected        = Event{301, log.InfoLevel, "peer connected", []string{"peer", "dataCentre"}, "A connection to another instance is open."}
 	PeerLost             = Event{302, log.WarnLevel, "peer lost", []string{"peer", "error"}, "A connection to another instance has failed."}
 	PeerFrameRefused     = Event{303, log.WarnLevel, "peer frame refused", []string{"remote", "error"}, "A connection sent a frame that is no message and was closed."}
-	CoordinatorChosen    = Event{304, log.InfoLevel, "coordinator chosen", []string{"instance", "fitSince", "heard", "known"}, "Another instance, or this one, prepares requests from now on as far as this instance sees."}
+	CoordinatorChosen    = Event{304, log.InfoLevel, "coordinator chosen", []string{"coordinator", "fitSince", "heard", "known"}, "Another instance, or this one, prepares requests from now on as far as this instance sees."}
 	RequestRefused       = Event{401, log.DebugLevel, "request refused", []string{"request", "workspace", "reason", "detail"}, "A request was refused; the reason is a code of docs/OPERATIONS.md."}
 	RequestFinished      = Event{402, log.DebugLevel, "request finished", []string{"request", "workspace", "class", "outcome"}, "A request has its outcome."}
 	ResultDropped        = Event{403, log.WarnLevel, "result dropped", []string{"request", "stage", "attempt", "reason"}, "A backend server answered with a late, doubled, foreign or truncated result."}
 	AttemptServed        = Event{404, log.InfoLevel, "attempt served", []string{"request", "route", "pool", "backendServer", "tries", "ms", "status", "configuration"}, "An attempt of a client got the answer of a backend server."}
 	AttemptFailed        = Event{405, log.InfoLevel, "attempt failed", []string{"request", "route", "pool", "backendServer", "tries", "ms", "status", "configuration", "reason", "detail", "sent"}, "An attempt of a client was refused or failed; sent tells whether it may have run, status 0 that its answer was cut."}
 	ResultsRebuilt       = Event{406, log.InfoLevel, "results rebuilt", []string{"request", "stage", "piece", "pool", "backendServer", "ageMs", "inputs"}, "A server found results of an earlier stage gone; the coordinator has them made again. ageMs is how long the piece waited."}
+	RequestPlaced        = Event{407, log.InfoLevel, "request placed", []string{"request", "pool", "backendServer", "dataCentre", "waitedMs", "rank", "results", "source", "try"}, "The coordinator has had the results of a request made and chosen its engine."}
+	RequestTurnedAway    = Event{408, log.InfoLevel, "request turned away", []string{"request", "pool", "rank", "waitedMs", "leftMs", "reason", "detail"}, "The coordinator refused a request before anything was sent to an engine."}
+	AttemptRetried       = Event{409, log.InfoLevel, "attempt retried", []string{"request", "reason", "tries"}, "A send failed and the request goes to another server or is prepared again; the reason says why."}
 	ServerCold           = Event{501, log.WarnLevel, "backend server cold", []string{"backendServer", "reason"}, "A backend server is treated as cold and gets its cold limit only."}
 	ServerWarm           = Event{502, log.InfoLevel, "backend server warm", []string{"backendServer"}, "A backend server has reached its full limit."}
 	ServerLeaving        = Event{503, log.InfoLevel, "backend server leaving", []string{"backendServer"}, "A backend server is leaving and gets no new work."}
@@ -54,7 +57,7 @@
 		Started, Leaving, Stopped, ListUnavailable, EntryStarted, Resumed, MetricsUnavailable, LinesDropped, SettingsAdopted, SettingsRefused, SteppedDown,
 		CatalogueAdopted, CatalogueRefused, LogUnavailable, LogRecordUnread, CatalogueSnapshot, LogAvailable, ConfigurationAdopted, Evacuation,
 		PeerConnected, PeerLost, PeerFrameRefused, CoordinatorChosen,
-		RequestRefused, RequestFinished, ResultDropped, AttemptServed, AttemptFailed, ResultsRebuilt,
+		RequestRefused, RequestFinished, ResultDropped, AttemptServed, AttemptFailed, ResultsRebuilt, RequestPlaced, RequestTurnedAway, AttemptRetried,
 		ServerCold, ServerWarm, ServerLeaving, StageCallFailed, ServerListed, ServerUnlisted, PoolDepth,
 		OwnershipTaken, OwnershipLost, LeaseExpired,
 		ClaimUndecided, PrecedenceOverflow,
--- a/preparation/commands.go
+++ b/preparation/commands.go
@@ -142,8 +142,8 @@
 		return step{}
 	}
 	dropped := e.job.kept()
-	if now.After(e.job.objective) {
-		// It waited for the whole life of its results and would do so again.
+	if now.After(e.job.objective) && now.Sub(e.job.openedAt) > e.job.deadline.Sub(now) {
+		// It would wait again for longer than it has time.
 		t.shed(p.Request)
 		return step{free: dropped}
 	}
--- a/preparation/desk.go
+++ b/preparation/desk.go
@@ -124,6 +124,20 @@
 // Prepare has the results of a request made, chooses its engine and counts the
 // request there. It fails with a request.Failure that nothing was sent.
 func (d *Desk) Prepare(ctx context.Context, o Order) (Placement, error) {
+	begun := time.Now()
+	p, err := d.prepare(ctx, o)
+	waited := time.Since(begun)
+	switch {
+	case err != nil:
+		f := request.AsFailure(err)
+		d.Logger.Write(event.RequestTurnedAway, o.Request, o.Pool, o.Rank, waited.Milliseconds(), (o.Deadline - waited).Milliseconds(), string(f.Reason), f.Detail)
+	case !p.IsMoved:
+		d.Logger.Write(event.RequestPlaced, o.Request, o.Pool, p.Server, p.DataCentre, waited.Milliseconds(), o.Rank, len(p.Inputs), p.Source, o.Try)
+	}
+	return p, err
+}
+
+func (d *Desk) prepare(ctx context.Context, o Order) (Placement, error) {
 	openedAt := time.Now()
 	reserve := min(closeReserve, o.Deadline/10)
 	ctx, cancel := context.WithTimeout(ctx, o.Deadline-reserve)
@@ -200,7 +214,7 @@
 const (
 	// lateSlack is by how much a request may be expected to miss its objective and
 	// is still taken. Beyond it the work before it is more than a short burst.
-	lateSlack = 1200 * time.Millisecond
+	lateSlack = 1800 * time.Millisecond
 	// shedInterval is how often requests are looked for that can't be done in time.
 	shedInterval = 100 * time.Millisecond
 	// shedRetry is when the client of such a request may come back.
--- a/preparation/job.go
+++ b/preparation/job.go
@@ -226,25 +226,32 @@
 	return inputs
 }
 
-// inputBytes returns the size of what the pieces of a stage fetch together, by the
-// data centre that it comes from.
-func (j job) inputBytes(stage int, place func(handle string) string) map[string]int64 {
-	sizes := map[string]int64{}
+// inflow returns what the pieces of a stage fetch together, by the data centre
+// that it comes from.
+func (j job) inflow(stage int, place func(handle string) string) []batch.Inflow {
+	var inflow []batch.Inflow
 	for _, before := range j.order.Stages[stage].After {
+		bytes := j.order.Stages[before].Bytes * int64(j.order.Stages[stage].Pieces)
 		for _, h := range j.handles[before] {
-			if dc := place(h); dc != "" {
-				sizes[dc] += j.order.Stages[before].Bytes * int64(j.order.Stages[stage].Pieces)
+			dc := place(h)
+			at := slices.IndexFunc(inflow, func(f batch.Inflow) bool { return f.DataCentre == dc })
+			switch {
+			case dc == "":
+			case at < 0:
+				inflow = append(inflow, batch.Inflow{DataCentre: dc, Bytes: bytes})
+			default:
+				inflow[at].Bytes += bytes
 			}
 		}
 	}
-	return sizes
+	return inflow
 }
 
 // pieces returns the pieces of a stage that are not made yet.
 func (j job) pieces(stage int, start time.Time, place func(handle string) string, now time.Time) []batch.Piece {
 	s := j.order.Stages[stage]
 	inputs := j.stageInputs(stage)
-	sizes := j.inputBytes(stage, place)
+	inflow := j.inflow(stage, place)
 	key := ""
 	if len(s.After) == 0 {
 		key = j.order.Key
@@ -257,7 +264,7 @@
 		pieces = append(pieces, batch.Piece{
 			Identity: batch.Identity{Request: j.order.Request, Stage: stage, Number: n},
 			Pool:     s.Pool, Key: key, Inputs: inputs, Bytes: s.Bytes, Rank: j.order.Rank,
-			Start: start, Deadline: j.deadline, Near: j.near, InputBytes: sizes, QueuedAt: now,
+			Start: start, Deadline: j.deadline, Near: j.near, Inflow: inflow, QueuedAt: now,
 		})
 	}
 	return pieces
