--- a/engine/engine.go
+++ b/engine/engine.go
@@ -32,10 +32,8 @@
 type Spec struct {
 	Pool  string
 	Slots int
-	// MemoryTokens is the memory of an engine in tokens, TokenBytes the size of
-	// one token.
+	// MemoryTokens is the memory of an engine in tokens.
 	MemoryTokens int64
-	TokenBytes   int64
 	// ColdPerSecond is how many requests a second an engine in cold start bears, 0
 	// for no bound.
 	ColdPerSecond float64
--- a/entry/apply.go
+++ b/entry/apply.go
@@ -119,7 +119,7 @@
 func engineSpec(p route.Pool) engine.Spec {
 	return engine.Spec{
 		Pool: p.Name, Slots: p.Engine.Slots, MemoryTokens: p.Engine.MemoryTokens,
-		TokenBytes: p.Engine.TokenBytes, ColdPerSecond: p.ColdPerSecond,
+		ColdPerSecond: p.ColdPerSecond,
 	}
 }
 
--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -18,9 +18,9 @@
 	"lycheecrank.example/standin/site"
 )
 
-// setupBound is no promise: waits end by an event. It lies below the time limit
+// setupBound is no promise: waits end by an event. It lies far below the time limit
 // of go test, so that a test that never gets ready says what it waited for.
-const setupBound = 8 * time.Minute
+const setupBound = 2 * time.Minute
 
 // testSite is a store, workers of each kind and some instances.
 type testSite struct {
@@ -80,7 +80,9 @@
 // configure writes the next version of the configuration.
 func (s *testSite) configure() {
 	s.version++
-	pieces := map[string]any{"slots": 1, "batch": 8, "callMs": 10, "itemMs": 1, "headroomMb": 10, "handleS": 10}
+	// The room is so small that each result takes a third of it: makers are told of
+	// results that are given up only where room gets short.
+	pieces := map[string]any{"slots": 1, "batch": 8, "callMs": 10, "itemMs": 1, "headroomMb": 0.003, "handleS": 10}
 	s.store.PutJSON(platform.Operators, platform.ConfigurationKey, map[string]any{
 		"version": s.version, "routes": s.routes, "tenants": s.tenants,
 		"services": []map[string]any{
@@ -203,6 +205,7 @@
 // Guards against a path that breaks anywhere between a client and a worker:
 // routing, keys, headers, stages, streams, and results that stay at their makers.
 func TestPath(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newTestSite(t)
 	s.start("n1", "n2", "n3")
@@ -237,6 +240,7 @@
 // Guards against requests that run twice, refusals that are not true and streams
 // that are joined wrongly when workers fail.
 func TestWorkerFaults(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newTestSite(t)
 	s.start("n1")
@@ -273,6 +277,7 @@
 // keys and routes while the store turns instances away, servers that leave, data
 // centres that are evacuated, and history that is dropped.
 func TestChanges(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newTestSite(t)
 	s.start("n1", "n2")
@@ -317,6 +322,7 @@
 // Guards against requests that are cut off by a planned stop, and against a
 // coordinator that takes the preparation of others with it.
 func TestGracefulStop(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newTestSite(t)
 	s.start("n1", "n2", "n3")
@@ -373,6 +379,7 @@
 
 // Guards against a client that leaves while its request goes on at a worker.
 func TestClientLeaves(t *testing.T) {
+	t.Parallel()
 	s := newTestSite(t)
 	s.workers["models-1"].Pause = time.Second
 	s.workers["models-2"].Pause = time.Second
--- /dev/null
+++ b/preparation/calls.go
@@ -0,0 +1,84 @@
+package preparation
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"lycheecrank.example/batch"
+	"lycheecrank.example/event"
+)
+
+// execute makes one call and takes over what came of it.
+func (d *Desk) execute(ctx context.Context, call batch.Call) {
+	d.table.Commands().enter(call.Pieces)
+	defer d.table.Commands().leave(call.Pieces)
+	limit := callFactor*call.Expected + callSlack
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	results, err := d.Call(ctx, call)
+	now := time.Now()
+	if err != nil || len(results) != len(call.Pieces) {
+		d.fail(call, err, now)
+		return
+	}
+	var made []batch.Made
+	for i, r := range results {
+		if r.Verdict == Made {
+			made = append(made, batch.Made{Piece: call.Pieces[i], Handle: r.Handle})
+		}
+	}
+	d.Batches.Commands().End(call, made, now)
+	if slices.ContainsFunc(results, func(r Result) bool { return r.Verdict == NoRoom }) {
+		d.Batches.Commands().Crowded(call, now)
+		d.correct(ctx, call.Pool, call.Server)
+	}
+	for i, r := range results {
+		d.settle(call, call.Pieces[i], r, now)
+	}
+}
+
+// settle takes over the result of a piece.
+func (d *Desk) settle(call batch.Call, p batch.Piece, r Result, now time.Time) {
+	switch r.Verdict {
+	case Made:
+		d.apply(d.table.Commands().record(p, r.Handle, d.knowledge(), now))
+	case InputGone:
+		d.Counters.Add("inputGone")
+		d.Logger.Write(event.ResultsRebuilt, p.Request, p.Stage, p.Number, p.Pool, call.Server.ID, now.Sub(p.QueuedAt).Milliseconds(), p.Inputs)
+		d.apply(d.table.Commands().rebuild(p, d.knowledge(), now))
+	case NoRoom:
+		d.Counters.Add("noRoom")
+		d.again(p, "")
+	case Late:
+		d.Counters.Add("pieceLate")
+	case Failed:
+		d.Counters.Add("pieceFailed")
+		d.again(p, call.Server.ID)
+	}
+}
+
+// fail has all pieces of a failed call made by other servers.
+func (d *Desk) fail(call batch.Call, err error, now time.Time) {
+	isFull := errors.Is(err, ErrFull)
+	reason := "callFailed"
+	if isFull {
+		reason = "callRefused"
+	}
+	d.Counters.Add(reason)
+	d.Logger.Write(event.StageCallFailed, call.Pool, call.Server.ID, len(call.Pieces), now.Sub(call.SentAt).Milliseconds(), err)
+	d.Batches.Commands().Fail(call, isFull, now)
+	for _, p := range call.Pieces {
+		d.again(p, call.Server.ID)
+	}
+}
+
+// again queues a piece once more.
+func (d *Desk) again(p batch.Piece, avoid string) {
+	if !d.table.Commands().retry(p) {
+		return
+	}
+	p.Avoid = avoid
+	d.Batches.Commands().Enqueue([]batch.Piece{p})
+}
--- a/preparation/desk.go
+++ b/preparation/desk.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -54,16 +53,6 @@
 	// takes longer is taken as gone and its pieces are made elsewhere.
 	callSlack  = 700 * time.Millisecond
 	callFactor = 3
-	// freeInterval is how often makers are told which results are given up.
-	freeInterval = 100 * time.Millisecond
-	// minTaken is the part of a maker's room from which on it is told.
-	minTaken = 0.3
-	// tellLimit bounds short questions to servers of stages.
-	tellLimit = 500 * time.Millisecond
-	// anyTry stands for all preparations of a request.
-	anyTry = 1 << 30
-	// sweepInterval is how often jobs of instances that are gone are given up.
-	sweepInterval = time.Second
 	// engineRetry is the pause before an engine is looked for again.
 	engineRetry = 25 * time.Millisecond
 	// bulkyBytes is the size of results from which the engine is chosen before
@@ -211,35 +200,6 @@
 	return f.WithRetryAfter(min(expected-o.Objective, o.Deadline/4)), true
 }
 
-const (
-	// lateSlack is by how much a request may be expected to miss its objective and
-	// is still taken. Beyond it the work before it is more than a short burst.
-	lateSlack = 1800 * time.Millisecond
-	// shedInterval is how often requests are looked for that can't be done in time.
-	shedInterval = 100 * time.Millisecond
-	// shedRetry is when the client of such a request may come back.
-	shedRetry = 400 * time.Millisecond
-)
-
-// runShedding gives up requests that wait behind more than their time allows, so
-// that their clients know at once.
-func (d *Desk) runShedding(ctx context.Context) error {
-	timer := time.NewTicker(shedInterval)
-	defer timer.Stop()
-	for {
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			return nil
-		}
-		for _, id := range d.Batches.Queries().Doomed(engineTime, time.Now()) {
-			d.Counters.Add("shed")
-			d.Batches.Commands().Withdraw(id)
-			d.free(d.table.Commands().shed(id))
-		}
-	}
-}
-
 func (d *Desk) usual(pool string, pieces int) time.Duration {
 	return d.Batches.Queries().CallTime(pool, pieces)
 }
@@ -352,171 +312,3 @@
 		d.Counters.Add("freesDropped")
 	}
 }
-
-// execute makes one call and takes over what came of it.
-func (d *Desk) execute(ctx context.Context, call batch.Call) {
-	d.table.Commands().enter(call.Pieces)
-	defer d.table.Commands().leave(call.Pieces)
-	limit := callFactor*call.Expected + callSlack
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	results, err := d.Call(ctx, call)
-	now := time.Now()
-	if err != nil || len(results) != len(call.Pieces) {
-		d.fail(call, err, now)
-		return
-	}
-	var made []batch.Made
-	for i, r := range results {
-		if r.Verdict == Made {
-			made = append(made, batch.Made{Piece: call.Pieces[i], Handle: r.Handle})
-		}
-	}
-	d.Batches.Commands().End(call, made, now)
-	if slices.ContainsFunc(results, func(r Result) bool { return r.Verdict == NoRoom }) {
-		d.Batches.Commands().Crowded(call, now)
-		d.correct(ctx, call.Pool, call.Server)
-	}
-	for i, r := range results {
-		d.settle(call, call.Pieces[i], r, now)
-	}
-}
-
-// settle takes over the result of a piece.
-func (d *Desk) settle(call batch.Call, p batch.Piece, r Result, now time.Time) {
-	switch r.Verdict {
-	case Made:
-		d.apply(d.table.Commands().record(p, r.Handle, d.knowledge(), now))
-	case InputGone:
-		d.Counters.Add("inputGone")
-		d.Logger.Write(event.ResultsRebuilt, p.Request, p.Stage, p.Number, p.Pool, call.Server.ID, now.Sub(p.QueuedAt).Milliseconds(), p.Inputs)
-		d.apply(d.table.Commands().rebuild(p, d.knowledge(), now))
-	case NoRoom:
-		d.Counters.Add("noRoom")
-		d.again(p, "")
-	case Late:
-		d.Counters.Add("pieceLate")
-	case Failed:
-		d.Counters.Add("pieceFailed")
-		d.again(p, call.Server.ID)
-	}
-}
-
-// fail has all pieces of a failed call made by other servers.
-func (d *Desk) fail(call batch.Call, err error, now time.Time) {
-	isFull := errors.Is(err, ErrFull)
-	reason := "callFailed"
-	if isFull {
-		reason = "callRefused"
-	}
-	d.Counters.Add(reason)
-	d.Logger.Write(event.StageCallFailed, call.Pool, call.Server.ID, len(call.Pieces), now.Sub(call.SentAt).Milliseconds(), err)
-	d.Batches.Commands().Fail(call, isFull, now)
-	for _, p := range call.Pieces {
-		d.again(p, call.Server.ID)
-	}
-}
-
-// again queues a piece once more.
-func (d *Desk) again(p batch.Piece, avoid string) {
-	if !d.table.Commands().retry(p) {
-		return
-	}
-	p.Avoid = avoid
-	d.Batches.Commands().Enqueue([]batch.Piece{p})
-}
-
-// runFrees tells makers which results are given up, where their room gets short:
-// elsewhere the results go at the end of their life, and telling all makers ten
-// times a second cost most of the processor time of a large site's coordinator.
-func (d *Desk) runFrees(ctx context.Context) error {
-	var group errgroup.Group
-	defer func() { _ = group.Wait() }()
-	var pending []string
-	timer := time.NewTicker(freeInterval)
-	defer timer.Stop()
-	for {
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			return nil
-		}
-		pending = append(pending, d.takeFreed()...)
-		due, rest := d.Batches.Queries().Due(pending, minTaken)
-		pending = rest
-		for address, handles := range due {
-			group.Go(func() error {
-				d.tell(ctx, address, handles)
-				return nil
-			})
-		}
-	}
-}
-
-// tell tells a maker that results are given up, and counts their room as free
-// then.
-func (d *Desk) tell(ctx context.Context, address string, handles []string) {
-	ctx, cancel := context.WithTimeout(ctx, tellLimit)
-	defer cancel()
-	if err := d.Free(ctx, address, handles); err != nil {
-		d.Counters.Add("freeFailed")
-	}
-	d.Batches.Commands().Release(handles)
-}
-
-// TakeOver asks all servers of stages for their room, since an earlier
-// coordinator may have left results there.
-func (d *Desk) TakeOver(ctx context.Context) error {
-	var group errgroup.Group
-	for pool, places := range d.Batches.Queries().Servers() {
-		for _, p := range places {
-			group.Go(func() error {
-				d.correct(ctx, pool, p)
-				return nil
-			})
-		}
-	}
-	return group.Wait()
-}
-
-// correct asks a server for its room.
-func (d *Desk) correct(ctx context.Context, pool string, p batch.Place) {
-	ctx, cancel := context.WithTimeout(ctx, tellLimit)
-	defer cancel()
-	free, err := d.Room(ctx, p.Address)
-	if err != nil {
-		d.Counters.Add("roomUnknown")
-		return
-	}
-	d.Batches.Commands().Correct(pool, p.ID, free, time.Now())
-}
-
-// takeFreed returns the results that were given up since the last time.
-func (d *Desk) takeFreed() []string {
-	var handles []string
-	for {
-		select {
-		case h := <-d.freed:
-			handles = append(handles, h...)
-		default:
-			return handles
-		}
-	}
-}
-
-// runSweeps gives up jobs that nobody has ended.
-func (d *Desk) runSweeps(ctx context.Context) error {
-	timer := time.NewTicker(sweepInterval)
-	defer timer.Stop()
-	for {
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			return nil
-		}
-		for _, id := range d.table.Commands().lapsed(time.Now()) {
-			d.Counters.Add("jobLapsed")
-			d.Abandon(id, anyTry)
-		}
-	}
-}
--- a/route/route.go
+++ b/route/route.go
@@ -53,8 +53,6 @@
 	// Objective is the time to the answer, or to the first event, within which a
 	// request counts as on time.
 	Objective time.Duration
-	// Gap is the longest pause between events of a stream that is on time.
-	Gap time.Duration
 	// Rank is the class; 0 is served first.
 	Rank int
 	// Attempts is the largest number of backend servers that one attempt of a
@@ -98,8 +96,6 @@
 	Slots int
 	// MemoryTokens is the memory of a server in tokens.
 	MemoryTokens int64
-	// TokenBytes is the memory of one token.
-	TokenBytes int64
 }
 
 // Batch is what a pool declares whose servers make results of stages.
@@ -118,12 +114,7 @@
 
 // Pool is a set of backend servers that do the same work.
 type Pool struct {
-	Name       string
-	HealthPath string
-	// MaxConnections is what one server accepts from all instances together.
-	MaxConnections int
-	// ColdStart is how long a server stays cold after its start.
-	ColdStart time.Duration
+	Name string
 	// ColdPerSecond is how many requests a second a cold server bears; 0 if its
 	// servers have no cold start.
 	ColdPerSecond float64
@@ -143,10 +134,8 @@
 
 // Limits bound what a client may send.
 type Limits struct {
-	HeaderBytes int64
-	BodyBytes   int64
-	HeaderTime  time.Duration
-	IdleTime    time.Duration
+	// BodyBytes is the largest body.
+	BodyBytes int64
 }
 
 // Configuration is a version of the operators' configuration. It is an immutable
