--- a/entry/report.go
+++ b/entry/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +21,8 @@
 type report struct {
 	logger *event.Logger
 	served atomic.Int64
+	// inFlight is the number of attempts in progress.
+	inFlight atomic.Int64
 }
 
 func newReport(logger *event.Logger) *report { return &report{logger: logger} }
@@ -50,8 +53,14 @@
 	return nil
 }
 
-// open returns the number of attempts in progress.
-func (r *report) open() int { return 0 }
+// around counts the attempts in progress.
+func (r *report) around(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		r.inFlight.Add(1)
+		defer r.inFlight.Add(-1)
+		next.ServeHTTP(w, req)
+	})
+}
 
 // reportAttempt counts and logs how an attempt ended.
 func (i *Instance) reportAttempt(a delivery.Attempt, v delivery.Verdict, status int) {
--- a/entry/run.go
+++ b/entry/run.go
@@ -92,10 +92,10 @@
 
 func (i *Instance) frontServer() *http.Server {
 	return &http.Server{
-		Handler: &platform.Front{
+		Handler: i.report.around(&platform.Front{
 			Desk: i.delivery, Workers: i.workers, Routes: i.routes.Queries(),
 			IsLeaving: i.isLeaving, Report: i.reportAttempt,
-		},
+		}),
 		ReadHeaderTimeout: headerTime,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          discardLog(),
@@ -146,9 +146,9 @@
 	i.unregister(ctx)
 	pause(ctx, stayOpen-i.leavingFor())
 	err := front.Shutdown(ctx)
-	left := 0
+	left := int64(0)
 	if err != nil {
-		left = i.report.open()
+		left = i.report.inFlight.Load()
 		_ = front.Close()
 	}
 	i.Logger.Write(event.Stopped, left)
--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -371,6 +371,7 @@
 	is.Equal(status, 200) // clients that still come are served
 	is.Equal(header.Get("Connection"), "close")
 	is.NoErr(<-leaving.done)
+	is.Equal(leaving.report.inFlight.Load(), int64(0))
 	is.NoErr(group.Wait())
 	for range 4 {
 		is.Equal(<-answers, "200 "+wholeStream())
