Keep a new coordinator of a large site from stepping down; shorten the loop of beats

Cause, found by reading: an instance that becomes a candidate beats twice as often from then on, and its last beat counted as late by the difference, enough to step down at once. Change: lateness is measured against the interval that was set; the loop of beats is split by what it does. The test failed before.

--- a/entry/beats.go
+++ b/entry/beats.go
@@ -117,9 +117,8 @@
 	defer func() { _ = group.Wait() }()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	clock := beatClock{boot: i.SinceBoot(), at: time.Now(), interval: beatInterval}
 	coordinator := ""
-	pace := pace{}
-	lastBoot, lastRun := i.SinceBoot(), time.Now()
 	for round := 0; ; round++ {
 		select {
 		case <-timer.C:
@@ -127,17 +126,9 @@
 		case <-ctx.Done():
 			return nil
 		}
-		timer.Reset(i.interval())
-		boot, now := i.SinceBoot(), time.Now()
-		if boot-lastBoot > now.Sub(lastRun)+maxBreak || now.Sub(lastRun) > i.interval()+2*maxBreak {
-			i.resume(boot-lastBoot, now)
-		}
-		if pace.isSlow(now.Sub(lastRun)-i.interval(), now) && len(i.view().Heard(now)) > 0 && coordinator == i.Settings.Name {
-			// Others are faster.
-			i.Logger.Write(event.SteppedDown, pace.lag.Milliseconds())
-			i.crew.Commands().Restamp(now)
-		}
-		lastBoot, lastRun = boot, now
+		now := time.Now()
+		i.checkFitness(&clock, now, coordinator == i.Settings.Name)
+		timer.Reset(clock.interval)
 		i.crew.Commands().Forget(now)
 		for _, address := range i.targets(round, now) {
 			group.Go(func() error {
@@ -147,18 +138,49 @@
 		}
 		if c := i.view().Coordinator(now); c.Name != coordinator {
 			coordinator = c.Name
-			i.Logger.Write(event.CoordinatorChosen, c.Name, c.FitSince, len(i.view().Heard(now)), len(i.view().Known()))
-			i.introduce(c)
-			if c.Name == i.Settings.Name {
-				i.prepared.TakeUp()
-				group.Go(func() error { return i.prepared.TakeOver(ctx) })
-			} else {
-				i.prepared.HandOver()
-			}
+			i.changeCoordinator(ctx, &group, c)
 		}
 	}
 }
 
+// beatClock is when the last beats went out.
+type beatClock struct {
+	boot time.Duration
+	at   time.Time
+	// interval is that after which the next ones are due.
+	interval time.Duration
+	pace     pace
+}
+
+// checkFitness finds breaks of this instance, and a coordinator that runs too
+// slowly.
+func (i *Instance) checkFitness(c *beatClock, now time.Time, isCoordinator bool) {
+	boot, ran := i.SinceBoot()-c.boot, now.Sub(c.at)
+	if boot > ran+maxBreak || ran > c.interval+2*maxBreak {
+		i.resume(boot, now)
+	}
+	if c.pace.isSlow(ran-c.interval, now) && isCoordinator && len(i.view().Heard(now)) > 0 {
+		i.Logger.Write(event.SteppedDown, c.pace.lag.Milliseconds())
+		i.crew.Commands().Restamp(now)
+	}
+	c.boot, c.at, c.interval = c.boot+boot, now, i.interval()
+}
+
+// changeCoordinator takes the work up, or hands it over, and tells the new
+// coordinator what it has to know.
+func (i *Instance) changeCoordinator(ctx context.Context, group *errgroup.Group, c crew.Mate) {
+	now := time.Now()
+	i.Logger.Write(event.CoordinatorChosen, c.Name, c.FitSince, len(i.view().Heard(now)), len(i.view().Known()))
+	if c.Name != i.Settings.Name {
+		i.prepared.HandOver()
+		i.introduce(c)
+		return
+	}
+	i.prepared.TakeUp()
+	i.introduce(c)
+	group.Go(func() error { return i.prepared.TakeOver(ctx) })
+}
+
 // pace is how late this instance runs what is due.
 type pace struct {
 	lag      time.Duration
@@ -207,8 +229,8 @@
 }
 
 // targets returns the addresses of a round: the first candidates for coordinator,
-// which stay in touch with all. An instance that
-// leaves, or that has news of operators, tells all that it hears.
+// which stay in touch with all. An instance that leaves, or that has news of
+// operators, tells all that it hears.
 func (i *Instance) targets(round int, now time.Time) []string {
 	v := i.view()
 	var addresses []string
--- a/entry/reload_test.go
+++ b/entry/reload_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
+	"lycheecrank.example/crew"
 	"lycheecrank.example/platform"
 )
 
@@ -77,3 +78,30 @@
 	}
 	is.Equal(slow, 2) // within ten seconds
 }
+
+// Guards against a coordinator of a large site that steps down as it is chosen,
+// since its beats are due sooner from then on, and against one that doesn't notice
+// that its machine stood still.
+func TestFitness(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		i := New(platform.Settings{Name: "n1", Peers: "10.0.0.1:1"}, io.Discard)
+		boot := time.Duration(0)
+		i.SinceBoot = func() time.Duration { return boot }
+		i.crew.Commands().Hear(crew.Mate{Name: "n2", FitSince: 1 << 60}, nil, time.Now())
+		first := i.view().Self().FitSince
+		c := beatClock{at: time.Now(), interval: 2 * beatInterval}
+		pass := func(d time.Duration) {
+			time.Sleep(d)
+			boot += d
+			i.crew.Commands().Hear(crew.Mate{Name: "n2", FitSince: 1 << 60}, nil, time.Now())
+			i.checkFitness(&c, time.Now(), true)
+		}
+		pass(2 * beatInterval)
+		pass(beatInterval)
+		is.Equal(i.view().Self().FitSince, first)
+		boot += 5 * time.Second // suspended
+		pass(beatInterval)
+		is.True(i.view().Self().FitSince > first)
+	})
+}
