Bound the pieces of a request; rebuild results once for each loss

Cause, found by reading: a number of pieces from a client sized the coordinator's memory, and a request whose results were rebuilt once had them rebuilt at each later try.

--- a/delivery/desk.go
+++ b/delivery/desk.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -104,6 +105,8 @@
 	}
 	v.deadline, v.objective = times(a, r)
 	switch {
+	case !isSane(a.Pieces):
+		return v, refuse(request.ReasonMalformed, "number of pieces")
 	case !now.Before(v.deadline):
 		return v, refuse(request.ReasonDeadlineOver, "the time of the client is over")
 	case d.IsLeaving() && r.Kind == route.Stream:
@@ -113,6 +116,14 @@
 	return v, nil
 }
 
+// maxPieces bounds the pieces of a stage, so that a number from outside can't take
+// the memory of the coordinator.
+const maxPieces = 1024
+
+func isSane(pieces []int) bool {
+	return !slices.ContainsFunc(pieces, func(n int) bool { return n < 0 || n > maxPieces })
+}
+
 // leavingRetry is when a client may come back to another instance.
 const leavingRetry = 50 * time.Millisecond
 
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -73,6 +73,7 @@
 	s.order.Try++
 	s.order.Objective, s.order.Deadline = v.objective.Sub(now), v.deadline.Sub(now)
 	p, err := d.Prepare(ctx, s.order)
+	s.order.IsRebuilt = false
 	if err != nil {
 		return s.fail(request.AsFailure(err))
 	}
