--- a/batch/choose.go
+++ b/batch/choose.go
@@ -14,9 +14,9 @@
 	bulkyBytes = 256 << 10
 )
 
-// patience is the number of pieces that may wait for a busy server, one after the
+// maxHeldBack is the number of pieces that may wait for a busy server, one after the
 // other, before an idle one is left idle.
-const patience = 48
+const maxHeldBack = 48
 
 // Call is a number of pieces on their way to a server.
 type Call struct {
@@ -53,7 +53,7 @@
 		return Call{}, false
 	}
 	for k, p := range waiting {
-		if k >= patience {
+		if k >= maxHeldBack {
 			break
 		}
 		s, ok := bestServer(spec, servers, p, now)
--- a/batch/commands.go
+++ b/batch/commands.go
@@ -142,8 +142,8 @@
 	t.changed.Signal()
 }
 
-// Crowded notes that a server had no room for a result.
-func (c Commands) Crowded(call Call, now time.Time) {
+// MarkFull notes that a server had no room for a result.
+func (c Commands) MarkFull(call Call, now time.Time) {
 	t := c.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/batch/queries.go
+++ b/batch/queries.go
@@ -72,13 +72,13 @@
 	return time.Duration(float64(ahead) / rate * float64(time.Second))
 }
 
-// Doomed returns the requests with pieces that wait behind so many others that
+// Unattainable returns the requests with pieces that wait behind so many others that
 // they can't be made in their time. The last stages of a request take after more.
-func (q Queries) Doomed(after time.Duration, now time.Time) []string {
+func (q Queries) Unattainable(after time.Duration, now time.Time) []string {
 	t := q.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var doomed []string
+	var unattainable []string
 	seen := map[string]bool{}
 	for _, name := range t.names {
 		p := t.pools[name]
@@ -87,20 +87,20 @@
 			continue
 		}
 		for k, piece := range p.queue.late {
-			wait := crowding * float64(len(p.queue.onTime)+k) / rate
+			wait := lateWaitFactor * float64(len(p.queue.onTime)+k) / rate
 			end := now.Add(time.Duration(wait*float64(time.Second)) + p.spec.CallTime + after)
 			if end.After(piece.Deadline) && !seen[piece.Request] {
 				seen[piece.Request] = true
-				doomed = append(doomed, piece.Request)
+				unattainable = append(unattainable, piece.Request)
 			}
 		}
 	}
-	return doomed
+	return unattainable
 }
 
-// crowding is by how much late pieces wait longer than the queue before them
+// lateWaitFactor is by how much late pieces wait longer than the queue before them
 // takes, since others that can be on time go first.
-const crowding = 1.5
+const lateWaitFactor = 1.5
 
 // rate returns the pieces a second that the servers of the pool make in full
 // calls.
--- a/delivery/plain.go
+++ b/delivery/plain.go
@@ -28,7 +28,7 @@
 )
 
 // plain serves an attempt by a plain service.
-func (d *Desk) plain(ctx context.Context, v visit) Verdict {
+func (d *Router) plain(ctx context.Context, v routed) Verdict {
 	var result Verdict
 	var avoid []string
 	reached, unsent := 0, 0
@@ -72,7 +72,7 @@
 
 // exchange sends a request and reads its whole answer, but for a large one, the
 // rest of which stays in the body of the answer.
-func (d *Desk) exchange(ctx context.Context, v visit, s backend.Server) (Answer, []byte, error) {
+func (d *Router) exchange(ctx context.Context, v routed, s backend.Server) (Answer, []byte, error) {
 	server, ok := d.Fleet.Server(s.Name, time.Now())
 	if !ok {
 		return Answer{}, nil, ErrUnreached
@@ -100,7 +100,7 @@
 }
 
 // pass passes a kept answer on, and the rest of a large one as it comes.
-func pass(v visit, a Answer, body []byte, result Verdict) Verdict {
+func pass(v routed, a Answer, body []byte, result Verdict) Verdict {
 	defer func() { _ = a.Body.Close() }()
 	result.IsBegun = true
 	if a.Begin() != nil || v.attempt.Write(body) != nil {
@@ -125,7 +125,7 @@
 }
 
 // reserve takes a place at a server and waits for one for a part of the time.
-func (d *Desk) reserve(ctx context.Context, v visit, avoid []string) (backend.Server, bool) {
+func (d *Router) reserve(ctx context.Context, v routed, avoid []string) (backend.Server, bool) {
 	limit := time.Now().Add(time.Until(v.deadline) / busyShare)
 	rights := backend.Rights{Cold: true, WarmShare: 1}
 	timer := time.NewTimer(busyRetry)
@@ -148,7 +148,7 @@
 }
 
 // noServer is the failure of a request for which no server was free.
-func (d *Desk) noServer(ctx context.Context, mayHaveRun bool) request.Failure {
+func (d *Router) noServer(ctx context.Context, mayHaveRun bool) request.Failure {
 	reason := request.ReasonNoServer
 	if errors.Is(ctx.Err(), context.Canceled) {
 		reason = request.ReasonCancelled
--- a/delivery/desk.go
+++ b/delivery/router.go
@@ -17,9 +17,9 @@
 	"lycheecrank.example/route"
 )
 
-// Desk serves attempts. Set the exported fields before the first call;
+// Router serves attempts. Set the exported fields before the first call;
 // concurrent calls are safe then.
-type Desk struct {
+type Router struct {
 	Routes route.Queries
 	Fleet  fleet.Queries
 	// Plain are the servers of pools without engines.
@@ -42,9 +42,9 @@
 	Logger  *event.Logger
 }
 
-// visit is an attempt with what the configuration says of it. It is an immutable
+// routed is an attempt with what the configuration says of it. It is an immutable
 // value.
-type visit struct {
+type routed struct {
 	attempt   Attempt
 	route     route.Route
 	pool      route.Pool
@@ -55,7 +55,7 @@
 }
 
 // Deliver serves an attempt until its answer is passed on or it has failed.
-func (d *Desk) Deliver(ctx context.Context, a Attempt) Verdict {
+func (d *Router) Deliver(ctx context.Context, a Attempt) Verdict {
 	v, f := d.admit(a)
 	if f != nil {
 		return Verdict{Failure: f, Route: v.route.Name}
@@ -77,17 +77,17 @@
 const defaultLimit = 30 * time.Second
 
 // admit finds the route, the workspace and the time of an attempt.
-func (d *Desk) admit(a Attempt) (visit, *request.Failure) {
+func (d *Router) admit(a Attempt) (routed, *request.Failure) {
 	now := time.Now()
 	c := d.Routes.Current()
 	if c.Version == 0 {
-		return visit{}, refuse(request.ReasonNoCatalogue, "no configuration yet")
+		return routed{}, refuse(request.ReasonNoCatalogue, "no configuration yet")
 	}
 	r, ok := c.Match(a.Host, a.Path)
 	if !ok {
-		return visit{}, d.unknown(request.ReasonUnknownTarget, now)
+		return routed{}, d.unknown(request.ReasonUnknownTarget, now)
 	}
-	v := visit{attempt: a, route: r, rank: r.Rank}
+	v := routed{attempt: a, route: r, rank: r.Rank}
 	if c.NeedsKey(r) {
 		w, ok := c.Workspace(a.Key)
 		if !ok {
@@ -145,7 +145,7 @@
 
 // unknown refuses a request for a route or key that the configuration lacks. If
 // there may be a newer one, the client is asked to come back.
-func (d *Desk) unknown(reason request.Reason, now time.Time) *request.Failure {
+func (d *Router) unknown(reason request.Reason, now time.Time) *request.Failure {
 	if d.Routes.IsCurrent(now) {
 		return refuse(reason, "")
 	}
@@ -162,7 +162,7 @@
 }
 
 // retry reports whether a request may be sent once more and counts the reason.
-func (d *Desk) retry(id, reason string, tries int) bool {
+func (d *Router) retry(id, reason string, tries int) bool {
 	if !d.Budget.Take() {
 		d.Retries.Add("budgetSpent")
 		return false
--- a/delivery/desk_test.go
+++ b/delivery/router_test.go
@@ -23,9 +23,9 @@
 	"lycheecrank.example/route"
 )
 
-// rig is a desk whose servers answer from a script.
+// rig is a router whose servers answer from a script.
 type rig struct {
-	*Desk
+	*Router
 	// script holds the answers to the sends, in order.
 	script []sent
 	sends  []string
@@ -71,7 +71,7 @@
 		servers.Commands().Announce(fleet.Server{ID: id, Pool: "models", Address: id + ":1"})
 	}
 	plain.Commands().Sync(specs, time.Now())
-	r.Desk = &Desk{
+	r.Router = &Router{
 		Routes: routes.Queries(), Fleet: servers.Queries(), Plain: plain.Commands(), Budget: pipeline.NewBudget(1, 10),
 		Prepare: r.prepare, Retries: &counter.Set{}, Logger: event.Discard(), IsLeaving: func() bool { return false },
 		Started: func(_, server, _ string, _ int, _ time.Duration) { r.notices = append(r.notices, "started "+server) },
@@ -226,11 +226,11 @@
 		show("no route", r.attempt("/nothing/"))
 		show("unknown key", noKey)
 		show("no time left", late)
-	huge := r.attempt("/draft/1")
-	huge.Pieces = []int{1 << 40}
-	show("too many pieces", huge)
-	huge.Pieces = []int{-1}
-	show("a negative number of pieces", huge)
+		huge := r.attempt("/draft/1")
+		huge.Pieces = []int{1 << 40}
+		show("too many pieces", huge)
+		huge.Pieces = []int{-1}
+		show("a negative number of pieces", huge)
 		r.IsLeaving = func() bool { return true }
 		show("stream while the instance leaves", r.attempt("/chat/1"))
 		r.IsLeaving = func() bool { return false }
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -15,8 +15,8 @@
 const placeTries = 4
 
 // stream serves an attempt by a model engine.
-func (d *Desk) stream(ctx context.Context, v visit) Verdict {
-	s := &streaming{desk: d, visit: v, last: v.attempt.LastEvent, order: v.order()}
+func (d *Router) stream(ctx context.Context, v routed) Verdict {
+	s := &streaming{router: d, routed: v, last: v.attempt.LastEvent, order: v.order()}
 	for {
 		done, isAgain := s.try(ctx)
 		if !isAgain {
@@ -26,7 +26,7 @@
 }
 
 // order returns the order to prepare the request.
-func (v visit) order() preparation.Order {
+func (v routed) order() preparation.Order {
 	o := preparation.Order{
 		Request: v.attempt.ID, Pool: v.pool.Name, Key: v.attempt.PieceKey, Prompt: v.attempt.Prompt, Rank: v.rank,
 	}
@@ -42,9 +42,9 @@
 
 // streaming is the state of a stream over all engines that it is sent to.
 type streaming struct {
-	desk  *Desk
-	visit visit
-	order preparation.Order
+	router *Router
+	routed routed
+	order  preparation.Order
 	// last is the number of the last event that the client has.
 	last    int64
 	isBegun bool
@@ -68,7 +68,7 @@
 // try prepares the request and sends it once. It reports true if another try is
 // due.
 func (s *streaming) try(ctx context.Context) (Verdict, bool) {
-	d, v := s.desk, s.visit
+	d, v := s.router, s.routed
 	now := time.Now()
 	s.order.Try++
 	s.order.Objective, s.order.Deadline = v.objective.Sub(now), v.deadline.Sub(now)
@@ -140,30 +140,30 @@
 	if avoid != "" {
 		s.order.Avoid = append(slices.Clone(s.order.Avoid), avoid)
 	}
-	if ctx.Err() == nil && s.unsent < placeTries && s.desk.retry(s.visit.attempt.ID, string(f.Reason), s.tries) {
+	if ctx.Err() == nil && s.unsent < placeTries && s.router.retry(s.routed.attempt.ID, string(f.Reason), s.tries) {
 		return Verdict{}, true
 	}
-	s.desk.Abandon(s.visit.attempt.ID, s.order.Try)
+	s.router.Abandon(s.routed.attempt.ID, s.order.Try)
 	return s.fail(f)
 }
 
 // broken goes on at another engine if the stream may be repeated.
 func (s *streaming) broken(ctx context.Context, server string, err error) (Verdict, bool) {
 	s.runs++
-	s.desk.Ended(s.visit.pool.Name, server, s.visit.attempt.ID, ctx.Err() == nil)
+	s.router.Ended(s.routed.pool.Name, server, s.routed.attempt.ID, ctx.Err() == nil)
 	s.order.Avoid = append(slices.Clone(s.order.Avoid), server)
-	if s.visit.route.IsRepeatable() && len(s.reached) < s.visit.route.Attempts && ctx.Err() == nil && s.desk.retry(s.visit.attempt.ID, "streamBroken", s.tries) {
+	if s.routed.route.IsRepeatable() && len(s.reached) < s.routed.route.Attempts && ctx.Err() == nil && s.router.retry(s.routed.attempt.ID, "streamBroken", s.tries) {
 		return Verdict{}, true
 	}
-	s.desk.Abandon(s.visit.attempt.ID, s.order.Try)
+	s.router.Abandon(s.routed.attempt.ID, s.order.Try)
 	return s.fail(mayHaveRun(ctx, err))
 }
 
 // passFailure passes the failure of an engine on.
 func (s *streaming) passFailure(a Answer, server string) (Verdict, bool) {
 	s.runs++
-	s.desk.Ended(s.visit.pool.Name, server, s.visit.attempt.ID, false)
-	s.desk.Abandon(s.visit.attempt.ID, s.order.Try)
+	s.router.Ended(s.routed.pool.Name, server, s.routed.attempt.ID, false)
+	s.router.Abandon(s.routed.attempt.ID, s.order.Try)
 	if s.isBegun {
 		return s.fail(request.Refuse(request.ReasonServerFailed, "engine failed while the stream went on"))
 	}
@@ -171,12 +171,12 @@
 	if err != nil {
 		return s.fail(request.Refuse(request.ReasonResultInvalid, "answer cut off"))
 	}
-	return pass(s.visit, a, body, s.verdict()), false
+	return pass(s.routed, a, body, s.verdict()), false
 }
 
 // forward passes the events of a stream on as they come.
 func (s *streaming) forward(ctx context.Context, a Answer, server string, sentAt time.Time) (Verdict, bool) {
-	d, v := s.desk, s.visit
+	d, v := s.router, s.routed
 	events := eventReader{source: a.Body, last: s.last}
 	isStarted := false
 	for {
@@ -214,7 +214,7 @@
 // left ends a stream whose client is gone.
 func (s *streaming) left(server string) (Verdict, bool) {
 	s.runs++
-	s.desk.Ended(s.visit.pool.Name, server, s.visit.attempt.ID, false)
-	s.desk.Abandon(s.visit.attempt.ID, s.order.Try)
+	s.router.Ended(s.routed.pool.Name, server, s.routed.attempt.ID, false)
+	s.router.Abandon(s.routed.attempt.ID, s.order.Try)
 	return s.fail(request.Refuse(request.ReasonCancelled, "the client left"))
 }
--- a/entry/coordination.go
+++ b/entry/coordination.go
@@ -8,9 +8,9 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"lycheecrank.example/crew"
 	"lycheecrank.example/engine"
 	"lycheecrank.example/lock"
+	"lycheecrank.example/membership"
 	"lycheecrank.example/preparation"
 	"lycheecrank.example/request"
 )
@@ -65,7 +65,7 @@
 		}
 		last = err
 		tries++
-		i.crew.Commands().Fail(coordinator.Name, time.Now())
+		i.members.Commands().RecordFailure(coordinator.Name, time.Now())
 		i.retries.Add("coordinatorUnreachable")
 	}
 	if last == nil {
@@ -74,7 +74,7 @@
 	return preparation.Placement{}, last
 }
 
-func (i *Instance) prepareAt(ctx context.Context, coordinator crew.Mate, o preparation.Order) (preparation.Placement, error) {
+func (i *Instance) prepareAt(ctx context.Context, coordinator membership.Instance, o preparation.Order) (preparation.Placement, error) {
 	if coordinator.Name == i.Settings.Name {
 		return i.prepareHere(ctx, o)
 	}
@@ -138,7 +138,7 @@
 
 // introduce tells a new coordinator what this instance has running, and which
 // prompts engines have read for it.
-func (i *Instance) introduce(coordinator crew.Mate) {
+func (i *Instance) introduce(coordinator membership.Instance) {
 	for _, n := range i.placed.introduction(coordinator, time.Now()) {
 		i.notices.add(coordinator, n)
 	}
@@ -149,7 +149,7 @@
 	pool        string
 	server      string
 	prompt      engine.Prompt
-	coordinator crew.Mate
+	coordinator membership.Instance
 	at          time.Time
 	isEnded     bool
 }
@@ -165,7 +165,7 @@
 	return &placements{mu: lock.New(lock.RankRequest, "placements"), byID: map[string]placement{}}
 }
 
-func (p *placements) add(o preparation.Order, at preparation.Placement, coordinator crew.Mate, now time.Time) {
+func (p *placements) add(o preparation.Order, at preparation.Placement, coordinator membership.Instance, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for len(p.order) > 0 {
@@ -183,7 +183,7 @@
 }
 
 // coordinatorOf returns the instance that prepared a request.
-func (p *placements) coordinatorOf(id string) crew.Mate {
+func (p *placements) coordinatorOf(id string) membership.Instance {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.byID[id].coordinator
@@ -200,7 +200,7 @@
 
 // introduction returns what a coordinator should know, and makes it the one that
 // hears of the end of the requests that run.
-func (p *placements) introduction(coordinator crew.Mate, now time.Time) []notice {
+func (p *placements) introduction(coordinator membership.Instance, now time.Time) []notice {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var notices []notice
@@ -221,7 +221,7 @@
 
 // addressed is a notice and the instance that gets it.
 type addressed struct {
-	to     crew.Mate
+	to     membership.Instance
 	notice notice
 }
 
@@ -235,12 +235,12 @@
 	return &notices{instance: i, queue: make(chan addressed, maxNotices)}
 }
 
-func (n *notices) add(to crew.Mate, what notice) {
+func (n *notices) add(to membership.Instance, what notice) {
 	if to.Name == "" {
 		return
 	}
 	if to.Name == n.instance.Settings.Name {
-		// The own desk never fails.
+		// The own coordinator never fails.
 		_, _ = n.instance.takeNotices([]notice{what})
 		return
 	}
--- a/entry/feeds.go
+++ b/entry/feeds.go
@@ -40,7 +40,7 @@
 }
 
 // follow reads a stream while this instance is the coordinator or its copy is
-// stale; else the coordinator passes records on with its beats.
+// stale; else the coordinator passes records on with its heartbeats.
 func (i *Instance) follow(ctx context.Context, stream string, wait, interval time.Duration) error {
 	isDown := false
 	for {
@@ -118,7 +118,7 @@
 	if len(records) > 0 && stream == platform.Operators {
 		// What operators ask for is in force everywhere as soon as possible.
 		i.isPushing.Store(true)
-		i.hurryBeats()
+		i.wakeHeartbeats()
 	}
 }
 
@@ -163,7 +163,7 @@
 // catchUp takes what another instance has beyond the copies of this one, and
 // notes which copies were complete when it was asked. Its answer was made after
 // that moment.
-func (i *Instance) catchUp(b beatBody, asked time.Time) {
+func (i *Instance) catchUp(b heartbeat, asked time.Time) {
 	for _, m := range b.Missing {
 		if i.feeds.Queries().State(m.Stream).End >= m.From {
 			i.take(m.Stream, m.Records, m.End, confirmedAt(b, m.Stream, asked))
@@ -179,7 +179,7 @@
 }
 
 // confirmedAt returns when the copy of another instance was last complete.
-func confirmedAt(b beatBody, stream string, asked time.Time) time.Time {
+func confirmedAt(b heartbeat, stream string, asked time.Time) time.Time {
 	for _, p := range b.Positions {
 		if p.Stream == stream {
 			return asked.Add(-time.Duration(p.AgeMs) * time.Millisecond)
--- a/entry/beats.go
+++ b/entry/heartbeat.go
@@ -9,8 +9,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"lycheecrank.example/codec"
-	"lycheecrank.example/crew"
 	"lycheecrank.example/event"
+	"lycheecrank.example/membership"
 	"lycheecrank.example/peer"
 	"lycheecrank.example/platform"
 	"lycheecrank.example/preparation"
@@ -18,18 +18,18 @@
 )
 
 const (
-	// beatInterval is how often instances hear of each other.
-	beatInterval = 250 * time.Millisecond
-	// beatLimit bounds a beat with its answer.
-	beatLimit = 700 * time.Millisecond
-	// largeSite is the number of instances from which on most beat half as often.
+	// heartbeatInterval is how often instances hear of each other.
+	heartbeatInterval = 250 * time.Millisecond
+	// heartbeatLimit bounds a heartbeat with its answer.
+	heartbeatLimit = 700 * time.Millisecond
+	// largeSite is the number of instances from which on most heartbeat half as often.
 	largeSite = 16
-	// knownEvery is the number of beats after which the known instances are told.
+	// knownEvery is the number of heartbeats after which the known instances are told.
 	knownEvery = 8
 	// maxBreak is the longest break of this instance, such as a suspended machine,
 	// after which it may go on as coordinator.
 	maxBreak = 600 * time.Millisecond
-	// seedEvery is the number of beats between attempts to reach a seed that no
+	// seedEvery is the number of heartbeats between attempts to reach a seed that no
 	// known instance has the address of.
 	seedEvery = 4
 )
@@ -64,8 +64,8 @@
 // answer answers the questions of other instances.
 func (i *Instance) answer(ctx context.Context, _ peer.Hello, subject string, data []byte) ([]byte, error) {
 	switch subject {
-	case beatSubject:
-		return reply(data, i.takeBeat)
+	case heartbeatSubject:
+		return reply(data, i.takeHeartbeat)
 	case prepareSubject:
 		return reply(data, func(o preparation.Order) (preparation.Placement, error) { return i.prepareHere(ctx, o) })
 	case noticeSubject:
@@ -74,65 +74,65 @@
 	return nil, request.Refuse(request.ReasonMalformed, "unknown subject "+subject)
 }
 
-// takeBeat takes a beat of another instance and answers with the own one and what
+// takeHeartbeat takes a heartbeat of another instance and answers with the own one and what
 // the other one lacks.
-func (i *Instance) takeBeat(b beatBody) (beatBody, error) {
-	// How old the positions are is not known: the beat may have waited on its way.
-	i.hear(b, time.Now())
-	answer := i.beat(len(b.Known) > 0)
+func (i *Instance) takeHeartbeat(b heartbeat) (heartbeat, error) {
+	// How old the positions are is not known: the heartbeat may have waited on its way.
+	i.recordContact(b, time.Now())
+	answer := i.heartbeat(len(b.Known) > 0)
 	answer.Missing = i.missing(b.Positions)
 	if slices.ContainsFunc(b.Positions, func(p position) bool { return p.End > i.feeds.Queries().State(p.Stream).End }) {
-		// The other one has more, which comes with the answer to a beat.
-		i.hurryBeats()
+		// The other one has more, which comes with the answer to a heartbeat.
+		i.wakeHeartbeats()
 	}
 	return answer, nil
 }
 
-// hear notes a message of an instance.
-func (i *Instance) hear(b beatBody, now time.Time) {
-	i.crew.Commands().Hear(b.Self, b.Known, now)
+// recordContact notes a message of an instance.
+func (i *Instance) recordContact(b heartbeat, now time.Time) {
+	i.members.Commands().RecordContact(b.Self, b.Known, now)
 	i.client.Forgive(b.Self.Address)
 }
 
-func (i *Instance) beat(isFull bool) beatBody {
+func (i *Instance) heartbeat(isFull bool) heartbeat {
 	v := i.view()
-	b := beatBody{Self: v.Self(), Positions: i.positions()}
+	b := heartbeat{Self: v.Self(), Positions: i.positions()}
 	if isFull {
 		b.Known = v.Known()
 	}
 	return b
 }
 
-// hurryBeats makes the next beats go out at once.
-func (i *Instance) hurryBeats() {
+// wakeHeartbeats makes the next heartbeats go out at once.
+func (i *Instance) wakeHeartbeats() {
 	select {
-	case i.hurry <- struct{}{}:
+	case i.wake <- struct{}{}:
 	default:
 	}
 }
 
-// runBeats tells the other instances that this one lives, and what it knows.
-func (i *Instance) runBeats(ctx context.Context) error {
+// runHeartbeats tells the other instances that this one lives, and what it knows.
+func (i *Instance) runHeartbeats(ctx context.Context) error {
 	var group errgroup.Group
 	defer func() { _ = group.Wait() }()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	clock := beatClock{boot: i.SinceBoot(), at: time.Now(), interval: beatInterval}
+	clock := heartbeatClock{boot: i.SinceBoot(), at: time.Now(), interval: heartbeatInterval}
 	coordinator := ""
 	for round := 0; ; round++ {
 		select {
 		case <-timer.C:
-		case <-i.hurry:
+		case <-i.wake:
 		case <-ctx.Done():
 			return nil
 		}
 		now := time.Now()
 		i.checkFitness(&clock, now, coordinator == i.Settings.Name)
 		timer.Reset(clock.interval)
-		i.crew.Commands().Forget(now)
+		i.members.Commands().Forget(now)
 		for _, address := range i.targets(round, now) {
 			group.Go(func() error {
-				i.sendBeat(ctx, address, round%knownEvery == 0)
+				i.sendHeartbeat(ctx, address, round%knownEvery == 0)
 				return nil
 			})
 		}
@@ -143,34 +143,34 @@
 	}
 }
 
-// beatClock is when the last beats went out.
-type beatClock struct {
+// heartbeatClock is when the last heartbeats went out.
+type heartbeatClock struct {
 	boot time.Duration
 	at   time.Time
 	// interval is that after which the next ones are due.
 	interval time.Duration
-	pace     pace
+	lag      lagMonitor
 }
 
 // checkFitness finds breaks of this instance, and a coordinator that runs too
 // slowly.
-func (i *Instance) checkFitness(c *beatClock, now time.Time, isCoordinator bool) {
+func (i *Instance) checkFitness(c *heartbeatClock, now time.Time, isCoordinator bool) {
 	boot, ran := i.SinceBoot()-c.boot, now.Sub(c.at)
 	if boot > ran+maxBreak || ran > c.interval+2*maxBreak {
 		i.resume(boot, now)
 	}
-	if c.pace.isSlow(ran-c.interval, now) && isCoordinator && len(i.view().Heard(now)) > 0 {
-		i.Logger.Write(event.SteppedDown, c.pace.lag.Milliseconds())
-		i.crew.Commands().Restamp(now)
+	if c.lag.isSlow(ran-c.interval, now) && isCoordinator && len(i.view().Reachable(now)) > 0 {
+		i.Logger.Write(event.SteppedDown, c.lag.lag.Milliseconds())
+		i.members.Commands().ResetFitness(now)
 	}
 	c.boot, c.at, c.interval = c.boot+boot, now, i.interval()
 }
 
 // changeCoordinator takes the work up, or hands it over, and tells the new
 // coordinator what it has to know.
-func (i *Instance) changeCoordinator(ctx context.Context, group *errgroup.Group, c crew.Mate) {
+func (i *Instance) changeCoordinator(ctx context.Context, group *errgroup.Group, c membership.Instance) {
 	now := time.Now()
-	i.Logger.Write(event.CoordinatorChosen, c.Name, c.FitSince, len(i.view().Heard(now)), len(i.view().Known()))
+	i.Logger.Write(event.CoordinatorChosen, c.Name, c.FitSince, len(i.view().Reachable(now)), len(i.view().Known()))
 	if c.Name != i.Settings.Name {
 		i.prepared.HandOver()
 		i.introduce(c)
@@ -181,8 +181,8 @@
 	group.Go(func() error { return i.prepared.TakeOver(ctx) })
 }
 
-// pace is how late this instance runs what is due.
-type pace struct {
+// lagMonitor is how late this instance runs what is due.
+type lagMonitor struct {
 	lag      time.Duration
 	changeAt time.Time
 }
@@ -199,7 +199,7 @@
 
 // isSlow takes a sample of the lag and reports whether the instance should leave
 // the coordination to another one.
-func (p *pace) isSlow(late time.Duration, now time.Time) bool {
+func (p *lagMonitor) isSlow(late time.Duration, now time.Time) bool {
 	p.lag += time.Duration(lagWeight * float64(max(0, late)-p.lag))
 	if p.lag < slowLag || now.Sub(p.changeAt) < stayPut {
 		return false
@@ -208,47 +208,47 @@
 	return true
 }
 
-// interval returns the interval of beats: in a large site an instance that is no
-// candidate for coordinator beats half as often.
+// interval returns the interval of heartbeats: in a large site an instance that is no
+// candidate for coordinator heartbeats half as often.
 func (i *Instance) interval() time.Duration {
 	v := i.view()
-	isMember := slices.ContainsFunc(v.Council(time.Now()), func(m crew.Mate) bool { return m.Name == i.Settings.Name })
+	isMember := slices.ContainsFunc(v.Candidates(time.Now()), func(m membership.Instance) bool { return m.Name == i.Settings.Name })
 	if v.Size() > largeSite && !isMember {
-		return 2 * beatInterval
+		return 2 * heartbeatInterval
 	}
-	return beatInterval
+	return heartbeatInterval
 }
 
 // resume takes up work after a break: others may have taken over meanwhile, and
 // what is known is old.
 func (i *Instance) resume(broke time.Duration, now time.Time) {
 	i.Logger.Write(event.Resumed, broke.Milliseconds())
-	i.crew.Commands().Restamp(now)
-	i.routes.Commands().Doubt()
-	i.feeds.Commands().Doubt()
+	i.members.Commands().ResetFitness(now)
+	i.routes.Commands().Invalidate()
+	i.feeds.Commands().Invalidate()
 }
 
 // targets returns the addresses of a round: the first candidates for coordinator,
 // which stay in touch with all. An instance that leaves, or that has news of
-// operators, tells all that it hears.
+// operators, tells all that it reaches.
 func (i *Instance) targets(round int, now time.Time) []string {
 	v := i.view()
 	var addresses []string
-	add := func(m crew.Mate) {
+	add := func(m membership.Instance) {
 		if m.Name != i.Settings.Name && !slices.Contains(addresses, m.Address) {
 			addresses = append(addresses, m.Address)
 		}
 	}
-	council := v.Council(now)
-	for _, m := range council {
+	candidates := v.Candidates(now)
+	for _, m := range candidates {
 		add(m)
 	}
 	if i.isPushing.Swap(false) || i.isLeaving() {
-		for _, m := range v.Heard(now) {
+		for _, m := range v.Reachable(now) {
 			add(m)
 		}
 	}
-	if round%seedEvery == 0 && len(v.Heard(now)) < len(council)-1 || v.Size() == 1 {
+	if round%seedEvery == 0 && len(v.Reachable(now)) < len(candidates)-1 || v.Size() == 1 {
 		for _, seed := range *i.seeds.Load() {
 			if seed != i.Settings.Peers && !slices.Contains(addresses, seed) {
 				addresses = append(addresses, seed)
@@ -258,19 +258,19 @@
 	return addresses
 }
 
-func (i *Instance) sendBeat(ctx context.Context, address string, isFull bool) {
-	ctx, cancel := context.WithTimeout(ctx, beatLimit)
+func (i *Instance) sendHeartbeat(ctx context.Context, address string, isFull bool) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatLimit)
 	defer cancel()
 	asked := time.Now()
-	b, err := ask[beatBody](ctx, i, address, beatSubject, i.beat(isFull))
+	b, err := ask[heartbeat](ctx, i, address, heartbeatSubject, i.heartbeat(isFull))
 	switch {
 	case errors.Is(err, request.ReasonPeerUnreachable):
 		i.failAddress(address, time.Now())
 	case err != nil:
 		// An instance that answers late is not gone: its silence tells that.
-		i.dropped.Add("beatLate")
+		i.dropped.Add("heartbeatLate")
 	default:
-		i.hear(b, time.Now())
+		i.recordContact(b, time.Now())
 		i.catchUp(b, asked)
 	}
 }
@@ -279,7 +279,7 @@
 func (i *Instance) failAddress(address string, now time.Time) {
 	for _, m := range i.view().Known() {
 		if m.Address == address {
-			i.crew.Commands().Fail(m.Name, now)
+			i.members.Commands().RecordFailure(m.Name, now)
 		}
 	}
 }
@@ -336,14 +336,14 @@
 	if err != nil {
 		return err
 	}
-	var known []crew.Mate
+	var known []membership.Instance
 	for _, r := range records {
-		var m crew.Mate
+		var m membership.Instance
 		if err := codec.Unmarshal(r.Value, &m); err != nil {
 			continue
 		}
 		known = append(known, m)
 	}
-	i.crew.Commands().Learn(known, time.Now())
+	i.members.Commands().AddKnown(known, time.Now())
 	return nil
 }
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -1,6 +1,6 @@
 // Package entry assembles the instance that runs on the users' platform: it
 // serves clients, keeps the configuration and the list of backend servers up to
-// date, hears the other instances, and prepares requests for all while it is the
+// date, stays in touch with the other instances, and prepares requests for all while it is the
 // coordinator.
 package entry
 
@@ -14,11 +14,11 @@
 
 	"lycheecrank.example/backend"
 	"lycheecrank.example/counter"
-	"lycheecrank.example/crew"
 	"lycheecrank.example/delivery"
 	"lycheecrank.example/event"
 	"lycheecrank.example/feed"
 	"lycheecrank.example/fleet"
+	"lycheecrank.example/membership"
 	"lycheecrank.example/peer"
 	"lycheecrank.example/pipeline"
 	"lycheecrank.example/platform"
@@ -47,10 +47,10 @@
 	feeds    *feed.Table
 	routes   *route.Table
 	fleet    *fleet.Table
-	crew     *crew.Table
+	members  *membership.Table
 	plain    *backend.Table
-	prepared *preparation.Desk
-	delivery *delivery.Desk
+	prepared *preparation.Coordinator
+	delivery *delivery.Router
 	client   *peer.Client
 	server   *peer.Server
 	notices  *notices
@@ -66,9 +66,9 @@
 	// seeds and grace are those of the newest settings.
 	seeds atomic.Pointer[[]string]
 	grace atomic.Int64
-	// hurry wakes the beats before their time; isPushing makes the next ones go to
-	// all instances that are heard.
-	hurry     chan struct{}
+	// wake sends the heartbeats before their time; isPushing makes the next ones go to
+	// all instances that are reached.
+	wake      chan struct{}
 	isPushing atomic.Bool
 
 	refusals *counter.Set
@@ -90,13 +90,13 @@
 		feeds:     feed.NewTable(),
 		routes:    route.NewTable(),
 		fleet:     fleet.NewTable(),
-		hurry:     make(chan struct{}, 1),
+		wake:      make(chan struct{}, 1),
 		refusals:  counter.NewSet("refusals"),
 		retries:   counter.NewSet("retries"),
 		calls:     counter.NewSet("storeCalls"),
 		dropped:   counter.NewSet("preparation"),
 	}
-	i.crew = crew.NewTable(crew.Mate{
+	i.members = membership.NewTable(membership.Instance{
 		Name: s.Name, Address: s.Peers, DataCentre: s.DataCentre, FitSince: time.Now().UnixMilli(),
 		IsStrong: s.Cores >= strongCores && s.LinkMbps >= strongLink,
 	})
@@ -114,14 +114,14 @@
 	i.client = peer.NewClient(hello)
 	i.client.SilenceLimit, i.client.Logger = silenceLimit, i.Logger
 	i.server = &peer.Server{Self: hello, SilenceLimit: silenceLimit, Logger: i.Logger, Ask: i.answer}
-	i.prepared = preparation.NewDesk()
+	i.prepared = preparation.NewCoordinator()
 	i.prepared.Call, i.prepared.Free, i.prepared.Room = i.stages.Call, i.stages.Free, i.stages.Room
-	i.prepared.Share = func() float64 { return coldShare * i.crew.Queries().View().Share(time.Now()) }
+	i.prepared.Share = func() float64 { return coldShare * i.members.Queries().View().Share(time.Now()) }
 	i.prepared.Logger, i.prepared.Counters = i.Logger, i.dropped
 	i.placed = newPlacements()
 	i.notices = newNotices(i)
 	i.report = newReport(i.Logger)
-	i.delivery = &delivery.Desk{
+	i.delivery = &delivery.Router{
 		Routes:    i.routes.Queries(),
 		Fleet:     i.fleet.Queries(),
 		Plain:     i.plain.Commands(),
@@ -188,7 +188,7 @@
 	return !i.isLeaving() && i.routes.Queries().Current().Version > 0 && i.fleet.Queries().Size() > 0
 }
 
-func (i *Instance) view() crew.View { return i.crew.Queries().View() }
+func (i *Instance) view() membership.View { return i.members.Queries().View() }
 
 // pause waits until the time is over or the context has ended, and reports
 // whether the context goes on.
--- a/entry/message.go
+++ b/entry/message.go
@@ -3,16 +3,16 @@
 import (
 	"time"
 
-	"lycheecrank.example/crew"
 	"lycheecrank.example/engine"
 	"lycheecrank.example/feed"
+	"lycheecrank.example/membership"
 )
 
 // The subjects of questions between instances.
 const (
-	beatSubject    = "beat"
-	prepareSubject = "prepare"
-	noticeSubject  = "notice"
+	heartbeatSubject = "heartbeat"
+	prepareSubject   = "prepare"
+	noticeSubject    = "notice"
 )
 
 // position says how far an instance's copy of a stream reaches and how old its
@@ -23,11 +23,11 @@
 	AgeMs  int64  `msgpack:"ageMs"`
 }
 
-// beatBody is what instances tell each other all the time; its answer is alike.
-type beatBody struct {
-	Self      crew.Mate   `msgpack:"self"`
-	Known     []crew.Mate `msgpack:"known,omitempty"`
-	Positions []position  `msgpack:"positions"`
+// heartbeat is what instances tell each other all the time; its answer is alike.
+type heartbeat struct {
+	Self      membership.Instance   `msgpack:"self"`
+	Known     []membership.Instance `msgpack:"known,omitempty"`
+	Positions []position            `msgpack:"positions"`
 	// Missing are the records that the other instance lacks, in an answer.
 	Missing []streamRecords `msgpack:"missing,omitempty"`
 }
--- a/entry/reload_test.go
+++ b/entry/reload_test.go
@@ -13,7 +13,7 @@
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
-	"lycheecrank.example/crew"
+	"lycheecrank.example/membership"
 	"lycheecrank.example/platform"
 )
 
@@ -60,11 +60,11 @@
 }
 
 // Guards against a coordinator that stays though it runs far behind, and against
-// one that gives the work away for a single late beat or again and again.
-func TestPace(t *testing.T) {
+// one that gives the work away for a single late heartbeat or again and again.
+func TestLagMonitor(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
-	p := pace{}
+	p := lagMonitor{}
 	is.True(!p.isSlow(150*time.Millisecond, now))
 	for range 20 {
 		is.True(!p.isSlow(5*time.Millisecond, now))
@@ -80,7 +80,7 @@
 }
 
 // Guards against a coordinator of a large site that steps down as it is chosen,
-// since its beats are due sooner from then on, and against one that doesn't notice
+// since its heartbeats are due sooner from then on, and against one that doesn't notice
 // that its machine stood still.
 func TestFitness(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -88,20 +88,20 @@
 		i := New(platform.Settings{Name: "n1", Peers: "10.0.0.1:1"}, io.Discard)
 		boot := time.Duration(0)
 		i.SinceBoot = func() time.Duration { return boot }
-		i.crew.Commands().Hear(crew.Mate{Name: "n2", FitSince: 1 << 60}, nil, time.Now())
+		i.members.Commands().RecordContact(membership.Instance{Name: "n2", FitSince: 1 << 60}, nil, time.Now())
 		first := i.view().Self().FitSince
-		c := beatClock{at: time.Now(), interval: 2 * beatInterval}
+		c := heartbeatClock{at: time.Now(), interval: 2 * heartbeatInterval}
 		pass := func(d time.Duration) {
 			time.Sleep(d)
 			boot += d
-			i.crew.Commands().Hear(crew.Mate{Name: "n2", FitSince: 1 << 60}, nil, time.Now())
+			i.members.Commands().RecordContact(membership.Instance{Name: "n2", FitSince: 1 << 60}, nil, time.Now())
 			i.checkFitness(&c, time.Now(), true)
 		}
-		pass(2 * beatInterval)
-		pass(beatInterval)
+		pass(2 * heartbeatInterval)
+		pass(heartbeatInterval)
 		is.Equal(i.view().Self().FitSince, first)
 		boot += 5 * time.Second // suspended
-		pass(beatInterval)
+		pass(heartbeatInterval)
 		is.True(i.view().Self().FitSince > first)
 	})
 }
--- a/entry/run.go
+++ b/entry/run.go
@@ -50,7 +50,7 @@
 	group.Go(func() error { return i.server.Serve(work, listeners.peers) })
 	i.startMetrics(work, &group)
 	for _, task := range []func(context.Context) error{
-		i.runBeats, i.runOperators, i.runServers, i.runRegistration, i.runReload, i.runSync, i.runDepths,
+		i.runHeartbeats, i.runOperators, i.runServers, i.runRegistration, i.runReload, i.runSync, i.runDepths,
 		i.prepared.Run, i.notices.run, i.report.run,
 	} {
 		group.Go(func() error { return task(work) })
@@ -93,7 +93,7 @@
 func (i *Instance) frontServer() *http.Server {
 	return &http.Server{
 		Handler: i.report.around(&platform.Front{
-			Desk: i.delivery, Workers: i.workers, Routes: i.routes.Queries(),
+			Router: i.delivery, Workers: i.workers, Routes: i.routes.Queries(),
 			IsLeaving: i.isLeaving, Report: i.reportAttempt,
 		}),
 		ReadHeaderTimeout: headerTime,
@@ -135,8 +135,8 @@
 func (i *Instance) drain(front *http.Server) {
 	i.leavingAt.Store(time.Now().UnixNano())
 	i.Logger.Write(event.Leaving, "signal")
-	i.crew.Commands().Leave()
-	i.hurryBeats()
+	i.members.Commands().Leave()
+	i.wakeHeartbeats()
 	grace := time.Duration(i.grace.Load())
 	if grace <= 0 {
 		grace = defaultGrace
--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -126,7 +126,7 @@
 	}
 	for _, n := range s.nodes {
 		s.await(n.Settings.Name+" is ready", func() bool { return n.readyStatus() == http.StatusOK })
-		s.await(n.Settings.Name+" hears all", func() bool { return len(n.view().Heard(time.Now())) == len(s.nodes)-1 })
+		s.await(n.Settings.Name+" hears all", func() bool { return len(n.view().Reachable(time.Now())) == len(s.nodes)-1 })
 	}
 }
 
--- a/event/events.go
+++ b/event/events.go
@@ -27,7 +27,7 @@
 	PeerConnected        = Event{301, log.InfoLevel, "peer connected", []string{"peer", "dataCentre"}, "A connection to another instance is open."}
 	PeerLost             = Event{302, log.WarnLevel, "peer lost", []string{"peer", "error"}, "A connection to another instance has failed."}
 	PeerFrameRefused     = Event{303, log.WarnLevel, "peer frame refused", []string{"remote", "error"}, "A connection sent a frame that is no message and was closed."}
-	CoordinatorChosen    = Event{304, log.InfoLevel, "coordinator chosen", []string{"coordinator", "fitSince", "heard", "known"}, "Another instance, or this one, prepares requests from now on as far as this instance sees."}
+	CoordinatorChosen    = Event{304, log.InfoLevel, "coordinator chosen", []string{"coordinator", "fitSince", "reachable", "known"}, "Another instance, or this one, prepares requests from now on as far as this instance sees."}
 	RequestRefused       = Event{401, log.DebugLevel, "request refused", []string{"request", "workspace", "reason", "detail"}, "A request was refused; the reason is a code of docs/OPERATIONS.md."}
 	RequestFinished      = Event{402, log.DebugLevel, "request finished", []string{"request", "workspace", "class", "outcome"}, "A request has its outcome."}
 	ResultDropped        = Event{403, log.WarnLevel, "result dropped", []string{"request", "stage", "attempt", "reason"}, "A backend server answered with a late, doubled, foreign or truncated result."}
--- a/feed/commands.go
+++ b/feed/commands.go
@@ -36,8 +36,8 @@
 	}
 }
 
-// Doubt notes that all copies may be old, such as after a break.
-func (c Commands) Doubt() {
+// Invalidate notes that all copies may be old, such as after a break.
+func (c Commands) Invalidate() {
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
 	for stream, s := range c.table.states {
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -92,7 +92,7 @@
 	is.Equal(q.State("op").ConfirmedAt, at)
 	c.Confirm("op", 3, at.Add(time.Second))
 	is.Equal(q.State("op").ConfirmedAt, at.Add(time.Second))
-	c.Doubt()
+	c.Invalidate()
 	is.True(q.State("op").ConfirmedAt.IsZero())
 	is.Equal(q.State("op").End, uint64(3))
 }
--- a/crew/table.go
+++ b/membership/table.go
@@ -1,4 +1,4 @@
-package crew
+package membership
 
 import (
 	"sync/atomic"
@@ -14,8 +14,8 @@
 }
 
 // NewTable returns a table that knows this instance only.
-func NewTable(self Mate) *Table {
-	t := &Table{mu: lock.New(lock.RankMember, "crew")}
+func NewTable(self Instance) *Table {
+	t := &Table{mu: lock.New(lock.RankMember, "membership")}
 	t.current.Store(&View{self: self})
 	return t
 }
@@ -43,29 +43,29 @@
 	t.current.Store(&next)
 }
 
-// Hear notes a message of an instance and what that one knows of others.
-func (c Commands) Hear(m Mate, known []Mate, at time.Time) {
-	c.change(func(v View) View { return v.WithHeard(m, at).WithKnown(known, at) })
+// RecordContact notes a message of an instance and what that one knows of others.
+func (c Commands) RecordContact(m Instance, known []Instance, at time.Time) {
+	c.change(func(v View) View { return v.WithContact(m, at).WithKnown(known, at) })
 }
 
-// Learn notes instances that were heard of.
-func (c Commands) Learn(known []Mate, at time.Time) {
+// AddKnown notes instances that were heard of.
+func (c Commands) AddKnown(known []Instance, at time.Time) {
 	c.change(func(v View) View { return v.WithKnown(known, at) })
 }
 
-// Fail notes that a call to an instance failed.
-func (c Commands) Fail(name string, at time.Time) {
+// RecordFailure notes that a call to an instance failed.
+func (c Commands) RecordFailure(name string, at time.Time) {
 	c.change(func(v View) View { return v.WithFailure(name, at) })
 }
 
-// Forget drops instances that have not been heard for long.
+// Forget drops instances that have not been in touch for long.
 func (c Commands) Forget(now time.Time) {
 	c.change(func(v View) View { return v.WithoutStale(now) })
 }
 
-// Restamp notes that this instance had a break, so that it comes last in the
+// ResetFitness notes that this instance had a break, so that it comes last in the
 // choice of the coordinator.
-func (c Commands) Restamp(at time.Time) {
+func (c Commands) ResetFitness(at time.Time) {
 	c.change(func(v View) View { return v.WithSelf(v.self.WithFitSince(at)) })
 }
 
--- a/crew/crew.go
+++ b/membership/view.go
@@ -1,9 +1,9 @@
-// Package crew keeps the instances of the system that hear each other, and
+// Package membership keeps the instances of the system that reach each other, and
 // agrees on the one that prepares requests for all: the coordinator. It is the
-// instance that has been fit for the longest time among those that are heard, so
+// instance that has been fit for the longest time among those that are reached, so
 // that an instance that returns doesn't take the work back. The choice is soft
 // state: two coordinators cost work, and break no promise.
-package crew
+package membership
 
 import (
 	"cmp"
@@ -12,9 +12,9 @@
 	"time"
 )
 
-// Mate is an instance of the system as it describes itself. It is an immutable
+// Instance is an instance of the system as it describes itself. It is an immutable
 // value.
-type Mate struct {
+type Instance struct {
 	Name       string `msgpack:"name"`
 	Address    string `msgpack:"address"`
 	DataCentre string `msgpack:"dataCentre"`
@@ -30,22 +30,22 @@
 }
 
 // WithFitSince returns the instance after a break.
-func (m Mate) WithFitSince(at time.Time) Mate {
+func (m Instance) WithFitSince(at time.Time) Instance {
 	m.FitSince = at.UnixMilli()
 	return m
 }
 
 // WithLeaving returns the instance while it shuts down.
-func (m Mate) WithLeaving() Mate {
+func (m Instance) WithLeaving() Instance {
 	m.IsLeaving = true
 	return m
 }
 
-// seen is an instance and when it was last heard of.
+// seen is an instance and when it was last in touch.
 type seen struct {
-	mate Mate
-	// heardAt is when it last answered or asked, zero if only others know it.
-	heardAt time.Time
+	instance Instance
+	// contactAt is when it last answered or asked, zero if only others know it.
+	contactAt time.Time
 	// failedAt is when a call to it last failed.
 	failedAt time.Time
 	addedAt  time.Time
@@ -53,37 +53,37 @@
 
 // View is what an instance knows of the others. It is an immutable value.
 type View struct {
-	self   Mate
+	self   Instance
 	others map[string]seen
 }
 
 const (
-	// HeardFor is how long an instance counts as heard after its last message. It
+	// contactAge is how long an instance counts as reachable after its last message. It
 	// is five beats, so that two lost ones and a slow machine don't matter.
-	HeardFor = 1250 * time.Millisecond
-	// forgetAfter is when an instance that isn't heard any more is forgotten.
+	contactAge = 1250 * time.Millisecond
+	// forgetAfter is when an instance that isn't reached any more is forgotten.
 	forgetAfter = 30 * time.Second
 )
 
-// isHeard reports whether an instance can be reached as far as is known.
-func (s seen) isHeard(now time.Time) bool {
-	return now.Sub(s.heardAt) < HeardFor && !s.failedAt.After(s.heardAt)
+// isReachable reports whether an instance can be reached as far as is known.
+func (s seen) isReachable(now time.Time) bool {
+	return now.Sub(s.contactAt) < contactAge && !s.failedAt.After(s.contactAt)
 }
 
 // Coordinator returns the instance that prepares requests, which may be the
 // instance itself.
-func (v View) Coordinator(now time.Time) Mate {
+func (v View) Coordinator(now time.Time) Instance {
 	best := v.self
 	for _, s := range v.others {
-		if s.isHeard(now) && goesBefore(s.mate, best) {
-			best = s.mate
+		if s.isReachable(now) && goesBefore(s.instance, best) {
+			best = s.instance
 		}
 	}
 	return best
 }
 
 // goesBefore orders instances for the choice of the coordinator.
-func goesBefore(a, b Mate) bool {
+func goesBefore(a, b Instance) bool {
 	if a.IsLeaving != b.IsLeaving {
 		return b.IsLeaving
 	}
@@ -94,89 +94,89 @@
 }
 
 const (
-	// councilSize is the number of first candidates for coordinator that every
+	// candidateCount is the number of first candidates for coordinator that every
 	// instance stays in touch with. With all of them in touch with each other, the
 	// messages of n instances would grow with n squared.
-	councilSize = 5
+	candidateCount = 5
 	// failedFor is how long an instance that did not answer is left out of the
-	// council.
+	// candidates.
 	failedFor = 1500 * time.Millisecond
 )
 
-// Council returns the first candidates for coordinator among the instances that
+// Candidates returns the first candidates for coordinator among the instances that
 // may live, which may include this one.
-func (v View) Council(now time.Time) []Mate {
-	council := []Mate{v.self}
+func (v View) Candidates(now time.Time) []Instance {
+	candidates := []Instance{v.self}
 	for _, s := range v.others {
-		if s.isHeard(now) || now.Sub(s.failedAt) >= failedFor && now.Sub(s.lastSign()) < forgetAfter {
-			council = append(council, s.mate)
+		if s.isReachable(now) || now.Sub(s.failedAt) >= failedFor && now.Sub(s.lastSign()) < forgetAfter {
+			candidates = append(candidates, s.instance)
 		}
 	}
-	slices.SortFunc(council, func(a, b Mate) int {
+	slices.SortFunc(candidates, func(a, b Instance) int {
 		if goesBefore(a, b) {
 			return -1
 		}
 		return 1
 	})
-	return council[:min(len(council), councilSize)]
+	return candidates[:min(len(candidates), candidateCount)]
 }
 
-// lastSign returns when the instance was last heard, or first heard of.
+// lastSign returns when the instance was last in touch, or first known.
 func (s seen) lastSign() time.Time {
-	if s.heardAt.IsZero() {
+	if s.contactAt.IsZero() {
 		return s.addedAt
 	}
-	return s.heardAt
+	return s.contactAt
 }
 
-// IsHeard reports whether an instance can be reached as far as is known.
-func (v View) IsHeard(name string, now time.Time) bool {
+// IsReachable reports whether an instance can be reached as far as is known.
+func (v View) IsReachable(name string, now time.Time) bool {
 	s, ok := v.others[name]
-	return ok && s.isHeard(now)
+	return ok && s.isReachable(now)
 }
 
 // Size returns the number of known instances, this one included.
 func (v View) Size() int { return len(v.others) + 1 }
 
-// Heard returns the other instances that can be reached, by name.
-func (v View) Heard(now time.Time) []Mate {
-	var mates []Mate
+// Reachable returns the other instances that can be reached, by name.
+func (v View) Reachable(now time.Time) []Instance {
+	var instances []Instance
 	for _, s := range v.others {
-		if s.isHeard(now) {
-			mates = append(mates, s.mate)
+		if s.isReachable(now) {
+			instances = append(instances, s.instance)
 		}
 	}
-	slices.SortFunc(mates, func(a, b Mate) int { return cmp.Compare(a.Name, b.Name) })
-	return mates
+	slices.SortFunc(instances, func(a, b Instance) int { return cmp.Compare(a.Name, b.Name) })
+	return instances
 }
 
 // Known returns all other instances, by name.
-func (v View) Known() []Mate {
-	mates := make([]Mate, 0, len(v.others))
+func (v View) Known() []Instance {
+	instances := make([]Instance, 0, len(v.others))
 	for _, s := range v.others {
-		mates = append(mates, s.mate)
+		instances = append(instances, s.instance)
 	}
-	slices.SortFunc(mates, func(a, b Mate) int { return cmp.Compare(a.Name, b.Name) })
-	return mates
+	slices.SortFunc(instances, func(a, b Instance) int { return cmp.Compare(a.Name, b.Name) })
+	return instances
 }
 
 // Share returns the part of all known instances that can be reached, this one
 // included. An instance that is cut off uses only that part of common limits.
 func (v View) Share(now time.Time) float64 {
-	return float64(len(v.Heard(now))+1) / float64(len(v.others)+1)
+	return float64(len(v.Reachable(now))+1) / float64(len(v.others)+1)
 }
 
 // Self returns this instance.
-func (v View) Self() Mate { return v.self }
+func (v View) Self() Instance { return v.self }
 
 // WithSelf returns the view after this instance has changed.
-func (v View) WithSelf(m Mate) View {
+func (v View) WithSelf(m Instance) View {
 	v.self = m
 	return v
 }
 
-// WithHeard returns the view after a message of an instance.
-func (v View) WithHeard(m Mate, at time.Time) View {
+// WithContact returns the view after a message of an instance.
+func (v View) WithContact(m Instance, at time.Time) View {
 	if m.Name == v.self.Name {
 		return v
 	}
@@ -184,21 +184,21 @@
 	if s.addedAt.IsZero() {
 		s.addedAt = at
 	}
-	s.mate, s.heardAt = m, at
+	s.instance, s.contactAt = m, at
 	return v.with(m.Name, s)
 }
 
 // WithKnown returns the view after others told of instances.
-func (v View) WithKnown(mates []Mate, at time.Time) View {
-	for _, m := range mates {
+func (v View) WithKnown(instances []Instance, at time.Time) View {
+	for _, m := range instances {
 		old, ok := v.others[m.Name]
-		if m.Name == v.self.Name || m.IsLeaving && !ok || ok && (!old.heardAt.IsZero() || old.mate == m) {
+		if m.Name == v.self.Name || m.IsLeaving && !ok || ok && (!old.contactAt.IsZero() || old.instance == m) {
 			continue
 		}
 		if !ok {
 			old.addedAt = at
 		}
-		old.mate = m
+		old.instance = m
 		v = v.with(m.Name, old)
 	}
 	return v
@@ -214,7 +214,7 @@
 	return v.with(name, s)
 }
 
-// WithoutStale returns the view without instances that have not been heard for
+// WithoutStale returns the view without instances that have not been in touch for
 // long.
 func (v View) WithoutStale(now time.Time) View {
 	isStale := func(s seen) bool { return now.Sub(s.lastSign()) >= forgetAfter }
--- a/preparation/calls.go
+++ b/preparation/calls.go
@@ -11,7 +11,7 @@
 )
 
 // execute makes one call and takes over what came of it.
-func (d *Desk) execute(ctx context.Context, call batch.Call) {
+func (d *Coordinator) execute(ctx context.Context, call batch.Call) {
 	d.table.Commands().enter(call.Pieces)
 	defer d.table.Commands().leave(call.Pieces)
 	limit := callFactor*call.Expected + callSlack
@@ -31,7 +31,7 @@
 	}
 	d.Batches.Commands().End(call, made, now)
 	if slices.ContainsFunc(results, func(r Result) bool { return r.Verdict == NoRoom }) {
-		d.Batches.Commands().Crowded(call, now)
+		d.Batches.Commands().MarkFull(call, now)
 		d.correct(ctx, call.Pool, call.Server)
 	}
 	for i, r := range results {
@@ -40,7 +40,7 @@
 }
 
 // settle takes over the result of a piece.
-func (d *Desk) settle(call batch.Call, p batch.Piece, r Result, now time.Time) {
+func (d *Coordinator) settle(call batch.Call, p batch.Piece, r Result, now time.Time) {
 	switch r.Verdict {
 	case Made:
 		d.apply(d.table.Commands().record(p, r.Handle, d.knowledge(), now))
@@ -60,7 +60,7 @@
 }
 
 // fail has all pieces of a failed call made by other servers.
-func (d *Desk) fail(call batch.Call, err error, now time.Time) {
+func (d *Coordinator) fail(call batch.Call, err error, now time.Time) {
 	isFull := errors.Is(err, ErrFull)
 	reason := "callFailed"
 	if isFull {
@@ -75,7 +75,7 @@
 }
 
 // again queues a piece once more.
-func (d *Desk) again(p batch.Piece, avoid string) {
+func (d *Coordinator) again(p batch.Piece, avoid string) {
 	if !d.table.Commands().retry(p) {
 		return
 	}
--- a/preparation/desk.go
+++ b/preparation/coordinator.go
@@ -63,8 +63,8 @@
 	closeReserve = 60 * time.Millisecond
 )
 
-// Desk prepares requests. Set the exported fields before Run.
-type Desk struct {
+// Coordinator prepares requests. Set the exported fields before Run.
+type Coordinator struct {
 	// Call has the results of a call made. It returns one result for each piece.
 	Call func(ctx context.Context, call batch.Call) ([]Result, error)
 	// Free tells a maker that results are given up.
@@ -83,9 +83,9 @@
 	freed chan []string
 }
 
-// NewDesk returns a desk without jobs.
-func NewDesk() *Desk {
-	return &Desk{
+// NewCoordinator returns a coordinator without jobs.
+func NewCoordinator() *Coordinator {
+	return &Coordinator{
 		Share:    func() float64 { return 1 },
 		Logger:   event.Discard(),
 		Counters: &counter.Set{},
@@ -97,10 +97,10 @@
 }
 
 // Queries reads the jobs.
-func (d *Desk) Queries() Queries { return d.table.Queries() }
+func (d *Coordinator) Queries() Queries { return d.table.Queries() }
 
 // Run makes the calls until the context ends.
-func (d *Desk) Run(ctx context.Context) error {
+func (d *Coordinator) Run(ctx context.Context) error {
 	var group errgroup.Group
 	pool := worker.Pool[batch.Call]{Size: callWorkers, Next: d.Batches.Commands().Next, Execute: d.execute}
 	group.Go(func() error { return pool.Run(ctx, ctx) })
@@ -112,7 +112,7 @@
 
 // Prepare has the results of a request made, chooses its engine and counts the
 // request there. It fails with a request.Failure that nothing was sent.
-func (d *Desk) Prepare(ctx context.Context, o Order) (Placement, error) {
+func (d *Coordinator) Prepare(ctx context.Context, o Order) (Placement, error) {
 	begun := time.Now()
 	p, err := d.prepare(ctx, o)
 	waited := time.Since(begun)
@@ -126,7 +126,7 @@
 	return p, err
 }
 
-func (d *Desk) prepare(ctx context.Context, o Order) (Placement, error) {
+func (d *Coordinator) prepare(ctx context.Context, o Order) (Placement, error) {
 	openedAt := time.Now()
 	reserve := min(closeReserve, o.Deadline/10)
 	ctx, cancel := context.WithTimeout(ctx, o.Deadline-reserve)
@@ -160,7 +160,7 @@
 }
 
 // adopt counts the results that an earlier coordinator had made.
-func (d *Desk) adopt(o Order, now time.Time) {
+func (d *Coordinator) adopt(o Order, now time.Time) {
 	for i, handles := range o.Made {
 		if i < len(o.Stages) {
 			d.Batches.Commands().Adopt(o.Stages[i].Pool, handles, o.Stages[i].Bytes, now)
@@ -170,18 +170,18 @@
 
 // HandOver lets all requests go that are not prepared yet, so that another
 // coordinator goes on with their results. Calls in progress are ended first.
-func (d *Desk) HandOver() {
+func (d *Coordinator) HandOver() {
 	for _, id := range d.table.Commands().handOver() {
 		d.Batches.Commands().Withdraw(id)
 	}
 }
 
 // TakeUp prepares requests again.
-func (d *Desk) TakeUp() { d.table.Commands().takeUp() }
+func (d *Coordinator) TakeUp() { d.table.Commands().takeUp() }
 
 // refuse refuses a request early whose stages can't be done in its time, so that
 // its client can come back.
-func (d *Desk) refuse(o Order, now time.Time) (request.Failure, bool) {
+func (d *Coordinator) refuse(o Order, now time.Time) (request.Failure, bool) {
 	if len(o.Made) > 0 || o.Try > 1 {
 		return request.Failure{}, false
 	}
@@ -200,17 +200,17 @@
 	return f.WithRetryAfter(min(expected-o.Objective, o.Deadline/4)), true
 }
 
-func (d *Desk) usual(pool string, pieces int) time.Duration {
+func (d *Coordinator) usual(pool string, pieces int) time.Duration {
 	return d.Batches.Queries().CallTime(pool, pieces)
 }
 
-func (d *Desk) knowledge() knowledge {
+func (d *Coordinator) knowledge() knowledge {
 	return knowledge{usual: d.usual, place: d.Batches.Queries().DataCentre}
 }
 
 // near returns the data centre in which large results should be made: that of the
 // engine that would be chosen now.
-func (d *Desk) near(o Order, now time.Time) string {
+func (d *Coordinator) near(o Order, now time.Time) string {
 	for _, s := range o.Stages {
 		if s.Pieces == 0 || s.Bytes < bulkyBytes {
 			continue
@@ -221,7 +221,7 @@
 	return ""
 }
 
-func (d *Desk) ended(ctx context.Context, what string) request.Failure {
+func (d *Coordinator) ended(ctx context.Context, what string) request.Failure {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return request.Refuse(request.ReasonDeadlineUnattainable, "no time left at "+what)
 	}
@@ -229,7 +229,7 @@
 }
 
 // place chooses the engine and waits while none may get the request.
-func (d *Desk) place(ctx context.Context, o Order) (Placement, error) {
+func (d *Coordinator) place(ctx context.Context, o Order) (Placement, error) {
 	timer := time.NewTimer(engineRetry)
 	defer timer.Stop()
 	for {
@@ -254,7 +254,7 @@
 }
 
 // places returns the size of the results that the engine fetches by data centre.
-func (d *Desk) places(j job) map[string]int64 {
+func (d *Coordinator) places(j job) map[string]int64 {
 	sizes := map[string]int64{}
 	for i, s := range j.order.Stages {
 		if len(j.followers(i)) > 0 {
@@ -270,13 +270,13 @@
 }
 
 // Started notes the first event of a request: its engine has fetched the results.
-func (d *Desk) Started(pool, server, id string, try int, took time.Duration) {
+func (d *Coordinator) Started(pool, server, id string, try int, took time.Duration) {
 	d.Engines.Commands().Started(pool, server, id, took)
 	d.free(d.table.Commands().close(id, try))
 }
 
 // Ended notes that a request has ended at its engine.
-func (d *Desk) Ended(pool, server, id string, isFailed bool) {
+func (d *Coordinator) Ended(pool, server, id string, isFailed bool) {
 	if isFailed {
 		d.Engines.Commands().Failed(pool, server, id, time.Now())
 	} else {
@@ -285,7 +285,7 @@
 }
 
 // Abandon gives a preparation of a request up before it runs.
-func (d *Desk) Abandon(id string, try int) {
+func (d *Coordinator) Abandon(id string, try int) {
 	if handles, ok := d.table.Commands().abandon(id, try); ok {
 		d.Batches.Commands().Withdraw(id)
 		d.free(handles)
@@ -293,7 +293,7 @@
 }
 
 // apply queues pieces and frees results.
-func (d *Desk) apply(s step) {
+func (d *Coordinator) apply(s step) {
 	if len(s.queue) > 0 {
 		d.Batches.Commands().Enqueue(s.queue)
 	}
@@ -301,7 +301,7 @@
 }
 
 // free gives results up. The makers are told later, many at a time.
-func (d *Desk) free(handles []string) {
+func (d *Coordinator) free(handles []string) {
 	if len(handles) == 0 {
 		return
 	}
--- a/preparation/desk_test.go
+++ b/preparation/coordinator_test.go
@@ -20,10 +20,10 @@
 	"lycheecrank.example/request"
 )
 
-// rig is a desk with three pools of stages and one of engines, whose calls are
+// rig is a coordinator with three pools of stages and one of engines, whose calls are
 // answered by a function.
 type rig struct {
-	*Desk
+	*Coordinator
 	mu    sync.Mutex
 	calls []string
 	// kept are the results that makers hold.
@@ -41,7 +41,7 @@
 var pools = []string{"encode", "retrieve", "rerank"}
 
 func newRig(t *testing.T, servers int) *rig {
-	r := &rig{Desk: NewDesk(), kept: map[string]time.Time{}}
+	r := &rig{Coordinator: NewCoordinator(), kept: map[string]time.Time{}}
 	r.Call, r.Free = r.call, r.drop
 	r.Room = func(context.Context, string) (int64, error) { return 20 << 20, nil }
 	for _, pool := range pools {
--- a/preparation/upkeep.go
+++ b/preparation/upkeep.go
@@ -45,9 +45,9 @@
 
 // runShedding gives up requests that wait behind more than their time allows, so
 // that their clients know at once.
-func (d *Desk) runShedding(ctx context.Context) error {
+func (d *Coordinator) runShedding(ctx context.Context) error {
 	every(ctx, shedInterval, func() {
-		for _, id := range d.Batches.Queries().Doomed(engineTime, time.Now()) {
+		for _, id := range d.Batches.Queries().Unattainable(engineTime, time.Now()) {
 			d.Counters.Add("shed")
 			d.Batches.Commands().Withdraw(id)
 			d.free(d.table.Commands().shed(id))
@@ -59,7 +59,7 @@
 // runFrees tells makers which results are given up, where their room gets short:
 // elsewhere the results go at the end of their life, and telling all makers ten
 // times a second cost most of the processor time of a large site's coordinator.
-func (d *Desk) runFrees(ctx context.Context) error {
+func (d *Coordinator) runFrees(ctx context.Context) error {
 	var group errgroup.Group
 	defer func() { _ = group.Wait() }()
 	var pending []string
@@ -78,7 +78,7 @@
 
 // tell tells a maker that results are given up, and counts their room as free
 // then.
-func (d *Desk) tell(ctx context.Context, address string, handles []string) {
+func (d *Coordinator) tell(ctx context.Context, address string, handles []string) {
 	ctx, cancel := context.WithTimeout(ctx, tellLimit)
 	defer cancel()
 	if err := d.Free(ctx, address, handles); err != nil {
@@ -89,7 +89,7 @@
 
 // TakeOver asks all servers of stages for their room, since an earlier
 // coordinator may have left results there.
-func (d *Desk) TakeOver(ctx context.Context) error {
+func (d *Coordinator) TakeOver(ctx context.Context) error {
 	var group errgroup.Group
 	for pool, places := range d.Batches.Queries().Servers() {
 		for _, p := range places {
@@ -103,7 +103,7 @@
 }
 
 // correct asks a server for its room.
-func (d *Desk) correct(ctx context.Context, pool string, p batch.Place) {
+func (d *Coordinator) correct(ctx context.Context, pool string, p batch.Place) {
 	ctx, cancel := context.WithTimeout(ctx, tellLimit)
 	defer cancel()
 	free, err := d.Room(ctx, p.Address)
@@ -115,7 +115,7 @@
 }
 
 // takeFreed returns the results that were given up since the last time.
-func (d *Desk) takeFreed() []string {
+func (d *Coordinator) takeFreed() []string {
 	var handles []string
 	for {
 		select {
@@ -128,7 +128,7 @@
 }
 
 // runSweeps gives up jobs that nobody has ended.
-func (d *Desk) runSweeps(ctx context.Context) error {
+func (d *Coordinator) runSweeps(ctx context.Context) error {
 	every(ctx, sweepInterval, func() {
 		for _, id := range d.table.Commands().lapsed(time.Now()) {
 			d.Counters.Add("jobLapsed")
--- a/route/commands.go
+++ b/route/commands.go
@@ -32,8 +32,8 @@
 	}
 }
 
-// Doubt notes that the configuration may be old, such as after a break.
-func (c Commands) Doubt() {
+// Invalidate notes that the configuration may be old, such as after a break.
+func (c Commands) Invalidate() {
 	t := c.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -82,7 +82,7 @@
 		is.True(!q.IsCurrent(time.Now()))
 		c.Confirm(time.Now())
 		is.True(q.IsCurrent(time.Now()))
-		c.Doubt()
+		c.Invalidate()
 		is.True(!q.IsCurrent(time.Now()))
 	})
 }
