--- a/cmd/lycheecrank/main.go
+++ b/cmd/lycheecrank/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
@@ -67,12 +68,19 @@
 	return i.Run(ctx)
 }
 
+// memoryShare is the part of the memory of a process from which on the collector
+// works harder. A coordinator on a small machine was killed at its limit.
+const memoryShare = 0.55
+
 // runEntry runs an instance with the settings that the platform gives.
 func runEntry(ctx context.Context, c *cli.Command) error {
 	s, err := platform.ReadSettings()
 	if err != nil {
 		return err
 	}
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	}
 	i := entry.New(s, os.Stdout)
 	changed := make(chan os.Signal, 1)
 	signal.Notify(changed, syscall.SIGHUP)
