--- a/preparation/coordinator_test.go
+++ b/preparation/coordinator_test.go
@@ -31,6 +31,8 @@
 	last int
 	// answer changes the result of a call; nil leaves it as it is.
 	answer func(call batch.Call, n int) ([]Result, error)
+	// begun is when the rig was made.
+	begun time.Time
 	// slow is by how much calls take longer than usual.
 	slow time.Duration
 }
@@ -41,7 +43,7 @@
 var pools = []string{"encode", "retrieve", "rerank"}
 
 func newRig(t *testing.T, servers int) *rig {
-	r := &rig{Coordinator: NewCoordinator(), kept: map[string]time.Time{}}
+	r := &rig{Coordinator: NewCoordinator(), begun: time.Now(), kept: map[string]time.Time{}}
 	r.Call, r.Free = r.call, r.drop
 	r.Room = func(context.Context, string) (int64, error) { return 20 << 20, nil }
 	for _, pool := range pools {
@@ -74,7 +76,8 @@
 	for _, p := range call.Pieces {
 		names = append(names, fmt.Sprintf("%s.%d.%d%v", p.Request, p.Stage, p.Number, p.Inputs))
 	}
-	r.calls = append(r.calls, call.Server.ID+" "+strings.Join(names, " "))
+	// Calls that begin at the same moment come in any order.
+	r.calls = append(r.calls, fmt.Sprintf("%5d ms %s %s", time.Since(r.begun).Milliseconds(), call.Server.ID, strings.Join(names, " ")))
 	r.mu.Unlock()
 	timer := time.NewTimer(call.Usual + r.slow)
 	defer timer.Stop()
@@ -112,6 +115,13 @@
 	return nil
 }
 
+// made returns the calls that the makers got.
+func (r *rig) made() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Sorted(slices.Values(r.calls))
+}
+
 func (r *rig) keptCount() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -150,7 +160,7 @@
 	} else {
 		fmt.Fprintf(&b, "  at %s with %v after %d ms\n", p.Server, p.Inputs, p.WaitedMs)
 	}
-	for _, c := range r.calls {
+	for _, c := range r.made() {
 		fmt.Fprintf(&b, "  call %s\n", c)
 	}
 	for reason, n := range r.Counters.Values() {
@@ -245,7 +255,7 @@
 		_, err := r.Prepare(ctx, chain("r"))
 		is.True(err != nil)
 		time.Sleep(10 * time.Second)
-		is.Equal(len(r.calls), 2) // the last stage was not begun
+		is.Equal(len(r.made()), 2) // the last stage was not begun
 		is.Equal(r.keptCount(), 0)
 		is.Equal(r.Queries().Open(), 0)
 	})
@@ -266,11 +276,11 @@
 		is.NoErr(err)
 		is.True(second.Server != first.Server)
 		is.Equal(second.Inputs, first.Inputs)
-		is.Equal(len(r.calls), 3)
+		is.Equal(len(r.made()), 3)
 		again.IsRebuilt = true
 		third, err := r.Prepare(t.Context(), again)
 		is.NoErr(err)
-		is.Equal(len(r.calls), 6)
+		is.Equal(len(r.made()), 6)
 		for _, h := range third.Inputs {
 			is.True(!slices.Contains(first.Inputs, h))
 		}
@@ -331,7 +341,7 @@
 			time.Sleep(after)
 			old.HandOver()
 			is.NoErr(group.Wait())
-			is.Equal(len(old.calls)+len(next.calls), 3) // each stage once
+			is.Equal(len(old.made())+len(next.made()), 3) // each stage once
 			is.Equal(old.Queries().Open(), 0)
 			moved, err := old.Prepare(t.Context(), chain("r2"))
 			is.NoErr(err)
