Let the demo ask again while the first run of a key is not recorded

Ruled out: a second run (the service ran it once). Change: the demo asks again on that reason, as a caller should; it still has to get the answer of the first run.

--- a/cmd/lycheestand/demo.go
+++ b/cmd/lycheestand/demo.go
@@ -214,6 +214,16 @@
 	return nil
 }
 
+// isWorthRepeating reports whether nothing was run and a repeat makes sense, or
+// whether the first run of a key has not been recorded yet. The outcome of a key
+// is written after its answer, so that a repeat at once may be early.
+func isWorthRepeating(a *callerv1.RunResponse) bool {
+	if a.GetRefusal().GetCode() == string(request.ReasonKeyRunning) {
+		return true
+	}
+	return a.GetOutcome() == callerv1.Outcome_OUTCOME_NOT_RUN && a.GetRefusal().GetRepeatable()
+}
+
 // send sends a request, again while the instance says that nothing was run and
 // that a repeat makes sense, as while it reads the catalogue.
 func send(ctx context.Context, client callerv1connect.PipelineServiceClient, m *callerv1.RunRequest) (*callerv1.RunResponse, error) {
@@ -222,8 +232,7 @@
 		if err != nil {
 			return nil, err
 		}
-		notRun := res.Msg.GetOutcome() == callerv1.Outcome_OUTCOME_NOT_RUN
-		if !notRun || !res.Msg.GetRefusal().GetRepeatable() {
+		if !isWorthRepeating(res.Msg) {
 			return res.Msg, nil
 		}
 		timer := time.NewTimer(demoRetry)
