Remove the client, stand-in and setting of the weight store

Cause: nothing called the weight store. The daemon orders no model to be loaded, and on the users' platform the workers load their own weights, so the client, the protobuf definition, the stand-in's handler, its flag and the required setting platform.weights had no effect.

Ruled out: keeping the setting as an accepted but unused one. A setting without effect is what TestEachSettingIsUsed guards against, and platform.weights needed an exception there, which is gone with it.

Change: a settings file that still has platform.weights is refused with "is no setting" and its line (settings/testdata/unknown). The checks of URLs without a host and of a list in place of a value move to testdata/urls. The golden files change by the lines of the setting only.

--- a/cmd/lycheestand/demo.go
+++ b/cmd/lycheestand/demo.go
@@ -167,7 +167,7 @@
 	text := fmt.Sprintf(`
 instance: {name: demo-1, dataCentre: helsinki-a}
 listen: {callers: "127.0.0.1:0", peers: "127.0.0.1:0"}
-platform: {log: %[1]q, instances: %[1]q, weights: %[1]q}
+platform: {log: %[1]q, instances: %[1]q}
 drain: {balancerLag: 0s}
 log: {level: warn}
 `, platformURL)
--- a/cmd/lycheestand/run.go
+++ b/cmd/lycheestand/run.go
@@ -18,22 +18,20 @@
 func platformCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "platform",
-		Usage: "run the log, the list of instances and the weight store",
+		Usage: "run the log and the list of instances",
 		Flags: append(processFlags(),
 			&cli.DurationFlag{Name: "instance-ttl", Value: 10 * time.Second, Usage: "how long an entry of the list lives without a refresh"},
 			&cli.DurationFlag{Name: "list-lag", Usage: "by how much the list is late"},
 			&cli.IntFlag{Name: "retain", Usage: "records that each stream keeps; 0 for all"},
 			&cli.FloatFlag{Name: "appends-per-second", Usage: "limit of appends to all streams together; 0 for none"},
-			&cli.FloatFlag{Name: "reservations-per-second", Value: 2, Usage: "limit of the weight store"},
 		),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			return run(ctx, c, standin.NewPlatform(standin.PlatformOptions{
 				ListLag: c.Duration("list-lag"),
 				Store: store.Options{
-					InstanceTTL:           c.Duration("instance-ttl"),
-					Retain:                c.Int("retain"),
-					AppendsPerSecond:      c.Float("appends-per-second"),
-					ReservationsPerSecond: c.Float("reservations-per-second"),
+					InstanceTTL:      c.Duration("instance-ttl"),
+					Retain:           c.Int("retain"),
+					AppendsPerSecond: c.Float("appends-per-second"),
 				},
 			}))
 		},
--- a/provider/log.go
+++ b/provider/log.go
@@ -1,5 +1,5 @@
 // Package provider has typed clients for the services that the platform
-// offers: the append-only log, the list of instances and the weight store.
+// offers: the append-only log and the list of instances.
 package provider
 
 import (
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -39,7 +39,6 @@
 type Platform struct {
 	Log       string
 	Instances string
-	Weights   string
 }
 
 // Limits bound the memory that callers and peers can take up.
--- a/settings/table.go
+++ b/settings/table.go
@@ -39,10 +39,6 @@
 		Path: "platform.instances", Required: true, Meaning: "Base URL of the platform's list of instances.",
 		value: func(s *Settings) value { return baseURL(&s.Platform.Instances) },
 	},
-	{
-		Path: "platform.weights", Required: true, Meaning: "Base URL of the platform's weight store.",
-		value: func(s *Settings) value { return baseURL(&s.Platform.Weights) },
-	},
 	{
 		Path: "workers", Default: "256", Meaning: "Workers, each of which has at most one step at a backend server.",
 		value: func(s *Settings) value { return integer(&s.Workers, 1, 65536, "workers") },
