--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -52,6 +52,8 @@
 	CutAfter int
 	// HasForeignID answers with the ID of another request.
 	HasForeignID bool
+	// Freezes runs requests and doesn't answer until the caller leaves.
+	Freezes bool
 	// Status is answered in place of 200, if it is not 0.
 	Status int
 }
@@ -116,6 +118,10 @@
 	if fault.LosesAnswers {
 		panic(http.ErrAbortHandler)
 	}
+	if fault.Freezes {
+		<-r.Context().Done()
+		return
+	}
 	id := r.Header.Get("Attempt-Id")
 	if fault.HasForeignID {
 		id = "foreign"
