Prepare a stream only for as long as its client waits

The coordinator went by the deadline alone, so that it made stages for clients that had left, and refused nobody early who could not be served within that time.

Ruled out: a slow coordinator or a lost answer (the log has the cancellation by the client after 3,999 ms, and pieces that waited behind others until then).

Change: the order for a preparation carries the time until the client leaves, if that is shorter than its deadline. Routes know the longest pause (targetGapMs).

--- a/delivery/router_test.go
+++ b/delivery/router_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
 	"github.com/sebdah/goldie/v2"
 
 	"lycheecrank.example/backend"
@@ -205,6 +206,49 @@
 	goldie.New(t).Assert(t, "outcomes", []byte(b.String()))
 }
 
+// Guards against stages that are made for a client that has left by then, which
+// takes places from those that still wait.
+func TestPatience(t *testing.T) {
+	const objective, gap = 400 * time.Millisecond, 300 * time.Millisecond
+	rows := []struct {
+		name  string
+		route route.Route
+		limit time.Duration
+		want  time.Duration
+	}{
+		{"four times the objective", route.Route{Objective: 700 * time.Millisecond, Gap: gap}, time.Minute, 2800 * time.Millisecond},
+		{"eight times the pause", route.Route{Objective: objective, Gap: gap}, time.Minute, 2400 * time.Millisecond},
+		{"at least two seconds", route.Route{Objective: objective}, time.Minute, 2 * time.Second},
+		{"the time of the client", route.Route{Objective: objective, Gap: gap}, time.Second, time.Second},
+		{"no objective", route.Route{Gap: gap}, 4 * time.Second, 4 * time.Second},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := newRig()
+				a := r.attempt("/chat/1")
+				a.Limit = row.limit
+				row.route.Kind, row.route.Attempts = route.Stream, 2
+				row.route.IsResumable = true
+				v := routed{attempt: a, route: row.route, pool: route.Pool{Name: "models"}}
+				v.deadline, v.objective = times(a, row.route)
+				var left []time.Duration
+				prepare := r.Prepare
+				r.Prepare = func(ctx context.Context, o preparation.Order) (preparation.Placement, error) {
+					left = append(left, o.Deadline)
+					return prepare(ctx, o)
+				}
+				// The second preparation comes after events: the client waits anew.
+				r.script = []sent{{answer: Answer{Status: 200, IsProper: true}, body: broken(events(1, 2)).body, takes: 500 * time.Millisecond}, ok(events(3, 4))}
+				r.stream(t.Context(), v)
+				is.Equal(left[0], row.want)
+				is.Equal(left[1], min(row.want, row.limit-500*time.Millisecond))
+			})
+		})
+	}
+}
+
 // Guards against 404 and 401 from an instance whose configuration may be old, and
 // against requests that are served without a right to be.
 func TestAdmission(t *testing.T) {
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -16,7 +16,7 @@
 
 // stream serves an attempt by a model engine.
 func (d *Router) stream(ctx context.Context, v routed) Verdict {
-	s := &streaming{router: d, routed: v, last: v.attempt.LastEvent, order: v.order()}
+	s := &streaming{router: d, routed: v, last: v.attempt.LastEvent, order: v.order(), heardAt: v.attempt.ArrivedAt}
 	for {
 		done, isAgain := s.try(ctx)
 		if !isAgain {
@@ -46,7 +46,9 @@
 	routed routed
 	order  preparation.Order
 	// last is the number of the last event that the client has.
-	last    int64
+	last int64
+	// heardAt is when the client got its last event, or when it asked.
+	heardAt time.Time
 	isBegun bool
 	runs    int
 	unsent  int
@@ -71,7 +73,7 @@
 	d, v := s.router, s.routed
 	now := time.Now()
 	s.order.Try++
-	s.order.Objective, s.order.Deadline = v.objective.Sub(now), v.deadline.Sub(now)
+	s.order.Objective, s.order.Deadline = v.objective.Sub(now), s.leavesAt().Sub(now)
 	p, err := d.Prepare(ctx, s.order)
 	s.order.IsRebuilt = false
 	if err != nil {
@@ -200,7 +202,7 @@
 		if v.attempt.Write(event) != nil {
 			return s.left(server)
 		}
-		s.last = events.last
+		s.last, s.heardAt = events.last, time.Now()
 	}
 	s.runs++
 	d.Ended(v.pool.Name, server, v.attempt.ID, false)
--- a/route/route.go
+++ b/route/route.go
@@ -53,6 +53,9 @@
 	// Objective is the time to the answer, or to the first event, within which a
 	// request counts as on time.
 	Objective time.Duration
+	// Gap is the longest pause between the events of a stream that is on time, 0 if
+	// none is named.
+	Gap time.Duration
 	// Rank is the class; 0 is served first.
 	Rank int
 	// Attempts is the largest number of backend servers that one attempt of a
