Send a stream again whose engine stays silent

Cause: an engine that accepts a request and sends nothing (hung, without power, cut off silently) held the request until its client left, since only a broken connection counted as a failure of the engine.

Ruled out: a fixed limit, which would send again whatever waits in a loaded engine; a probe of the engine, which costs a connection and does not show a request that hangs alone.

Change: the coordinator says how long the first event should take. A request that may run more than once, with another engine allowed, goes to one after three times that and 600 ms more, or in the middle of a stream after half of the client's patience. The engine counts as failed, and the retry counts against the budget (reason engineSilent). Other requests wait as before.

--- a/delivery/router_test.go
+++ b/delivery/router_test.go
@@ -43,6 +43,8 @@
 	body   io.Reader
 	err    error
 	takes  time.Duration
+	// isSilent tells that nothing comes after the body, not even its end.
+	isSilent bool
 }
 
 func newRig() *rig {
@@ -51,8 +53,8 @@
 	kinds := []route.Route{
 		{Name: "lookup", Prefix: "/lookup/", Kind: route.Idempotent, Attempts: 2, Targets: []route.Target{{Pool: "registry"}}, Timeout: 800 * time.Millisecond},
 		{Name: "order", Prefix: "/order/", Kind: route.Once, Attempts: 1, Targets: []route.Target{{Pool: "registry"}}, Timeout: 800 * time.Millisecond},
-		{Name: "chat", Prefix: "/chat/", Kind: route.Stream, Attempts: 1, Targets: []route.Target{{Pool: "models"}}, Timeout: 5 * time.Second},
-		{Name: "draft", Prefix: "/draft/", Kind: route.Stream, IsResumable: true, Attempts: 2, Targets: []route.Target{{Pool: "models"}}, Timeout: 5 * time.Second, Stages: []route.Stage{{Pool: "encode"}}},
+		{Name: "chat", Prefix: "/chat/", Kind: route.Stream, Attempts: 1, Targets: []route.Target{{Pool: "models"}}, Timeout: 5 * time.Second, Objective: 500 * time.Millisecond},
+		{Name: "draft", Prefix: "/draft/", Kind: route.Stream, IsResumable: true, Attempts: 2, Targets: []route.Target{{Pool: "models"}}, Timeout: 5 * time.Second, Objective: 500 * time.Millisecond, Stages: []route.Stage{{Pool: "encode"}}},
 	}
 	for i := range kinds {
 		kinds[i].Host = "x.example"
@@ -90,7 +92,7 @@
 	if len(o.Avoid)%2 == 1 {
 		server = "e2"
 	}
-	return preparation.Placement{Server: server, Address: server + ":1", Inputs: []string{"h"}}, nil
+	return preparation.Placement{Server: server, Address: server + ":1", Inputs: []string{"h"}, Expected: 100 * time.Millisecond}, nil
 }
 
 func (r *rig) send(ctx context.Context, i Instruction) (Answer, error) {
@@ -114,6 +116,9 @@
 		s.body = strings.NewReader("")
 	}
 	a.Body = io.NopCloser(s.body)
+	if s.isSilent {
+		a.Body = io.NopCloser(&silentBody{Reader: s.body, ctx: ctx})
+	}
 	a.Begin = func() error {
 		r.begun++
 		return nil
@@ -121,6 +126,21 @@
 	return a, nil
 }
 
+// silentBody is a body that stays silent after its data until the send is ended.
+type silentBody struct {
+	io.Reader
+	ctx context.Context
+}
+
+func (s *silentBody) Read(p []byte) (int, error) {
+	n, err := s.Reader.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	<-s.ctx.Done()
+	return n, s.ctx.Err()
+}
+
 func (r *rig) attempt(path string) Attempt {
 	return Attempt{
 		ID: "a1", Host: "x.example", Path: path, Key: "key", ArrivedAt: time.Now(), Limit: 2 * time.Second, Pieces: []int{1},
@@ -206,6 +226,44 @@
 	goldie.New(t).Assert(t, "outcomes", []byte(b.String()))
 }
 
+// Guards against a stream that waits for a silent engine until its client leaves,
+// though another engine could run it, and against one that is sent again though it
+// may run once.
+func TestSilentEngine(t *testing.T) {
+	silent := func(first string) sent {
+		return sent{answer: Answer{Status: 200, IsProper: true}, body: strings.NewReader(first), isSilent: true}
+	}
+	rows := []struct {
+		name, path string
+		script     []sent
+	}{
+		{"draft, no headers", "/draft/1", []sent{{takes: time.Minute}, ok(events(1, 3))}},
+		{"draft, headers only", "/draft/1", []sent{silent(""), ok(events(1, 3))}},
+		{"draft, silent midway", "/draft/1", []sent{silent(events(1, 2)), ok(events(3, 3))}},
+		{"draft, silent twice", "/draft/1", []sent{{takes: time.Minute}, {takes: time.Minute}, ok("never")}},
+		{"draft, slow", "/draft/1", []sent{{answer: Answer{Status: 200, IsProper: true}, body: strings.NewReader(events(1, 3)), takes: 800 * time.Millisecond}}},
+		{"chat, no headers", "/chat/1", []sent{{takes: time.Minute}, ok("never")}},
+	}
+	var b strings.Builder
+	for _, row := range rows {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig()
+			r.script = row.script
+			a := r.attempt(row.path)
+			a.Limit = 5 * time.Second
+			v := r.Deliver(t.Context(), a)
+			fmt.Fprintf(&b, "%s: ", row.name)
+			if v.Failure == nil {
+				fmt.Fprint(&b, "answered")
+			} else {
+				fmt.Fprintf(&b, "%s, sent %v", v.Failure.Reason, v.Failure.Sent)
+			}
+			fmt.Fprintf(&b, " after %v, %d sends, %q, retries %v\n", time.Since(time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)), len(r.sends), r.written.String(), r.Retries.Values())
+		})
+	}
+	goldie.New(t).Assert(t, "silent", []byte(b.String()))
+}
+
 // Guards against stages that are made for a client that has left by then, which
 // takes places from those that still wait.
 func TestPatience(t *testing.T) {
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -86,8 +86,9 @@
 		return s.unsentAgain(ctx, p.Server, request.Refuse(request.ReasonNoServer, "the engine is leaving"))
 	}
 	// A stream that is no longer read must not go on at its engine.
-	sending, cancel := context.WithCancel(ctx)
+	sending, cancel, w := s.watch(ctx, p)
 	defer cancel()
+	defer w.stop()
 	sentAt := time.Now()
 	s.tries++
 	a, err := v.attempt.Send(sending, Instruction{
@@ -100,7 +101,7 @@
 		return s.unsentAgain(ctx, p.Server, request.Refuse(request.ReasonServerUnreachable, "engine not reached").WithRetryAfter(brokenRetry))
 	case err != nil:
 		s.reach(p.Server)
-		return s.broken(ctx, p.Server, err)
+		return s.broken(ctx, p.Server, brokenBy(sending, err))
 	}
 	defer func() { _ = a.Body.Close() }()
 	if !a.IsMisdirected {
@@ -126,7 +127,7 @@
 	case !a.isSuccess():
 		return s.passFailure(a, p.Server)
 	}
-	return s.forward(ctx, a, p.Server, sentAt)
+	return s.forward(ctx, sending, a, p.Server, sentAt, w)
 }
 
 // reach notes that the request was sent to an engine.
@@ -154,7 +155,11 @@
 	s.runs++
 	s.router.Ended(s.routed.pool.Name, server, s.routed.attempt.ID, ctx.Err() == nil)
 	s.order.Avoid = append(slices.Clone(s.order.Avoid), server)
-	if s.routed.route.IsRepeatable() && len(s.reached) < s.routed.route.Attempts && ctx.Err() == nil && s.router.retry(s.routed.attempt.ID, "streamBroken", s.tries) {
+	reason := "streamBroken"
+	if errors.Is(err, errSilent) {
+		reason = "engineSilent"
+	}
+	if s.routed.route.IsRepeatable() && len(s.reached) < s.routed.route.Attempts && ctx.Err() == nil && s.router.retry(s.routed.attempt.ID, reason, s.tries) {
 		return Verdict{}, true
 	}
 	s.router.Abandon(s.routed.attempt.ID, s.order.Try)
@@ -177,7 +182,7 @@
 }
 
 // forward passes the events of a stream on as they come.
-func (s *streaming) forward(ctx context.Context, a Answer, server string, sentAt time.Time) (Verdict, bool) {
+func (s *streaming) forward(ctx, sending context.Context, a Answer, server string, sentAt time.Time, w watch) (Verdict, bool) {
 	d, v := s.router, s.routed
 	events := eventReader{source: a.Body, last: s.last}
 	isStarted := false
@@ -187,8 +192,9 @@
 			break
 		}
 		if err != nil {
-			return s.broken(ctx, server, err)
+			return s.broken(ctx, server, brokenBy(sending, err))
 		}
+		w.heard()
 		if !isStarted {
 			isStarted = true
 			d.Started(v.pool.Name, server, v.attempt.ID, s.order.Try, time.Since(sentAt))
--- a/engine/choose.go
+++ b/engine/choose.go
@@ -70,6 +70,15 @@
 	return cost
 }
 
+// expected estimates the time to the first event of a request.
+func (s Server) expected(p Prompt, now time.Time) time.Duration {
+	unread := p.Input - s.match(p, now)
+	for _, r := range s.runs {
+		unread += r.unread
+	}
+	return firstEventTime + readTime(unread) + time.Duration(len(s.runs))*runCost + s.delay
+}
+
 // isWithinRate reports whether the engine may get one more request within the
 // bound for engines in cold start. It holds for all engines, since one may turn
 // cold without a sign.
--- a/engine/commands.go
+++ b/engine/commands.go
@@ -45,6 +45,8 @@
 	// Source is the address of an engine that has more of the prompt, empty for
 	// none.
 	Source string
+	// Expected is the likely time to the first event.
+	Expected time.Duration
 }
 
 // Reserve chooses an engine for a request and counts the request there.
@@ -61,7 +63,7 @@
 	if !ok {
 		return Choice{}, false
 	}
-	choice := Choice{Place: s.Place, Source: source(servers, s, p, now)}
+	choice := Choice{Place: s.Place, Source: source(servers, s, p, now), Expected: s.expected(p, now)}
 	q.servers[s.ID] = s.WithRun(request, p, now)
 	return choice, true
 }
--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -241,7 +241,7 @@
 		needs := engine.Needs{Results: d.places(j), Avoid: o.Avoid, Only: o.Only, Rate: d.Share()}
 		p, ok := d.Engines.Commands().Reserve(o.Pool, o.Request, o.Prompt, needs, time.Now())
 		if ok {
-			return Placement{Server: p.ID, Address: p.Address, DataCentre: p.DataCentre, Source: p.Source, Inputs: inputs}, nil
+			return Placement{Server: p.ID, Address: p.Address, DataCentre: p.DataCentre, Source: p.Source, Inputs: inputs, Expected: p.Expected}, nil
 		}
 		d.Counters.Add("noEngine")
 		timer.Reset(engineRetry)
--- a/preparation/order.go
+++ b/preparation/order.go
@@ -60,6 +60,8 @@
 	Source string `msgpack:"source,omitempty"`
 	// Inputs are the handles of the results that the engine fetches.
 	Inputs []string `msgpack:"inputs"`
+	// Expected is the likely time to the first event.
+	Expected time.Duration `msgpack:"expected,omitempty"`
 	// WaitedMs is the time that the preparation took.
 	WaitedMs int64 `msgpack:"waitedMs"`
 	// IsMoved tells that the request was not prepared here and has to be given to
