Give a silent plain server up if the request may go elsewhere

Cause: the same as for streams: a lookup at a server that answers nothing waited until the time of its client was over, though another server could answer.

Change: a request that may run more than once goes to another server after three times the likely time of this one and 300 ms more, within its attempts and the budget (reason serverSilent). A request that may run once waits as before.

--- a/delivery/plain.go
+++ b/delivery/plain.go
@@ -39,7 +39,8 @@
 			return result.withFailure(d.noServer(ctx, mayHaveRunBefore))
 		}
 		sent := time.Now()
-		a, body, err := d.exchange(ctx, v, s)
+		mayGoOn := v.route.IsRepeatable() && reached+1 < v.route.Attempts
+		a, body, err := d.exchange(ctx, v, s, mayGoOn)
 		result.Tries++
 		result.Server = s.Name
 		reason := outcomeOf(a, err)
@@ -56,8 +57,12 @@
 		isNotRun := err == nil && a.IsNotRun
 		mayHaveRunBefore = mayHaveRunBefore || !isNotRun
 		isFailed := isNotRun || err != nil || a.Status >= 500
+		retryReason := "server" + string(reason)
+		if errors.Is(err, errSilent) {
+			retryReason = "serverSilent"
+		}
 		mayRepeat := isNotRun || v.route.IsRepeatable()
-		if isFailed && mayRepeat && reached < v.route.Attempts && ctx.Err() == nil && d.retry(v.attempt.ID, "server"+string(reason), result.Tries) {
+		if isFailed && mayRepeat && reached < v.route.Attempts && ctx.Err() == nil && d.retry(v.attempt.ID, retryReason, result.Tries) {
 			continue
 		}
 		if isNotRun {
@@ -71,18 +76,27 @@
 }
 
 // exchange sends a request and reads its whole answer, but for a large one, the
-// rest of which stays in the body of the answer.
-func (d *Router) exchange(ctx context.Context, v routed, s backend.Server) (Answer, []byte, error) {
+// rest of which stays in the body of the answer. It gives a silent server up if
+// the request may go on elsewhere.
+func (d *Router) exchange(ctx context.Context, v routed, s backend.Server, mayGoOn bool) (Answer, []byte, error) {
 	server, ok := d.Fleet.Server(s.Name, time.Now())
 	if !ok {
 		return Answer{}, nil, ErrUnreached
 	}
-	a, err := v.attempt.Send(ctx, Instruction{
+	sending, cancel := context.WithCancelCause(ctx)
+	if mayGoOn {
+		limit := time.AfterFunc(silentFactor*s.LikelyTime(time.Now())+silentPlain, func() { cancel(errSilent) })
+		defer limit.Stop()
+	}
+	a, err := v.attempt.Send(sending, Instruction{
 		Server: server, Workspace: v.workspace, Deadline: v.deadline, Rank: v.rank, IsRepeatable: v.route.IsRepeatable(),
 	})
 	if err != nil {
+		err = brokenBy(sending, err)
+		cancel(context.Canceled)
 		return Answer{}, nil, err
 	}
+	a.Body = &sendBody{ReadCloser: a.Body, end: cancel}
 	if a.IsNotRun {
 		_ = a.Body.Close()
 		return a, nil, nil
@@ -94,11 +108,24 @@
 	body, err := io.ReadAll(io.LimitReader(a.Body, keptAnswer))
 	if err != nil {
 		_ = a.Body.Close()
-		return a, nil, ErrBroken
+		return a, nil, brokenBy(sending, ErrBroken)
 	}
 	return a, body, nil
 }
 
+// sendBody is the body of an answer; closing it ends the send.
+type sendBody struct {
+	io.ReadCloser
+	end context.CancelCauseFunc
+}
+
+// Close closes the body.
+func (s *sendBody) Close() error {
+	err := s.ReadCloser.Close()
+	s.end(context.Canceled)
+	return err
+}
+
 // pass passes a kept answer on, and the rest of a large one as it comes.
 func pass(v routed, a Answer, body []byte, result Verdict) Verdict {
 	defer func() { _ = a.Body.Close() }()
--- a/delivery/silence.go
+++ b/delivery/silence.go
@@ -9,8 +9,8 @@
 	"lycheecrank.example/preparation"
 )
 
-// errSilent is the cause of a send that was ended since its engine stayed silent.
-var errSilent = errors.New("engine silent")
+// errSilent is the cause of a send that was ended since its server stayed silent.
+var errSilent = errors.New("backend server silent")
 
 const (
 	// An engine is taken as silent if its first event takes silentFactor times as
@@ -18,6 +18,9 @@
 	// and a request that is sent again at once can still be on time.
 	silentFactor = 3
 	silentSlack  = 600 * time.Millisecond
+	// silentPlain takes the place of silentSlack for plain services, whose answers
+	// take some tens of milliseconds.
+	silentPlain = 300 * time.Millisecond
 	// silentShare is the part of the client's patience after which a stream that has
 	// begun goes on at another engine.
 	silentShare = 0.5
