Bound the pieces that are made again over all instances

Cause: only each request bounded how often its pieces are made again. While the makers of a pool fail, all requests repeat theirs up to twelve times, and a request that had used up its tries was held until its deadline.

Ruled out: a budget at each instance. One coordinator makes the pieces of all, so that its budget holds for all.

Change: half a piece is earned for each piece that is asked for, 400 are saved up. A request whose piece may not be made again is refused at once (noServer, nothing has run), with counters triesSpent and remakeBudget.

--- a/preparation/calls.go
+++ b/preparation/calls.go
@@ -8,6 +8,7 @@
 
 	"lycheecrank.example/batch"
 	"lycheecrank.example/event"
+	"lycheecrank.example/request"
 )
 
 // execute makes one call and takes over what came of it.
@@ -47,7 +48,12 @@
 	case InputGone:
 		d.Counters.Add("inputGone")
 		d.Logger.Write(event.ResultsRebuilt, p.Request, p.Stage, p.Number, p.Pool, call.Server.ID, now.Sub(p.QueuedAt).Milliseconds(), p.Inputs)
-		d.apply(d.table.Commands().rebuild(p, d.knowledge(), now))
+		s, isRebuilt := d.table.Commands().rebuild(p, d.knowledge(), now)
+		d.apply(s)
+		if isRebuilt && !d.Remakes.Take() {
+			d.Counters.Add("remakeBudget")
+			d.giveUp(p.Request, unmade("too many stages are made again"))
+		}
 	case NoRoom:
 		d.Counters.Add("noRoom")
 		d.again(p, "")
@@ -74,11 +80,38 @@
 	}
 }
 
-// again queues a piece once more.
+// again queues a piece once more. If that is not allowed any more, its request is
+// given up at once, so that its client knows.
 func (d *Coordinator) again(p batch.Piece, avoid string) {
-	if !d.table.Commands().retry(p) {
+	isWanted, isAllowed := d.table.Commands().retry(p)
+	switch {
+	case !isWanted:
+		return
+	case !isAllowed:
+		d.Counters.Add("triesSpent")
+		d.giveUp(p.Request, unmade("its stages failed too often"))
+		return
+	case !d.Remakes.Take():
+		d.Counters.Add("remakeBudget")
+		d.giveUp(p.Request, unmade("too many stages are made again"))
 		return
 	}
 	p.Avoid = avoid
 	d.Batches.Commands().Enqueue([]batch.Piece{p})
 }
+
+// giveUp refuses a request that is being prepared.
+func (d *Coordinator) giveUp(id string, f request.Failure) {
+	d.Batches.Commands().Withdraw(id)
+	d.free(d.table.Commands().shed(id, f))
+}
+
+// tooLate is the refusal of a request that can't be done in its time.
+func tooLate() request.Failure {
+	return request.Refuse(request.ReasonDeadlineUnattainable, "too much before it at the stages").WithRetryAfter(shedRetry)
+}
+
+// unmade is the refusal of a request whose stages fail.
+func unmade(detail string) request.Failure {
+	return request.Refuse(request.ReasonNoServer, detail).WithRetryAfter(shedRetry)
+}
--- a/preparation/commands.go
+++ b/preparation/commands.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lycheecrank.example/batch"
+	"lycheecrank.example/request"
 )
 
 // open adds a job, or takes up one whose results are still there. It reports
@@ -118,58 +119,65 @@
 // maxTries bounds how many pieces of a request are made again.
 const maxTries = 12
 
-// retry reports whether a piece that failed should be made again.
-func (c Commands) retry(p batch.Piece) bool {
+// retry reports whether a piece that failed is still wanted, and whether it may be
+// made again.
+func (c Commands) retry(p batch.Piece) (isWanted, isAllowed bool) {
 	t := c.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.jobs[p.Request]
-	if e == nil || e.job.handles[p.Stage][p.Number] != "" || e.job.tries >= maxTries || e.isMoving {
-		return false
+	if e == nil || e.job.handles[p.Stage][p.Number] != "" || e.isMoving {
+		return false, false
+	}
+	if e.job.tries >= maxTries {
+		return true, false
 	}
 	e.job = e.job.withTry()
-	return true
+	return true, true
 }
 
-// rebuild makes all results of a job again after one of them was found gone.
-func (c Commands) rebuild(p batch.Piece, k knowledge, now time.Time) step {
+// rebuild makes all results of a job again after one of them was found gone, and
+// reports whether it did.
+func (c Commands) rebuild(p batch.Piece, k knowledge, now time.Time) (step, bool) {
 	t := c.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.jobs[p.Request]
 	// Other pieces of the call report the same loss: the first one counts.
 	if e == nil || e.isMoving || e.job.tries >= maxTries || !slices.Equal(p.Inputs, e.job.stageInputs(p.Stage)) {
-		return step{}
+		return step{}, false
 	}
 	dropped := e.job.kept()
 	if now.After(e.job.objective) && now.Sub(e.job.openedAt) > e.job.deadline.Sub(now) {
 		// It would wait again for longer than it has time.
-		t.shed(p.Request)
-		return step{free: dropped}
+		t.shed(p.Request, tooLate())
+		return step{free: dropped}, false
 	}
 	e.job = e.job.withoutResults(now)
 	s := e.advance(k, now)
 	s.free = append(s.free, dropped...)
-	return s
+	return s, true
 }
 
-// shed gives a request up that can't be done in time and returns its results.
-func (c Commands) shed(request string) []string {
+// shed gives a request up and returns its results.
+func (c Commands) shed(id string, f request.Failure) []string {
 	t := c.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.jobs[request]
+	e := t.jobs[id]
 	if e == nil || e.isMoving {
 		return nil
 	}
-	t.shed(request)
+	t.shed(id, f)
 	return e.job.kept()
 }
 
 // shed removes a job and tells who waits for it. It is called under the lock.
-func (t *Table) shed(request string) {
-	close(t.jobs[request].shed)
-	delete(t.jobs, request)
+func (t *Table) shed(id string, f request.Failure) {
+	e := t.jobs[id]
+	*e.refusal = f
+	close(e.shed)
+	delete(t.jobs, id)
 }
 
 // inputs returns the results that the engine fetches and where they are wanted.
--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -11,6 +11,7 @@
 	"lycheecrank.example/counter"
 	"lycheecrank.example/engine"
 	"lycheecrank.example/event"
+	"lycheecrank.example/pipeline"
 	"lycheecrank.example/request"
 	"lycheecrank.example/worker"
 )
@@ -58,6 +59,11 @@
 	// bulkyBytes is the size of results from which the engine is chosen before
 	// they are made, so that they are made near it.
 	bulkyBytes = 256 << 10
+	// remakeRatio is how many pieces may be made again for each one that is asked for,
+	// remakeBurst how many more at once: the loss of a few makers with their results,
+	// not the second making of all that a fault of every maker would ask for.
+	remakeRatio = 0.5
+	remakeBurst = 400
 	// closeReserve is the time before the deadline at which a request that can't
 	// be prepared is given up, so that its refusal arrives.
 	closeReserve = 60 * time.Millisecond
@@ -78,6 +84,9 @@
 	Counters *counter.Set
 	Batches  *batch.Table
 	Engines  *engine.Table
+	// Remakes limits the pieces that are made again. One coordinator makes those of
+	// all instances, so that it holds for all.
+	Remakes *pipeline.Budget
 
 	table *Table
 	freed chan []string
@@ -91,6 +100,7 @@
 		Counters: &counter.Set{},
 		Batches:  batch.NewTable(),
 		Engines:  engine.NewTable(),
+		Remakes:  pipeline.NewBudget(remakeRatio, remakeBurst),
 		table:    NewTable(),
 		freed:    make(chan []string, 1024),
 	}
@@ -134,6 +144,7 @@
 	if f, ok := d.refuse(o, openedAt); ok {
 		return Placement{}, f
 	}
+	d.earn(o)
 	d.adopt(o, openedAt)
 	e, s, ok := d.table.Commands().open(o, d.near(o, openedAt), d.knowledge(), openedAt)
 	if !ok {
@@ -145,7 +156,7 @@
 	case <-e.moved:
 		return Placement{IsMoved: true, Made: d.table.Commands().forget(o.Request)}, nil
 	case <-e.shed:
-		return Placement{}, request.Refuse(request.ReasonDeadlineUnattainable, "too much before it at the stages").WithRetryAfter(shedRetry)
+		return Placement{}, *e.refusal
 	case <-ctx.Done():
 		d.Abandon(o.Request, o.Try)
 		return Placement{}, d.ended(ctx, "stages")
@@ -159,6 +170,18 @@
 	return p, nil
 }
 
+// earn allows some pieces to be made again for those that are asked for.
+func (d *Coordinator) earn(o Order) {
+	if o.Try > 1 {
+		return
+	}
+	for _, s := range o.Stages {
+		for range s.Pieces {
+			d.Remakes.Earn()
+		}
+	}
+}
+
 // adopt counts the results that an earlier coordinator had made.
 func (d *Coordinator) adopt(o Order, now time.Time) {
 	for i, handles := range o.Made {
--- a/preparation/coordinator_test.go
+++ b/preparation/coordinator_test.go
@@ -17,6 +17,7 @@
 
 	"lycheecrank.example/batch"
 	"lycheecrank.example/engine"
+	"lycheecrank.example/pipeline"
 	"lycheecrank.example/request"
 )
 
@@ -408,3 +409,51 @@
 		is.NoErr(group.Wait())
 	})
 }
+
+// Guards against pieces that are made again without bound while their makers fail,
+// and against requests that are held until their deadline after that.
+func TestRemakes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t, 2)
+		r.answer = func(call batch.Call, _ int) ([]Result, error) {
+			return slices.Repeat([]Result{{Verdict: Failed}}, len(call.Pieces)), nil
+		}
+		o := chain("r")
+		o.Deadline = time.Minute
+		begun := time.Now()
+		_, err := r.Prepare(t.Context(), o)
+		is.True(errors.Is(err, request.ReasonNoServer))
+		is.Equal(request.AsFailure(err).Outcome(), request.NotRun)
+		is.True(time.Since(begun) < 10*time.Second) // not at the deadline
+		is.Equal(r.Counters.Values()["triesSpent"], int64(1))
+		is.Equal(len(r.made()), 1+maxTries)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t, 2)
+		r.Remakes = pipeline.NewBudget(remakeRatio, 10)
+		r.answer = func(call batch.Call, _ int) ([]Result, error) {
+			return slices.Repeat([]Result{{Verdict: Failed}}, len(call.Pieces)), nil
+		}
+		var group errgroup.Group
+		for n := range 20 {
+			group.Go(func() error {
+				o := chain(fmt.Sprint("r", n))
+				o.Deadline = time.Minute
+				_, err := r.Prepare(t.Context(), o)
+				is.True(errors.Is(err, request.ReasonNoServer))
+				return nil
+			})
+		}
+		is.NoErr(group.Wait())
+		pieces := 0
+		for _, c := range r.made() {
+			pieces += strings.Count(c, ".0.0")
+		}
+		// The 6 pieces of each of 20 orders earn 60, and 10 were saved up.
+		is.True(pieces <= 20+60+10)
+		is.True(r.Counters.Values()["remakeBudget"] > 0)
+		is.Equal(r.Queries().Open(), 0)
+	})
+}
--- a/preparation/table.go
+++ b/preparation/table.go
@@ -5,6 +5,7 @@
 
 	"lycheecrank.example/batch"
 	"lycheecrank.example/lock"
+	"lycheecrank.example/request"
 )
 
 // Table holds the jobs by request.
@@ -22,8 +23,9 @@
 	// handed over.
 	done  chan struct{}
 	moved chan struct{}
-	// shed is closed when the request is given up, since it can't be done in time.
-	shed chan struct{}
+	// shed is closed when the request is given up, after refusal was set.
+	shed    chan struct{}
+	refusal *request.Failure
 	// isMoving tells that the job is being handed over.
 	isMoving bool
 }
@@ -54,7 +56,7 @@
 
 // newEntry returns an entry for a job.
 func newEntry(j job) *entry {
-	return &entry{job: j, done: make(chan struct{}), moved: make(chan struct{}), shed: make(chan struct{})}
+	return &entry{job: j, done: make(chan struct{}), moved: make(chan struct{}), shed: make(chan struct{}), refusal: &request.Failure{}}
 }
 
 // move lets a job go once none of its pieces is in a call. It is called under the
--- a/preparation/upkeep.go
+++ b/preparation/upkeep.go
@@ -49,8 +49,7 @@
 	every(ctx, shedInterval, func() {
 		for _, id := range d.Batches.Queries().Unattainable(engineTime, time.Now()) {
 			d.Counters.Add("shed")
-			d.Batches.Commands().Withdraw(id)
-			d.free(d.table.Commands().shed(id))
+			d.giveUp(id, tooLate())
 		}
 	})
 	return nil
