Start an instance of a test again if its address was taken

Cause: TestPath once waited for ever under the race detector (2 of 9 runs of the package timed out). The dump shows two of three instances running: the third had ended at its start. Its address was free when the test looked, and can be taken by an outgoing connection of a test beside it before the instance listens.

Ruled out: the change of heartbeats in the working copy (the loops of the two instances that ran were in their normal waits).

--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -107,6 +109,18 @@
 func (s *testSite) start(names ...string) {
 	s.t.Helper()
 	for _, name := range names {
+		s.nodes = append(s.nodes, s.startNode(name))
+	}
+	for _, n := range s.nodes {
+		s.await(n.Settings.Name+" hears all", func() bool { return len(n.view().Reachable(time.Now())) == len(s.nodes)-1 })
+	}
+}
+
+// startNode starts an instance and waits until it is ready. Another process or
+// connection may take one of its addresses before it listens: then it gets others.
+func (s *testSite) startNode(name string) *node {
+	s.t.Helper()
+	for {
 		i := New(platform.Settings{
 			Name: name, DataCentre: "a", Front: freeAddress(s.t), Ready: freeAddress(s.t), Peers: freeAddress(s.t),
 			Store: s.store.Address(), DrainGrace: 8 * time.Second, RetryRatio: 1, RetrySlack: 100,
@@ -122,11 +136,21 @@
 			stop()
 			_ = group.Wait()
 		})
-		s.nodes = append(s.nodes, n)
-	}
-	for _, n := range s.nodes {
-		s.await(n.Settings.Name+" is ready", func() bool { return n.readyStatus() == http.StatusOK })
-		s.await(n.Settings.Name+" hears all", func() bool { return len(n.view().Reachable(time.Now())) == len(s.nodes)-1 })
+		var err error
+		s.await(name+" is ready", func() bool {
+			select {
+			case err = <-n.done:
+				return true
+			default:
+				return n.readyStatus() == http.StatusOK
+			}
+		})
+		switch {
+		case err == nil:
+			return n
+		case !errors.Is(err, syscall.EADDRINUSE):
+			s.t.Fatalf("%s ended: %v", name, err)
+		}
 	}
 }
 
