Keep heartbeats from multiplying in a large site

Three things multiplied them: an instance that heard of any news, also of a server, sent a round of heartbeats at once; who learned of a change of operators from another instance told all again; and each of the five candidates answered with the same records. The coordinator fell behind, stepped down, and the others followed.

Ruled out: the work for requests itself (heap of batch and preparation: 10 MB of 100), and the store's own answers.

Change: only words of operators make an instance ask at once, and it asks the one that has them; only who reads them in the store tells all that it reaches; records are asked of the coordinator and one other candidate in turn, of all only while a copy is old. The next candidates read the store before the copies of all others are old, and instances that are not the coordinator wait longer after a failed read.

Tests: TestNewsSetOffFewMessages, TestRecordsAreSentOnDemand, TestReaders; the first two fail on the former code.

--- /dev/null
+++ b/batch/bench_test.go
@@ -0,0 +1,53 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkCall measures one call of a pool as the coordinator of a grown site
+// makes it: eighteen servers, some hundred pieces that wait, ten in a call.
+func BenchmarkCall(b *testing.B) {
+	for _, waiting := range []int{20, 200, 1000} {
+		b.Run(fmt.Sprint(waiting, " waiting"), func(b *testing.B) {
+			t := NewTable()
+			var places []Place
+			for n := range 18 {
+				id := fmt.Sprint("s", n)
+				places = append(places, Place{ID: id, Address: id + ":1", DataCentre: fmt.Sprint("dc", n%4)})
+			}
+			t.Commands().SetPool(Spec{
+				Pool: "p", Slots: 1, Size: 10, CallTime: 200 * time.Millisecond, ItemTime: 17 * time.Millisecond,
+				Room: 1 << 40, Life: time.Hour,
+			}, places)
+			number := 0
+			enqueue := func(pieces int) {
+				now := time.Now()
+				for n := range pieces / 5 {
+					number++
+					var request []Piece
+					for k := range 5 {
+						request = append(request, Piece{
+							Identity: Identity{Request: fmt.Sprint("r", number), Number: k}, Pool: "p", Bytes: 60_000,
+							Inputs: []string{"h1", "h2"}, Inflow: []Inflow{{"dc1", 100_000}}, Rank: n % 3,
+							Start: now.Add(time.Duration(n) * time.Minute), Deadline: now.Add(time.Hour),
+						})
+					}
+					t.Commands().Enqueue(request)
+				}
+			}
+			enqueue(waiting)
+			b.ReportAllocs()
+			for b.Loop() {
+				c, ok := t.Commands().Next(context.Background())
+				if !ok {
+					b.Fatal("no call")
+				}
+				t.Commands().End(c, nil, time.Now())
+				enqueue(len(c.Pieces))
+			}
+		})
+	}
+}
--- a/counter/counter.go
+++ b/counter/counter.go
@@ -14,24 +14,29 @@
 }
 
 // published keeps expvar from panicking when tests build several instances in
-// one process: the latest set of a name replaces the earlier one.
+// one process: what was published last under a name replaces the earlier.
 var published sync.Map
 
-// NewSet returns a set of counters and publishes it under name.
-func NewSet(name string) *Set {
-	s := &Set{}
-	if _, loaded := published.Swap(name, s); !loaded {
+// Publish serves what read returns under a name.
+func Publish(name string, read func() any) {
+	if _, loaded := published.Swap(name, read); !loaded {
 		expvar.Publish(name, expvar.Func(func() any { return current(name) }))
 	}
-	return s
 }
 
-func current(name string) map[string]int64 {
-	s, ok := published.Load(name)
+func current(name string) any {
+	read, ok := published.Load(name)
 	if !ok {
 		return nil
 	}
-	return s.(*Set).Values()
+	return read.(func() any)()
+}
+
+// NewSet returns a set of counters and publishes it under name.
+func NewSet(name string) *Set {
+	s := &Set{}
+	Publish(name, func() any { return s.Values() })
+	return s
 }
 
 // Add adds 1 to the counter of a reason.
--- /dev/null
+++ b/engine/bench_test.go
@@ -0,0 +1,48 @@
+package engine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkRequest measures what a request costs the coordinator of a grown site:
+// the choice among sixty engines that run some requests each, the first event and
+// the end.
+func BenchmarkRequest(b *testing.B) {
+	t := NewTable()
+	c := t.Commands()
+	var places []Place
+	for n := range 60 {
+		id := fmt.Sprintf("e%02d", n)
+		places = append(places, Place{ID: id, Address: id + ":1", DataCentre: fmt.Sprint("dc", n%4)})
+	}
+	c.SetPool(Spec{Pool: "models", Slots: 64, MemoryTokens: 367_166}, places)
+	const running = 600
+	type placed struct{ server, request string }
+	var open []placed
+	number := 0
+	run := func() {
+		number++
+		id := fmt.Sprint("r", number)
+		p := Prompt{Input: 9000, Output: 100, Parts: []Part{
+			{ID: fmt.Sprint("system", number%6), Tokens: 4000}, {ID: fmt.Sprint("shared", number%60), Tokens: 2300},
+			{ID: fmt.Sprint("own", number%2000), Tokens: 2700},
+		}}
+		choice, ok := c.Reserve("models", id, p, Needs{Results: map[string]int64{"dc1": 1 << 20}, Rate: 1}, time.Now())
+		if !ok {
+			b.Fatal("no engine")
+		}
+		open = append(open, placed{choice.ID, id})
+		c.Started("models", choice.ID, id, 300*time.Millisecond)
+	}
+	for range running {
+		run()
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		run()
+		c.Ended("models", open[0].server, open[0].request)
+		open = open[1:]
+	}
+}
--- a/entry/feeds.go
+++ b/entry/feeds.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"lycheecrank.example/event"
 	"lycheecrank.example/feed"
+	"lycheecrank.example/membership"
 	"lycheecrank.example/platform"
 )
 
@@ -21,6 +23,15 @@
 	// itself. The coordinator's own copy is up to readWait old, and instances of a
 	// large site hear of it each half second.
 	staleAge = 1500 * time.Millisecond
+	// candidateAge and candidateStep are the age from which on the candidates for
+	// coordinator read, each a step after the one before it. The last one does so
+	// before the other instances do.
+	candidateAge  = 700 * time.Millisecond
+	candidateStep = 150 * time.Millisecond
+	// candidateFailurePause and otherFailurePause are the pauses after a failed read
+	// of an instance that is not the coordinator.
+	candidateFailurePause = 300 * time.Millisecond
+	otherFailurePause     = time.Second
 	// readPause is the pause between two looks whether to read the store.
 	readPause = 100 * time.Millisecond
 	// awayAge is the age of a copy from which on the store counts as having been
@@ -54,16 +65,60 @@
 				continue
 			}
 		}
-		if !pause(ctx, interval) {
+		next := interval
+		if isDown {
+			next = max(interval, failurePause(i.candidacy(time.Now())))
+		}
+		if !pause(ctx, next) {
 			return nil
 		}
 	}
 }
 
+// isReader reports whether this instance reads a stream in the store. The next
+// candidates step in one after the other before the copies of all others are old, so
+// that a coordinator that the store turns away doesn't make every instance read.
 func (i *Instance) isReader(stream string) bool {
 	now := time.Now()
-	isCoordinator := i.view().Coordinator(now).Name == i.Settings.Name
-	return isCoordinator || now.Sub(i.feeds.Queries().State(stream).ConfirmedAt) > staleAge
+	age := now.Sub(i.feeds.Queries().State(stream).ConfirmedAt)
+	switch place := i.candidacy(now); place {
+	case 0:
+		return true
+	case noCandidate:
+		return age > staleAge
+	default:
+		return age > candidateAge+time.Duration(place)*candidateStep
+	}
+}
+
+// noCandidate is the place of an instance that is not among the candidates.
+const noCandidate = -1
+
+// candidacy returns the place of this instance among the candidates for coordinator,
+// 0 for the coordinator itself.
+func (i *Instance) candidacy(now time.Time) int {
+	v := i.view()
+	if v.Coordinator(now).Name == i.Settings.Name {
+		return 0
+	}
+	place := slices.IndexFunc(v.Candidates(now), func(m membership.Instance) bool { return m.Name == i.Settings.Name })
+	if place < 0 {
+		return noCandidate
+	}
+	return max(1, place)
+}
+
+// failurePause is the pause after a failed read: who is not the coordinator would
+// only ask an absent store for what the coordinator passes on.
+func failurePause(place int) time.Duration {
+	switch place {
+	case 0:
+		return 0
+	case noCandidate:
+		return otherFailurePause
+	default:
+		return candidateFailurePause
+	}
 }
 
 func (i *Instance) reportStore(stream string, err error) {
@@ -85,6 +140,7 @@
 		records, end, err := i.store.Read(ctx, stream, state.End, wait)
 		if err == nil {
 			i.take(stream, records, end, completeAt(asked, wait, len(records) > 0))
+			i.push(stream, records)
 			return nil
 		}
 		if !errors.Is(err, platform.ErrExpired) {
@@ -98,6 +154,7 @@
 	i.noteAway(stream)
 	i.feeds.Commands().TakeSnapshot(stream, records, end, asked, func(fresh []feed.Record) { i.apply(stream, fresh) })
 	i.confirm(stream, asked)
+	i.push(stream, records)
 	return nil
 }
 
@@ -115,8 +172,14 @@
 	i.noteAway(stream)
 	i.feeds.Commands().Take(stream, records, end, at, func(fresh []feed.Record) { i.apply(stream, fresh) })
 	i.confirm(stream, at)
+}
+
+// push tells all instances that are reached of new words of operators, so that these
+// are in force everywhere as soon as possible. Only who read them in the store does
+// so: if all that hear of them told all others, a change would take messages by the
+// square of the instances.
+func (i *Instance) push(stream string, records []feed.Record) {
 	if len(records) > 0 && stream == platform.Operators {
-		// What operators ask for is in force everywhere as soon as possible.
 		i.isPushing.Store(true)
 		i.wakeHeartbeats()
 	}
@@ -137,11 +200,14 @@
 	}
 }
 
+// streams are the streams of the store that every instance has a copy of.
+var streams = []string{platform.Operators, platform.Servers}
+
 // positions returns how far the copies reach.
 func (i *Instance) positions() []position {
 	now := time.Now()
 	var positions []position
-	for _, stream := range []string{platform.Operators, platform.Servers} {
+	for _, stream := range streams {
 		s := i.feeds.Queries().State(stream)
 		positions = append(positions, position{Stream: stream, End: s.End, AgeMs: now.Sub(s.ConfirmedAt).Milliseconds()})
 	}
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -80,14 +80,45 @@
 	// How old the positions are is not known: the heartbeat may have waited on its way.
 	i.recordContact(b, time.Now())
 	answer := i.heartbeat(len(b.Known) > 0)
-	answer.Missing = i.missing(b.Positions)
-	if slices.ContainsFunc(b.Positions, func(p position) bool { return p.End > i.feeds.Queries().State(p.Stream).End }) {
-		// The other one has more, which comes with the answer to a heartbeat.
-		i.wakeHeartbeats()
+	if b.WantsRecords {
+		answer.Missing = i.missing(b.Positions)
+	}
+	if i.lacksOperators(b.Positions) {
+		i.fetch(b.Self.Address)
 	}
 	return answer, nil
 }
 
+// lacksOperators reports whether another instance has newer words of operators. News
+// of servers wait for the next heartbeat: they come many times a second, and a
+// question for each made a large site answer nothing else.
+func (i *Instance) lacksOperators(positions []position) bool {
+	return slices.ContainsFunc(positions, func(p position) bool {
+		return p.Stream == platform.Operators && p.End > i.feeds.Queries().State(p.Stream).End
+	})
+}
+
+// fetch asks one instance for its records at once, unless another one is being
+// asked.
+func (i *Instance) fetch(address string) {
+	select {
+	case i.fetches <- address:
+	default:
+	}
+}
+
+// runFetches asks instances that have newer words of operators for them.
+func (i *Instance) runFetches(ctx context.Context) error {
+	for {
+		select {
+		case address := <-i.fetches:
+			i.sendHeartbeat(ctx, target{address: address, wantsRecords: true}, false)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
 // recordContact notes a message of an instance.
 func (i *Instance) recordContact(b heartbeat, now time.Time) {
 	i.members.Commands().RecordContact(b.Self, b.Known, now)
@@ -130,9 +161,9 @@
 		i.checkFitness(&clock, now, coordinator == i.Settings.Name)
 		timer.Reset(clock.interval)
 		i.members.Commands().Forget(now)
-		for _, address := range i.targets(round, now) {
+		for _, t := range i.targets(round, now) {
 			group.Go(func() error {
-				i.sendHeartbeat(ctx, address, round%knownEvery == 0)
+				i.sendHeartbeat(ctx, t, round%knownEvery == 0)
 				return nil
 			})
 		}
@@ -228,44 +259,69 @@
 	i.feeds.Commands().Invalidate()
 }
 
-// targets returns the addresses of a round: the first candidates for coordinator,
-// which stay in touch with all. An instance that leaves, or that has news of
-// operators, tells all that it reaches.
-func (i *Instance) targets(round int, now time.Time) []string {
+// target is an instance that gets a heartbeat.
+type target struct {
+	address string
+	// wantsRecords tells that it is asked for records.
+	wantsRecords bool
+}
+
+// targets returns who gets the heartbeats of a round: the first candidates for
+// coordinator, which stay in touch with all. An instance that leaves, or that has
+// news of operators, tells all that it reaches. The first candidate and one other in
+// turn are asked for records, all of them while the copies here are old.
+func (i *Instance) targets(round int, now time.Time) []target {
 	v := i.view()
-	var addresses []string
-	add := func(m membership.Instance) {
-		if m.Name != i.Settings.Name && !slices.Contains(addresses, m.Address) {
-			addresses = append(addresses, m.Address)
+	var targets []target
+	isOld := i.isCopyOld(now)
+	add := func(address string) {
+		isKnown := slices.ContainsFunc(targets, func(t target) bool { return t.address == address })
+		if address != i.Settings.Peers && !isKnown {
+			targets = append(targets, target{address: address, wantsRecords: isOld})
 		}
 	}
 	candidates := v.Candidates(now)
 	for _, m := range candidates {
-		add(m)
+		add(m.Address)
+	}
+	if n := len(targets); n > 0 {
+		targets[0].wantsRecords, targets[round%n].wantsRecords = true, true
 	}
 	if i.isPushing.Swap(false) || i.isLeaving() {
 		for _, m := range v.Reachable(now) {
-			add(m)
+			add(m.Address)
 		}
 	}
 	if round%seedEvery == 0 && len(v.Reachable(now)) < len(candidates)-1 || v.Size() == 1 {
 		for _, seed := range *i.seeds.Load() {
-			if seed != i.Settings.Peers && !slices.Contains(addresses, seed) {
-				addresses = append(addresses, seed)
-			}
+			add(seed)
+		}
+	}
+	return targets
+}
+
+// oldCopy is the age from which on all candidates are asked for records.
+const oldCopy = 800 * time.Millisecond
+
+func (i *Instance) isCopyOld(now time.Time) bool {
+	for _, stream := range streams {
+		if now.Sub(i.feeds.Queries().State(stream).ConfirmedAt) > oldCopy {
+			return true
 		}
 	}
-	return addresses
+	return false
 }
 
-func (i *Instance) sendHeartbeat(ctx context.Context, address string, isFull bool) {
+func (i *Instance) sendHeartbeat(ctx context.Context, to target, isFull bool) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatLimit)
 	defer cancel()
 	asked := time.Now()
-	b, err := ask[heartbeat](ctx, i, address, heartbeatSubject, i.heartbeat(isFull))
+	question := i.heartbeat(isFull)
+	question.WantsRecords = to.wantsRecords
+	b, err := ask[heartbeat](ctx, i, to.address, heartbeatSubject, question)
 	switch {
 	case errors.Is(err, request.ReasonPeerUnreachable):
-		i.failAddress(address, time.Now())
+		i.failAddress(to.address, time.Now())
 	case err != nil:
 		// An instance that answers late is not gone: its silence tells that.
 		i.dropped.Add("heartbeatLate")
--- /dev/null
+++ b/entry/heartbeat_test.go
@@ -0,0 +1,126 @@
+package entry
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lycheecrank.example/feed"
+	"lycheecrank.example/membership"
+	"lycheecrank.example/platform"
+)
+
+// newQuietInstance returns an instance that does not run, with copies of the streams
+// that reach an offset.
+func newQuietInstance(end uint64) *Instance {
+	i := New(platform.Settings{Name: "n1", DataCentre: "a", Peers: "n1:1"}, io.Discard)
+	for _, stream := range streams {
+		i.feeds.Commands().Take(stream, []feed.Record{{Key: "k", Offset: end - 1, Value: []byte("{}")}}, end, time.Now(), func([]feed.Record) {})
+	}
+	return i
+}
+
+func heartbeatOf(name string, operators, servers uint64) heartbeat {
+	return heartbeat{
+		Self:      membership.Instance{Name: name, Address: name + ":1", DataCentre: "a"},
+		Positions: []position{{Stream: platform.Operators, End: operators}, {Stream: platform.Servers, End: servers}},
+	}
+}
+
+// Guards against messages that grow with the square of the instances: in a site of
+// 61 each piece of news of a server set off heartbeats to all candidates, and when
+// the store came back thousands of answers took the memory of the coordinator.
+func TestNewsSetOffFewMessages(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	i := newQuietInstance(5)
+	for range 10 {
+		_, err := i.takeHeartbeat(heartbeatOf("n2", 5, 9))
+		is.NoErr(err)
+	}
+	is.Equal(len(i.wake), 0) // servers change all the time
+	is.Equal(len(i.fetches), 0)
+	for range 10 {
+		_, err := i.takeHeartbeat(heartbeatOf("n2", 6, 9))
+		is.NoErr(err)
+	}
+	is.Equal(len(i.wake), 0)
+	is.Equal(len(i.fetches), 1) // one instance is asked, once
+	is.Equal(<-i.fetches, "n2:1")
+	i.catchUp(heartbeat{
+		Positions: []position{{Stream: platform.Operators, End: 6}},
+		Missing:   []streamRecords{{Stream: platform.Operators, From: 5, End: 6, Records: []feed.Record{{Key: "k", Offset: 5, Value: []byte("{}")}}}},
+	}, time.Now())
+	is.Equal(i.feeds.Queries().State(platform.Operators).End, uint64(6))
+	is.True(!i.isPushing.Load()) // who read it in the store has told all
+	i.push(platform.Operators, []feed.Record{{Key: "k"}})
+	is.True(i.isPushing.Load())
+}
+
+// Guards against records that all candidates send to all instances: one sends them.
+func TestRecordsAreSentOnDemand(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	i := newQuietInstance(5)
+	behind := heartbeatOf("n2", 3, 3)
+	answer, err := i.takeHeartbeat(behind)
+	is.NoErr(err)
+	is.Equal(len(answer.Missing), 0)
+	behind.WantsRecords = true
+	answer, err = i.takeHeartbeat(behind)
+	is.NoErr(err)
+	is.Equal(len(answer.Missing), 2)
+
+	now := time.Now()
+	for _, name := range []string{"n2", "n3", "n4", "n5", "n6"} {
+		i.members.Commands().RecordContact(membership.Instance{Name: name, Address: name + ":1", FitSince: 1}, nil, now)
+	}
+	asked := map[string]int{}
+	for round := range 10 {
+		n := 0
+		for _, to := range i.targets(round, now) {
+			if to.wantsRecords {
+				asked[to.address]++
+				n++
+			}
+		}
+		is.True(n <= 2)
+	}
+	is.Equal(asked["n2:1"], 10) // the coordinator each time
+	is.True(len(asked) >= 4)    // the others in turn
+	for _, to := range i.targets(0, now.Add(2*oldCopy)) {
+		is.True(to.wantsRecords) // an old copy asks all
+	}
+}
+
+// Guards against an instance that leaves its copy old though it could read the
+// store, and against all of them reading while one is enough.
+func TestReaders(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	i := newQuietInstance(5)
+	is.True(i.isReader(platform.Operators)) // alone
+	now := time.Now()
+	i.members.Commands().RecordContact(membership.Instance{Name: "n0", Address: "n0:1", FitSince: 1}, nil, now)
+	is.Equal(i.candidacy(now), 1)
+	is.True(!i.isReader(platform.Operators))
+	confirm := func(age time.Duration) {
+		i.feeds.Commands().Invalidate()
+		i.feeds.Commands().Confirm(platform.Operators, 5, time.Now().Add(-age))
+	}
+	confirm(candidateAge + 2*candidateStep)
+	is.True(i.isReader(platform.Operators)) // the first to step in
+	for _, name := range []string{"a1", "a2", "a3", "a4", "a5"} {
+		i.members.Commands().RecordContact(membership.Instance{Name: name, Address: name + ":1", FitSince: 2}, nil, now)
+	}
+	is.Equal(i.candidacy(now), noCandidate)
+	confirm(candidateAge + 4*candidateStep)
+	is.True(!i.isReader(platform.Operators))
+	confirm(staleAge + 100*time.Millisecond)
+	is.True(i.isReader(platform.Operators)) // all do in the end
+	is.True(candidateAge+4*candidateStep < staleAge)
+	is.True(failurePause(0) < failurePause(1))
+	is.True(failurePause(1) < failurePause(noCandidate))
+}
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -66,6 +66,8 @@
 	// seeds and grace are those of the newest settings.
 	seeds atomic.Pointer[[]string]
 	grace atomic.Int64
+	// fetches holds the address of an instance that has newer words of operators.
+	fetches chan string
 	// wake sends the heartbeats before their time; isPushing makes the next ones go to
 	// all instances that are reached.
 	wake      chan struct{}
@@ -91,6 +93,7 @@
 		routes:    route.NewTable(),
 		fleet:     fleet.NewTable(),
 		wake:      make(chan struct{}, 1),
+		fetches:   make(chan string, 1),
 		refusals:  counter.NewSet("refusals"),
 		retries:   counter.NewSet("retries"),
 		calls:     counter.NewSet("storeCalls"),
--- a/entry/message.go
+++ b/entry/message.go
@@ -28,6 +28,9 @@
 	Self      membership.Instance   `msgpack:"self"`
 	Known     []membership.Instance `msgpack:"known,omitempty"`
 	Positions []position            `msgpack:"positions"`
+	// WantsRecords asks for the records that this instance lacks. Not every question
+	// asks, since all candidates would answer with the same records.
+	WantsRecords bool `msgpack:"wantsRecords,omitempty"`
 	// Missing are the records that the other instance lacks, in an answer.
 	Missing []streamRecords `msgpack:"missing,omitempty"`
 }
--- a/entry/run.go
+++ b/entry/run.go
@@ -50,7 +50,7 @@
 	group.Go(func() error { return i.server.Serve(work, listeners.peers) })
 	i.startMetrics(work, &group)
 	for _, task := range []func(context.Context) error{
-		i.runHeartbeats, i.runOperators, i.runServers, i.runRegistration, i.runReload, i.runSync, i.runDepths,
+		i.runHeartbeats, i.runFetches, i.runOperators, i.runServers, i.runRegistration, i.runReload, i.runSync, i.runDepths,
 		i.prepared.Run, i.notices.run, i.report.run,
 	} {
 		group.Go(func() error { return task(work) })
--- /dev/null
+++ b/preparation/bench_test.go
@@ -0,0 +1,85 @@
+package preparation
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"lycheecrank.example/batch"
+	"lycheecrank.example/engine"
+)
+
+// BenchmarkRequest measures what a request with four stages and eighteen pieces
+// costs the coordinator of a grown site, without the calls themselves: sixteen
+// servers in each pool of stages, sixty engines, two hundred requests at a time.
+func BenchmarkRequest(b *testing.B) {
+	d := NewCoordinator()
+	var last atomic.Int64
+	d.Call = func(_ context.Context, call batch.Call) ([]Result, error) {
+		results := make([]Result, len(call.Pieces))
+		for n := range results {
+			results[n] = Result{Verdict: Made, Handle: fmt.Sprint("10.1.0.1:8000/", last.Add(1))}
+		}
+		return results, nil
+	}
+	d.Free = func(context.Context, string, []string) error { return nil }
+	d.Room = func(context.Context, string) (int64, error) { return 1 << 40, nil }
+	for pool, size := range map[string]int{"notify": 10, "intake": 30, "portal": 42} {
+		var places []batch.Place
+		for n := range 16 {
+			id := fmt.Sprint(pool, n)
+			places = append(places, batch.Place{ID: id, Address: id + ":1", DataCentre: fmt.Sprint("dc", n%4)})
+		}
+		d.Batches.Commands().SetPool(batch.Spec{
+			Pool: pool, Slots: 1, Size: size, CallTime: 200 * time.Millisecond, ItemTime: 10 * time.Millisecond,
+			Room: 1 << 40, Life: 4 * time.Second,
+		}, places)
+	}
+	var engines []engine.Place
+	for n := range 60 {
+		id := fmt.Sprint("e", n)
+		engines = append(engines, engine.Place{ID: id, Address: id + ":1", DataCentre: fmt.Sprint("dc", n%4)})
+	}
+	d.Engines.Commands().SetPool(engine.Spec{Pool: "models", Slots: 64, MemoryTokens: 367_166}, engines)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return d.Run(ctx) })
+	var requests errgroup.Group
+	requests.SetLimit(200)
+	b.ReportAllocs()
+	number := 0
+	for b.Loop() {
+		number++
+		id := fmt.Sprint("r", number)
+		o := Order{
+			Request: id, Try: 1, Pool: "models", Key: "k", Objective: 20 * time.Second, Deadline: 40 * time.Second,
+			Prompt: engine.Prompt{Input: 543, Output: 280, Parts: []engine.Part{{ID: fmt.Sprint("s", number%40), Tokens: 103}, {ID: fmt.Sprint("o", number%900), Tokens: 68}}},
+			Stages: []Stage{
+				{Pool: "notify", Pieces: 1, Bytes: 1_500_000},
+				{Pool: "notify", Pieces: 1, Bytes: 8000},
+				{Pool: "intake", After: []int{1}, Pieces: 6, Bytes: 60_000},
+				{Pool: "portal", After: []int{2}, Pieces: 10, Bytes: 6000},
+			},
+		}
+		requests.Go(func() error {
+			p, err := d.Prepare(ctx, o)
+			if err != nil {
+				return err
+			}
+			d.Started("models", p.Server, id, 1, 100*time.Millisecond)
+			d.Ended("models", p.Server, id, false)
+			return nil
+		})
+	}
+	if err := requests.Wait(); err != nil {
+		b.Fatal(err)
+	}
+	cancel()
+	if err := group.Wait(); err != nil {
+		b.Fatal(err)
+	}
+}
