--- a/cmd/lycheecrank/main.go
+++ b/cmd/lycheecrank/main.go
@@ -72,15 +72,21 @@
 // works harder. A coordinator on a small machine was killed at its limit.
 const memoryShare = 0.55
 
+// limitMemory tells the collector how much memory the process has; 0 stands for an
+// unknown amount.
+func limitMemory(bytes int64) {
+	if bytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(bytes)))
+	}
+}
+
 // runEntry runs an instance with the settings that the platform gives.
 func runEntry(ctx context.Context, c *cli.Command) error {
 	s, err := platform.ReadSettings()
 	if err != nil {
 		return err
 	}
-	if s.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
-	}
+	limitMemory(s.MemoryBytes)
 	i := entry.New(s, os.Stdout)
 	changed := make(chan os.Signal, 1)
 	signal.Notify(changed, syscall.SIGHUP)
--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -107,6 +107,9 @@
 	Pool  string
 	// Tries is the number of sends.
 	Tries int
+	// FirstEvent is the time from the arrival of a stream's request to its first
+	// event, 0 if there was none.
+	FirstEvent time.Duration
 }
 
 func (v Verdict) withFailure(f request.Failure) Verdict {
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -50,16 +50,18 @@
 	// heardAt is when the client got its last event, or when it asked.
 	heardAt time.Time
 	isBegun bool
-	runs    int
-	unsent  int
-	tries   int
-	server  string
+	// firstEvent is the time until the client got its first event.
+	firstEvent time.Duration
+	runs       int
+	unsent     int
+	tries      int
+	server     string
 	// reached are the engines that the request was sent to.
 	reached []string
 }
 
 func (s *streaming) verdict() Verdict {
-	return Verdict{IsBegun: s.isBegun, Server: s.server, Tries: s.tries}
+	return Verdict{IsBegun: s.isBegun, Server: s.server, Tries: s.tries, FirstEvent: s.firstEvent}
 }
 
 // fail ends the attempt with a failure.
@@ -204,6 +206,7 @@
 				return s.left(server)
 			}
 			s.isBegun = true
+			s.firstEvent = time.Since(v.attempt.ArrivedAt)
 		}
 		if v.attempt.Write(event) != nil {
 			return s.left(server)
--- a/engine/bench_test.go
+++ b/engine/bench_test.go
@@ -26,7 +26,8 @@
 		number++
 		id := fmt.Sprint("r", number)
 		p := Prompt{Input: 9000, Output: 100, Parts: []Part{
-			{ID: fmt.Sprint("system", number%6), Tokens: 4000}, {ID: fmt.Sprint("shared", number%60), Tokens: 2300},
+			{ID: fmt.Sprint("system", number%6), Tokens: 4000},
+			{ID: fmt.Sprint("shared", number%60), Tokens: 2300},
 			{ID: fmt.Sprint("own", number%2000), Tokens: 2700},
 		}}
 		choice, ok := c.Reserve("models", id, p, Needs{Results: map[string]int64{"dc1": 1 << 20}, Rate: 1}, time.Now())
--- a/entry/heartbeat_test.go
+++ b/entry/heartbeat_test.go
@@ -1,14 +1,18 @@
 package entry
 
 import (
+	"context"
 	"io"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
+	"lycheecrank.example/event"
 	"lycheecrank.example/feed"
 	"lycheecrank.example/membership"
+	"lycheecrank.example/peer"
 	"lycheecrank.example/platform"
 )
 
@@ -124,3 +128,55 @@
 	is.True(failurePause(0) < failurePause(1))
 	is.True(failurePause(1) < failurePause(noCandidate))
 }
+
+// Guards against a copy that counts as confirmed though it may be old: the question
+// of another instance may have waited on its way, so that the age in it is not
+// known. An instance answered 404 for a route that had been there for seconds.
+func TestOnlyAnswersConfirm(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	i := newQuietInstance(5)
+	i.feeds.Commands().Invalidate()
+	i.routes.Commands().Invalidate()
+	_, err := i.takeHeartbeat(heartbeatOf("n2", 5, 5))
+	is.NoErr(err)
+	is.True(i.feeds.Queries().State(platform.Operators).ConfirmedAt.IsZero())
+	asked := time.Now().Add(-300 * time.Millisecond)
+	answer := heartbeatOf("n2", 5, 5)
+	answer.Positions[0].AgeMs = 200
+	i.catchUp(answer, asked)
+	is.Equal(i.feeds.Queries().State(platform.Operators).ConfirmedAt, asked.Add(-200*time.Millisecond))
+}
+
+// Guards against a coordinator that is taken as gone since one heartbeat was
+// answered late: all instances then turn to another one, and a burst makes each
+// coordinator late in turn.
+func TestLateHeartbeat(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	i := newQuietInstance(5)
+	l, err := listen(t.Context(), "127.0.0.1:0")
+	is.NoErr(err)
+	ctx, stop := context.WithCancel(context.Background())
+	slow := &peer.Server{Self: peer.Hello{Instance: "n0"}, Logger: event.Discard(), Ask: func(ctx context.Context, _ peer.Hello, _ string, _ []byte) ([]byte, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}}
+	var group errgroup.Group
+	group.Go(func() error { return slow.Serve(ctx, l) })
+	t.Cleanup(func() {
+		i.client.Close()
+		stop()
+		_ = group.Wait()
+	})
+	address := l.Addr().String()
+	i.members.Commands().RecordContact(membership.Instance{Name: "n0", Address: address, FitSince: 1}, nil, time.Now())
+	i.sendHeartbeat(t.Context(), target{address: address}, false)
+	is.Equal(i.dropped.Values()["heartbeatLate"], int64(1))
+	is.True(i.view().IsReachable("n0", time.Now()))
+	stop()
+	is.NoErr(group.Wait())
+	i.client.Close()
+	i.sendHeartbeat(t.Context(), target{address: address}, false)
+	is.True(!i.view().IsReachable("n0", time.Now())) // one that refuses is gone
+}
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -73,6 +73,8 @@
 	wake      chan struct{}
 	isPushing atomic.Bool
 
+	latencies histograms
+
 	refusals *counter.Set
 	retries  *counter.Set
 	calls    *counter.Set
@@ -94,6 +96,7 @@
 		fleet:     fleet.NewTable(),
 		wake:      make(chan struct{}, 1),
 		fetches:   make(chan string, 1),
+		latencies: newHistograms(),
 		refusals:  counter.NewSet("refusals"),
 		retries:   counter.NewSet("retries"),
 		calls:     counter.NewSet("storeCalls"),
@@ -121,6 +124,7 @@
 	i.prepared.Call, i.prepared.Free, i.prepared.Room = i.stages.Call, i.stages.Free, i.stages.Room
 	i.prepared.Share = func() float64 { return coldShare * i.members.Queries().View().Share(time.Now()) }
 	i.prepared.Logger, i.prepared.Counters = i.Logger, i.dropped
+	i.prepared.Prepared, i.prepared.Called = i.latencies.preparations.Record, i.latencies.calls.Record
 	i.placed = newPlacements()
 	i.notices = newNotices(i)
 	i.report = newReport(i.Logger)
@@ -138,6 +142,7 @@
 		Logger:    i.Logger,
 	}
 	i.store.Count = i.countCall
+	counter.Publish("beliefs", func() any { return i.beliefs() })
 }
 
 const (
--- /dev/null
+++ b/entry/metrics_test.go
@@ -0,0 +1,61 @@
+package entry
+
+import (
+	"encoding/json"
+	"expvar"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lycheecrank.example/counter"
+)
+
+// Guards against requests that leave no trace in the latencies, beliefs that are not
+// those of the instance, and a metrics page that can't be read.
+func TestMetrics(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newTestSite(t)
+	s.start("n1")
+	n := s.nodes[0]
+	status, _, _ := n.ask("POST", "/order/1", "key-1")
+	is.Equal(status, 200)
+	status, _, _ = n.ask("POST", "/draft/1", "key-1")
+	is.Equal(status, 200)
+	status, _, _ = n.ask("GET", "/nothing/1", "key-1")
+	is.Equal(status, 404)
+	s.await("both are recorded", func() bool { return len(n.latencies.answers.Values()) == 2 })
+	answers, first := n.latencies.answers.Values(), n.latencies.firstEvents.Values()
+	is.Equal(answers["order"].Count, int64(1))
+	is.Equal(answers["draft"].Count, int64(1))
+	is.Equal(len(first), 1) // only streams have a first event
+	is.True(first["draft"].Most > 0)
+	is.True(first["draft"].Most <= answers["draft"].Most)
+	is.Equal(n.latencies.preparations.Values()["models"].Count, int64(1))
+	is.True(n.latencies.calls.Values()["encode"].Count >= 1)
+	is.True(n.latencies.calls.Values()["rerank"].Count >= 1)
+
+	b := n.beliefs()
+	is.Equal(b.ConfigurationVersion, int64(s.version))
+	is.True(b.IsCoordinator)
+	is.True(b.IsReady)
+	is.Equal(b.Coordinator, "n1")
+	is.Equal(b.Servers["models"].Usable, 2)
+	is.Equal(len(b.Queues), 2)
+	is.Equal(b.Queues[0].Servers, 2)
+	s.announce("models-1", "models", "draining")
+	s.await("a draining server shows", func() bool { return n.beliefs().Servers["models"].Draining == 1 })
+
+	page := httptest.NewRecorder()
+	expvar.Handler().ServeHTTP(page, httptest.NewRequest("GET", "/debug/vars", nil))
+	var vars map[string]json.RawMessage
+	is.NoErr(json.Unmarshal(page.Body.Bytes(), &vars))
+	for _, name := range []string{"answerMs", "firstEventMs", "preparationMs", "stageCallMs", "beliefs", "refusals", "retries", "storeCalls", "preparation"} {
+		is.True(vars[name] != nil)
+	}
+	var latencies map[string]counter.Latency
+	is.NoErr(json.Unmarshal(vars["answerMs"], &latencies))
+	is.True(time.Duration(latencies["order"].Most)*time.Millisecond < setupBound)
+}
--- a/entry/report.go
+++ b/entry/report.go
@@ -62,9 +62,21 @@
 	})
 }
 
+// recordLatency adds an attempt to the histograms of its route, unless it has none.
+func (i *Instance) recordLatency(a delivery.Attempt, v delivery.Verdict) {
+	if v.Route == "" {
+		return
+	}
+	i.latencies.answers.Record(v.Route, time.Since(a.ArrivedAt))
+	if v.FirstEvent > 0 {
+		i.latencies.firstEvents.Record(v.Route, v.FirstEvent)
+	}
+}
+
 // reportAttempt counts and logs how an attempt ended.
 func (i *Instance) reportAttempt(a delivery.Attempt, v delivery.Verdict, status int) {
 	took := time.Since(a.ArrivedAt).Milliseconds()
+	i.recordLatency(a, v)
 	version := i.routes.Queries().Current().Version
 	if v.Failure == nil {
 		if i.report.served.Add(1) <= maxServedLines {
--- a/fleet/queries.go
+++ b/fleet/queries.go
@@ -30,6 +30,42 @@
 	return s, ok && l.isUsable(s, now)
 }
 
+// States is the number of servers of a pool by what is known of them.
+type States struct {
+	// Usable servers may get new work; Cold of them say that they are in cold start.
+	Usable int `json:"usable"`
+	Cold   int `json:"cold"`
+	// Draining servers have said so; Lapsed ones have lost their entry; Evacuated
+	// ones are in an evacuated data centre.
+	Draining  int `json:"draining"`
+	Lapsed    int `json:"lapsed"`
+	Evacuated int `json:"evacuated"`
+}
+
+// States returns the number of servers in each state by pool.
+func (q Queries) States(now time.Time) map[string]States {
+	l := q.table.current.Load()
+	pools := map[string]States{}
+	for _, s := range l.servers {
+		n := pools[s.Pool]
+		switch {
+		case s.IsDraining:
+			n.Draining++
+		case !s.lapsedAt.IsZero():
+			n.Lapsed++
+		case l.evacuated[s.DataCentre]:
+			n.Evacuated++
+		default:
+			n.Usable++
+			if s.IsCold(now) {
+				n.Cold++
+			}
+		}
+		pools[s.Pool] = n
+	}
+	return pools
+}
+
 // Size returns the number of listed servers.
 func (q Queries) Size() int { return len(q.table.current.Load().servers) }
 
--- a/preparation/calls.go
+++ b/preparation/calls.go
@@ -20,6 +20,7 @@
 	defer cancel()
 	results, err := d.Call(ctx, call)
 	now := time.Now()
+	d.Called(call.Pool, now.Sub(call.SentAt))
 	if err != nil || len(results) != len(call.Pieces) {
 		d.fail(call, err, now)
 		return
--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -79,7 +79,11 @@
 	Room func(ctx context.Context, address string) (int64, error)
 	// Share returns the part of the bound of cold engines that this instance may
 	// use, from 0 to 1.
-	Share    func() float64
+	Share func() float64
+	// Prepared and Called are told how long preparations and calls of stages took, by
+	// pool.
+	Prepared func(pool string, took time.Duration)
+	Called   func(pool string, took time.Duration)
 	Logger   *event.Logger
 	Counters *counter.Set
 	Batches  *batch.Table
@@ -96,6 +100,8 @@
 func NewCoordinator() *Coordinator {
 	return &Coordinator{
 		Share:    func() float64 { return 1 },
+		Prepared: func(string, time.Duration) {},
+		Called:   func(string, time.Duration) {},
 		Logger:   event.Discard(),
 		Counters: &counter.Set{},
 		Batches:  batch.NewTable(),
@@ -126,6 +132,7 @@
 	begun := time.Now()
 	p, err := d.prepare(ctx, o)
 	waited := time.Since(begun)
+	d.Prepared(o.Pool, waited)
 	switch {
 	case err != nil:
 		f := request.AsFailure(err)
--- a/preparation/coordinator_test.go
+++ b/preparation/coordinator_test.go
@@ -457,3 +457,29 @@
 		is.Equal(r.Queries().Open(), 0)
 	})
 }
+
+// Guards against results that are made again once for each piece that reports the
+// same loss: a call of ten pieces would ask for ten times the work.
+func TestOneRebuildForALoss(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	c := table.Commands()
+	k := knowledge{usual: func(string, int) time.Duration { return 0 }, place: func(string) string { return "" }}
+	now := time.Now()
+	_, s, ok := c.open(chain("r"), "", k, now)
+	is.True(ok)
+	s = c.record(s.queue[0], "h1", k, now)
+	is.Equal(len(s.queue), 3) // the second stage has three pieces
+	again, isRebuilt := c.rebuild(s.queue[0], k, now)
+	is.True(isRebuilt)
+	is.Equal(len(again.queue), 1) // the first stage
+	for _, p := range s.queue[1:] {
+		more, isRebuilt := c.rebuild(p, k, now)
+		is.True(!isRebuilt)
+		is.Equal(len(more.queue), 0)
+	}
+	// The loss of the new result counts again.
+	s = c.record(again.queue[0], "h2", k, now)
+	_, isRebuilt = c.rebuild(s.queue[0], k, now)
+	is.True(isRebuilt)
+}
