Record who was served when on the users' platform

Cause: the logs there said what decided each request, but nothing showed that they had not been changed or cut off. The store keeps 20 s of history and 400 MB in all, so that the records themselves can't live there.

Weighed: records under keys of the store (permanent, but an hour or so fills it), records in an own topic (gone after 20 s), records in the logs with the end of each chain in the store (chosen: one write of 150 bytes an instance each 16 s).

Change: admissions, placements and ends are records of a signed chain an incarnation (precedence, as the daemon has it). A killed process takes its last 2 s along, and what the store has shows how far the records must reach at least.

Log lines are written by a goroutine of their own, many at a time: a reader that stands still blocked the process before. What finds no room is dropped and counted (event 106). The library's asynchronous writer was tried; the race detector finds it reading lines whose memory is in use again.

--- a/cmd/lycheectl/explain.go
+++ b/cmd/lycheectl/explain.go
@@ -29,19 +29,11 @@
 	if len(ids) == 0 || len(names) == 0 {
 		return eris.Wrap(console.ErrUsage, "an ID and a --log are needed")
 	}
-	var logs []io.Reader
-	for _, name := range names {
-		if name == "-" {
-			logs = append(logs, c.Root().Reader)
-			continue
-		}
-		file, err := os.Open(name)
-		if err != nil {
-			return eris.Wrap(err, "open log")
-		}
-		defer func() { _ = file.Close() }()
-		logs = append(logs, file)
+	logs, closeAll, err := openLogs(c, names)
+	if err != nil {
+		return err
 	}
+	defer closeAll()
 	traces, err := console.Traces(ids, logs...)
 	if err != nil {
 		return err
@@ -56,3 +48,26 @@
 	}
 	return nil
 }
+
+// openLogs opens log files, of which - is the standard input.
+func openLogs(c *cli.Command, names []string) (logs []io.Reader, closeAll func(), err error) {
+	var files []*os.File
+	closeAll = func() {
+		for _, f := range files {
+			_ = f.Close()
+		}
+	}
+	for _, name := range names {
+		if name == "-" {
+			logs = append(logs, c.Root().Reader)
+			continue
+		}
+		file, err := os.Open(name)
+		if err != nil {
+			closeAll()
+			return nil, nil, eris.Wrap(err, "open log")
+		}
+		files, logs = append(files, file), append(logs, file)
+	}
+	return logs, closeAll, nil
+}
--- a/cmd/lycheectl/report.go
+++ b/cmd/lycheectl/report.go
@@ -30,7 +30,10 @@
 // action prints the result of do, which may come with an error.
 func action(do func(ctx context.Context, c *cli.Command, k *console.Console) (result, error)) cli.ActionFunc {
 	return func(ctx context.Context, c *cli.Command) error {
-		k, err := consoleOf(c)
+		k, isLog, err := logConsole(c)
+		if !isLog {
+			k, err = consoleOf(c)
+		}
 		if err != nil {
 			return actionError{err}
 		}
--- a/console/console.go
+++ b/console/console.go
@@ -12,6 +12,7 @@
 	"lycheecrank.example/catalogue"
 	"lycheecrank.example/editor"
 	"lycheecrank.example/operator"
+	"lycheecrank.example/precedence"
 	"lycheecrank.example/provider"
 )
 
@@ -26,6 +27,9 @@
 	List func(ctx context.Context) ([]provider.Instance, error)
 	// Read returns a page of a stream of the log.
 	Read func(ctx context.Context, stream string, from uint64) (provider.Page, error)
+	// Anchors returns the ends of the chains of decision records, if they are kept apart
+	// from the records; nil if they aren't, or are not asked for.
+	Anchors func(ctx context.Context) ([]precedence.Anchor, error)
 	// Operator returns the client for the instance at an address.
 	Operator func(address string) operator.Client
 	// Seeds are addresses of instances to ask besides the platform's list.
--- a/console/precedence.go
+++ b/console/precedence.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/rotisserie/eris"
@@ -90,11 +91,20 @@
 	Unregistered []precedence.Origin `json:"unregistered"`
 	// Offsets holds the log offsets of the batches that findings name, by index.
 	Offsets map[int]uint64 `json:"offsets"`
+	// Anchors are the chains whose end is in doubt, if the ends are kept apart from
+	// the records.
+	Anchors []precedence.AnchorFinding `json:"anchors,omitempty"`
 }
 
 // Intact reports whether all records are readable and nothing was found.
 func (v Verification) Intact() bool {
-	return v.Report.Intact() && len(v.Evidence.Unreadable) == 0 && len(v.Unregistered) == 0
+	return v.Report.Intact() && len(v.Evidence.Unreadable) == 0 && len(v.Unregistered) == 0 && !v.isCutOff()
+}
+
+// isCutOff reports whether records that were anchored are missing or differ. A chain
+// without an anchor is no proof of that: its process may have ended before the first.
+func (v Verification) isCutOff() bool {
+	return slices.ContainsFunc(v.Anchors, func(f precedence.AnchorFinding) bool { return f.Fault != precedence.AnchorMissing })
 }
 
 // Text returns the result for people.
@@ -102,6 +112,9 @@
 	var b strings.Builder
 	b.WriteString(v.Evidence.text())
 	writeUnregistered(&b, v.Unregistered)
+	for _, f := range v.Anchors {
+		fmt.Fprintln(&b, f)
+	}
 	seen := map[int]bool{}
 	for _, f := range v.Report.Findings {
 		if !seen[f.Batch] {
@@ -130,6 +143,13 @@
 	for _, f := range v.Report.Findings {
 		v.Offsets[f.Batch] = e.offsets[f.Batch]
 	}
+	if q.console.Anchors != nil {
+		anchors, err := q.console.Anchors(ctx)
+		if err != nil {
+			return Verification{}, err
+		}
+		v.Anchors = precedence.CheckAnchors(e.batches, anchors)
+	}
 	if !v.Intact() {
 		return v, eris.Wrapf(ErrViolated, "%d findings, %d unreadable records, %d chains without a registered key",
 			len(v.Report.Findings), len(v.Evidence.Unreadable), len(v.Unregistered))
--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -93,6 +93,20 @@
 // isSuccess reports whether the server has answered the request.
 func (a Answer) isSuccess() bool { return a.Status >= 200 && a.Status < 300 }
 
+// Admission is the decision to serve an attempt.
+type Admission struct {
+	Request   string
+	Workspace string
+	Route     string
+	Pool      string
+	// Rank is the class; 0 is served first.
+	Rank      int
+	ArrivedAt time.Time
+	Deadline  time.Time
+	// Version is that of the configuration.
+	Version int64
+}
+
 // Verdict says how an attempt ended.
 type Verdict struct {
 	// Failure is why the client gets no answer of a server; nil if it got one.
--- a/delivery/router.go
+++ b/delivery/router.go
@@ -34,6 +34,8 @@
 	Started func(pool, server, id string, try int, took time.Duration)
 	Ended   func(pool, server, id string, isFailed bool)
 	Abandon func(id string, try int)
+	// Admitted is told of each attempt that is served from now on.
+	Admitted func(a Admission)
 	// IsLeaving reports whether this instance shuts down so soon that long requests
 	// should go elsewhere.
 	IsLeaving func() bool
@@ -60,6 +62,10 @@
 	if f != nil {
 		return Verdict{Failure: f, Route: v.route.Name}
 	}
+	d.Admitted(Admission{
+		Request: a.ID, Workspace: v.workspace, Route: v.route.Name, Pool: v.pool.Name, Rank: v.rank,
+		ArrivedAt: a.ArrivedAt, Deadline: v.deadline, Version: d.Routes.Current().Version,
+	})
 	ctx, cancel := context.WithDeadline(ctx, v.deadline)
 	defer cancel()
 	d.Budget.Earn()
--- a/delivery/router_test.go
+++ b/delivery/router_test.go
@@ -81,7 +81,8 @@
 		Ended: func(_, server, _ string, isFailed bool) {
 			r.notices = append(r.notices, fmt.Sprintf("ended %s failed %v", server, isFailed))
 		},
-		Abandon: func(string, int) { r.notices = append(r.notices, "abandoned") },
+		Admitted: func(Admission) {},
+		Abandon:  func(string, int) { r.notices = append(r.notices, "abandoned") },
 	}
 	return r
 }
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -74,6 +74,7 @@
 	isPushing atomic.Bool
 
 	latencies histograms
+	decisions *decisions
 
 	refusals *counter.Set
 	retries  *counter.Set
@@ -87,7 +88,7 @@
 		Settings:  s,
 		Reload:    platform.ReadSettings,
 		SinceBoot: sinceBoot,
-		Logger:    event.NewLogger(out, "info", s.Name),
+		Logger:    event.NewBufferedLogger(out, "info", s.Name),
 		store:     platform.NewStore(s.Store),
 		workers:   platform.NewWorkers(),
 		stages:    platform.NewStages(),
@@ -142,6 +143,8 @@
 		Logger:    i.Logger,
 	}
 	i.store.Count = i.countCall
+	i.decisions = newDecisions(i, time.Now())
+	i.delivery.Admitted, i.prepared.Decided = i.recordAdmission, i.recordPlacement
 	counter.Publish("beliefs", func() any { return i.beliefs() })
 }
 
--- a/entry/metrics_test.go
+++ b/entry/metrics_test.go
@@ -1,15 +1,22 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"expvar"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"lycheecrank.example/codec"
+	"lycheecrank.example/console"
 	"lycheecrank.example/counter"
+	"lycheecrank.example/platform"
+	"lycheecrank.example/precedence"
 )
 
 // Guards against requests that leave no trace in the latencies, beliefs that are not
@@ -59,3 +66,42 @@
 	is.NoErr(json.Unmarshal(vars["answerMs"], &latencies))
 	is.True(time.Duration(latencies["order"].Most)*time.Millisecond < setupBound)
 }
+
+// Guards against requests that leave no record of who was served when, records that
+// don't verify, and a log that could be cut off without a trace.
+func TestDecisions(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newTestSite(t)
+	s.start("n1")
+	n := s.nodes[0]
+	status, _, _ := n.ask("POST", "/order/1", "key-1")
+	is.Equal(status, 200)
+	status, _, _ = n.ask("POST", "/draft/1", "key-1")
+	is.Equal(status, 200)
+	n.stop()
+	is.NoErr(<-n.done)
+
+	anchors := func(context.Context) ([]precedence.Anchor, error) {
+		value, ok := s.store.Newest(platform.Decisions, "n1@"+n.decisions.anchor.Incarnation)
+		is.True(ok)
+		var a precedence.Anchor
+		is.NoErr(codec.Unmarshal(value, &a))
+		return []precedence.Anchor{a}, nil
+	}
+	lines := n.log.String()
+	k, err := console.NewLogConsole(anchors, strings.NewReader(lines))
+	is.NoErr(err)
+	v, err := k.Queries().Verify(t.Context(), nil)
+	is.NoErr(err)
+	is.True(v.Intact())
+	is.Equal(len(v.Anchors), 0)
+	is.Equal(len(v.Report.Chains), 1)
+	// Each request has its admission and its end, the draft a placement as well.
+	is.Equal(v.Report.Chains[0].Last, uint64(5))
+
+	cut, err := console.NewLogConsole(anchors, strings.NewReader(strings.ReplaceAll(lines, `"event":802`, `"event":0`)))
+	is.NoErr(err)
+	_, err = cut.Queries().Verify(t.Context(), nil)
+	is.True(errors.Is(err, console.ErrViolated)) // the anchor shows that records are gone
+}
--- a/entry/reload_test.go
+++ b/entry/reload_test.go
@@ -30,6 +30,7 @@
 			current, err = s, e
 		}
 		i := New(current, io.Discard)
+		defer func() { is.NoErr(i.Logger.Close()) }()
 		changed := make(chan os.Signal)
 		i.Changed = changed
 		i.Reload = func() (platform.Settings, error) {
@@ -86,6 +87,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		i := New(platform.Settings{Name: "n1", Peers: "10.0.0.1:1"}, io.Discard)
+		defer func() { is.NoErr(i.Logger.Close()) }()
 		boot := time.Duration(0)
 		i.SinceBoot = func() time.Duration { return boot }
 		i.members.Commands().RecordContact(membership.Instance{Name: "n2", FitSince: 1 << 60}, nil, time.Now())
--- a/entry/report.go
+++ b/entry/report.go
@@ -29,9 +29,12 @@
 
 // run begins a new second of lines and tells how many were left out.
 func (r *report) run(ctx context.Context) error {
+	dropped := int64(0)
 	for pause(ctx, reportInterval) {
-		if n := r.served.Swap(0); n > maxServedLines {
-			r.logger.Write(event.LinesDropped, n-maxServedLines)
+		n := max(0, r.served.Swap(0)-maxServedLines) + r.logger.Dropped() - dropped
+		dropped = r.logger.Dropped()
+		if n > 0 {
+			r.logger.Write(event.LinesDropped, n)
 		}
 	}
 	return nil
@@ -77,6 +80,7 @@
 func (i *Instance) reportAttempt(a delivery.Attempt, v delivery.Verdict, status int) {
 	took := time.Since(a.ArrivedAt).Milliseconds()
 	i.recordLatency(a, v)
+	i.recordEnd(a, v)
 	version := i.routes.Queries().Current().Version
 	if v.Failure == nil {
 		if i.report.served.Add(1) <= maxServedLines {
--- a/entry/run.go
+++ b/entry/run.go
@@ -51,7 +51,7 @@
 	i.startMetrics(work, &group)
 	for _, task := range []func(context.Context) error{
 		i.runHeartbeats, i.runFetches, i.runOperators, i.runServers, i.runRegistration, i.runReload, i.runSync, i.runDepths,
-		i.prepared.Run, i.notices.run, i.report.run,
+		i.prepared.Run, i.notices.run, i.report.run, i.decisions.run,
 	} {
 		group.Go(func() error { return task(work) })
 	}
@@ -61,7 +61,8 @@
 	_ = ready.Close()
 	stop()
 	i.client.Close()
-	return group.Wait()
+	err = group.Wait()
+	return errors.Join(err, i.Logger.Close())
 }
 
 // Version is the version of the program.
--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -40,6 +41,8 @@
 	*Instance
 	stop context.CancelFunc
 	done chan error
+	// log may be read once the instance has stopped.
+	log *bytes.Buffer
 }
 
 func newTestSite(t *testing.T) *testSite {
@@ -121,12 +124,13 @@
 func (s *testSite) startNode(name string) *node {
 	s.t.Helper()
 	for {
+		log := &bytes.Buffer{}
 		i := New(platform.Settings{
 			Name: name, DataCentre: "a", Front: freeAddress(s.t), Ready: freeAddress(s.t), Peers: freeAddress(s.t),
 			Store: s.store.Address(), DrainGrace: 8 * time.Second, RetryRatio: 1, RetrySlack: 100,
-		}, io.Discard)
+		}, log)
 		ctx, stop := context.WithCancel(context.Background())
-		n := &node{Instance: i, stop: stop, done: make(chan error, 1)}
+		n := &node{Instance: i, stop: stop, done: make(chan error, 1), log: log}
 		var group errgroup.Group
 		group.Go(func() error {
 			n.done <- i.Run(ctx)
--- /dev/null
+++ b/event/buffer_test.go
@@ -0,0 +1,48 @@
+package event_test
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"lycheecrank.example/event"
+)
+
+// Guards against a process that stops serving since nobody reads its log, lines that
+// are lost at the end, and a line after the end that ends the process.
+func TestBufferedLogger(t *testing.T) {
+	is := is.New(t)
+	reader, writer := io.Pipe()
+	l := event.NewBufferedLogger(writer, "info", "n1")
+	const lines = 10_000
+	for range lines {
+		l.Write(event.LogAvailable, "op") // nobody reads
+	}
+	dropped := l.Dropped()
+	is.True(dropped > 0)
+	is.True(dropped < lines)
+	read := make(chan int, 1)
+	var group errgroup.Group
+	group.Go(func() error { // ends with the pipe
+		data, _ := io.ReadAll(reader)
+		read <- strings.Count(string(data), "\n")
+		return nil
+	})
+	is.NoErr(l.Close())
+	is.NoErr(writer.Close())
+	is.NoErr(group.Wait())
+	is.Equal(int64(<-read), lines-dropped) // all that found room
+	l.Write(event.LogAvailable, "op")
+	is.Equal(l.Dropped(), dropped+1)
+	is.NoErr(l.Close())
+
+	var out bytes.Buffer
+	plain := event.NewLogger(&out, "info", "n1")
+	plain.Write(event.LogAvailable, "op")
+	is.True(strings.Contains(out.String(), `"event":206`))
+	is.NoErr(plain.Close())
+}
--- a/event/event.go
+++ b/event/event.go
@@ -22,6 +22,8 @@
 // Logger writes events as JSON lines. Concurrent calls are safe.
 type Logger struct {
 	logger log.Logger
+	// buffer holds lines that are not written yet, nil if each is written at once.
+	buffer *buffer
 }
 
 // NewLogger returns a logger that writes events of at least the given level
--- a/event/events.go
+++ b/event/events.go
@@ -48,6 +48,7 @@
 	OwnershipLost        = Event{602, log.WarnLevel, "ownership lost", []string{"pool", "dataCentre", "term"}, "Another instance dispatches for the pool now."}
 	LeaseExpired         = Event{603, log.WarnLevel, "ownership lease expired", []string{"age"}, "The ownership lease ran out because the log did not answer; cold servers get nothing."}
 	ClaimUndecided       = Event{701, log.WarnLevel, "claim undecided", []string{"key", "error"}, "A claim could not be read back, so its request was refused as not run."}
+	DecisionBatch        = Event{802, log.InfoLevel, "decision records", []string{"records", "first", "last", "data"}, "Signed records of decisions on this instance, for lycheectl precedence; the store of the users' platform has the end of the chain."}
 	PrecedenceOverflow   = Event{801, log.ErrorLevel, "precedence records lost", []string{"count"}, "The buffer of decision records overflowed during an outage; a gap record tells the number."}
 )
 
@@ -60,6 +61,6 @@
 		RequestRefused, RequestFinished, ResultDropped, AttemptServed, AttemptFailed, ResultsRebuilt, RequestPlaced, RequestTurnedAway, AttemptRetried,
 		ServerCold, ServerWarm, ServerLeaving, StageCallFailed, ServerListed, ServerUnlisted, PoolDepth,
 		OwnershipTaken, OwnershipLost, LeaseExpired,
-		ClaimUndecided, PrecedenceOverflow,
+		ClaimUndecided, PrecedenceOverflow, DecisionBatch,
 	}
 }
--- a/lock/lock.go
+++ b/lock/lock.go
@@ -22,6 +22,7 @@
 	RankPrecedence  = 80
 	RankPeer        = 85
 	RankCounter     = 90
+	RankEvent       = 95
 )
 
 // Ranked is a mutex with a rank. Create it with New.
--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -80,6 +80,8 @@
 	// Share returns the part of the bound of cold engines that this instance may
 	// use, from 0 to 1.
 	Share func() float64
+	// Decided is told of each request that was placed or refused.
+	Decided func(p Decision)
 	// Prepared and Called are told how long preparations and calls of stages took, by
 	// pool.
 	Prepared func(pool string, took time.Duration)
@@ -100,6 +102,7 @@
 func NewCoordinator() *Coordinator {
 	return &Coordinator{
 		Share:    func() float64 { return 1 },
+		Decided:  func(Decision) {},
 		Prepared: func(string, time.Duration) {},
 		Called:   func(string, time.Duration) {},
 		Logger:   event.Discard(),
@@ -133,11 +136,18 @@
 	p, err := d.prepare(ctx, o)
 	waited := time.Since(begun)
 	d.Prepared(o.Pool, waited)
+	decision := Decision{
+		Request: o.Request, Pool: o.Pool, Rank: o.Rank, Try: o.Try, OpenedAt: begun, Deadline: begun.Add(o.Deadline),
+		Server: p.Server, Waiting: d.table.Queries().waiting(o.Rank),
+	}
 	switch {
 	case err != nil:
 		f := request.AsFailure(err)
+		decision.Reason = f.Reason
+		d.Decided(decision)
 		d.Logger.Write(event.RequestTurnedAway, o.Request, o.Pool, o.Rank, waited.Milliseconds(), (o.Deadline - waited).Milliseconds(), string(f.Reason), f.Detail)
 	case !p.IsMoved:
+		d.Decided(decision)
 		d.Logger.Write(event.RequestPlaced, o.Request, o.Pool, p.Server, p.DataCentre, waited.Milliseconds(), o.Rank, len(p.Inputs), p.Source, o.Try)
 	}
 	return p, err
--- a/preparation/order.go
+++ b/preparation/order.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lycheecrank.example/engine"
+	"lycheecrank.example/request"
 )
 
 // Stage is a stage of an order.
@@ -50,6 +51,24 @@
 	IsForced bool `msgpack:"isForced,omitempty"`
 }
 
+// Decision is what the coordinator decided about a request.
+type Decision struct {
+	Request string
+	Pool    string
+	// Rank is the class; 0 is served first.
+	Rank int
+	Try  int
+	// OpenedAt is when the order arrived, Deadline the end of its time.
+	OpenedAt time.Time
+	Deadline time.Time
+	// Server is where the request goes; empty if it was refused for Reason.
+	Server string
+	Reason request.Reason
+	// Waiting is the number of requests of an equal or better class that go on
+	// waiting.
+	Waiting int
+}
+
 // Placement is a prepared request: where it runs and with which results.
 type Placement struct {
 	Server     string `msgpack:"server"`
--- a/preparation/table.go
+++ b/preparation/table.go
@@ -54,6 +54,30 @@
 	return len(q.table.jobs)
 }
 
+// waiting returns the number of requests of a class or a better one that have not all
+// of their results yet.
+func (q Queries) waiting(rank int) int {
+	q.table.mu.Lock()
+	defer q.table.mu.Unlock()
+	n := 0
+	for _, e := range q.table.jobs {
+		if e.job.order.Rank <= rank && !e.isDone() {
+			n++
+		}
+	}
+	return n
+}
+
+// isDone reports whether the results were all there.
+func (e *entry) isDone() bool {
+	select {
+	case <-e.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // newEntry returns an entry for a job.
 func newEntry(j job) *entry {
 	return &entry{job: j, done: make(chan struct{}), moved: make(chan struct{}), shed: make(chan struct{}), refusal: &request.Failure{}}
