Play random faults against real processes of the platform's front end

Change: soak starts instances as processes, with stand-ins for the store and the workers behind loopback links, and plays a seed's faults over each other: links that are cut, silenced in one or both directions, delayed or reset; instances that are paused, killed, stopped and reloaded; workers that refuse, fail, hang, lose or mix up answers, cut streams or drain; a store that is down or drops its history; keys that change. Clients keep their connections. What clients saw must agree with what the workers ran, no instance may end by itself or outlive its grace, and all must serve again within 15 s. The link of the scenarios moved to standin/link and can be deaf, mute and reset.

--- a/scenario/main_test.go
+++ b/scenario/main_test.go
@@ -126,7 +126,7 @@
 func verbs() map[string]verb {
 	all := map[string]verb{
 		"settings": writeSettings, "start": start, "signal": sendSignal, "await-exit": awaitExit,
-		"link": link, "cut": cut, "heal": heal, "slow": slow, "hang": hang,
+		"link": addLink, "cut": cut, "heal": heal, "slow": slow, "hang": hang,
 		"catalogue": submit, "fault": setFault, "key": newKey,
 		"load": startLoad, "load-stop": stopLoad, "load-more": awaitMore,
 		"bound-passed": awaitBound, "note": note, "eventually": eventually, "frame": sendFrame,
--- a/scenario/scene_test.go
+++ b/scenario/scene_test.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lycheecrank.example/lock"
+	"lycheecrank.example/standin/link"
 )
 
 // The ranks of the locks of this package are above those of the product, some of
@@ -36,7 +37,7 @@
 	setenv func(name, value string)
 
 	processes map[string]*process
-	links     map[string]*relay
+	links     map[string]*link.Link
 	loads     map[string]*load
 	sent      map[string]*pending
 	noted     map[string]int64
@@ -51,7 +52,7 @@
 	return &scene{
 		ctx: ctx, workDir: workDir,
 		client:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
-		processes: map[string]*process{}, links: map[string]*relay{}, loads: map[string]*load{},
+		processes: map[string]*process{}, links: map[string]*link.Link{}, loads: map[string]*load{},
 		sent: map[string]*pending{}, noted: map[string]int64{},
 		mu: lock.New(rankScene, "scene"), addresses: map[string]string{},
 	}
@@ -63,7 +64,7 @@
 		p.kill()
 	}
 	for _, l := range s.links {
-		l.close()
+		l.Close()
 	}
 	_ = s.group.Wait()
 	s.client.CloseIdleConnections()
--- /dev/null
+++ b/soak/client_test.go
@@ -0,0 +1,81 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// wholeEvents is the number of events of a whole stream.
+const wholeEvents = 5
+
+func wholeStream() string {
+	var b strings.Builder
+	for n := 1; n <= wholeEvents; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %d\n\n", n, n)
+	}
+	return b.String()
+}
+
+// outcome is what a client saw of an attempt. Status 0 stands for a connection that
+// broke before the headers.
+type outcome struct {
+	id, route, instance string
+	status              int
+	body, seal          string
+	// isWhole tells that the answer ended properly.
+	isWhole bool
+	at      time.Duration
+}
+
+var routes = []string{"order", "lookup", "draft", "nothing"}
+
+// runClient sends attempts until the context ends. It keeps its connections as long as
+// the instance does, and asks another instance after one that breaks.
+func (s *soakSite) runClient(ctx context.Context, number int, seed uint64) []outcome {
+	r := rand.New(rand.NewPCG(seed, uint64(number)))
+	client := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	var outcomes []outcome
+	i := s.pick(r)
+	for n := 0; ctx.Err() == nil; n++ {
+		o := s.ask(client, i, routes[r.IntN(len(routes))], "key-1", fmt.Sprintf("c%d-%d", number, n))
+		outcomes = append(outcomes, o)
+		if o.status == 0 || !o.isWhole || r.IntN(20) == 0 {
+			i = s.pick(r)
+		}
+		pause(ctx, time.Duration(r.IntN(40))*time.Millisecond)
+	}
+	return outcomes
+}
+
+// ask sends an attempt.
+func (s *soakSite) ask(client *http.Client, i *instance, route, key, id string) outcome {
+	o := outcome{id: id, route: route, instance: i.name, at: time.Since(s.began)}
+	req, err := http.NewRequest(http.MethodPost, "http://"+i.clients.Address()+"/"+route+"/1", strings.NewReader("helmet"))
+	if err != nil {
+		s.t.Error(err)
+		return o
+	}
+	req.Host = "shop.example"
+	for name, value := range map[string]string{
+		"Attempt-Id": id, "Authorization": "Token " + key, "Deadline-Ms": "4000", "Pieces": "1,2", "Piece-Key": "k",
+		"Token-Usage": "100,50", "Prompt-Prefix": "aa:60,bb:40", "Tenant": "forged",
+	} {
+		req.Header.Set(name, value)
+	}
+	// The library must not send a request twice by itself.
+	req.GetBody = nil
+	res, err := client.Do(req)
+	if err != nil {
+		return o
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	o.status, o.body, o.seal, o.isWhole = res.StatusCode, string(body), res.Header.Get("Response-Seal"), err == nil
+	return o
+}
--- /dev/null
+++ b/soak/doc.go
@@ -0,0 +1,9 @@
+// Package soak plays random faults against real processes of the users' platform's
+// front end (lycheecrank entry) on one machine, and checks from what clients and
+// backend servers see that the promises of docs/PROMISES.md hold. It has only tests.
+//
+// A run is a seed. go test ./soak plays the seeds of testdata/seeds.txt, which failed
+// once, and a fixed one; more of them:
+//
+//	go test ./soak -soak.seeds 50 -soak.length 10s -timeout 30m
+package soak
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,191 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"lycheecrank.example/standin/link"
+	"lycheecrank.example/standin/site"
+)
+
+var (
+	freshSeeds = flag.Int("soak.seeds", 0, "number of fresh seeds to play besides the kept ones")
+	oneSeed    = flag.Uint64("soak.seed", 0, "a seed to play alone")
+	length     = flag.Duration("soak.length", 6*time.Second, "time of faults in a run")
+	instances  = flag.Int("soak.instances", 4, "number of instances")
+	clients    = flag.Int("soak.clients", 8, "number of clients")
+)
+
+// program is the built daemon.
+var program string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	code, err := buildAndRun(m)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		code = 1
+	}
+	os.Exit(code)
+}
+
+func buildAndRun(m *testing.M) (int, error) {
+	folder, err := os.MkdirTemp("", "lycheecrank-soak")
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	program = filepath.Join(folder, "lycheecrank")
+	if out, err := exec.Command("go", "build", "-o", program, "lycheecrank.example/cmd/lycheecrank").CombinedOutput(); err != nil {
+		return 0, errors.Join(err, errors.New(string(out)))
+	}
+	return m.Run(), nil
+}
+
+// fixedSeed is played in each run of the tests.
+const fixedSeed = 1
+
+// Guards against promises that break when faults overlap: requests that run twice or
+// are refused though they ran, streams that are joined wrongly, answers of other
+// requests, refusals of routes and keys that are there, instances that end by
+// themselves, hang on SIGTERM, or don't serve again after the last fault.
+func TestSoak(t *testing.T) {
+	for _, seed := range seeds(t) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { soakOnce(t, seed) })
+	}
+}
+
+// seeds returns the seeds to play.
+func seeds(t *testing.T) []uint64 {
+	if *oneSeed != 0 {
+		return []uint64{*oneSeed}
+	}
+	list := []uint64{fixedSeed}
+	data, err := os.ReadFile("testdata/seeds.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(data)) {
+		word, _, _ := strings.Cut(line, " ")
+		if seed, err := strconv.ParseUint(strings.TrimSpace(word), 10, 64); err == nil {
+			list = append(list, seed)
+		}
+	}
+	for range *freshSeeds {
+		list = append(list, rand.Uint64N(1<<40))
+	}
+	return list
+}
+
+func soakOnce(t *testing.T, seed uint64) {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	s := newSoakSite(ctx, t, *instances)
+	var group errgroup.Group
+	group.Go(func() error { return s.balance(ctx) })
+	defer func() { _ = group.Wait() }()
+	defer stop()
+	s.awaitService(ctx, "at the start")
+
+	sending, end := context.WithCancel(ctx)
+	seen := make([][]outcome, *clients)
+	var senders errgroup.Group
+	for n := range seen {
+		senders.Go(func() error {
+			seen[n] = s.runClient(sending, n, seed)
+			return nil
+		})
+	}
+	s.play(ctx, rand.New(rand.NewPCG(seed, 0)), *length)
+	s.heal()
+	s.awaitService(ctx, "after the last fault")
+	end()
+	_ = senders.Wait()
+	// What clients have left behind ends at the workers.
+	pause(ctx, 300*time.Millisecond)
+	s.check(seen)
+	if t.Failed() {
+		s.keep(seed)
+	}
+}
+
+// heal ends all faults.
+func (s *soakSite) heal() {
+	for _, l := range s.links {
+		l.Set(link.State{})
+	}
+	for _, w := range s.workers {
+		w.SetFault(site.Fault{})
+	}
+	s.store.SetDown(false)
+	for _, i := range s.instances {
+		i.store.Set(link.State{})
+		i.clients.Set(link.State{})
+		if i.process.hasExited() && !i.process.isExpected.Load() {
+			s.t.Errorf("%s ended by itself: %s", i.name, i.process.command.ProcessState)
+			s.start(i)
+		}
+	}
+}
+
+// recoveryLimit is within what the platform's pages allow (recoveryS).
+const recoveryLimit = 15 * time.Second
+
+// awaitService waits until each instance serves each kind of request with the newest
+// key and refuses what doesn't exist.
+func (s *soakSite) awaitService(ctx context.Context, when string) {
+	client := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	limit := time.Now().Add(recoveryLimit)
+	number := 0
+	for _, i := range s.instances {
+		for _, want := range []struct {
+			route, key string
+			status     int
+		}{{"order", s.key, 200}, {"lookup", "key-1", 200}, {"draft", s.key, 200}, {"nothing", "key-1", 404}, {"order", "key-old", 401}} {
+			for {
+				number++
+				o := s.ask(client, i, want.route, want.key, fmt.Sprintf("await-%s-%s-%d", strings.Fields(when)[0], i.name, number))
+				if o.status == want.status && o.isWhole {
+					break
+				}
+				if time.Now().After(limit) {
+					s.t.Errorf("%s answers %s with %d, %v %s", i.name, want.route, o.status, recoveryLimit, when)
+					return
+				}
+				pause(ctx, 50*time.Millisecond)
+			}
+		}
+	}
+}
+
+// keep reports the faults and where the logs of the instances are.
+func (s *soakSite) keep(seed uint64) {
+	folder, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
+	if err != nil {
+		s.t.Error(err)
+		return
+	}
+	for _, i := range s.instances {
+		data, err := os.ReadFile(i.log)
+		if err == nil {
+			err = os.WriteFile(filepath.Join(folder, i.name+".log"), data, 0o600)
+		}
+		if err != nil {
+			s.t.Error(err)
+		}
+	}
+	s.t.Logf("seed %d failed, logs in %s, faults:\n%s", seed, folder, strings.Join(s.faults, "\n"))
+}
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -64,6 +64,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /stage-run", w.stageRun)
 	mux.HandleFunc("POST /stage-free", w.stageFree)
+	mux.HandleFunc("GET /report", w.report)
 	mux.HandleFunc("/", w.request)
 	w.Server = httptest.NewServer(mux)
 	return w
@@ -196,6 +197,17 @@
 	writeJSON(rw, answer)
 }
 
+// roomMb is the room for results of a worker of stages, in megabytes; each result
+// takes a thousandth of it.
+const roomMb = 1.0
+
+// report tells how much room for results is left.
+func (w *Worker) report(rw http.ResponseWriter, _ *http.Request) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	writeJSON(rw, map[string]any{"queued": 0, "busy": 0, "freeMb": max(0, roomMb-roomMb/1000*float64(len(w.handles)))})
+}
+
 func (w *Worker) stageFree(_ http.ResponseWriter, r *http.Request) {
 	var freed struct {
 		Handles []string `json:"handles"`
