Leave a data centre alone as a whole that can't be reached

Cause: while a data centre was cut off, each of its servers got calls until its own failures added up: a call runs for 1.5 s into its limit, with up to 42 pieces, and each server was tried again after 150, 300 and 600 ms.

Weighed: to go by which instances are reached (membership), which takes a data centre for lost whose instances restart; by the failures of its servers (chosen).

Change: after two servers of a data centre failed and none succeeded meanwhile it is left alone as a whole, then one server is tried (outage.Tracker, in batch and engine). An engine that refuses a request because it is full does not count. The limit of a call moved to batch.

Tests: TestTracker. The golden file of delivery names the endings (well, refused, failed) in place of a flag.

--- a/batch/choose.go
+++ b/batch/choose.go
@@ -31,6 +31,16 @@
 	Expected time.Duration
 }
 
+const (
+	// limitSlack and limitFactor bound a call by its expected time: a server that
+	// takes longer is taken as gone and its pieces are made elsewhere.
+	limitSlack  = 700 * time.Millisecond
+	limitFactor = 3
+)
+
+// Limit returns the time after which the call is given up.
+func (c Call) Limit() time.Duration { return limitFactor*c.Expected + limitSlack }
+
 // Bytes returns the room that the results of the call take.
 func (c Call) Bytes() int64 {
 	total := int64(0)
--- a/batch/commands.go
+++ b/batch/commands.go
@@ -120,6 +120,7 @@
 	}
 	if s, ok := p.servers[call.Server.ID]; ok && s.Address == call.Server.Address {
 		p.servers[s.ID] = s.WithEnd(now.Sub(call.SentAt), call.Usual, unused)
+		t.outages.Succeeded(s.DataCentre)
 	}
 	t.changed.Signal()
 }
@@ -136,6 +137,7 @@
 			s = s.WithEnd(0, 0, call.Bytes()).WithFull(now)
 		} else {
 			s = s.WithFailure(call.Bytes(), now)
+			t.outages.Failed(s.DataCentre, s.ID, now)
 		}
 		p.servers[s.ID] = s
 	}
--- a/batch/server.go
+++ b/batch/server.go
@@ -99,6 +99,14 @@
 	return s
 }
 
+// WithBlock returns the server left alone until a time at least.
+func (s Server) WithBlock(until time.Time) Server {
+	if s.blockedUntil.Before(until) {
+		s.blockedUntil = until
+	}
+	return s
+}
+
 // WithFull returns the server after it had no place for a call or a result.
 func (s Server) WithFull(now time.Time) Server {
 	s.blockedUntil = now.Add(fullBlock)
--- a/batch/table.go
+++ b/batch/table.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lycheecrank.example/lock"
+	"lycheecrank.example/outage"
 )
 
 // Table holds the pools with their waiting pieces, servers and results.
@@ -22,6 +23,9 @@
 	names   []string
 	results map[string]result
 	last    uint64
+	// outages are the data centres that can't be reached, by the servers of all
+	// pools.
+	outages outage.Tracker
 }
 
 // pool is the queue of a pool and its servers.
@@ -83,7 +87,7 @@
 			continue
 		}
 		p.queue.age(now)
-		call, ok := choose(p.spec, p.list(), p.queue.first(lookAhead), p.queue.size(), now)
+		call, ok := choose(p.spec, t.reachable(p, now), p.queue.first(lookAhead), p.queue.size(), now)
 		if !ok {
 			continue
 		}
@@ -91,12 +95,25 @@
 		t.last++
 		call.Number = t.last
 		s := p.servers[call.Server.ID]
+		t.outages.Sent(s.DataCentre, now.Add(call.Limit()))
 		p.servers[s.ID] = s.WithCall(call.Bytes(), now.Add(call.Expected))
 		return call, true
 	}
 	return Call{}, false
 }
 
+// reachable returns the servers by ID, of which those in data centres that can't be
+// reached are blocked.
+func (t *Table) reachable(p *pool, now time.Time) []Server {
+	servers := p.list()
+	for i, s := range servers {
+		if t.outages.IsBlocked(s.DataCentre, now) {
+			servers[i] = s.WithBlock(t.outages.Blocked(s.DataCentre))
+		}
+	}
+	return servers
+}
+
 // hasIdle reports whether a server may get a call.
 func (p *pool) hasIdle(now time.Time) bool {
 	for _, id := range p.ids {
@@ -138,6 +155,7 @@
 		for _, s := range p.servers {
 			consider(s.blockedUntil)
 			consider(s.unknownUntil)
+			consider(t.outages.Blocked(s.DataCentre))
 		}
 		if len(p.expiries) > 0 {
 			consider(p.expiries[0].at)
--- a/delivery/router.go
+++ b/delivery/router.go
@@ -32,7 +32,7 @@
 	// Started and Ended tell the coordinator of the first event and of the end of a
 	// request at its engine; Abandon that a prepared request won't be sent.
 	Started func(pool, server, id string, try int, took time.Duration)
-	Ended   func(pool, server, id string, isFailed bool)
+	Ended   func(pool, server, id string, e preparation.Ending)
 	Abandon func(id string, try int)
 	// Admitted is told of each attempt that is served from now on.
 	Admitted func(a Admission)
--- a/delivery/router_test.go
+++ b/delivery/router_test.go
@@ -78,8 +78,8 @@
 		Routes: routes.Queries(), Fleet: servers.Queries(), Plain: plain.Commands(), Budget: pipeline.NewBudget(1, 10),
 		Prepare: r.prepare, Retries: &counter.Set{}, Logger: event.Discard(), IsLeaving: func() bool { return false },
 		Started: func(_, server, _ string, _ int, _ time.Duration) { r.notices = append(r.notices, "started "+server) },
-		Ended: func(_, server, _ string, isFailed bool) {
-			r.notices = append(r.notices, fmt.Sprintf("ended %s failed %v", server, isFailed))
+		Ended: func(_, server, _ string, e preparation.Ending) {
+			r.notices = append(r.notices, fmt.Sprintf("ended %s %s", server, []string{"well", "refused", "failed"}[e]))
 		},
 		Admitted: func(Admission) {},
 		Abandon:  func(string, int) { r.notices = append(r.notices, "abandoned") },
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -84,7 +84,7 @@
 	s.server = p.Server
 	server, ok := d.Fleet.Server(p.Server, time.Now())
 	if !ok || server.Address != p.Address {
-		d.Ended(v.pool.Name, p.Server, v.attempt.ID, false)
+		d.Ended(v.pool.Name, p.Server, v.attempt.ID, preparation.RunEnded)
 		return s.unsentAgain(ctx, p.Server, request.Refuse(request.ReasonNoServer, "the engine is leaving"))
 	}
 	// A stream that is no longer read must not go on at its engine.
@@ -99,7 +99,7 @@
 	})
 	switch {
 	case errors.Is(err, ErrUnreached):
-		d.Ended(v.pool.Name, p.Server, v.attempt.ID, ctx.Err() == nil)
+		d.Ended(v.pool.Name, p.Server, v.attempt.ID, failedUnless(ctx))
 		return s.unsentAgain(ctx, p.Server, request.Refuse(request.ReasonServerUnreachable, "engine not reached").WithRetryAfter(brokenRetry))
 	case err != nil:
 		s.reach(p.Server)
@@ -111,18 +111,18 @@
 	}
 	switch {
 	case a.IsInputGone:
-		d.Ended(v.pool.Name, p.Server, v.attempt.ID, false)
+		d.Ended(v.pool.Name, p.Server, v.attempt.ID, preparation.RunEnded)
 		s.order.IsRebuilt, s.order.Made = true, nil
 		if len(s.reached) >= v.route.Attempts {
 			s.order.Only = p.Server
 		}
 		return s.unsentAgain(ctx, "", request.Refuse(request.ReasonNoServer, "a result of a stage is gone").WithRetryAfter(brokenRetry))
 	case a.IsNotRun && len(s.reached) >= v.route.Attempts && !a.IsMisdirected:
-		d.Ended(v.pool.Name, p.Server, v.attempt.ID, true)
+		d.Ended(v.pool.Name, p.Server, v.attempt.ID, preparation.RunRefused)
 		d.Abandon(v.attempt.ID, s.order.Try)
 		return s.fail(request.Refuse(request.ReasonQueueFull, "engine full").WithRetryAfter(fullRetry))
 	case a.IsNotRun:
-		d.Ended(v.pool.Name, p.Server, v.attempt.ID, true)
+		d.Ended(v.pool.Name, p.Server, v.attempt.ID, preparation.RunRefused)
 		return s.unsentAgain(ctx, p.Server, request.Refuse(request.ReasonQueueFull, "engine full").WithRetryAfter(fullRetry))
 	case !a.IsProper:
 		return s.broken(ctx, p.Server, ErrBroken)
@@ -132,6 +132,15 @@
 	return s.forward(ctx, sending, a, p.Server, sentAt, w)
 }
 
+// failedUnless is the ending of a request that its engine broke off, unless the client
+// has left or its time is over, which says nothing of the engine.
+func failedUnless(ctx context.Context) preparation.Ending {
+	if ctx.Err() != nil {
+		return preparation.RunEnded
+	}
+	return preparation.RunFailed
+}
+
 // reach notes that the request was sent to an engine.
 func (s *streaming) reach(server string) {
 	if !slices.Contains(s.reached, server) {
@@ -155,7 +164,7 @@
 // broken goes on at another engine if the stream may be repeated.
 func (s *streaming) broken(ctx context.Context, server string, err error) (Verdict, bool) {
 	s.runs++
-	s.router.Ended(s.routed.pool.Name, server, s.routed.attempt.ID, ctx.Err() == nil)
+	s.router.Ended(s.routed.pool.Name, server, s.routed.attempt.ID, failedUnless(ctx))
 	s.order.Avoid = append(slices.Clone(s.order.Avoid), server)
 	reason := "streamBroken"
 	if errors.Is(err, errSilent) {
@@ -171,7 +180,7 @@
 // passFailure passes the failure of an engine on.
 func (s *streaming) passFailure(a Answer, server string) (Verdict, bool) {
 	s.runs++
-	s.router.Ended(s.routed.pool.Name, server, s.routed.attempt.ID, false)
+	s.router.Ended(s.routed.pool.Name, server, s.routed.attempt.ID, preparation.RunEnded)
 	s.router.Abandon(s.routed.attempt.ID, s.order.Try)
 	if s.isBegun {
 		return s.fail(request.Refuse(request.ReasonServerFailed, "engine failed while the stream went on"))
@@ -214,7 +223,7 @@
 		s.last, s.heardAt = events.last, time.Now()
 	}
 	s.runs++
-	d.Ended(v.pool.Name, server, v.attempt.ID, false)
+	d.Ended(v.pool.Name, server, v.attempt.ID, preparation.RunEnded)
 	if !s.isBegun && a.Begin() != nil {
 		return s.left(server)
 	}
@@ -225,7 +234,7 @@
 // left ends a stream whose client is gone.
 func (s *streaming) left(server string) (Verdict, bool) {
 	s.runs++
-	s.router.Ended(s.routed.pool.Name, server, s.routed.attempt.ID, false)
+	s.router.Ended(s.routed.pool.Name, server, s.routed.attempt.ID, preparation.RunEnded)
 	s.router.Abandon(s.routed.attempt.ID, s.order.Try)
 	return s.fail(request.Refuse(request.ReasonCancelled, "the client left"))
 }
--- a/engine/commands.go
+++ b/engine/commands.go
@@ -39,6 +39,10 @@
 	}
 }
 
+// trialTime is how long the other engines of a data centre in doubt wait for what
+// becomes of a request at one of them: a first event takes some hundred milliseconds.
+const trialTime = 800 * time.Millisecond
+
 // Choice is where a request runs.
 type Choice struct {
 	Place
@@ -58,19 +62,23 @@
 	if q == nil {
 		return Choice{}, false
 	}
-	servers := q.sorted()
+	servers := t.reachable(q, now)
 	s, ok := choose(q.spec, servers, p, n, now)
 	if !ok {
 		return Choice{}, false
 	}
 	choice := Choice{Place: s.Place, Source: source(servers, s, p, now), Expected: s.expected(p, now)}
 	q.servers[s.ID] = s.WithRun(request, p, now)
+	t.outages.Sent(s.DataCentre, now.Add(trialTime))
 	return choice, true
 }
 
 // Started notes the first event of a request and the time that it took.
 func (c Commands) Started(poolName, id, request string, took time.Duration) {
-	c.change(poolName, id, func(s Server) Server { return s.WithStarted(request, took) })
+	c.change(poolName, id, func(s Server) Server {
+		c.table.outages.Succeeded(s.DataCentre)
+		return s.WithStarted(request, took)
+	})
 }
 
 // Ended notes that a request has ended at an engine.
@@ -78,11 +86,20 @@
 	c.change(poolName, id, func(s Server) Server { return s.WithoutRun(request) })
 }
 
-// Failed notes that an engine failed a request, which has ended there.
-func (c Commands) Failed(poolName, id, request string, now time.Time) {
+// Refused notes that an engine did not take a request.
+func (c Commands) Refused(poolName, id, request string, now time.Time) {
 	c.change(poolName, id, func(s Server) Server { return s.WithoutRun(request).WithFailure(now) })
 }
 
+// Failed notes that an engine was not reached or broke a request off, which has
+// ended there.
+func (c Commands) Failed(poolName, id, request string, now time.Time) {
+	c.change(poolName, id, func(s Server) Server {
+		c.table.outages.Failed(s.DataCentre, s.ID, now)
+		return s.WithoutRun(request).WithFailure(now)
+	})
+}
+
 // Learned is a placement that another chooser made.
 type Learned struct {
 	Pool    string
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -159,6 +159,14 @@
 	return s
 }
 
+// WithBlock returns the engine left alone until a time at least.
+func (s Server) WithBlock(until time.Time) Server {
+	if s.blockedUntil.Before(until) {
+		s.blockedUntil = until
+	}
+	return s
+}
+
 // WithEmptied returns the engine after it has lost its memory.
 func (s Server) WithEmptied() Server {
 	s.cached = map[string]time.Time{}
--- a/engine/table.go
+++ b/engine/table.go
@@ -3,14 +3,18 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"lycheecrank.example/lock"
+	"lycheecrank.example/outage"
 )
 
 // Table holds the engines by pool.
 type Table struct {
 	mu    *lock.Ranked
 	pools map[string]*pool
+	// outages are the data centres that can't be reached.
+	outages outage.Tracker
 }
 
 type pool struct {
@@ -29,6 +33,18 @@
 // Queries returns what reads the table.
 func (t *Table) Queries() Queries { return Queries{t} }
 
+// reachable returns the engines by ID, of which those in data centres that can't be
+// reached are blocked.
+func (t *Table) reachable(p *pool, now time.Time) []Server {
+	servers := p.sorted()
+	for i, s := range servers {
+		if t.outages.IsBlocked(s.DataCentre, now) {
+			servers[i] = s.WithBlock(t.outages.Blocked(s.DataCentre))
+		}
+	}
+	return servers
+}
+
 func (p *pool) sorted() []Server {
 	servers := make([]Server, 0, len(p.servers))
 	for _, id := range slices.Sorted(maps.Keys(p.servers)) {
--- a/entry/coordination.go
+++ b/entry/coordination.go
@@ -101,11 +101,10 @@
 	i.notices.add(i.placed.coordinatorOf(id), notice{Kind: startedNotice, Pool: pool, Server: server, Request: id, Try: try, Took: took})
 }
 
-func (i *Instance) ended(pool, server, id string, isFailed bool) {
-	kind := endedNotice
-	if isFailed {
-		kind = failedNotice
-	}
+func (i *Instance) ended(pool, server, id string, e preparation.Ending) {
+	kind := map[preparation.Ending]noticeKind{
+		preparation.RunEnded: endedNotice, preparation.RunRefused: refusedNotice, preparation.RunFailed: failedNotice,
+	}[e]
 	i.notices.add(i.placed.coordinatorOf(id), notice{Kind: kind, Pool: pool, Server: server, Request: id})
 	i.placed.end(id)
 }
@@ -122,8 +121,12 @@
 		switch n.Kind {
 		case startedNotice:
 			i.prepared.Started(n.Pool, n.Server, n.Request, n.Try, n.Took)
-		case endedNotice, failedNotice:
-			i.prepared.Ended(n.Pool, n.Server, n.Request, n.Kind == failedNotice)
+		case endedNotice:
+			i.prepared.Ended(n.Pool, n.Server, n.Request, preparation.RunEnded)
+		case refusedNotice:
+			i.prepared.Ended(n.Pool, n.Server, n.Request, preparation.RunRefused)
+		case failedNotice:
+			i.prepared.Ended(n.Pool, n.Server, n.Request, preparation.RunFailed)
 		case abandonedNotice:
 			i.prepared.Abandon(n.Request, n.Try)
 		case runningNotice, readNotice:
--- a/entry/message.go
+++ b/entry/message.go
@@ -50,6 +50,7 @@
 const (
 	startedNotice noticeKind = iota + 1
 	endedNotice
+	refusedNotice
 	failedNotice
 	abandonedNotice
 	// runningNotice tells a new coordinator of a request that runs already.
--- a/preparation/calls.go
+++ b/preparation/calls.go
@@ -15,8 +15,7 @@
 func (d *Coordinator) execute(ctx context.Context, call batch.Call) {
 	d.table.Commands().enter(call.Pieces)
 	defer d.table.Commands().leave(call.Pieces)
-	limit := callFactor*call.Expected + callSlack
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := context.WithTimeout(ctx, call.Limit())
 	defer cancel()
 	results, err := d.Call(ctx, call)
 	now := time.Now()
--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -50,10 +50,6 @@
 const (
 	// callWorkers bounds the calls of stages in progress.
 	callWorkers = 64
-	// callSlack and callFactor bound a call by its expected time: a server that
-	// takes longer is taken as gone and its pieces are made elsewhere.
-	callSlack  = 700 * time.Millisecond
-	callFactor = 3
 	// engineRetry is the pause before an engine is looked for again.
 	engineRetry = 25 * time.Millisecond
 	// bulkyBytes is the size of results from which the engine is chosen before
@@ -316,10 +312,13 @@
 }
 
 // Ended notes that a request has ended at its engine.
-func (d *Coordinator) Ended(pool, server, id string, isFailed bool) {
-	if isFailed {
+func (d *Coordinator) Ended(pool, server, id string, e Ending) {
+	switch e {
+	case RunFailed:
 		d.Engines.Commands().Failed(pool, server, id, time.Now())
-	} else {
+	case RunRefused:
+		d.Engines.Commands().Refused(pool, server, id, time.Now())
+	default:
 		d.Engines.Commands().Ended(pool, server, id)
 	}
 }
--- a/preparation/coordinator_test.go
+++ b/preparation/coordinator_test.go
@@ -235,7 +235,7 @@
 			}
 			fmt.Fprintln(&b, "  "+strings.Join(lines, "\n"))
 			r.Started("models", p.Server, "r", 1, time.Millisecond)
-			r.Ended("models", p.Server, "r", false)
+			r.Ended("models", p.Server, "r", RunEnded)
 			time.Sleep(10 * time.Second)
 			if r.keptCount() != 0 || r.Queries().Open() != 0 {
 				t.Errorf("%s: %d results are kept for nobody, %d jobs open", row.name, r.keptCount(), r.Queries().Open())
--- a/preparation/order.go
+++ b/preparation/order.go
@@ -51,6 +51,19 @@
 	IsForced bool `msgpack:"isForced,omitempty"`
 }
 
+// Ending is how a request ended at its engine.
+type Ending int
+
+// The endings.
+const (
+	// RunEnded says nothing against the engine.
+	RunEnded Ending = iota
+	// RunRefused: the engine did not take the request, such as a full one.
+	RunRefused
+	// RunFailed: the engine was not reached, or broke the request off.
+	RunFailed
+)
+
 // Decision is what the coordinator decided about a request.
 type Decision struct {
 	Request string
