--- a/entry/decisions.go
+++ b/entry/decisions.go
@@ -27,9 +27,9 @@
 	anchorLimit     = time.Second
 	lastAnchorLimit = 250 * time.Millisecond
 	// decisionBuffer is the number of records that wait for the next interval, maxBatch
-	// that of one line of the log.
+	// that of one line of the log: readers of logs cut lines that are longer than 8 KB.
 	decisionBuffer = 10_000
-	maxBatch       = 2000
+	maxBatch       = 100
 )
 
 // decisions records who was served when and why, in a signed chain. The records go to
--- a/entry/run.go
+++ b/entry/run.go
@@ -25,6 +25,9 @@
 	stayOpen = 2800 * time.Millisecond
 	// stopReserve is the part of the grace that is left for the end of the process.
 	stopReserve = 400 * time.Millisecond
+	// exitLimit bounds the wait for tasks that end: on a slow machine processes were
+	// killed at the end of the grace while one of them still waited for an answer.
+	exitLimit = 300 * time.Millisecond
 	// defaultGrace is the grace if the settings name none.
 	defaultGrace = 8 * time.Second
 	// idleTimeout closes client connections that are not used any more. It is longer
@@ -61,8 +64,25 @@
 	_ = ready.Close()
 	stop()
 	i.client.Close()
-	err = group.Wait()
-	return errors.Join(err, i.Logger.Close())
+	return errors.Join(waitAtMost(&group, exitLimit), i.Logger.Close())
+}
+
+// waitAtMost waits for a group for a time.
+func waitAtMost(group *errgroup.Group, limit time.Duration) error {
+	ended := make(chan error, 1)
+	var waiting errgroup.Group
+	waiting.Go(func() error {
+		ended <- group.Wait()
+		return nil
+	})
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case err := <-ended:
+		return err
+	case <-timer.C:
+		return nil
+	}
 }
 
 // Version is the version of the program.
--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -433,3 +434,41 @@
 		return len(runs) == 1 && runs[0].IsCut
 	})
 }
+
+// Guards against a process that outlives its grace since one of its tasks doesn't
+// end: it is killed then, with what it has in flight.
+func TestStopDoesNotHang(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newTestSite(t)
+	changed := make(chan os.Signal, 1)
+	entered, block := make(chan struct{}), make(chan struct{})
+	defer close(block)
+	i := New(platform.Settings{
+		Name: "n1", DataCentre: "a", Front: freeAddress(t), Ready: freeAddress(t), Peers: freeAddress(t),
+		Store: s.store.Address(), DrainGrace: time.Second, RetryRatio: 1, RetrySlack: 100,
+	}, io.Discard)
+	i.Changed = changed
+	i.Reload = func() (platform.Settings, error) {
+		close(entered)
+		<-block
+		return i.Settings, nil
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	done := make(chan error, 1)
+	var group errgroup.Group
+	group.Go(func() error {
+		done <- i.Run(ctx)
+		return nil
+	})
+	changed <- syscall.SIGHUP
+	<-entered
+	stop()
+	select {
+	case err := <-done:
+		is.NoErr(err)
+	case <-time.After(setupBound):
+		t.Fatal("the instance never ends")
+	}
+}
