--- a/batch/commands.go
+++ b/batch/commands.go
@@ -43,11 +43,7 @@
 	defer t.mu.Unlock()
 	now := time.Now()
 	for _, p := range pieces {
-		q := t.pool(p.Pool)
-		q.queue.add(p, now)
-		if !p.isLate(now) {
-			q.inflow = q.inflow.WithPieces(1, now)
-		}
+		t.pool(p.Pool).queue.add(p, now)
 	}
 	t.changed.Signal()
 }
--- a/batch/queries.go
+++ b/batch/queries.go
@@ -65,11 +65,9 @@
 		return 0
 	}
 	ahead := p.queue.size()
-	rate = p.lateRate(now)
 	// The identity sorts behind those of pieces with the same start.
 	if probe := (Piece{Identity: Identity{Request: "\uffff"}, Start: start, Rank: rank}); !probe.isLate(now) {
 		ahead, _ = slices.BinarySearchFunc(p.queue.onTime, probe, compareOnTime)
-		rate = p.rate(now)
 	}
 	return time.Duration(float64(ahead) / rate * float64(time.Second))
 }
@@ -88,9 +86,8 @@
 		if rate <= 0 {
 			continue
 		}
-		lateRate := p.lateRate(now)
 		for k, piece := range p.queue.late {
-			wait := float64(len(p.queue.onTime)+k) / lateRate
+			wait := lateWaitFactor * float64(len(p.queue.onTime)+k) / rate
 			end := now.Add(time.Duration(wait*float64(time.Second)) + p.spec.CallTime + after)
 			if end.After(piece.Deadline) && !seen[piece.Request] {
 				seen[piece.Request] = true
@@ -101,16 +98,9 @@
 	return unattainable
 }
 
-// minLateShare is the part of the rate of a pool that late pieces get at least: it
-// keeps the estimate finite while more comes in than the pool makes.
-const minLateShare = 0.1
-
-// lateRate returns the pieces a second that are left for late pieces, since those go
-// first that come in and can be on time.
-func (p *pool) lateRate(now time.Time) float64 {
-	rate := p.rate(now)
-	return max(rate-p.inflow.rate(now), minLateShare*rate)
-}
+// lateWaitFactor is by how much late pieces wait longer than the queue before them
+// takes, since others that can be on time go first.
+const lateWaitFactor = 1.5
 
 // rate returns the pieces a second that the servers of the pool make in full
 // calls.
--- a/batch/table.go
+++ b/batch/table.go
@@ -35,8 +35,6 @@
 	// ids are the IDs of the servers, sorted.
 	ids   []string
 	queue queue
-	// inflow is how many pieces come in.
-	inflow inflow
 	// expiries are the ends of the results in the order in which they were made,
 	// which is that of their ends.
 	expiries []expiry
