Tell clients to come back when what made them wait is over

The time after which a refused client may come back was a quarter of the time that its preparation had, which had become that of its patience: 0.8 s in place of 3.75 s for the quick question. They came back within the same burst, as requests that can be on time, and went before late ones that are worth more. What was given up later was told 400 ms whatever waited.

Change: the order carries the whole time of the client beside its patience, and a refusal names the time that the work before it takes, from 400 ms to a quarter of the client's time.

Test: TestRetryAfter.

--- a/batch/queries.go
+++ b/batch/queries.go
@@ -72,13 +72,20 @@
 	return time.Duration(float64(ahead) / rate * float64(time.Second))
 }
 
+// Overdue is a request that can't be made in its time, and how long what is before it
+// takes.
+type Overdue struct {
+	Request string
+	Wait    time.Duration
+}
+
 // Unattainable returns the requests with pieces that wait behind so many others that
 // they can't be made in their time. The last stages of a request take after more.
-func (q Queries) Unattainable(after time.Duration, now time.Time) []string {
+func (q Queries) Unattainable(after time.Duration, now time.Time) []Overdue {
 	t := q.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var unattainable []string
+	var unattainable []Overdue
 	seen := map[string]bool{}
 	for _, name := range t.names {
 		p := t.pools[name]
@@ -91,7 +98,7 @@
 			end := now.Add(time.Duration(wait*float64(time.Second)) + p.spec.CallTime + after)
 			if end.After(piece.Deadline) && !seen[piece.Request] {
 				seen[piece.Request] = true
-				unattainable = append(unattainable, piece.Request)
+				unattainable = append(unattainable, Overdue{piece.Request, time.Duration(wait * float64(time.Second))})
 			}
 		}
 	}
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -76,6 +76,7 @@
 	now := time.Now()
 	s.order.Try++
 	s.order.Objective, s.order.Deadline = v.objective.Sub(now), s.leavesAt().Sub(now)
+	s.order.Limit = v.deadline.Sub(now)
 	p, err := d.Prepare(ctx, s.order)
 	s.order.IsRebuilt = false
 	if err != nil {
--- a/preparation/calls.go
+++ b/preparation/calls.go
@@ -106,9 +106,10 @@
 	d.free(d.table.Commands().shed(id, f))
 }
 
-// tooLate is the refusal of a request that can't be done in its time.
-func tooLate() request.Failure {
-	return request.Refuse(request.ReasonDeadlineUnattainable, "too much before it at the stages").WithRetryAfter(shedRetry)
+// tooLate is the refusal of a request that can't be done in its time, since what is
+// before it takes a time.
+func tooLate(wait time.Duration) request.Failure {
+	return request.Refuse(request.ReasonDeadlineUnattainable, "too much before it at the stages").WithRetryAfter(wait)
 }
 
 // unmade is the refusal of a request whose stages fail.
--- a/preparation/commands.go
+++ b/preparation/commands.go
@@ -150,7 +150,7 @@
 	dropped := e.job.kept()
 	if now.After(e.job.objective) && now.Sub(e.job.openedAt) > e.job.deadline.Sub(now) {
 		// It would wait again for longer than it has time.
-		t.shed(p.Request, tooLate())
+		t.shed(p.Request, tooLate(0))
 		return step{free: dropped}, false
 	}
 	e.job = e.job.withoutResults(now)
@@ -175,7 +175,7 @@
 // shed removes a job and tells who waits for it. It is called under the lock.
 func (t *Table) shed(id string, f request.Failure) {
 	e := t.jobs[id]
-	*e.refusal = f
+	*e.refusal = f.WithRetryAfter(e.job.order.retryAfter(f.RetryAfter))
 	close(e.shed)
 	delete(t.jobs, id)
 }
--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -233,7 +233,7 @@
 		return request.Failure{}, false
 	}
 	f := request.Refuse(request.ReasonDeadlineUnattainable, "the stages before it take "+expected.String())
-	return f.WithRetryAfter(min(expected-o.Objective, o.Deadline/4)), true
+	return f.WithRetryAfter(o.retryAfter(expected - o.Objective)), true
 }
 
 func (d *Coordinator) usual(pool string, pieces int) time.Duration {
--- a/preparation/coordinator_test.go
+++ b/preparation/coordinator_test.go
@@ -483,3 +483,38 @@
 	_, isRebuilt = c.rebuild(s.queue[0], k, now)
 	is.True(isRebuilt)
 }
+
+// Guards against clients that are told to come back while what made them wait is
+// still there: in a burst they only wait again, before those that came first.
+func TestRetryAfter(t *testing.T) {
+	is := is.New(t)
+	o := Order{Deadline: 3 * time.Second, Limit: 16 * time.Second}
+	is.Equal(o.retryAfter(0), shedRetry)
+	is.Equal(o.retryAfter(2*time.Second), 2*time.Second)
+	is.Equal(o.retryAfter(time.Minute), 4*time.Second) // a part of the client's time, not of its patience
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t, 1)
+		r.slow = 900 * time.Millisecond
+		var group errgroup.Group
+		waits := make(chan time.Duration, 40)
+		for n := range 30 {
+			group.Go(func() error {
+				o := chain(fmt.Sprint("r", n))
+				o.Stages[0].Pieces = 4
+				o.Objective, o.Deadline, o.Limit = time.Second, 6*time.Second, 20*time.Second
+				if _, err := r.Prepare(t.Context(), o); err != nil {
+					waits <- request.AsFailure(err).RetryAfter
+				}
+				return nil
+			})
+		}
+		is.NoErr(group.Wait())
+		longest := time.Duration(0)
+		for range len(waits) {
+			longest = max(longest, <-waits)
+		}
+		is.True(longest > time.Second)
+		is.True(longest <= 5*time.Second)
+	})
+}
--- a/preparation/order.go
+++ b/preparation/order.go
@@ -34,9 +34,12 @@
 	Prompt engine.Prompt `msgpack:"prompt"`
 	// Rank is the class; 0 is served first.
 	Rank int `msgpack:"rank"`
-	// Objective and Deadline are the times that are left.
+	// Objective and Deadline are the times that are left. Limit is the time in which
+	// the client may come back after a refusal; it is longer than Deadline if the
+	// client waits less for one answer.
 	Objective time.Duration `msgpack:"objective"`
 	Deadline  time.Duration `msgpack:"deadline"`
+	Limit     time.Duration `msgpack:"limit"`
 	// Avoid lists engines that refused or failed the request.
 	Avoid []string `msgpack:"avoid"`
 	// Only is the one engine that may get the request, empty for any.
--- a/preparation/upkeep.go
+++ b/preparation/upkeep.go
@@ -25,8 +25,10 @@
 	lateSlack = 1800 * time.Millisecond
 	// shedInterval is how often requests are looked for that can't be done in time.
 	shedInterval = 100 * time.Millisecond
-	// shedRetry is when the client of such a request may come back.
-	shedRetry = 400 * time.Millisecond
+	// shedRetry is the least time after which the client of such a request may come
+	// back, retryShare the largest part of its time.
+	shedRetry  = 400 * time.Millisecond
+	retryShare = 4
 )
 
 // every calls a function at an interval until the context ends.
@@ -43,13 +45,19 @@
 	}
 }
 
+// retryAfter returns when a client should come back if the work before its request
+// takes a time: earlier it would only wait again.
+func (o Order) retryAfter(wait time.Duration) time.Duration {
+	return max(shedRetry, min(wait, max(o.Limit, o.Deadline)/retryShare))
+}
+
 // runShedding gives up requests that wait behind more than their time allows, so
 // that their clients know at once.
 func (d *Coordinator) runShedding(ctx context.Context) error {
 	every(ctx, shedInterval, func() {
-		for _, id := range d.Batches.Queries().Unattainable(engineTime, time.Now()) {
+		for _, u := range d.Batches.Queries().Unattainable(engineTime, time.Now()) {
 			d.Counters.Add("shed")
-			d.giveUp(id, tooLate())
+			d.giveUp(u.Request, tooLate(u.Wait))
 		}
 	})
 	return nil
