Say that ownership was released when an instance leaves

Cause: the demo ended with a warning of lost ownership for each pool: the view saw the instance's own release as a loss to another one.

Change: event 604 (info) in place of 602 once the instance has left.

--- a/event/events.go
+++ b/event/events.go
@@ -46,6 +46,7 @@
 	PoolDepth            = Event{507, log.InfoLevel, "pool depth", []string{"pool", "waiting", "servers", "busy", "delayMs", "roomTaken", "jobs"}, "Once a second on the coordinator while pieces wait: how much waits at a pool of stages and how long it will take."}
 	OwnershipTaken       = Event{601, log.InfoLevel, "ownership taken", []string{"pool", "dataCentre", "term"}, "This instance dispatches for a pool of its data centre."}
 	OwnershipLost        = Event{602, log.WarnLevel, "ownership lost", []string{"pool", "dataCentre", "term"}, "Another instance dispatches for the pool now."}
+	OwnershipReleased    = Event{604, log.InfoLevel, "ownership released", []string{"pool", "dataCentre", "term"}, "This instance leaves and has handed the pool over."}
 	LeaseExpired         = Event{603, log.WarnLevel, "ownership lease expired", []string{"age"}, "The ownership lease ran out because the log did not answer; cold servers get nothing."}
 	ClaimUndecided       = Event{701, log.WarnLevel, "claim undecided", []string{"key", "error"}, "A claim could not be read back, so its request was refused as not run."}
 	DecisionBatch        = Event{802, log.InfoLevel, "decision records", []string{"records", "first", "last", "data"}, "Signed records of decisions on this instance, for lycheectl precedence; the store of the users' platform has the end of the chain."}
@@ -60,7 +61,7 @@
 		PeerConnected, PeerLost, PeerFrameRefused, CoordinatorChosen,
 		RequestRefused, RequestFinished, ResultDropped, AttemptServed, AttemptFailed, ResultsRebuilt, RequestPlaced, RequestTurnedAway, AttemptRetried,
 		ServerCold, ServerWarm, ServerLeaving, StageCallFailed, ServerListed, ServerUnlisted, PoolDepth,
-		OwnershipTaken, OwnershipLost, LeaseExpired,
+		OwnershipTaken, OwnershipLost, OwnershipReleased, LeaseExpired,
 		ClaimUndecided, PrecedenceOverflow, DecisionBatch,
 	}
 }
--- a/ownership/commands.go
+++ b/ownership/commands.go
@@ -176,9 +176,14 @@
 			t.Logger.Write(event.OwnershipTaken, p, t.self.DataCentre, l.term)
 		}
 	}
+	end := event.OwnershipLost
+	if next.left {
+		// The instance has released its terms itself.
+		end = event.OwnershipReleased
+	}
 	for _, p := range before.ownPools() {
 		if l, owns := next.own[p]; !owns || l.term != before.own[p].term {
-			t.Logger.Write(event.OwnershipLost, p, t.self.DataCentre, before.own[p].term)
+			t.Logger.Write(end, p, t.self.DataCentre, before.own[p].term)
 		}
 	}
 }
