--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -26,9 +26,6 @@
 	largeSite = 16
 	// knownEvery is the number of heartbeats after which the known instances are told.
 	knownEvery = 8
-	// maxBreak is the longest break of this instance, such as a suspended machine,
-	// after which it may go on as coordinator.
-	maxBreak = 600 * time.Millisecond
 	// seedEvery is the number of heartbeats between attempts to reach a seed that no
 	// known instance has the address of.
 	seedEvery = 4
@@ -174,29 +171,6 @@
 	}
 }
 
-// heartbeatClock is when the last heartbeats went out.
-type heartbeatClock struct {
-	boot time.Duration
-	at   time.Time
-	// interval is that after which the next ones are due.
-	interval time.Duration
-	lag      lagMonitor
-}
-
-// checkFitness finds breaks of this instance, and a coordinator that runs too
-// slowly.
-func (i *Instance) checkFitness(c *heartbeatClock, now time.Time, isCoordinator bool) {
-	boot, ran := i.SinceBoot()-c.boot, now.Sub(c.at)
-	if boot > ran+maxBreak || ran > c.interval+2*maxBreak {
-		i.resume(boot, now)
-	}
-	if c.lag.isSlow(ran-c.interval, now) && isCoordinator && len(i.view().Reachable(now)) > 0 {
-		i.Logger.Write(event.SteppedDown, c.lag.lag.Milliseconds())
-		i.members.Commands().ResetFitness(now)
-	}
-	c.boot, c.at, c.interval = c.boot+boot, now, i.interval()
-}
-
 // changeCoordinator takes the work up, or hands it over, and tells the new
 // coordinator what it has to know.
 func (i *Instance) changeCoordinator(ctx context.Context, group *errgroup.Group, c membership.Instance) {
@@ -212,33 +186,6 @@
 	group.Go(func() error { return i.prepared.TakeOver(ctx) })
 }
 
-// lagMonitor is how late this instance runs what is due.
-type lagMonitor struct {
-	lag      time.Duration
-	changeAt time.Time
-}
-
-const (
-	// slowLag is the smoothed lag from which on an instance is too slow to
-	// coordinate; a calm one lags by a few milliseconds.
-	slowLag = 60 * time.Millisecond
-	// lagWeight is the weight of a new sample of the lag.
-	lagWeight = 0.3
-	// stayPut keeps the work from being passed around when all are slow.
-	stayPut = 8 * time.Second
-)
-
-// isSlow takes a sample of the lag and reports whether the instance should leave
-// the coordination to another one.
-func (p *lagMonitor) isSlow(late time.Duration, now time.Time) bool {
-	p.lag += time.Duration(lagWeight * float64(max(0, late)-p.lag))
-	if p.lag < slowLag || now.Sub(p.changeAt) < stayPut {
-		return false
-	}
-	p.changeAt = now
-	return true
-}
-
 // interval returns the interval of heartbeats: in a large site an instance that is no
 // candidate for coordinator heartbeats half as often.
 func (i *Instance) interval() time.Duration {
@@ -250,15 +197,6 @@
 	return heartbeatInterval
 }
 
-// resume takes up work after a break: others may have taken over meanwhile, and
-// what is known is old.
-func (i *Instance) resume(broke time.Duration, now time.Time) {
-	i.Logger.Write(event.Resumed, broke.Milliseconds())
-	i.members.Commands().ResetFitness(now)
-	i.routes.Commands().Invalidate()
-	i.feeds.Commands().Invalidate()
-}
-
 // target is an instance that gets a heartbeat.
 type target struct {
 	address string
@@ -339,67 +277,3 @@
 		}
 	}
 }
-
-const (
-	// registerEvery is how often instances look for others in the store.
-	registerEvery = 15 * time.Second
-	// registerRetry is the pause after a failed look.
-	registerRetry = time.Second
-	registerLimit = 1500 * time.Millisecond
-)
-
-// runRegistration writes the entry of this instance to the store once and looks
-// for those of others.
-func (i *Instance) runRegistration(ctx context.Context) error {
-	isWritten := false
-	for {
-		wait := registerEvery
-		if !isWritten {
-			isWritten = i.register(ctx) == nil
-		}
-		if err := i.discover(ctx); err != nil || !isWritten {
-			wait = registerRetry
-		}
-		if !pause(ctx, wait) {
-			return nil
-		}
-	}
-}
-
-func (i *Instance) register(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, registerLimit)
-	defer cancel()
-	data, err := codec.Marshal(i.view().Self())
-	if err != nil {
-		return err
-	}
-	return i.store.Put(ctx, platform.Instances, i.Settings.Name, data)
-}
-
-// unregister removes the entry of an instance that leaves.
-func (i *Instance) unregister(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, registerRetry)
-	defer cancel()
-	if err := i.store.Put(ctx, platform.Instances, i.Settings.Name, nil); err != nil {
-		i.Logger.Write(event.LogUnavailable, platform.Instances, err)
-	}
-}
-
-func (i *Instance) discover(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, registerLimit)
-	defer cancel()
-	records, _, err := i.store.Newest(ctx, platform.Instances)
-	if err != nil {
-		return err
-	}
-	var known []membership.Instance
-	for _, r := range records {
-		var m membership.Instance
-		if err := codec.Unmarshal(r.Value, &m); err != nil {
-			continue
-		}
-		known = append(known, m)
-	}
-	i.members.Commands().AddKnown(known, time.Now())
-	return nil
-}
