Let a test's task be entered more than once

TestStopDoesNotHang closed a channel each time that its task was entered. The first entry is told now, others are not.

--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -442,7 +442,7 @@
 	is := is.New(t)
 	s := newTestSite(t)
 	changed := make(chan os.Signal, 1)
-	entered, block := make(chan struct{}), make(chan struct{})
+	entered, block := make(chan struct{}, 1), make(chan struct{})
 	defer close(block)
 	i := New(platform.Settings{
 		Name: "n1", DataCentre: "a", Front: freeAddress(t), Ready: freeAddress(t), Peers: freeAddress(t),
@@ -450,7 +450,10 @@
 	}, io.Discard)
 	i.Changed = changed
 	i.Reload = func() (platform.Settings, error) {
-		close(entered)
+		select {
+		case entered <- struct{}{}:
+		default:
+		}
 		<-block
 		return i.Settings, nil
 	}
