Ask one instance at a time for records

Some ten machines, all with links of 10 Mbit/s, adopted nothing from 18.6 to 36 s and lost their peers as silent 20 to 35 times each. While a copy was old all five candidates were asked for records each half second; the configurations that came back filled the link, none arrived within 700 ms, connections counted as silent, and all were asked again.

Ruled out: a slow machine (its timers ran to the millisecond), a cut (it reached others in between), a store that was away for all (50 of 61 instances adopted).

Change: one answer with records is on its way at a time, from the coordinator, or from the candidates in turn while the copy is old; it may take 1.5 s.

--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -22,6 +22,9 @@
 	heartbeatInterval = 250 * time.Millisecond
 	// heartbeatLimit bounds a heartbeat with its answer.
 	heartbeatLimit = 700 * time.Millisecond
+	// recordsLimit bounds one whose answer has records: a configuration takes some
+	// hundred milliseconds on the link of a small machine.
+	recordsLimit = 1500 * time.Millisecond
 	// largeSite is the number of instances from which on most heartbeat half as often.
 	largeSite = 16
 	// knownEvery is the number of heartbeats after which the known instances are told.
@@ -206,24 +209,26 @@
 
 // targets returns who gets the heartbeats of a round: the first candidates for
 // coordinator, which stay in touch with all. An instance that leaves, or that has
-// news of operators, tells all that it reaches. The first candidate and one other in
-// turn are asked for records, all of them while the copies here are old.
+// news of operators, tells all that it reaches. One of them is asked for records: the
+// first candidate, or all in turn while the copies here are old. With several answers
+// at a time the link of a small machine was full, none came within its limit, and all
+// were asked again.
 func (i *Instance) targets(round int, now time.Time) []target {
 	v := i.view()
 	var targets []target
-	isOld := i.isCopyOld(now)
 	add := func(address string) {
 		isKnown := slices.ContainsFunc(targets, func(t target) bool { return t.address == address })
 		if address != i.Settings.Peers && !isKnown {
-			targets = append(targets, target{address: address, wantsRecords: isOld})
+			targets = append(targets, target{address: address})
 		}
 	}
 	candidates := v.Candidates(now)
 	for _, m := range candidates {
 		add(m.Address)
 	}
-	if n := len(targets); n > 0 {
-		targets[0].wantsRecords, targets[round%n].wantsRecords = true, true
+	asked := 0
+	if n := len(targets); n > 0 && i.isCopyOld(now) {
+		asked = round % n
 	}
 	if i.isPushing.Swap(false) || i.isLeaving() {
 		for _, m := range v.Reachable(now) {
@@ -235,10 +240,13 @@
 			add(seed)
 		}
 	}
+	if len(targets) > 0 && !i.isFetching.Load() {
+		targets[asked].wantsRecords = true
+	}
 	return targets
 }
 
-// oldCopy is the age from which on all candidates are asked for records.
+// oldCopy is the age from which on all candidates are asked for records in turn.
 const oldCopy = 800 * time.Millisecond
 
 func (i *Instance) isCopyOld(now time.Time) bool {
@@ -251,7 +259,16 @@
 }
 
 func (i *Instance) sendHeartbeat(ctx context.Context, to target, isFull bool) {
-	ctx, cancel := context.WithTimeout(ctx, heartbeatLimit)
+	limit := heartbeatLimit
+	if to.wantsRecords {
+		if !i.isFetching.CompareAndSwap(false, true) {
+			to.wantsRecords = false
+		} else {
+			defer i.isFetching.Store(false)
+			limit = recordsLimit
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	asked := time.Now()
 	question := i.heartbeat(isFull)
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -72,6 +72,8 @@
 	// all instances that are reached.
 	wake      chan struct{}
 	isPushing atomic.Bool
+	// isFetching tells that another instance is being asked for records.
+	isFetching atomic.Bool
 
 	latencies histograms
 	decisions *decisions
