Wait in a test for the record of an outcome

The caller has its answer before the record of the outcome is appended, and another instance that has the record of the claim by then says truthfully that the request may have run.

Change: the test waits until the outcome is in the log, and in rows without a fault until it has arrived at the other instance.

--- a/instance/claim_test.go
+++ b/instance/claim_test.go
@@ -164,7 +164,21 @@
 		if c.run && verdictOf(b1.ask("file", key)) != "ran" {
 			t.Fatal("the request didn't run:", c.name)
 		}
+		if c.run {
+			// The caller has its answer before the record of the outcome is in the log.
+			s.await(configurationBound, "the outcome is in the log", func() bool {
+				verdict, _ := b1.outcomeOf("lab", key)
+				return verdict == "ran"
+			})
+		}
 		verdict, output := a1.outcomeOf(c.workspace, key)
+		if c.fault == (logFault{}) {
+			// Between the records of the claim and of the outcome "may have run" is true.
+			s.await(configurationBound, "the outcome arrives", func() bool {
+				verdict, output = a1.outcomeOf(c.workspace, key)
+				return verdict != "may_have_run"
+			})
+		}
 		fmt.Fprintf(&table, "%-40s %-34s %s\n", c.name, verdict, strings.Map(withoutDigits, output))
 		a1.log.set(logFault{})
 	}
