--- a/stage/engine_test.go
+++ b/stage/engine_test.go
@@ -54,13 +54,13 @@
 		{name: "twice", breaks: []int{1, 1}},
 		{name: "at once after resuming", breaks: []int{1, 0}},
 		{name: "three times", breaks: []int{1, 1, 1}},
-		{name: "engine restarts", breaks: []int{2}, onBreak: func(r *rig) { r.standin = newStandin(r.t, request.Generate, work.Limits{}) }},
-		{name: "engine goes down", breaks: []int{2}, onBreak: func(r *rig) { r.standin.SetFault(fault.Fault{Down: true}) }},
-		{name: "another stream is resumed", breaks: []int{2}, onBreak: func(r *rig) { r.standin.SetFault(fault.Fault{Foreign: true}) }},
-		{name: "resumed in reverse order", breaks: []int{1}, onBreak: func(r *rig) { r.standin.SetFault(fault.Fault{Reorder: true}) }},
-		{name: "resumed with pieces twice", breaks: []int{1}, onBreak: func(r *rig) { r.standin.SetFault(fault.Fault{Repeat: true}) }},
-		{name: "resumed and cut short", breaks: []int{1}, onBreak: func(r *rig) { r.standin.SetFault(fault.Fault{CutShort: true}) }},
-		{name: "resuming is lost", breaks: []int{1}, onBreak: func(r *rig) { r.standin.SetFault(fault.Fault{LoseAnswer: true, Remaining: 1}) }},
+		{name: "engine restarts", breaks: []int{2}, onBreak: func(r *rig) { r.replace(newStandin(r.t, request.Generate, work.Limits{})) }},
+		{name: "engine goes down", breaks: []int{2}, onBreak: func(r *rig) { r.current().SetFault(fault.Fault{Down: true}) }},
+		{name: "another stream is resumed", breaks: []int{2}, onBreak: func(r *rig) { r.current().SetFault(fault.Fault{Foreign: true}) }},
+		{name: "resumed in reverse order", breaks: []int{1}, onBreak: func(r *rig) { r.current().SetFault(fault.Fault{Reorder: true}) }},
+		{name: "resumed with pieces twice", breaks: []int{1}, onBreak: func(r *rig) { r.current().SetFault(fault.Fault{Repeat: true}) }},
+		{name: "resumed and cut short", breaks: []int{1}, onBreak: func(r *rig) { r.current().SetFault(fault.Fault{CutShort: true}) }},
+		{name: "resuming is lost", breaks: []int{1}, onBreak: func(r *rig) { r.current().SetFault(fault.Fault{LoseAnswer: true, Remaining: 1}) }},
 	}
 	whole := wholeOutput(t, request.Generate)
 	var out strings.Builder
--- a/stage/rig_test.go
+++ b/stage/rig_test.go
@@ -98,12 +98,26 @@
 	r.arrived <- req.URL.Path
 	select {
 	case n := <-r.breakAfter:
-		r.standin.Handler.ServeHTTP(&breakingWriter{ResponseWriter: w, rig: r, left: n}, req)
+		r.current().Handler.ServeHTTP(&breakingWriter{ResponseWriter: w, rig: r, left: n}, req)
 	default:
-		r.standin.Handler.ServeHTTP(w, req)
+		r.current().Handler.ServeHTTP(w, req)
 	}
 }
 
+// current returns the stand-in, replace puts another one in its place. Calls that
+// cancel others may be served meanwhile.
+func (r *rig) current() *standin.Standin {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.standin
+}
+
+func (r *rig) replace(s *standin.Standin) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.standin = s
+}
+
 // countingConn counts the bytes that are written.
 type countingConn struct {
 	net.Conn
