Give test instances addresses that nothing else takes

The tests asked the system for a free port, closed it, and the process opened it later; in between, a connection or a listener of another test package could take it. The logs of that run are lost, so that the cause is deduced: the same was seen in entry, where a loop tried other addresses.

The loop in entry is not needed any more. A soak run now prints the end of the log of an instance that ended by itself.

--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -3,10 +3,8 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -19,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lycheecrank.example/platform"
+	"lycheecrank.example/standin/link"
 	"lycheecrank.example/standin/site"
 )
 
@@ -100,15 +99,6 @@
 	})
 }
 
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 // start starts instances and waits until they are ready and hear each other.
 func (s *testSite) start(names ...string) {
 	s.t.Helper()
@@ -120,43 +110,38 @@
 	}
 }
 
-// startNode starts an instance and waits until it is ready. Another process or
-// connection may take one of its addresses before it listens: then it gets others.
+// startNode starts an instance and waits until it is ready.
 func (s *testSite) startNode(name string) *node {
 	s.t.Helper()
-	for {
-		log := &bytes.Buffer{}
-		i := New(platform.Settings{
-			Name: name, DataCentre: "a", Front: freeAddress(s.t), Ready: freeAddress(s.t), Peers: freeAddress(s.t),
-			Store: s.store.Address(), DrainGrace: 8 * time.Second, RetryRatio: 1, RetrySlack: 100,
-		}, log)
-		ctx, stop := context.WithCancel(context.Background())
-		n := &node{Instance: i, stop: stop, done: make(chan error, 1), log: log}
-		var group errgroup.Group
-		group.Go(func() error {
-			n.done <- i.Run(ctx)
-			return nil
-		})
-		s.t.Cleanup(func() {
-			stop()
-			_ = group.Wait()
-		})
-		var err error
-		s.await(name+" is ready", func() bool {
-			select {
-			case err = <-n.done:
-				return true
-			default:
-				return n.readyStatus() == http.StatusOK
-			}
-		})
-		switch {
-		case err == nil:
-			return n
-		case !errors.Is(err, syscall.EADDRINUSE):
-			s.t.Fatalf("%s ended: %v", name, err)
+	log := &bytes.Buffer{}
+	i := New(platform.Settings{
+		Name: name, DataCentre: "a", Front: link.NewAddress(), Ready: link.NewAddress(), Peers: link.NewAddress(),
+		Store: s.store.Address(), DrainGrace: 8 * time.Second, RetryRatio: 1, RetrySlack: 100,
+	}, log)
+	ctx, stop := context.WithCancel(context.Background())
+	n := &node{Instance: i, stop: stop, done: make(chan error, 1), log: log}
+	var group errgroup.Group
+	group.Go(func() error {
+		n.done <- i.Run(ctx)
+		return nil
+	})
+	s.t.Cleanup(func() {
+		stop()
+		_ = group.Wait()
+	})
+	var err error
+	s.await(name+" is ready", func() bool {
+		select {
+		case err = <-n.done:
+			return true
+		default:
+			return n.readyStatus() == http.StatusOK
 		}
+	})
+	if err != nil {
+		s.t.Fatalf("%s ended: %v", name, err)
 	}
+	return n
 }
 
 func (s *testSite) await(what string, met func() bool) {
@@ -445,7 +430,7 @@
 	entered, block := make(chan struct{}, 1), make(chan struct{})
 	defer close(block)
 	i := New(platform.Settings{
-		Name: "n1", DataCentre: "a", Front: freeAddress(t), Ready: freeAddress(t), Peers: freeAddress(t),
+		Name: "n1", DataCentre: "a", Front: link.NewAddress(), Ready: link.NewAddress(), Peers: link.NewAddress(),
 		Store: s.store.Address(), DrainGrace: time.Second, RetryRatio: 1, RetrySlack: 100,
 	}, io.Discard)
 	i.Changed = changed
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -3,14 +3,12 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync/atomic"
 	"syscall"
-	"testing"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -41,19 +39,10 @@
 	isExpected atomic.Bool
 }
 
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
-// newInstance writes the settings of an instance. The seeds are set later.
-func newInstance(t *testing.T, folder, name string) *instance {
+// newInstance returns an instance that keeps its settings and its log in a folder.
+func newInstance(folder, name string) *instance {
 	return &instance{
-		name: name, front: freeAddress(t), ready: freeAddress(t), peers: freeAddress(t),
+		name: name, front: link.NewAddress(), ready: link.NewAddress(), peers: link.NewAddress(),
 		settings: filepath.Join(folder, name+".toml"), log: filepath.Join(folder, name+".log"),
 	}
 }
@@ -99,6 +88,18 @@
 	}
 }
 
+// logTailSize is how much of the log of an instance that ended by itself is reported.
+const logTailSize = 1500
+
+// logTail returns the end of the log of the instance.
+func (i *instance) logTail() []byte {
+	data, err := os.ReadFile(i.log)
+	if err != nil {
+		return []byte(err.Error())
+	}
+	return data[max(0, len(data)-logTailSize):]
+}
+
 // signal sends a signal to the process by its ID.
 func (p *process) signal(s syscall.Signal) {
 	if !p.hasExited() {
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -58,7 +58,7 @@
 	s.configure("key-0")
 	var seeds []string
 	for n := range instances {
-		i := newInstance(t, t.TempDir(), fmt.Sprint("n", n+1))
+		i := newInstance(t.TempDir(), fmt.Sprint("n", n+1))
 		i.store, i.clients = s.newLink(ctx, s.store.Address()), s.newLink(ctx, i.front)
 		s.instances = append(s.instances, i)
 		seeds = append(seeds, i.peers)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -135,7 +135,7 @@
 		i.store.Set(link.State{})
 		i.clients.Set(link.State{})
 		if i.process.hasExited() && !i.process.isExpected.Load() {
-			s.t.Errorf("%s ended by itself: %s", i.name, i.process.command.ProcessState)
+			s.t.Errorf("%s ended by itself: %s; its log ends with:\n%s", i.name, i.process.command.ProcessState, i.logTail())
 			s.start(i)
 		}
 	}
