Cool the servers of a data centre when it returns, too

Cause: TestTakenOutDataCentreGetsNoNewWork/log up failed once beside a load of 20: a cold server fell over. The servers were taken as cold when the data centre was taken out. What they reported after that moment, still warm, counted as a report from the cold phase; a server that turned cold while it was out then got a second step after one success, before its first report that says cold arrived.

Ruled out: a call on its way; with load reports 2 s late and steps of 300 ms the same symptom shows in 2 of 2 runs without any load.

Change: the servers are cooled at the return as well, so that only reports measured after it count.

--- a/entry/decisions.go
+++ b/entry/decisions.go
@@ -90,7 +90,7 @@
 		data, err := d.seal(b)
 		if err != nil {
 			d.commands.Returned(b)
-			d.logger.Write(event.LogRecordUnread, "decisions", b.First, err)
+			d.logger.Write(event.DecisionsUnsealed, b.First, err)
 			return
 		}
 		a := b.Anchor()
--- a/event/events.go
+++ b/event/events.go
@@ -51,6 +51,7 @@
 	ClaimUndecided       = Event{701, log.WarnLevel, "claim undecided", []string{"key", "error"}, "A claim could not be read back, so its request was refused as not run."}
 	DecisionBatch        = Event{802, log.InfoLevel, "decision records", []string{"records", "first", "last", "data"}, "Signed records of decisions on this instance, for lycheectl precedence; the store of the users' platform has the end of the chain."}
 	PrecedenceOverflow   = Event{801, log.ErrorLevel, "precedence records lost", []string{"count"}, "The buffer of decision records overflowed during an outage; a gap record tells the number."}
+	DecisionsUnsealed    = Event{803, log.ErrorLevel, "decision records not sealed", []string{"first", "error"}, "Records of decisions could not be encoded or signed; they are kept and tried again. It shows a fault of the program."}
 )
 
 // All returns every event by number.
@@ -62,6 +63,6 @@
 		RequestRefused, RequestFinished, ResultDropped, AttemptServed, AttemptFailed, ResultsRebuilt, RequestPlaced, RequestTurnedAway, AttemptRetried,
 		ServerCold, ServerWarm, ServerLeaving, StageCallFailed, ServerListed, ServerUnlisted, PoolDepth,
 		OwnershipTaken, OwnershipLost, OwnershipReleased, LeaseExpired,
-		ClaimUndecided, PrecedenceOverflow, DecisionBatch,
+		ClaimUndecided, PrecedenceOverflow, DecisionsUnsealed, DecisionBatch,
 	}
 }
--- a/instance/catalogue.go
+++ b/instance/catalogue.go
@@ -122,17 +122,15 @@
 }
 
 // followOpen cools the servers when this data centre is taken out or put on
-// hold, so that it is filled by steps when it returns.
+// hold, and again when it returns, so that it is filled by steps: servers may have
+// turned cold meanwhile, and what they reported before that may arrive afterwards.
 func (i *Instance) followOpen() {
 	now := time.Now()
-	open := i.catalogueQueries.IsOpen(i.self.DataCentre, now)
-	closed := !open
+	closed := !i.catalogueQueries.IsOpen(i.self.DataCentre, now)
 	if i.closed.Swap(closed) == closed {
 		return
 	}
-	if closed {
-		i.backendCommands.Cool(now)
-	}
+	i.backendCommands.Cool(now)
 	// Steps that wait here are refused, or may be served now.
 	i.dispatchCommands.Wake()
 }
