Leave no server idle for the sake of one that is overdue

A dump of the queue showed why: all pieces waited for one busy server whose call was overdue by 0.5 to 1.3 s (its links were cut). What is left of a call counted as nothing once it was overdue, and its speed was 3% better than that of the idle ones. Behind it the room of the stage before filled up, which stopped that pool too.

Ruled out: blocked servers, room, workers, calls lost.

Change: a busy server has to be better by 25 ms, and one that is overdue is expected to need as long again. TestBusyServerIsNoReasonToWait failed first.

Also: in an overload that lasts each piece waits until its latest start whatever its class; now stages of lower classes are put behind those of better classes that would start too late after them, and new requests of such a class count the whole queue for their early refusal (TestDisplacement).

--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -113,6 +113,93 @@
 	})
 }
 
+// Guards against pieces that wait for a busy server because it was a little faster than
+// idle ones, or because the end of its call seems near: one that is overdue may never
+// end.
+func TestBusyServerIsNoReasonToWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable()
+		c := table.Commands()
+		places := []Place{{ID: "s1", Address: "10.0.0.1:1", DataCentre: "a"}, {ID: "s2", Address: "10.0.0.2:1", DataCentre: "a"}}
+		c.SetPool(spec(), places)
+		end := func(call Call, took time.Duration) {
+			time.Sleep(took)
+			var made []Made
+			for _, p := range call.Pieces {
+				made = append(made, Made{p, fmt.Sprint(call.Number, p.Identity)})
+			}
+			c.End(call, made, time.Now())
+			for _, m := range made {
+				c.Release([]string{m.Handle})
+			}
+		}
+		take := func(request string) Call {
+			c.Enqueue(pieces(request, 1, 1, time.Now().Add(time.Second)))
+			call, ok := table.next(time.Now())
+			is.True(ok) // a server is idle
+			return call
+		}
+		// The second server is slower by some milliseconds.
+		for n := range 6 {
+			a, b := take(fmt.Sprint("a", n)), take(fmt.Sprint("b", n))
+			end(a, a.Usual)
+			end(b, 15*time.Millisecond)
+		}
+		stuck := take("stuck")
+		is.Equal(stuck.Server.ID, "s1")
+		for _, passed := range []time.Duration{stuck.Usual - 3*time.Millisecond, 3 * time.Millisecond, 200 * time.Millisecond} {
+			time.Sleep(passed)
+			call := take(fmt.Sprint("after ", passed))
+			is.Equal(call.Server.ID, "s2")
+			end(call, 0)
+		}
+	})
+}
+
+// Guards against an overload that makes all classes late alike, against lower classes
+// that are put off though there is time for all, and against requests of which only
+// some pieces are put off.
+func TestDisplacement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable()
+		c := table.Commands()
+		c.SetPool(spec(), []Place{{ID: "s1", Address: "10.0.0.1:1"}}) // 6 pieces in 260 ms
+		order := func() string {
+			var names []string
+			for {
+				call, ok := table.next(time.Now())
+				if !ok {
+					return strings.Join(names, ", ")
+				}
+				names = append(names, strings.TrimPrefix(describe(call), "s1 gets "))
+				time.Sleep(call.Usual)
+				var made []Made
+				for _, p := range call.Pieces {
+					made = append(made, Made{p, describe(call) + fmt.Sprint(p.Identity)})
+				}
+				c.End(call, made, time.Now())
+				for _, m := range made {
+					c.Release([]string{m.Handle})
+				}
+			}
+		}
+		in := func(d time.Duration) time.Time { return time.Now().Add(d) }
+		c.Enqueue(pieces("low", 6, 2, in(100*time.Millisecond)))
+		c.Enqueue(pieces("high", 6, 0, in(500*time.Millisecond)))
+		is.Equal(order(), "low/0 low/1 low/2 low/3 low/4 low/5, high/0 high/1 high/2 high/3 high/4 high/5") // time for both
+		c.Enqueue(pieces("low", 6, 2, in(100*time.Millisecond)))
+		c.Enqueue(pieces("low2", 6, 2, in(101*time.Millisecond)))
+		c.Enqueue(pieces("high", 6, 0, in(450*time.Millisecond)))
+		is.Equal(order(), "low/0 low/1 low/2 low/3 low/4 low/5, high/0 high/1 high/2 high/3 high/4 high/5, low2/0 low2/1 low2/2 low2/3 low2/4 low2/5")
+		c.Enqueue(pieces("low", 6, 0, in(100*time.Millisecond)))
+		c.Enqueue(pieces("low2", 3, 0, in(300*time.Millisecond)))
+		c.Enqueue(pieces("high", 6, 0, in(350*time.Millisecond)))
+		is.Equal(order(), "low/0 low/1 low/2 low/3 low/4 low/5, low2/0 low2/1 low2/2 high/0 high/1 high/2, high/3 high/4 high/5") // one class
+	})
+}
+
 // Guards against results for which a server has no room, and room that is never
 // given back.
 func TestRoom(t *testing.T) {
--- a/batch/choose.go
+++ b/batch/choose.go
@@ -14,6 +14,10 @@
 	bulkyBytes = 256 << 10
 )
 
+// busyMargin is what a busy server must be better than an idle one by for a piece to
+// wait for it. The speeds of servers differ by a few percent from call to call.
+const busyMargin = 25 * time.Millisecond
+
 // maxHeldBack is the number of pieces that may wait for a busy server, one after the
 // other, before an idle one is left idle.
 const maxHeldBack = 48
@@ -101,7 +105,7 @@
 		}
 		cost := s.expected(spec, 1) + penalty(p, s)
 		if s.Calls >= spec.Slots {
-			cost += max(s.Free.Sub(now), 0) + spec.ItemTime
+			cost += s.untilFree(now) + busyMargin
 		}
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
--- a/batch/queries.go
+++ b/batch/queries.go
@@ -64,12 +64,7 @@
 	if rate <= 0 {
 		return 0
 	}
-	ahead := p.queue.size()
-	// The identity sorts behind those of pieces with the same start.
-	if probe := (Piece{Identity: Identity{Request: "\uffff"}, Start: start, Rank: rank}); !probe.isLate(now) {
-		ahead, _ = slices.BinarySearchFunc(p.queue.onTime, probe, compareOnTime)
-	}
-	return time.Duration(float64(ahead) / rate * float64(time.Second))
+	return time.Duration(p.queue.ahead(start, rank, now) / rate * float64(time.Second))
 }
 
 // Overdue is a request that can't be made in its time, and how long what is before it
--- a/batch/server.go
+++ b/batch/server.go
@@ -145,6 +145,10 @@
 // isBlocked reports whether the server may get no call at the moment.
 func (s Server) isBlocked(now time.Time) bool { return s.isUnlisted || now.Before(s.blockedUntil) }
 
+// untilFree returns how long the server is expected to be busy. One that is overdue may
+// never end its call: it is expected to need as long again.
+func (s Server) untilFree(now time.Time) time.Duration { return s.Free.Sub(now).Abs() }
+
 // expected returns the time that a call of some pieces is expected to take.
 func (s Server) expected(spec Spec, pieces int) time.Duration {
 	return time.Duration(float64(spec.duration(pieces)) * s.Slowness)
--- a/batch/table.go
+++ b/batch/table.go
@@ -1,7 +1,6 @@
 package batch
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -87,6 +86,7 @@
 			continue
 		}
 		p.queue.age(now)
+		p.queue.displace(p.spec, p.rate(now), now)
 		call, ok := choose(p.spec, t.reachable(p, now), p.queue.first(lookAhead), p.queue.size(), now)
 		if !ok {
 			continue
@@ -195,84 +195,3 @@
 		}
 	}
 }
-
-// lookAhead is the number of waiting pieces among which a call is chosen. Others
-// wait behind them in any case.
-const lookAhead = 160
-
-// queue holds the waiting pieces of a pool in the order of their urgency.
-type queue struct {
-	// onTime can still meet their objectives, late can not.
-	onTime []Piece
-	late   []Piece
-}
-
-func (q *queue) isEmpty() bool { return len(q.onTime) == 0 && len(q.late) == 0 }
-
-func (q *queue) size() int { return len(q.onTime) + len(q.late) }
-
-// add puts a piece in its place.
-func (q *queue) add(p Piece, now time.Time) {
-	if p.isLate(now) {
-		q.late = insert(q.late, p, compareLate)
-		return
-	}
-	q.onTime = insert(q.onTime, p, compareOnTime)
-}
-
-func insert(pieces []Piece, p Piece, compare func(a, b Piece) int) []Piece {
-	at, _ := slices.BinarySearchFunc(pieces, p, compare)
-	return slices.Insert(pieces, at, p)
-}
-
-// age moves pieces that can no longer meet their objectives.
-func (q *queue) age(now time.Time) {
-	if !slices.ContainsFunc(q.onTime, func(p Piece) bool { return p.isLate(now) }) {
-		return
-	}
-	kept := make([]Piece, 0, len(q.onTime))
-	for _, p := range q.onTime {
-		if p.isLate(now) {
-			q.late = insert(q.late, p, compareLate)
-		} else {
-			kept = append(kept, p)
-		}
-	}
-	q.onTime = kept
-}
-
-// first returns the most urgent pieces.
-func (q *queue) first(most int) []Piece {
-	pieces := slices.Clone(q.onTime[:min(most, len(q.onTime))])
-	return append(pieces, q.late[:min(most-len(pieces), len(q.late))]...)
-}
-
-// remove takes pieces out.
-func (q *queue) remove(pieces []Piece) {
-	taken := make(map[Identity]bool, len(pieces))
-	for _, p := range pieces {
-		taken[p.Identity] = true
-	}
-	isTaken := func(p Piece) bool { return taken[p.Identity] }
-	q.onTime = slices.DeleteFunc(q.onTime, isTaken)
-	q.late = slices.DeleteFunc(q.late, isTaken)
-}
-
-// removeRequest takes the pieces of a request out.
-func (q *queue) removeRequest(request string) {
-	isOfRequest := func(p Piece) bool { return p.Request == request }
-	q.onTime = slices.DeleteFunc(q.onTime, isOfRequest)
-	q.late = slices.DeleteFunc(q.late, isOfRequest)
-}
-
-// compareOnTime orders pieces that can be on time by their latest start, with a
-// bias for better classes.
-func compareOnTime(a, b Piece) int {
-	return cmp.Or(a.biasedStart().Compare(b.biasedStart()), compareIdentity(a, b))
-}
-
-// compareLate orders late pieces by class and deadline. They go after the others:
-// a late piece that went first would make another one late as well.
-func compareLate(a, b Piece) int {
-	return cmp.Or(cmp.Compare(a.Rank, b.Rank), a.Deadline.Compare(b.Deadline), compareIdentity(a, b))
-}
