--- a/batch/choose.go
+++ b/batch/choose.go
@@ -101,7 +101,7 @@
 func bestServer(spec Spec, servers []Server, p Piece, now time.Time) (Server, bool) {
 	best, bestCost := -1, time.Duration(0)
 	for i, s := range servers {
-		if s.isBlocked(now) || s.ID == p.Avoid && len(servers) > 1 || s.taken(now)+p.Bytes > spec.Room {
+		if s.isBlocked(now) || s.ID == p.Avoid && len(servers) > 1 || !s.hasRoom(spec, p.Bytes, now) {
 			continue
 		}
 		cost := s.expected(spec, 1, now) + penalty(p, s)
@@ -140,7 +140,7 @@
 // fill returns the pieces of a call that begins with one piece: all that may go
 // to the server in order of urgency, and the rest of a request that has begun.
 func fill(spec Spec, s Server, first Piece, waiting []Piece, limit int, now time.Time) []Piece {
-	room := spec.Room - s.taken(now) - first.Bytes
+	room := spec.usable() - s.taken(now) - first.Bytes
 	pieces := []Piece{first}
 	add := func(p Piece) {
 		if p.Identity != first.Identity && p.Bytes <= room && p.Avoid != s.ID {
--- a/batch/server.go
+++ b/batch/server.go
@@ -20,6 +20,14 @@
 	Life time.Duration
 }
 
+// roomShare is the part of a server's room that is used. Results differ in size from
+// what their pool declares: of calls that filled the room up, one in three came back
+// with a piece that had found none.
+const roomShare = 0.94
+
+// usable returns how many bytes of results are given to a server.
+func (s Spec) usable() int64 { return int64(roomShare * float64(s.Room)) }
+
 // duration returns the usual time of a call with some pieces.
 func (s Spec) duration(pieces int) time.Duration {
 	return s.CallTime + time.Duration(pieces)*s.ItemTime
@@ -169,6 +177,13 @@
 	return s
 }
 
+// hasRoom reports whether a result still has room at the server. An empty one takes it
+// whatever its size.
+func (s Server) hasRoom(spec Spec, bytes int64, now time.Time) bool {
+	taken := s.taken(now)
+	return taken == 0 || taken+bytes <= spec.usable()
+}
+
 // isBlocked reports whether the server may get no call at the moment.
 func (s Server) isBlocked(now time.Time) bool { return s.isUnlisted || now.Before(s.blockedUntil) }
 
--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -64,8 +64,10 @@
 	// way there and links of 10 Gbit/s take some 10 ms, the call takes 200 ms or more.
 	fetchTime = 100 * time.Millisecond
 	// crowdedShare is the taken part of a pool's room from which on results are given
-	// up once they are fetched. It is below the point at which calls get smaller.
-	crowdedShare = 0.6
+	// up once they are fetched, crowdedDelay the wait there from which on: one request
+	// in 30 loses a piece after that and begins again.
+	crowdedShare = 0.7
+	crowdedDelay = 100 * time.Millisecond
 	// closeReserve is the time before the deadline at which a request that can't
 	// be prepared is given up, so that its refusal arrives.
 	closeReserve = 60 * time.Millisecond
@@ -248,7 +250,8 @@
 
 func (d *Coordinator) knowledge() knowledge {
 	isCrowded := func(pool string) bool {
-		return d.Batches.Queries().Depth(pool, time.Now()).RoomTaken >= crowdedShare
+		depth := d.Batches.Queries().Depth(pool, time.Now())
+		return depth.RoomTaken >= crowdedShare && depth.Delay >= crowdedDelay
 	}
 	return knowledge{usual: d.usual, place: d.Batches.Queries().DataCentre, isCrowded: isCrowded}
 }
