--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -25,7 +25,7 @@
 	var ps []Piece
 	for n := range count {
 		ps = append(ps, Piece{
-			Identity: Identity{Request: request, Number: n}, Pool: "encoders", Bytes: 1 << 20, Rank: rank,
+			Identity: Identity{Request: request, Number: n}, Pool: "encoders", Bytes: 1 << 20, Class: Class{Rank: rank},
 			Start: start, Deadline: start.Add(5 * time.Second), QueuedAt: start,
 		})
 	}
@@ -226,6 +226,15 @@
 		c.Enqueue(pieces("low2", 6, 2, in(101*time.Millisecond)))
 		c.Enqueue(pieces("high", 6, 0, in(450*time.Millisecond)))
 		is.Equal(order(), "low/0 low/1 low/2 low/3 low/4 low/5, high/0 high/1 high/2 high/3 high/4 high/5, low2/0 low2/1 low2/2 low2/3 low2/4 low2/5")
+		drafts, chats := pieces("draft", 6, 1, in(450*time.Millisecond)), pieces("chat", 6, 1, in(101*time.Millisecond))
+		for i := range chats {
+			chats[i].RouteRank = 2
+		}
+		c.Enqueue(pieces("first", 6, 1, in(100*time.Millisecond)))
+		c.Enqueue(chats)
+		c.Enqueue(drafts)
+		is.Equal(order(), "first/0 first/1 first/2 first/3 first/4 first/5, draft/0 draft/1 draft/2 draft/3 draft/4 draft/5, "+
+			"chat/0 chat/1 chat/2 chat/3 chat/4 chat/5") // routes of one class
 		c.Enqueue(pieces("low", 6, 0, in(100*time.Millisecond)))
 		c.Enqueue(pieces("low2", 3, 0, in(300*time.Millisecond)))
 		c.Enqueue(pieces("high", 6, 0, in(350*time.Millisecond)))
--- a/batch/piece.go
+++ b/batch/piece.go
@@ -21,6 +21,20 @@
 	Bytes      int64
 }
 
+// Class is how urgent a request is among others: by the rank of its workspace's class,
+// then by that of its route. 0 is served first. Where workspaces have ranks, those of
+// routes alone would say nothing, and those of workspaces don't tell a draft from a
+// chat.
+type Class struct {
+	Rank      int
+	RouteRank int
+}
+
+// compare is negative if the class goes before another one.
+func (c Class) compare(other Class) int {
+	return cmp.Or(cmp.Compare(c.Rank, other.Rank), cmp.Compare(c.RouteRank, other.RouteRank))
+}
+
 // Piece is a part of a stage of a request.
 type Piece struct {
 	Identity
@@ -31,8 +45,7 @@
 	Inputs []string
 	// Bytes is the approximate size of its result.
 	Bytes int64
-	// Rank is the class of the request; 0 is served first.
-	Rank int
+	Class
 	// Start is the latest start that lets the request meet its objective.
 	Start time.Time
 	// Deadline is the end of the time that the request has.
@@ -48,14 +61,19 @@
 	QueuedAt time.Time
 }
 
-// rankBias is by how much a class goes before the next one while all can still
-// meet their objectives.
-const rankBias = 150 * time.Millisecond
+// rankBias and routeRankBias are by how much a class goes before the next one while all
+// can still meet their objectives.
+const (
+	rankBias      = 150 * time.Millisecond
+	routeRankBias = 75 * time.Millisecond
+)
 
 // isLate reports whether the request can no longer meet its objective.
 func (p Piece) isLate(now time.Time) bool { return now.After(p.Start) }
 
-func (p Piece) biasedStart() time.Time { return p.Start.Add(time.Duration(p.Rank) * rankBias) }
+func (p Piece) biasedStart() time.Time {
+	return p.Start.Add(time.Duration(p.Rank)*rankBias + time.Duration(p.RouteRank)*routeRankBias)
+}
 
 // compareIdentity keeps the pieces of a request together.
 func compareIdentity(a, b Piece) int {
--- a/batch/queries.go
+++ b/batch/queries.go
@@ -52,7 +52,7 @@
 
 // Wait estimates how long a piece of a class with a latest start would wait if it
 // were queued now.
-func (q Queries) Wait(name string, start time.Time, rank int, now time.Time) time.Duration {
+func (q Queries) Wait(name string, start time.Time, c Class, now time.Time) time.Duration {
 	t := q.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -64,7 +64,7 @@
 	if rate <= 0 {
 		return 0
 	}
-	return time.Duration(p.queue.ahead(start, rank, now) / rate * float64(time.Second))
+	return time.Duration(p.queue.ahead(start, c, now) / rate * float64(time.Second))
 }
 
 // Overdue is a request that can't be made in its time, and how long what is before it
--- a/batch/queue.go
+++ b/batch/queue.go
@@ -22,8 +22,8 @@
 // displacement is when pieces of a class and of worse ones were put off for better
 // ones.
 type displacement struct {
-	rank int
-	at   time.Time
+	class Class
+	at    time.Time
 }
 
 // displacementLife is how long an overload counts after the last piece that was put
@@ -31,16 +31,16 @@
 const displacementLife = 500 * time.Millisecond
 
 // covers reports whether a new piece of a class would be put off.
-func (d displacement) covers(rank int, now time.Time) bool {
-	return !d.at.IsZero() && rank >= d.rank && now.Sub(d.at) <= displacementLife
+func (d displacement) covers(c Class, now time.Time) bool {
+	return !d.at.IsZero() && c.compare(d.class) >= 0 && now.Sub(d.at) <= displacementLife
 }
 
 // with returns the displacement after a piece of a class was put off.
-func (d displacement) with(rank int, now time.Time) displacement {
-	if d.covers(rank, now) {
-		return displacement{d.rank, now}
+func (d displacement) with(c Class, now time.Time) displacement {
+	if d.covers(c, now) {
+		return displacement{d.class, now}
 	}
-	return displacement{rank, now}
+	return displacement{c, now}
 }
 
 func (q *queue) isEmpty() bool { return len(q.onTime) == 0 && len(q.late) == 0 }
@@ -87,11 +87,11 @@
 	kept := make([]Piece, 0, len(q.onTime))
 	for _, p := range q.onTime {
 		for p.startsLate(len(kept), spec, perSecond, now) {
-			victim, ok := lowest(kept, p.Rank)
+			victim, ok := lowest(kept, p.Class)
 			if !ok {
 				break
 			}
-			q.displaced = q.displaced.with(victim.Rank, now)
+			q.displaced = q.displaced.with(victim.Class, now)
 			isOfVictim := func(other Piece) bool { return other.Request == victim.Request && other.Stage == victim.Stage }
 			for _, other := range kept {
 				if isOfVictim(other) {
@@ -125,11 +125,11 @@
 	return p.isLate(now.Add(time.Duration(float64(whole) / perSecond * float64(time.Second))))
 }
 
-// lowest returns the last piece of the lowest class below a rank.
-func lowest(pieces []Piece, rank int) (Piece, bool) {
+// lowest returns the last piece of the lowest class below a class.
+func lowest(pieces []Piece, c Class) (Piece, bool) {
 	at := -1
 	for i, p := range pieces {
-		if p.Rank > rank && (at < 0 || p.Rank >= pieces[at].Rank) {
+		if p.compare(c) > 0 && (at < 0 || p.compare(pieces[at].Class) >= 0) {
 			at = i
 		}
 	}
@@ -141,13 +141,13 @@
 
 // ahead estimates how many pieces are made before one of a class with a latest start
 // that is queued now.
-func (q *queue) ahead(start time.Time, rank int, now time.Time) float64 {
+func (q *queue) ahead(start time.Time, c Class, now time.Time) float64 {
 	// The identity sorts behind those of pieces with the same start.
-	probe := Piece{Identity: Identity{Request: "\uffff"}, Start: start, Rank: rank}
+	probe := Piece{Identity: Identity{Request: "\uffff"}, Start: start, Class: c}
 	switch {
 	case probe.isLate(now):
 		return float64(q.size())
-	case q.displaced.covers(rank, now):
+	case q.displaced.covers(c, now):
 		return lateWaitFactor * float64(q.size())
 	}
 	place, _ := slices.BinarySearchFunc(q.onTime, probe, compareOnTime)
@@ -187,5 +187,5 @@
 // compareLate orders late pieces by class and deadline. They go after the others:
 // a late piece that went first would make another one late as well.
 func compareLate(a, b Piece) int {
-	return cmp.Or(cmp.Compare(a.Rank, b.Rank), a.Deadline.Compare(b.Deadline), compareIdentity(a, b))
+	return cmp.Or(a.compare(b.Class), a.Deadline.Compare(b.Deadline), compareIdentity(a, b))
 }
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -28,7 +28,7 @@
 // order returns the order to prepare the request.
 func (v routed) order() preparation.Order {
 	o := preparation.Order{
-		Request: v.attempt.ID, Pool: v.pool.Name, Key: v.attempt.PieceKey, Prompt: v.attempt.Prompt, Rank: v.rank,
+		Request: v.attempt.ID, Pool: v.pool.Name, Key: v.attempt.PieceKey, Prompt: v.attempt.Prompt, Rank: v.rank, RouteRank: v.route.Rank,
 	}
 	for i, st := range v.route.Stages {
 		pieces := 0
--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -233,7 +233,7 @@
 	expected := time.Duration(0)
 	for i, s := range o.Stages {
 		if s.Pieces > 0 {
-			wait := d.Batches.Queries().Wait(s.Pool, latestStart(j, i, d.usual), o.Rank, now)
+			wait := d.Batches.Queries().Wait(s.Pool, latestStart(j, i, d.usual), o.class(), now)
 			expected = max(expected, wait) + d.usual(s.Pool, callPieces)
 		}
 	}
--- a/preparation/job.go
+++ b/preparation/job.go
@@ -299,7 +299,7 @@
 		}
 		pieces = append(pieces, batch.Piece{
 			Identity: batch.Identity{Request: j.order.Request, Stage: stage, Number: n},
-			Pool:     s.Pool, Key: key, Inputs: inputs, Bytes: s.Bytes, Rank: j.order.Rank,
+			Pool:     s.Pool, Key: key, Inputs: inputs, Bytes: s.Bytes, Class: j.order.class(),
 			Start: start, Deadline: j.deadline, Near: j.near, Inflow: inflow, QueuedAt: now,
 		})
 	}
--- a/preparation/order.go
+++ b/preparation/order.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"lycheecrank.example/batch"
 	"lycheecrank.example/engine"
 	"lycheecrank.example/request"
 )
@@ -32,8 +33,9 @@
 	Stages []Stage       `msgpack:"stages"`
 	Key    string        `msgpack:"key"`
 	Prompt engine.Prompt `msgpack:"prompt"`
-	// Rank is the class; 0 is served first.
-	Rank int `msgpack:"rank"`
+	// Rank is the class; 0 is served first. RouteRank orders the requests of a class.
+	Rank      int `msgpack:"rank"`
+	RouteRank int `msgpack:"routeRank"`
 	// Objective and Deadline are the times that are left. Limit is the time in which
 	// the client may come back after a refusal; it is longer than Deadline if the
 	// client waits less for one answer.
@@ -54,6 +56,8 @@
 	IsForced bool `msgpack:"isForced,omitempty"`
 }
 
+func (o Order) class() batch.Class { return batch.Class{Rank: o.Rank, RouteRank: o.RouteRank} }
+
 // Ending is how a request ended at its engine.
 type Ending int
 
