Refuse requests whose inputs would expire while they wait

What waits longer finds its inputs gone and begins again.

Change: late pieces that would start after the life of their inputs count as unattainable, as those past their deadline do. TestInputsExpire.

--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -190,6 +190,48 @@
 	})
 }
 
+// Guards against requests that wait until their inputs have expired, after which all of
+// their stages are made again for the same queue.
+func TestInputsExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable()
+		c, q := table.Commands(), table.Queries()
+		s := spec() // 6 pieces in 260 ms
+		s.Life = 2 * time.Second
+		c.SetPool(s, []Place{{ID: "s1", Address: "10.0.0.1:1"}})
+		overdue := func() []string {
+			var requests []string
+			for _, o := range q.Unattainable(0, time.Now()) {
+				requests = append(requests, o.Request)
+			}
+			return requests
+		}
+		late := time.Now().Add(-time.Second)
+		add := func(request string, count int, hasInputs bool) {
+			ps := pieces(request, count, 1, late)
+			for i := range ps {
+				ps[i].Deadline = time.Now().Add(20 * time.Second)
+				ps[i].QueuedAt = time.Now()
+				if hasInputs {
+					ps[i].Inputs = []string{"h"}
+				}
+			}
+			c.Enqueue(ps)
+			late = late.Add(time.Millisecond)
+		}
+		add("a", 24, true)
+		add("b", 6, true)
+		add("c", 1, false)
+		is.Equal(len(overdue()), 0) // at most 1.9 s before the last of b
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(overdue(), []string{"b"})
+		c.Withdraw("b")
+		time.Sleep(600 * time.Millisecond)
+		is.Equal(overdue(), []string{"a"}) // its last pieces; c has no inputs
+	})
+}
+
 // Guards against an overload that makes all classes late alike, against lower classes
 // that are put off though there is time for all, and against requests of which only
 // some pieces are put off.
--- a/batch/queries.go
+++ b/batch/queries.go
@@ -75,7 +75,9 @@
 }
 
 // Unattainable returns the requests with pieces that wait behind so many others that
-// they can't be made in their time. The last stages of a request take after more.
+// they can't be made in their time, or not before their inputs expire: then all stages
+// would be made again, in an overload more than once. The last stages of a request take
+// after more.
 func (q Queries) Unattainable(after time.Duration, now time.Time) []Overdue {
 	t := q.table
 	t.mu.Lock()
@@ -89,11 +91,12 @@
 			continue
 		}
 		for k, piece := range p.queue.late {
-			wait := lateWaitFactor * float64(len(p.queue.onTime)+k) / rate
-			end := now.Add(time.Duration(wait*float64(time.Second)) + p.spec.CallTime + after)
-			if end.After(piece.Deadline) && !seen[piece.Request] {
+			wait := time.Duration(lateWaitFactor * float64(len(p.queue.onTime)+k) / rate * float64(time.Second))
+			isLate := now.Add(wait + p.spec.CallTime + after).After(piece.Deadline)
+			isExpiring := len(piece.Inputs) > 0 && p.spec.Life > 0 && now.Add(wait).After(piece.QueuedAt.Add(p.spec.Life))
+			if (isLate || isExpiring) && !seen[piece.Request] {
 				seen[piece.Request] = true
-				unattainable = append(unattainable, Overdue{piece.Request, time.Duration(wait * float64(time.Second))})
+				unattainable = append(unattainable, Overdue{piece.Request, wait})
 			}
 		}
 	}
