--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -40,6 +40,18 @@
 	return c.Server.ID + " gets " + strings.Join(names, " ")
 }
 
+// finish ends a call with all of its results, which are given up at once.
+func finish(c Commands, call Call) {
+	var made []Made
+	for _, p := range call.Pieces {
+		made = append(made, Made{p, fmt.Sprint(call.Number, p.Identity)})
+	}
+	c.End(call, made, time.Now())
+	for _, m := range made {
+		c.Release([]string{m.Handle})
+	}
+}
+
 // Guards against calls with few pieces while many wait, calls in the wrong order
 // of classes, requests that are torn apart, and results made far from where they
 // are used.
@@ -64,16 +76,8 @@
 		}
 		end := func(calls []Call) {
 			time.Sleep(250 * time.Millisecond)
-			for i, call := range calls {
-				var made []Made
-				for _, p := range call.Pieces {
-					made = append(made, Made{p, fmt.Sprintf("%s/%s/%d", call.Server.ID, p.Request, p.Number)})
-				}
-				c.End(call, made, time.Now())
-				for _, m := range made {
-					c.Release([]string{m.Handle})
-				}
-				_ = i
+			for _, call := range calls {
+				finish(c, call)
 			}
 		}
 		c.SetPool(spec(), []Place{{ID: "s1", Address: "10.0.0.1:1", DataCentre: "a"}, {ID: "s2", Address: "10.0.0.2:1", DataCentre: "b"}})
@@ -125,14 +129,7 @@
 		c.SetPool(spec(), places)
 		end := func(call Call, took time.Duration) {
 			time.Sleep(took)
-			var made []Made
-			for _, p := range call.Pieces {
-				made = append(made, Made{p, fmt.Sprint(call.Number, p.Identity)})
-			}
-			c.End(call, made, time.Now())
-			for _, m := range made {
-				c.Release([]string{m.Handle})
-			}
+			finish(c, call)
 		}
 		take := func(request string) Call {
 			c.Enqueue(pieces(request, 1, 1, time.Now().Add(time.Second)))
@@ -250,14 +247,7 @@
 				}
 				names = append(names, strings.TrimPrefix(describe(call), "s1 gets "))
 				time.Sleep(call.Usual)
-				var made []Made
-				for _, p := range call.Pieces {
-					made = append(made, Made{p, describe(call) + fmt.Sprint(p.Identity)})
-				}
-				c.End(call, made, time.Now())
-				for _, m := range made {
-					c.Release([]string{m.Handle})
-				}
+				finish(c, call)
 			}
 		}
 		in := func(d time.Duration) time.Time { return time.Now().Add(d) }
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -48,7 +48,7 @@
 
 // WithChanges returns the list after changes in their order. A server that another one
 // has followed at its address is gone. The servers are copied once for all changes: a
-// copy for each took minutes of processor time at 3,000 servers.
+// copy for each took most of the processor time of 301 instances with 3,000 servers.
 func (l List) WithChanges(changes []Change) List {
 	next := make(map[string]Server, len(l.servers)+len(changes))
 	maps.Copy(next, l.servers)
