Suspect a server of being cold after one slow response, and count refused frames before the close

Cause (known red tests log_outlasts_lease, log_returns): one slow response, 71 to 121 ms at a smoothed service time of 7 to 11 ms, marked a warm server as cold. An instance without a lease sends nothing to a cold server, so the server could not become warm again; once both servers of a pool were cold, requests ended with noServer. A stall of the machine delays all steps in flight at once, so several slow responses at a time are no better evidence than one. Change: a slow response limits a warm server to its cold limit until a step sent later takes a normal time; a second one, to a step sent later, marks it as cold. A server that is cold by its speed only counts as warm after 2 s of warm reports, as one that is known from reports only. Cause (known red test bad_input): the peer server counted a rejected frame after its connection was closed. Change: it counts before. Golden files: warmth_slow shows the suspicion; stall and slowWithoutLease are new.

--- a/backend/choose.go
+++ b/backend/choose.go
@@ -32,7 +32,11 @@
 	if p.WarmLimitDivisor == 0 {
 		return 0
 	}
-	return max(1, s.CurrentLimit/p.WarmLimitDivisor)
+	limit := max(1, s.CurrentLimit/p.WarmLimitDivisor)
+	if !s.suspectedSince.IsZero() {
+		return min(limit, s.ColdInFlight)
+	}
+	return limit
 }
 
 // HasFreeSlot reports whether the server can take one more step of a rank.
--- a/backend/observation.go
+++ b/backend/observation.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// A response that takes more than slowFactor times the smoothed service time,
-	// and slowMargin longer than it, marks the server as cold. The margin ignores
-	// noise of a few milliseconds on fast servers.
+	// A response is slow if it takes more than slowFactor times the smoothed service
+	// time, and slowMargin longer than it. The margin ignores noise of a few
+	// milliseconds on fast servers.
 	slowFactor = 3
 	slowMargin = 50 * time.Millisecond
 	// sampleWeight is the weight of a new sample of the service time.
@@ -22,8 +22,8 @@
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 5 * time.Second
 	// minWarmReportPeriod is how long a server that this instance knows only from
-	// reports must report that it is warm until it counts as warm. It is longer than
-	// the typical delay of reports.
+	// reports, or that is cold by its speed only, must report that it is warm until it
+	// counts as warm. It is longer than the typical delay of reports.
 	minWarmReportPeriod = 2 * time.Second
 	// failuresUntilCold is the number of consecutive failures that mark a server as
 	// cold.
@@ -98,7 +98,10 @@
 func (s Server) withSuccess(o Observation, now time.Time) Server {
 	s.failures = 0
 	if s.isSlowSuccess(o.ResponseTime) {
-		return s.WithCold(now)
+		return s.withSlowResponse(o.SentAt, now)
+	}
+	if o.SentAt.After(s.suspectedSince) {
+		s.suspectedSince = time.Time{}
 	}
 	if s.ServiceTime > 0 {
 		s.Deviation = updateAverage(s.Deviation, (o.ResponseTime - s.ServiceTime).Abs())
@@ -112,8 +115,23 @@
 	return s.withRaisedLimit()
 }
 
+// withSlowResponse returns the server after a slow response to a step that was sent at
+// a time. One slow response only makes the server suspected of being cold, because a
+// short stall of the machine or the network delays all steps in flight. A second one,
+// to a step sent after the first arrived, marks it as cold.
+func (s Server) withSlowResponse(sentAt, now time.Time) Server {
+	switch {
+	case s.suspectedSince.IsZero():
+		s.suspectedSince = now
+	case sentAt.After(s.suspectedSince):
+		s = s.WithCold(now)
+		s.coldBySpeed = true
+	}
+	return s
+}
+
 // isSlowSuccess reports whether a response of a warm server took so long that the
-// server must have turned cold.
+// server may have turned cold.
 func (s Server) isSlowSuccess(responseTime time.Duration) bool {
 	return s.Warmth == Warm && s.ServiceTime > 0 && s.exceedsServiceTime(responseTime)
 }
@@ -184,16 +202,18 @@
 // withWarmReport returns the server after a warm report. An instance that takes
 // over a pool knows its servers from reports only. Servers that have reported warm
 // for minWarmReportPeriod without a restart count as warm; otherwise the pool would
-// lack capacity until they were warmed up a second time.
+// lack capacity until they were warmed up a second time. The same holds for a server
+// that is cold by its speed only: an instance without a lease sends no steps to it, so
+// that no successes would ever show that it is warm.
 func (s Server) withWarmReport(measuredAt time.Time) Server {
-	if !s.reportsOnly {
+	if !s.reportsOnly && !(s.coldBySpeed && measuredAt.After(s.ColdSince)) {
 		return s
 	}
 	if s.reportedWarmSince.IsZero() {
 		s.reportedWarmSince = measuredAt
 	}
 	if measuredAt.Sub(s.reportedWarmSince) >= minWarmReportPeriod {
-		s.Warmth, s.CurrentLimit = Warm, s.MaxInFlight
+		s.Warmth, s.CurrentLimit, s.coldBySpeed = Warm, s.MaxInFlight, false
 	}
 	return s
 }
--- a/backend/server.go
+++ b/backend/server.go
@@ -96,6 +96,12 @@
 	// caused by a restart. It is reset by a response or report of the same
 	// incarnation from after that time.
 	unconfirmedSince time.Time
+	// suspectedSince is when a warm server gave a slow response; zero if none, or if a
+	// step sent later took a normal time.
+	suspectedSince time.Time
+	// coldBySpeed is set while slow responses are the only evidence that the server is
+	// cold.
+	coldBySpeed bool
 }
 
 // NewServer returns the view of a server for which only the catalogue entry is
@@ -128,7 +134,10 @@
 	s.successes = 0
 	s.reportedWarm = false
 	s.reportsOnly = false
+	s.reportedWarmSince = time.Time{}
 	s.unconfirmedSince = time.Time{}
+	s.suspectedSince = time.Time{}
+	s.coldBySpeed = false
 	return s
 }
 
--- a/backend/warmth_test.go
+++ b/backend/warmth_test.go
@@ -107,6 +107,45 @@
 		h.finish(1, "a", success(250*ms)) // noise
 		h.finish(1, "a", success(400*ms))
 		h.send(2, 0)
+		h.wait(100 * ms)
+		h.finish(6, "a", success(500*ms)) // sent before the first slow response
+		h.send(2, 0)
+		h.finish(1, "a", success(400*ms))
+		h.wait(time.Second)
+		h.report("a", 0, backend.Report{Incarnation: "incarnation1"})
+		h.send(2, 0)
+	}},
+	{"stall", "a healthy server that loses its limit for good because a short stall of the machine delayed its steps in flight", func(h *history) {
+		h.makeWarm("a", 100*ms)
+		h.send(3, 0)
+		h.finish(3, "a", success(400*ms))
+		h.wait(100 * ms)
+		h.permission.AllowCold = false // the lease has expired
+		h.send(2, 0)
+		h.finish(1, "a", success(100*ms))
+		h.send(9, 0)
+	}},
+	{"slowWithoutLease", "a server that gets no steps until the lease returns although its reports show that it is warm again, or that gets them after too few reports", func(h *history) {
+		h.makeWarm("a", 100*ms)
+		h.permission.AllowCold = false
+		h.send(1, 0)
+		h.finish(1, "a", success(400*ms))
+		h.wait(100 * ms)
+		h.send(1, 0)
+		h.finish(1, "a", success(400*ms))
+		h.send(1, 0)
+		h.report("a", 200*ms, backend.Report{Incarnation: "incarnation1"}) // measured before the server was found cold
+		for range 3 {
+			h.wait(time.Second)
+			h.report("a", 0, backend.Report{Incarnation: "incarnation1"})
+		}
+		h.send(2, 0)
+		h.finish(2, "a", failure(request.ReasonServerCold))
+		for range 4 {
+			h.wait(time.Second)
+			h.report("a", 0, backend.Report{Incarnation: "incarnation1"})
+		}
+		h.send(1, 0)
 	}},
 	{"frozen", "repeated steps for a frozen server, whose only symptom is steps that miss their deadlines", func(h *history) {
 		h.makeWarm("a", 100*ms)
--- a/peer/connection.go
+++ b/peer/connection.go
@@ -93,12 +93,15 @@
 	// handle processes each message after the hello. It runs on the goroutine of the
 	// reader.
 	handle func(m message) error
-	queue  chan *queuedMessage
-	wake   chan struct{}
-	done   chan struct{}
-	once   sync.Once
-	cause  error
-	frames FrameReader
+	// onFailure is called with the cause before a failed connection is closed. It may be
+	// nil.
+	onFailure func(err error)
+	queue     chan *queuedMessage
+	wake      chan struct{}
+	done      chan struct{}
+	once      sync.Once
+	cause     error
+	frames    FrameReader
 
 	controlMu *lock.Ranked
 	// control holds the queued control messages, which are sent without waiting.
@@ -142,7 +145,7 @@
 	writing.Go(func() { writeErr = (&FrameWriter{Writer: c.conn}).Write(data) })
 	m, err := c.readMessage()
 	if err != nil {
-		_ = c.conn.Close()
+		c.fail(err)
 	}
 	writing.Wait()
 	switch {
@@ -182,6 +185,9 @@
 func (c *connection) fail(err error) {
 	c.once.Do(func() {
 		c.cause = err
+		if c.onFailure != nil {
+			c.onFailure(err)
+		}
 		close(c.done)
 		_ = c.conn.Close()
 	})
--- a/peer/server.go
+++ b/peer/server.go
@@ -103,6 +103,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c := newConnection(n, s.PeerTimeout)
+	// The peer sees the close of its connection only after its frame was counted.
+	c.onFailure = s.countFrameError
 	stop := context.AfterFunc(ctx, func() { c.fail(ErrClosed) })
 	defer stop()
 	peer, err := c.handshake(s.Self)
@@ -119,9 +121,16 @@
 	s.report(n, peer.Instance, err)
 }
 
-func (s *Server) report(n net.Conn, peer string, err error) {
+// countFrameError counts a rejected frame by its reason. It ignores other errors.
+func (s *Server) countFrameError(err error) {
 	if reason, ok := frameErrorCounter(err); ok {
 		s.counters.Add(reason)
+	}
+}
+
+// report logs why a connection failed.
+func (s *Server) report(n net.Conn, peer string, err error) {
+	if _, ok := frameErrorCounter(err); ok {
 		s.logger.Write(event.PeerFrameRefused, n.RemoteAddr().String(), err)
 		return
 	}
