Let the slots of stage servers bound the stage calls, not a fixed number of workers

Cause: the coordinator had 64 workers for stage calls. Change: worker.Pool grows with its load from one worker up to its size, so that an instance that isn't the coordinator keeps one, and the size for stage calls is above the slots of a large site. TestOutcomeOfKey prints the verdict it got in place of ran.

--- a/instance/claim_test.go
+++ b/instance/claim_test.go
@@ -163,8 +163,10 @@
 	} {
 		a1.log.set(c.fault)
 		key := newKey()
-		if c.run && verdictOf(b1.ask("file", key)) != "ran" {
-			t.Fatal("the request didn't run:", c.name)
+		if c.run {
+			if verdict := verdictOf(b1.ask("file", key)); verdict != "ran" {
+				t.Fatalf("%s: verdict %q in place of ran", c.name, verdict)
+			}
 		}
 		if c.run {
 			// The response may precede the record of the outcome in the log.
--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -49,8 +49,9 @@
 }
 
 const (
-	// callWorkers limits the stage calls in progress.
-	callWorkers = 64
+	// callWorkers bounds the goroutines for stage calls. It is above the slots of all
+	// stage servers of a large site, so that only these limit the calls in progress.
+	callWorkers = 2048
 	// engineRetryInterval is the pause between two attempts to reserve an engine.
 	engineRetryInterval = 25 * time.Millisecond
 	// largeResultBytes is the smallest size of a large result. Stages with large results
--- a/preparation/fixture_test.go
+++ b/preparation/fixture_test.go
@@ -53,7 +53,7 @@
 			ResultMemoryBytes: 20 << 20, ResultLifetime: resultLifetime,
 		}, places)
 	}
-	r.Engines.Commands().SetPool(engine.Spec{Pool: "models", Slots: 8}, []engine.Endpoint{{ID: "e1", Address: "e1:1", DataCentre: "a"}})
+	r.Engines.Commands().SetPool(engineSpec(8), engineEndpoints(1))
 	ctx, cancel := context.WithCancel(t.Context())
 	var group errgroup.Group
 	group.Go(func() error { return r.Run(ctx) })
@@ -66,6 +66,17 @@
 	return r
 }
 
+func engineSpec(slots int) engine.Spec { return engine.Spec{Pool: "models", Slots: slots} }
+
+func engineEndpoints(engines int) []engine.Endpoint {
+	var endpoints []engine.Endpoint
+	for n := range engines {
+		name := fmt.Sprintf("e%d", n+1)
+		endpoints = append(endpoints, engine.Endpoint{ID: name, Address: name + ":1", DataCentre: "a"})
+	}
+	return endpoints
+}
+
 func (r *fixture) call(ctx context.Context, call batch.Call) ([]Result, error) {
 	r.mu.Lock()
 	n := len(r.calls)
--- a/worker/pool.go
+++ b/worker/pool.go
@@ -3,14 +3,15 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"golang.org/x/sync/errgroup"
 )
 
-// Pool runs jobs on a fixed number of worker goroutines. Set the exported fields
-// before Run.
+// Pool runs jobs on worker goroutines. It starts with one worker and adds another one
+// whenever all are busy, up to Size. Set the exported fields before Run.
 type Pool[J any] struct {
-	// Size is the number of workers, at least 1.
+	// Size is the largest number of workers, at least 1.
 	Size int
 	// Next blocks until a job is ready. It reports false when there are no more
 	// jobs, at the latest when its context has ended.
@@ -24,22 +25,44 @@
 // the context of Execute. When intake ends, no more jobs are started; the context of
 // the running ones may end later.
 func (p *Pool[J]) Run(intake, jobs context.Context) error {
-	var group errgroup.Group
-	for range p.Size {
-		group.Go(func() error {
-			p.work(intake, jobs)
-			return nil
-		})
+	w := workers[J]{pool: p, intake: intake, jobs: jobs}
+	w.start()
+	return w.group.Wait()
+}
+
+// workers are the goroutines of one run of a pool.
+type workers[J any] struct {
+	pool         *Pool[J]
+	intake, jobs context.Context
+	group        errgroup.Group
+	started      atomic.Int64
+	// waiting is the number of workers that wait for a job.
+	waiting atomic.Int64
+}
+
+// start adds a worker unless the pool has its full size.
+func (w *workers[J]) start() {
+	if w.started.Add(1) > int64(w.pool.Size) {
+		w.started.Add(-1)
+		return
 	}
-	return group.Wait()
+	w.group.Go(func() error {
+		w.work()
+		return nil
+	})
 }
 
-func (p *Pool[J]) work(intake, jobs context.Context) {
+func (w *workers[J]) work() {
 	for {
-		job, ok := p.Next(intake)
+		w.waiting.Add(1)
+		job, ok := w.pool.Next(w.intake)
+		isLastWaiting := w.waiting.Add(-1) == 0
 		if !ok {
 			return
 		}
-		p.Execute(jobs, job)
+		if isLastWaiting {
+			w.start()
+		}
+		w.pool.Execute(w.jobs, job)
 	}
 }
