Divide a large site into cells with a coordinator each

Cause: one coordinator prepared the requests of the whole site. Change: package cell divides a site of 8 or more instances a data centre, with 1.5 or more servers of each stage and engine pool there, into a cell a data centre. Each cell has its coordinator, queues and engines; the leader of the site still reads the store for all. A coordinator declines requests that it expects to serve late; they go on to another cell, as do those of a cell that lacks a server of a stage. Tests: the division, the order of cells, evacuated and drained cells, and a burst in one data centre that goes to the other.

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -114,17 +114,20 @@
 
 // syncServers sets the usable servers in the engine, batch and plain server tables
 // according to the configuration, the server entries and the evacuated data centres.
+// The engine and batch tables get the servers of the cell of this instance.
 func (i *Instance) syncServers(now time.Time) {
 	configuration := i.routes.Queries().Current()
 	usable := i.fleet.Queries().Usable(now)
+	layout := i.updateDivision(configuration.Pools(), usable).layout
+	own := layout.Of(i.Settings.DataCentre)
 	var plain []backend.Spec
 	for _, p := range configuration.Pools() {
 		servers := usable[p.Name]
 		switch {
 		case p.Engine != nil:
-			i.coordinator.Engines.Commands().SetPool(engineSpec(p), enginePlaces(servers))
+			i.coordinator.Engines.Commands().SetPool(engineSpec(p), enginePlaces(inCell(servers, layout, own)))
 		case p.Batch != nil:
-			i.coordinator.Batches.Commands().SetPool(batchSpec(p), batchPlaces(servers))
+			i.coordinator.Batches.Commands().SetPool(batchSpec(p), batchPlaces(inCell(servers, layout, own)))
 		default:
 			for _, s := range servers {
 				plain = append(plain, plainSpec(s))
--- /dev/null
+++ b/entry/cells_test.go
@@ -0,0 +1,127 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lycheecrank.example/batch"
+	"lycheecrank.example/cell"
+	"lycheecrank.example/platform"
+)
+
+// newDividedSite returns a site of the cells "a" and "b". Each cell has one instance and
+// one worker of each pool.
+func newDividedSite(t *testing.T) *testSite {
+	s := newTestSite(t)
+	s.dataCentres["n2"] = "b"
+	for _, pool := range []string{"registry", "models", "encode", "rerank"} {
+		s.dataCentres[pool+"-2"] = "b"
+		s.announce(pool+"-2", pool, "ready")
+	}
+	s.divide = func(_ int, pools map[string]map[string]int) cell.Layout {
+		const instancesOfLargeSite = 100
+		doubled := map[string]map[string]int{}
+		for name, byDataCentre := range pools {
+			doubled[name] = map[string]int{}
+			for dc, n := range byDataCentre {
+				doubled[name][dc] = 2 * n
+			}
+		}
+		return cell.Divide(instancesOfLargeSite, doubled)
+	}
+	s.start("n1", "n2")
+	for _, n := range s.instances {
+		s.waitFor(n.Settings.Name+" sees two cells", func() bool { return len(n.division.Load().layout.Cells()) == 2 })
+		s.waitFor(n.Settings.Name+" coordinates its cell", func() bool {
+			return n.view().Coordinator(n.ownScope(), time.Now()).Name == n.Settings.Name
+		})
+	}
+	return s
+}
+
+// runCounts returns how many requests each of the two engines has run.
+func (s *testSite) runCounts() [2]int {
+	return [2]int{len(s.workers["models-1"].Runs()), len(s.workers["models-2"].Runs())}
+}
+
+// Guards against requests that leave their cell without need, and against requests that
+// fail although another cell can serve them: the data centre is evacuated, a pool of the
+// cell has no server left, or the coordinator of the other cell is gone as well.
+func TestCells(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newDividedSite(t)
+	for _, n := range s.instances {
+		for range 3 {
+			status, body, _ := n.send("POST", "/draft/7", "key-1")
+			is.Equal(status, 200)
+			is.Equal(body, wholeStream())
+		}
+	}
+	is.Equal(s.runCounts(), [2]int{3, 3})
+
+	s.store.PutJSON(platform.OperatorStream, platform.EvacuationPrefix+"a", map[string]any{})
+	for _, n := range s.instances {
+		s.waitFor("the evacuation is in force", func() bool { return n.fleet.Queries().IsEvacuated("a") })
+	}
+	for range 3 {
+		status, _, _ := s.instances[0].send("POST", "/draft/7", "key-1")
+		is.Equal(status, 200)
+	}
+	is.Equal(s.runCounts(), [2]int{3, 6})
+
+	s.store.Put(platform.OperatorStream, platform.EvacuationPrefix+"a", nil)
+	s.announce("rerank-1", "rerank", "draining")
+	s.waitFor("the cell has no server of a stage", func() bool {
+		return s.instances[0].division.Load().usable["rerank"]["a"] == 0 && !s.instances[0].fleet.Queries().IsEvacuated("a")
+	})
+	status, _, _ := s.instances[0].send("POST", "/draft/7", "key-1")
+	is.Equal(status, 200)
+	is.Equal(s.runCounts(), [2]int{3, 7})
+
+	// Without a coordinator in the other cell, the request is refused as not run.
+	s.instances[1].stop()
+	<-s.instances[1].done
+	status, _, header := s.instances[0].send("POST", "/draft/7", "key-1")
+	is.Equal(status, 503)
+	is.True(header.Get("Retry-After") != "")
+	is.Equal(s.runCounts(), [2]int{3, 7})
+}
+
+// overload queues pieces of other requests at the coordinator of an instance: more than
+// its stage servers compute within the objective of a request.
+func (n *testInstance) overload() {
+	const queued = 6000
+	// The pieces are more urgent than those of new requests, but can still be on time.
+	start := time.Now().Add(4 * time.Second)
+	pieces := make([]batch.Piece, queued)
+	for k := range pieces {
+		pieces[k] = batch.Piece{
+			Identity: batch.Identity{RequestID: "queued", Number: k}, Pool: "encode", Key: "k", ResultBytes: 1,
+			LatestStart: start, Deadline: start.Add(time.Minute),
+		}
+	}
+	n.coordinator.Batches.Commands().Enqueue(pieces)
+}
+
+// Load pattern: a burst in one data centre, then in all. Guards against requests that
+// wait in their cell while another one has idle servers, and against a refusal without
+// a time to come back when all cells are overloaded.
+func TestOverloadedCellDeclines(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newDividedSite(t)
+	s.instances[0].overload()
+	status, body, _ := s.instances[0].send("POST", "/draft/7", "key-1")
+	is.Equal(status, 200)
+	is.Equal(body, wholeStream())
+	is.Equal(s.runCounts(), [2]int{0, 1})
+
+	s.instances[1].overload()
+	status, _, header := s.instances[0].send("POST", "/draft/7", "key-1")
+	is.Equal(status, 503)
+	is.True(header.Get("Retry-After") != "")
+	is.Equal(s.runCounts(), [2]int{0, 1})
+}
--- a/entry/coordination.go
+++ b/entry/coordination.go
@@ -23,6 +23,9 @@
 	// movePause is the pause after each change.
 	maxMoves  = 5
 	movePause = 15 * time.Millisecond
+	// maxAskedCells bounds the cells that are asked to prepare a request on time. In an
+	// overload of the whole site, each of them declines.
+	maxAskedCells = 2
 	// noticeBatchDelay is how long notices are collected for one message. The
 	// coordinator of a large site receives notices from all instances.
 	noticeBatchDelay = 50 * time.Millisecond
@@ -37,19 +40,58 @@
 	placementRetention = 10 * time.Second
 )
 
-// prepare calls the coordinator to prepare a request. If the coordinator can't be
-// reached, prepare calls the next one within the remaining time of the request.
+// prepare calls a coordinator to prepare a request. It asks the cell of this instance
+// first, and the other cells if that one lacks servers or expects to miss the objective.
+// If all of them decline, the first cell decides whether the request can be served late.
 func (i *Instance) prepare(ctx context.Context, task preparation.Task) (preparation.Placement, error) {
 	startedAt := time.Now()
+	cells := i.division.Load().order(i.ownCell(), task)
+	if task.Try == 1 && len(cells) > 1 {
+		for _, name := range cells[:min(len(cells), maxAskedCells)] {
+			placement, isPlaced, err := i.prepareOnTime(ctx, name, task, startedAt)
+			if isPlaced || err != nil {
+				return placement, err
+			}
+			i.retries.Add("cellDeclined")
+		}
+	}
+	return i.prepareIn(ctx, cells[0], task, startedAt)
+}
+
+// prepareOnTime asks the coordinator of a cell to prepare a request, unless that expects
+// to miss the objective. It reports false if another cell should be asked.
+func (i *Instance) prepareOnTime(ctx context.Context, name string, task preparation.Task, startedAt time.Time) (preparation.Placement, bool, error) {
+	now := time.Now()
+	coordinator, ok := i.coordinatorOf(name, now)
+	task.OnTimeOnly = true
+	task = task.WithElapsed(now.Sub(startedAt))
+	if !ok || task.Deadline <= 0 {
+		return preparation.Placement{}, false, nil
+	}
+	placement, err := i.prepareAt(ctx, coordinator, task)
+	switch {
+	case errors.Is(err, request.ReasonPeerUnreachable):
+		i.recordUnreachableCoordinator(coordinator)
+		return preparation.Placement{}, false, nil
+	case err != nil:
+		return placement, false, err
+	case placement.IsHandedOver || placement.IsDeclined:
+		return preparation.Placement{}, false, nil
+	}
+	i.placements.add(task, placement, coordinator, now)
+	return placement, true, nil
+}
+
+// prepareIn calls the coordinator of a cell to prepare a request. If it can't be
+// reached, prepareIn calls the next one within the remaining time of the request.
+func (i *Instance) prepareIn(ctx context.Context, name string, task preparation.Task, startedAt time.Time) (preparation.Placement, error) {
 	var lastErr error
 	for tries, moves := 0, 0; tries < maxPrepareTries; {
 		now := time.Now()
-		coordinator := i.view().Coordinator(now)
-		next := task
-		next.Objective -= now.Sub(startedAt)
-		next.Deadline -= now.Sub(startedAt)
+		coordinator, ok := i.coordinatorOf(name, now)
+		next := task.WithElapsed(now.Sub(startedAt))
 		next.IsForced = tries > 0 || moves > maxMoves
-		if next.Deadline <= 0 || ctx.Err() != nil {
+		if !ok || next.Deadline <= 0 || ctx.Err() != nil {
 			break
 		}
 		placement, err := i.prepareAt(ctx, coordinator, next)
@@ -71,8 +113,7 @@
 		}
 		lastErr = err
 		tries++
-		i.members.Commands().RecordFailure(coordinator.Name, time.Now())
-		i.retries.Add("coordinatorUnreachable")
+		i.recordUnreachableCoordinator(coordinator)
 	}
 	if lastErr == nil {
 		lastErr = request.Refuse(request.ReasonDeadlineUnattainable, "no time left for another coordinator")
@@ -80,6 +121,11 @@
 	return preparation.Placement{}, lastErr
 }
 
+func (i *Instance) recordUnreachableCoordinator(coordinator membership.Instance) {
+	i.members.Commands().RecordFailure(coordinator.Name, time.Now())
+	i.retries.Add("coordinatorUnreachable")
+}
+
 func (i *Instance) prepareAt(ctx context.Context, coordinator membership.Instance, task preparation.Task) (preparation.Placement, error) {
 	if coordinator.Name == i.Settings.Name {
 		return i.prepareLocally(ctx, task)
@@ -98,7 +144,7 @@
 // another instance is the coordinator in the view of this one, it returns a placement
 // with IsHandedOver set instead.
 func (i *Instance) prepareLocally(ctx context.Context, task preparation.Task) (preparation.Placement, error) {
-	if !task.IsForced && i.view().Coordinator(time.Now()).Name != i.Settings.Name {
+	if !task.IsForced && i.view().Coordinator(i.ownScope(), time.Now()).Name != i.Settings.Name {
 		return preparation.Placement{IsHandedOver: true, Results: task.Results}, nil
 	}
 	return i.coordinator.Prepare(ctx, task)
@@ -151,9 +197,13 @@
 }
 
 // sendPlacements notifies a new coordinator of the requests of this instance that are
-// running, and of the prompts that engines have recently read for it.
+// running in its cell, and of the prompts that engines have recently read for them.
 func (i *Instance) sendPlacements(coordinator membership.Instance) {
-	for _, n := range i.placements.reassign(coordinator, time.Now()) {
+	layout := i.division.Load().layout
+	isInCell := func(old membership.Instance) bool {
+		return layout.Of(old.DataCentre) == layout.Of(coordinator.DataCentre)
+	}
+	for _, n := range i.placements.reassign(coordinator, isInCell, time.Now()) {
 		i.notices.add(coordinator, n)
 	}
 }
@@ -214,15 +264,15 @@
 	}
 }
 
-// reassign makes a new coordinator the recipient of notices about running requests. It
-// returns the notices that the new coordinator needs about running requests and
-// recently read prompts.
-func (p *placements) reassign(coordinator membership.Instance, now time.Time) []notice {
+// reassign makes a new coordinator the recipient of notices about running requests whose
+// coordinator a function selects. It returns the notices that the new coordinator needs
+// about these requests and about recently read prompts.
+func (p *placements) reassign(coordinator membership.Instance, isReplaced func(old membership.Instance) bool, now time.Time) []notice {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var notices []notice
 	for id, placed := range p.byID {
-		if now.Sub(placed.placedAt) > placementRetention && placed.isEnded || placed.coordinator.Name == coordinator.Name {
+		if now.Sub(placed.placedAt) > placementRetention && placed.isEnded || placed.coordinator.Name == coordinator.Name || !isReplaced(placed.coordinator) {
 			continue
 		}
 		kind := promptReadNotice
--- a/entry/feeds.go
+++ b/entry/feeds.go
@@ -17,19 +17,19 @@
 	// readTimeout bounds each read of the store.
 	readWait    = 400 * time.Millisecond
 	readTimeout = 1100 * time.Millisecond
-	// serverReadInterval is how often the coordinator reads the server entries.
+	// serverReadInterval is how often the leader reads the server entries.
 	serverReadInterval = 350 * time.Millisecond
 	// staleAge is the age of a copy above which every instance reads the store itself.
-	// The coordinator's own copy is up to readWait old, and the instances of a large
+	// The leader's own copy is up to readWait old, and the instances of a large
 	// site exchange heartbeats with it every half second.
 	staleAge = 1500 * time.Millisecond
-	// A candidate for coordinator reads the store if its copy is older than
+	// A candidate for leader reads the store if its copy is older than
 	// candidateReadAge plus candidateReadStep for each candidate that precedes it. The
 	// last candidate does so before the instances that aren't candidates.
 	candidateReadAge  = 700 * time.Millisecond
 	candidateReadStep = 150 * time.Millisecond
 	// candidateFailurePause and otherFailurePause are the pauses after a failed read by
-	// a candidate that isn't the coordinator, and by an instance that isn't a
+	// a candidate that isn't the leader, and by an instance that isn't a
 	// candidate.
 	candidateFailurePause = 300 * time.Millisecond
 	otherFailurePause     = time.Second
@@ -53,7 +53,7 @@
 	return i.follow(ctx, platform.ServerStream, 0, serverReadInterval)
 }
 
-// follow reads a stream from the store while this instance is the coordinator or its
+// follow reads a stream from the store while this instance is the leader or its
 // copy is stale. Otherwise the instance receives the records in the replies to its
 // heartbeats.
 func (i *Instance) follow(ctx context.Context, stream string, wait, interval time.Duration) error {
@@ -80,7 +80,7 @@
 }
 
 // isReader reports whether this instance reads a stream from the store. If the reads of
-// the coordinator fail, the candidates start to read one after the other. They do so
+// the leader fail, the candidates start to read one after the other. They do so
 // before the copies of the other instances are stale, so that these needn't read as
 // well.
 func (i *Instance) isReader(stream string) bool {
@@ -96,17 +96,17 @@
 	}
 }
 
-// notCandidate is the index of an instance that isn't a candidate for coordinator.
+// notCandidate is the index of an instance that isn't a candidate for leader.
 const notCandidate = -1
 
-// candidateIndex returns the index of this instance among the candidates for
-// coordinator: 0 for the coordinator itself, at least 1 for other candidates.
+// candidateIndex returns the index of this instance among the candidates for leader of
+// the site: 0 for the leader itself, at least 1 for other candidates.
 func (i *Instance) candidateIndex(now time.Time) int {
 	view := i.view()
-	if view.Coordinator(now).Name == i.Settings.Name {
+	if view.Coordinator(membership.Scope{}, now).Name == i.Settings.Name {
 		return 0
 	}
-	index := slices.IndexFunc(view.Candidates(now), func(instance membership.Instance) bool { return instance.Name == i.Settings.Name })
+	index := slices.IndexFunc(view.Candidates(membership.Scope{}, now), func(instance membership.Instance) bool { return instance.Name == i.Settings.Name })
 	if index < 0 {
 		return notCandidate
 	}
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -174,7 +174,7 @@
 				return nil
 			})
 		}
-		if coordinator := i.view().Coordinator(now); coordinator.Name != coordinatorName {
+		if coordinator := i.view().Coordinator(i.ownScope(), now); coordinator.Name != coordinatorName {
 			coordinatorName = coordinator.Name
 			i.changeCoordinator(ctx, &group, coordinator)
 		}
@@ -199,9 +199,11 @@
 // nextHeartbeatInterval returns the time until the next heartbeats. In a large site, an
 // instance that isn't a candidate for coordinator sends them half as often.
 func (i *Instance) nextHeartbeatInterval() time.Duration {
-	view := i.view()
-	isCandidate := slices.ContainsFunc(view.Candidates(time.Now()), func(candidate membership.Instance) bool { return candidate.Name == i.Settings.Name })
-	if view.Size() > largeSiteSize && !isCandidate {
+	view, now := i.view(), time.Now()
+	isCandidate := func(scope membership.Scope) bool {
+		return slices.ContainsFunc(view.Candidates(scope, now), func(candidate membership.Instance) bool { return candidate.Name == i.Settings.Name })
+	}
+	if view.Size() > largeSiteSize && !isCandidate(membership.Scope{}) && !isCandidate(i.ownScope()) {
 		return 2 * heartbeatInterval
 	}
 	return heartbeatInterval
@@ -215,14 +217,16 @@
 }
 
 // heartbeatTargets returns the recipients of a round of heartbeats:
-//   - the candidates for coordinator, which stay in contact with all instances;
+//   - the candidates for leader of the site, which stay in contact with all instances;
+//   - the candidates for coordinator of the instance's cell, which stay in contact with
+//     all instances of the cell;
 //   - all reachable instances, while this instance is leaving, or after it has read
 //     operator changes from the store;
 //   - in every seedRounds-th round the seeds, while candidates are unreachable, and in
 //     every round while no other instance is known.
 //
-// At most one recipient is asked for records: the first candidate, or the candidates in
-// turn while a copy is older than rotationAge. If all were asked in each round, their
+// At most one recipient is asked for records: the first candidate for leader, or these
+// candidates in turn while a copy is older than rotationAge. If all were asked in each round, their
 // replies would fill the link of a small machine, none would arrive within the timeout,
 // and all would be asked again.
 func (i *Instance) heartbeatTargets(round int, now time.Time) []target {
@@ -234,13 +238,17 @@
 			targets = append(targets, target{address: address})
 		}
 	}
-	candidates := view.Candidates(now)
+	candidates := view.Candidates(membership.Scope{}, now)
 	for _, m := range candidates {
 		add(m.Address)
 	}
+	leaders := len(targets)
+	for _, m := range view.Candidates(i.ownScope(), now) {
+		add(m.Address)
+	}
 	recordsTarget := 0
-	if n := len(targets); n > 0 && i.isRotationDue(now) {
-		recordsTarget = round % n
+	if leaders > 0 && i.isRotationDue(now) {
+		recordsTarget = round % leaders
 	}
 	if i.isPushPending.Swap(false) || i.isLeaving() {
 		for _, m := range view.Reachable(now) {
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -2,8 +2,10 @@
 // the settings, the store, the balancer and the backend servers (see package platform).
 // The instance serves clients, keeps the configuration and the list of backend servers
 // up to date, and exchanges heartbeats with the other instances. While it is the
-// coordinator (see package membership), it prepares requests for all instances: it has
-// their stages computed and reserves an engine for each.
+// coordinator of its cell (see packages membership and cell), it prepares requests for
+// all instances of the cell: it has their stages computed and reserves an engine for
+// each. The leader is the coordinator that would be chosen if the whole site were one
+// cell; it reads the streams of the store and passes them on.
 //
 // An attempt is one request of a client; a client that repeats its request makes another
 // attempt. A try is one of the sends to backend servers that an attempt leads to.
@@ -24,6 +26,7 @@
 	"time"
 
 	"lycheecrank.example/backend"
+	"lycheecrank.example/cell"
 	"lycheecrank.example/counter"
 	"lycheecrank.example/delivery"
 	"lycheecrank.example/event"
@@ -51,7 +54,10 @@
 	// MetricsAddress is the address at which the counters are served. If it is empty,
 	// they aren't served.
 	MetricsAddress string
-	Logger         *event.Logger
+	// Divide returns the division of the site into cells, for the number of known
+	// instances and the listed servers of each pool by data centre.
+	Divide func(instances int, pools map[string]map[string]int) cell.Layout
+	Logger *event.Logger
 
 	store *platform.Store
 	// backendClient sends client requests to backend servers, stageClient sends stage
@@ -68,12 +74,15 @@
 	// neither engine pools nor batch pools.
 	plainServers *backend.Table
 	coordinator  *preparation.Coordinator
-	delivery     *delivery.Router
-	client       *peer.Client
-	server       *peer.Server
-	notices      *noticeSender
-	placements   *placements
-	attemptLog   *attemptLog
+	// division is the division of the site into cells. The coordinator of this instance
+	// uses the servers of the cell of this instance.
+	division   atomic.Pointer[division]
+	delivery   *delivery.Router
+	client     *peer.Client
+	server     *peer.Server
+	notices    *noticeSender
+	placements *placements
+	attemptLog *attemptLog
 
 	// leavingAt is when the instance began to shut down, in nanoseconds since the Unix
 	// epoch; 0 if it isn't shutting down.
@@ -116,6 +125,7 @@
 		Settings:           settings,
 		Reload:             platform.ReadSettings,
 		SinceBoot:          sinceBoot,
+		Divide:             cell.Divide,
 		Logger:             event.NewBufferedLogger(out, "info", settings.Name),
 		store:              platform.NewStore(settings.StoreAddress),
 		backendClient:      platform.NewBackendClient(),
@@ -136,6 +146,7 @@
 		IsPreferred: settings.Cores >= preferredCores && settings.LinkMbps >= preferredLinkMbps,
 	})
 	i.plainServers = backend.NewTable(i.Logger)
+	i.division.Store(&division{})
 	i.seeds.Store(&settings.Seeds)
 	i.grace.Store(int64(settings.DrainGrace))
 	i.feeds.AddStream(platform.ServerStream, platform.IsSameServer)
@@ -152,7 +163,7 @@
 	i.server = &peer.Server{Self: hello, PeerTimeout: peerReplyTimeout, Logger: i.Logger, Ask: i.handleCall}
 	i.coordinator = preparation.NewCoordinator()
 	i.coordinator.Call, i.coordinator.ReleaseResults, i.coordinator.FreeMemory = i.stageClient.Call, i.stageClient.ReleaseResults, i.stageClient.FreeMemory
-	i.coordinator.ColdShare = func() float64 { return coldShare * i.members.Queries().View().ReachableShare(time.Now()) }
+	i.coordinator.ColdShare = func() float64 { return coldShare * i.view().ReachableShare(i.ownScope(), time.Now()) }
 	i.coordinator.Logger, i.coordinator.Counters = i.Logger, i.coordinationCounts
 	i.coordinator.OnPrepared, i.coordinator.OnCall = i.latencies.preparations.Record, i.latencies.stageCalls.Record
 	i.placements = newPlacements()
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -5,6 +5,7 @@
 
 	"lycheecrank.example/counter"
 	"lycheecrank.example/fleet"
+	"lycheecrank.example/membership"
 	"lycheecrank.example/platform"
 )
 
@@ -35,6 +36,9 @@
 	ConfigurationVersion int64                   `json:"configurationVersion"`
 	ConfigurationAgeMs   int64                   `json:"configurationAgeMs"`
 	ServersAgeMs         int64                   `json:"serversAgeMs"`
+	Cells                []string                `json:"cells"`
+	Cell                 string                  `json:"cell"`
+	Leader               string                  `json:"leader"`
 	Coordinator          string                  `json:"coordinator"`
 	IsCoordinator        bool                    `json:"isCoordinator"`
 	IsReady              bool                    `json:"isReady"`
@@ -62,10 +66,13 @@
 func (i *Instance) status() instanceStatus {
 	now := time.Now()
 	view := i.view()
-	coordinator := view.Coordinator(now)
+	coordinator := view.Coordinator(i.ownScope(), now)
 	status := instanceStatus{
 		ConfigurationVersion: int64(i.routes.Queries().Current().Version),
 		ConfigurationAgeMs:   i.routes.Queries().Age(now).Milliseconds(),
+		Cells:                i.division.Load().layout.Cells(),
+		Cell:                 i.ownCell(),
+		Leader:               view.Coordinator(membership.Scope{}, now).Name,
 		Coordinator:          coordinator.Name,
 		IsCoordinator:        coordinator.Name == i.Settings.Name,
 		IsReady:              i.isReady(),
--- a/entry/scale_test.go
+++ b/entry/scale_test.go
@@ -46,7 +46,7 @@
 		})
 		b.Run(name("coordinator"), func(b *testing.B) {
 			for b.Loop() {
-				i.view().Coordinator(now)
+				i.view().Coordinator(i.ownScope(), now)
 			}
 		})
 		b.Run(name("contact"), func(b *testing.B) {
--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -16,6 +17,8 @@
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
+	"lycheecrank.example/cell"
+	"lycheecrank.example/membership"
 	"lycheecrank.example/platform"
 	"lycheecrank.example/standin/link"
 	"lycheecrank.example/standin/site"
@@ -35,6 +38,11 @@
 	version    int
 	routes     []map[string]any
 	workspaces []map[string]any
+	// dataCentres holds the data centres of workers and instances by ID; the others are
+	// in "a".
+	dataCentres map[string]string
+	// divide replaces the division of the site into cells; it may be nil.
+	divide func(instances int, pools map[string]map[string]int) cell.Layout
 }
 
 // testInstance is a running instance of a test site.
@@ -47,7 +55,7 @@
 }
 
 func newTestSite(t *testing.T) *testSite {
-	s := &testSite{t: t, store: site.NewStore(), workers: map[string]*site.Worker{}}
+	s := &testSite{t: t, store: site.NewStore(), workers: map[string]*site.Worker{}, dataCentres: map[string]string{}}
 	t.Cleanup(s.store.Close)
 	for _, pool := range []string{"registry", "models", "encode", "rerank"} {
 		for n := range 2 {
@@ -79,10 +87,13 @@
 // announce writes the entry of a worker.
 func (s *testSite) announce(id, pool, state string) {
 	s.store.PutJSON(platform.ServerStream, id, map[string]any{
-		"service": pool, "address": s.workers[id].Address(), "zone": "a", "slots": 4, "state": state, "sequence": 1,
+		"service": pool, "address": s.workers[id].Address(), "zone": s.dataCentreOf(id), "slots": 4, "state": state, "sequence": 1,
 	})
 }
 
+// dataCentreOf returns the data centre of a worker or an instance.
+func (s *testSite) dataCentreOf(id string) string { return cmp.Or(s.dataCentres[id], "a") }
+
 // configure writes the next version of the configuration.
 func (s *testSite) configure() {
 	s.version++
@@ -116,9 +127,12 @@
 	s.t.Helper()
 	log := &bytes.Buffer{}
 	i := New(platform.Settings{
-		Name: name, DataCentre: "a", ClientAddress: link.NewAddress(), ReadinessAddress: link.NewAddress(), PeerAddress: link.NewAddress(),
+		Name: name, DataCentre: s.dataCentreOf(name), ClientAddress: link.NewAddress(), ReadinessAddress: link.NewAddress(), PeerAddress: link.NewAddress(),
 		StoreAddress: s.store.Address(), DrainGrace: 8 * time.Second, RetryRatio: 1, RetrySlack: 100,
 	}, log)
+	if s.divide != nil {
+		i.Divide = s.divide
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	n := &testInstance{Instance: i, stop: stop, done: make(chan error, 1), log: log}
 	var group errgroup.Group
@@ -342,15 +356,15 @@
 	s := newTestSite(t)
 	s.start("n1", "n2", "n3")
 	s.waitFor("all instances agree on the coordinator", func() bool {
-		name := s.instances[0].view().Coordinator(time.Now()).Name
+		name := s.instances[0].view().Coordinator(membership.Scope{}, time.Now()).Name
 		for _, n := range s.instances {
-			if n.view().Coordinator(time.Now()).Name != name {
+			if n.view().Coordinator(membership.Scope{}, time.Now()).Name != name {
 				return false
 			}
 		}
 		return true
 	})
-	name := s.instances[0].view().Coordinator(time.Now()).Name
+	name := s.instances[0].view().Coordinator(membership.Scope{}, time.Now()).Name
 	var leaving, other *testInstance
 	for _, n := range s.instances {
 		if n.Settings.Name == name {
@@ -378,7 +392,7 @@
 	s.waitFor("all streams run at the engines", func() bool { return len(s.runs("models")) == before+4 })
 	leaving.stop()
 	s.waitFor("the leaving instance fails its readiness check", func() bool { return leaving.readyStatus() == http.StatusServiceUnavailable })
-	s.waitFor("another instance is the coordinator", func() bool { return other.view().Coordinator(time.Now()).Name != name })
+	s.waitFor("another instance is the coordinator", func() bool { return other.view().Coordinator(membership.Scope{}, time.Now()).Name != name })
 	status, body, _ := other.send("POST", "/draft/1", "key-1")
 	is.Equal(status, 200)
 	is.Equal(body, wholeStream())
--- a/event/events.go
+++ b/event/events.go
@@ -32,7 +32,8 @@
 	PeerConnected             = Event{301, log.InfoLevel, "peer connected", []string{"peer", "dataCentre"}, "A connection to another instance is open."}
 	PeerLost                  = Event{302, log.WarnLevel, "peer lost", []string{"peer", "error"}, "A connection to another instance has failed or could not be opened; peer is the name of the instance, or its address if the connection could not be opened."}
 	PeerFrameRefused          = Event{303, log.WarnLevel, "peer frame refused", []string{"remote", "error"}, "A connection was closed because a frame received on it is not a valid message; remote is the name of the other instance if this instance dialled and the handshake had succeeded, otherwise an address."}
-	CoordinatorChosen         = Event{304, log.InfoLevel, "coordinator chosen", []string{"coordinator", "fitSince", "reachable", "known"}, "The coordinator has changed according to this instance; the named instance, which may be this one, has the results of stages computed and chooses the engines. fitSince is when it became eligible as coordinator; reachable and known are numbers of other instances."}
+	CoordinatorChosen         = Event{304, log.InfoLevel, "coordinator chosen", []string{"coordinator", "fitSince", "reachable", "known"}, "The coordinator has changed according to this instance; the named instance, which may be this one, has the results of stages computed and chooses the engines for the cell of this one. fitSince is when it became eligible as coordinator; reachable and known are numbers of other instances."}
+	SiteDivided               = Event{305, log.InfoLevel, "site divided", []string{"cells", "instances"}, "The division of the site into cells has changed; each cell has a coordinator of its own. A site of one cell has an empty name in the list; instances is the number of known instances."}
 	RequestRefused            = Event{401, log.DebugLevel, "request refused", []string{"request", "workspace", "reason", "detail"}, "A request was refused or failed; the reason is a code of docs/OPERATIONS.md. An instance that executes pipelines of the catalogue writes it; 408 is the event of the coordinator of entry instances."}
 	RequestFinished           = Event{402, log.DebugLevel, "request finished", []string{"request", "workspace", "class", "outcome"}, "A request has ended with the given outcome."}
 	ResultDropped             = Event{403, log.WarnLevel, "result dropped", []string{"request", "stage", "attempt", "reason"}, "A result from a backend server was dropped because it was late, a duplicate, truncated or of another attempt."}
@@ -64,7 +65,7 @@
 	return []Event{
 		Started, Leaving, Stopped, InstanceListUnavailable, EntryStarted, ResumedAfterBreak, MetricsUnavailable, LogLinesDropped, SettingsApplied, SettingsRefused, SteppedDown,
 		CatalogueApplied, CatalogueEditRefused, LogUnavailable, LogRecordUnreadable, CatalogueSnapshotAppended, LogAvailable, ConfigurationApplied, EvacuationChanged,
-		PeerConnected, PeerLost, PeerFrameRefused, CoordinatorChosen,
+		PeerConnected, PeerLost, PeerFrameRefused, CoordinatorChosen, SiteDivided,
 		RequestRefused, RequestFinished, ResultDropped, AttemptServed, AttemptFailed, ResultsRebuilt, RequestPlaced, RequestRejected, AttemptRetried,
 		ServerCold, ServerWarm, ServerLeaving, StageCallFailed, ServerListed, ServerUnlisted, PoolDepth,
 		OwnershipAcquired, OwnershipLost, OwnershipReleased, OwnershipLeaseExpired,
--- a/fleet/queries.go
+++ b/fleet/queries.go
@@ -24,6 +24,20 @@
 	return usable
 }
 
+// Listed returns the number of listed servers by pool and data centre. It includes those
+// that get no new work for the moment, so that the numbers change little when servers
+// drain or a data centre is evacuated.
+func (q Queries) Listed() map[string]map[string]int {
+	pools := map[string]map[string]int{}
+	for _, s := range q.table.current.Load().servers {
+		if pools[s.Pool] == nil {
+			pools[s.Pool] = map[string]int{}
+		}
+		pools[s.Pool][s.DataCentre]++
+	}
+	return pools
+}
+
 // Server returns a server and whether it may get new work. Callers check this right
 // before a send, because the server may have left while the request waited.
 func (q Queries) Server(id string, now time.Time) (Server, bool) {
--- a/membership/view.go
+++ b/membership/view.go
@@ -52,6 +52,15 @@
 	return m
 }
 
+// isNewerThan reports whether a description of an instance is newer than another one.
+// EligibleSince only grows, and an instance that is leaving doesn't stay.
+func (m Instance) isNewerThan(other Instance) bool {
+	if m.EligibleSince != other.EligibleSince {
+		return m.EligibleSince > other.EligibleSince
+	}
+	return m.IsLeaving && !other.IsLeaving
+}
+
 // contactState is an instance with the times of the last contact and failure.
 type contactState struct {
 	instance Instance
@@ -86,11 +95,22 @@
 	return now.Sub(s.contactAt) < contactTimeout && !s.failedAt.After(s.contactAt)
 }
 
-// Coordinator returns the instance that prepares requests, which may be this one.
-func (v View) Coordinator(now time.Time) Instance {
+// Scope selects the instances of some data centres. The zero value selects all.
+type Scope struct {
+	// Contains reports whether the instances of a data centre are selected.
+	Contains func(dataCentre string) bool
+}
+
+func (s Scope) contains(instance Instance) bool {
+	return s.Contains == nil || s.Contains(instance.DataCentre)
+}
+
+// Coordinator returns the instance of a scope that prepares its requests, which may be
+// this one. This instance must be in the scope.
+func (v View) Coordinator(scope Scope, now time.Time) Instance {
 	best := v.self
 	for _, s := range v.others {
-		if s.isReachable(now) && precedes(s.instance, best) {
+		if s.isReachable(now) && precedes(s.instance, best) && scope.contains(s.instance) {
 			best = s.instance
 		}
 	}
@@ -118,13 +138,19 @@
 	failureBackoff = 1500 * time.Millisecond
 )
 
-// Candidates returns the candidates for coordinator: at most candidateCount instances,
-// in the order in which they would be chosen. They are taken from this instance, the
-// reachable ones, and those that were last seen within staleAfter and to which no call
-// has failed within failureBackoff.
-func (v View) Candidates(now time.Time) []Instance {
-	candidates := []Instance{v.self}
+// Candidates returns the candidates for coordinator of a scope: at most candidateCount
+// instances, in the order in which they would be chosen. They are taken from this
+// instance, the reachable ones, and those that were last seen within staleAfter and to
+// which no call has failed within failureBackoff.
+func (v View) Candidates(scope Scope, now time.Time) []Instance {
+	var candidates []Instance
+	if scope.contains(v.self) {
+		candidates = append(candidates, v.self)
+	}
 	for _, s := range v.others {
+		if !scope.contains(s.instance) {
+			continue
+		}
 		if s.isReachable(now) || now.Sub(s.failedAt) >= failureBackoff && now.Sub(s.lastSeenAt()) < staleAfter {
 			candidates = append(candidates, s.instance)
 		}
@@ -178,11 +204,21 @@
 	return instances
 }
 
-// ReachableShare returns the fraction of the known instances that are reachable,
-// including this one. An instance that is cut off from others uses only this fraction of
-// the limits that all instances share.
-func (v View) ReachableShare(now time.Time) float64 {
-	return float64(len(v.Reachable(now))+1) / float64(len(v.others)+1)
+// ReachableShare returns the fraction of the known instances of a scope that are
+// reachable, including this one. An instance that is cut off from others uses only this
+// fraction of the limits that all instances of the scope share.
+func (v View) ReachableShare(scope Scope, now time.Time) float64 {
+	known, reachable := 1, 1
+	for _, s := range v.others {
+		if !scope.contains(s.instance) {
+			continue
+		}
+		known++
+		if s.isReachable(now) {
+			reachable++
+		}
+	}
+	return float64(reachable) / float64(known)
 }
 
 // Self returns this instance.
@@ -207,12 +243,12 @@
 	return v.withOther(instance.Name, s)
 }
 
-// WithKnown returns the view with instances that others know. Instances that were in
-// direct contact stay unchanged, and unknown instances that are leaving are ignored.
+// WithKnown returns the view with instances that others know. Unknown instances that are
+// leaving are ignored, and so is what is older than the known description.
 func (v View) WithKnown(instances []Instance, at time.Time) View {
 	for _, m := range instances {
 		old, ok := v.others[m.Name]
-		if m.Name == v.self.Name || m.IsLeaving && !ok || ok && (!old.contactAt.IsZero() || old.instance == m) {
+		if m.Name == v.self.Name || m.IsLeaving && !ok || ok && !m.isNewerThan(old.instance) {
 			continue
 		}
 		if !ok {
--- a/membership/view_test.go
+++ b/membership/view_test.go
@@ -25,7 +25,7 @@
 	c, q := table.Commands(), table.Queries()
 	show := func(what string, now time.Time) {
 		v := q.View()
-		fmt.Fprintf(&b, "%-44s coordinator %s, reachable %d, known %d, share %.2f\n", what, v.Coordinator(now).Name, len(v.Reachable(now)), len(v.Known()), v.ReachableShare(now))
+		fmt.Fprintf(&b, "%-44s coordinator %s, reachable %d, known %d, share %.2f\n", what, v.Coordinator(Scope{}, now).Name, len(v.Reachable(now)), len(v.Known()), v.ReachableShare(Scope{}, now))
 	}
 	show("alone", at)
 	c.AddKnown([]Instance{newInstance("n1", 10), newInstance("n2", 20)}, at)
@@ -68,7 +68,7 @@
 			for _, m := range rapid.Permutation(instances).Draw(t, "contacts") {
 				table.Commands().RecordContact(m, nil, at)
 			}
-			c := table.Queries().View().Coordinator(at).Name
+			c := table.Queries().View().Coordinator(Scope{}, at).Name
 			if chosen == "" {
 				chosen = c
 			}
@@ -106,7 +106,7 @@
 		c := table.Commands()
 		c.AddKnown(all, at)
 		var names []string
-		for _, m := range table.Queries().View().Candidates(at) {
+		for _, m := range table.Queries().View().Candidates(Scope{}, at) {
 			names = append(names, m.Name)
 		}
 		is.Equal(strings.Join(names, " "), "n01 n03 n05 n07 n09")
@@ -114,6 +114,6 @@
 	table := NewTable(all[40])
 	table.Commands().AddKnown(all, at)
 	table.Commands().RecordFailure("n01", at)
-	is.Equal(table.Queries().View().Candidates(at.Add(time.Second))[0].Name, "n03")
-	is.Equal(table.Queries().View().Candidates(at.Add(failureBackoff))[0].Name, "n01") // a candidate again
+	is.Equal(table.Queries().View().Candidates(Scope{}, at.Add(time.Second))[0].Name, "n03")
+	is.Equal(table.Queries().View().Candidates(Scope{}, at.Add(failureBackoff))[0].Name, "n01") // a candidate again
 }
--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -149,6 +149,10 @@
 	startedAt := time.Now()
 	placement, err := c.prepare(ctx, task)
 	waited := time.Since(startedAt)
+	if placement.IsDeclined {
+		c.Counters.Add("declined")
+		return placement, nil
+	}
 	c.OnPrepared(task.Pool, waited)
 	decision := Decision{
 		RequestID: task.RequestID, Pool: task.Pool, Rank: task.Rank, Try: task.Try, OpenedAt: startedAt, Deadline: startedAt.Add(task.Deadline),
@@ -172,8 +176,13 @@
 	reserve := min(refusalReserve, task.Deadline/10)
 	ctx, cancel := context.WithTimeout(ctx, task.Deadline-reserve)
 	defer cancel()
-	if refusal, ok := c.refuseEarly(task, openedAt); ok {
-		return Placement{}, refusal
+	if expected := c.expectedPreparation(task, openedAt); expected > 0 {
+		if task.OnTimeOnly && expected > task.Objective {
+			return Placement{IsDeclined: true}, nil
+		}
+		if expected > min(task.Objective+objectiveSlack, task.Deadline) {
+			return Placement{}, refuseEarly(task, expected)
+		}
 	}
 	c.depositRecomputes(task)
 	c.restoreResults(task, openedAt)
@@ -236,12 +245,11 @@
 // Resume accepts requests again after HandOver.
 func (c *Coordinator) Resume() { c.table.Commands().resume() }
 
-// refuseEarly returns a refusal if the stages of a new request are not expected to be
-// computed in time, so that the client gets the refusal on arrival and not at the end of
-// the try.
-func (c *Coordinator) refuseEarly(task Task, now time.Time) (request.Failure, bool) {
+// expectedPreparation returns the time that the stages of a new request are expected to
+// take, or 0 for a request whose preparation has begun earlier.
+func (c *Coordinator) expectedPreparation(task Task, now time.Time) time.Duration {
 	if len(task.Results) > 0 || task.Try > 1 {
-		return request.Failure{}, false
+		return 0
 	}
 	planned := newJob(task, now)
 	expected := time.Duration(0)
@@ -251,11 +259,14 @@
 			expected = max(expected, wait) + c.callTime(s.Pool, typicalCallPieces)
 		}
 	}
-	if expected <= min(task.Objective+objectiveSlack, task.Deadline) {
-		return request.Failure{}, false
-	}
+	return expected
+}
+
+// refuseEarly returns the refusal of a request whose stages are not expected to be
+// computed in time, so that the client gets it on arrival and not at the end of the try.
+func refuseEarly(task Task, expected time.Duration) request.Failure {
 	refusal := request.Refuse(request.ReasonDeadlineUnattainable, "expected preparation time too long for the objective or the deadline: "+expected.String())
-	return refusal.WithRetryAfter(task.retryAfter(expected - task.Objective)), true
+	return refusal.WithRetryAfter(task.retryAfter(expected - task.Objective))
 }
 
 func (c *Coordinator) callTime(pool string, pieces int) time.Duration {
--- a/preparation/task.go
+++ b/preparation/task.go
@@ -63,6 +63,16 @@
 	// instance is the coordinator. The sender sets it after it could not reach a
 	// coordinator or was redirected too often.
 	IsForced bool `msgpack:"isForced,omitempty"`
+	// OnTimeOnly makes the coordinator decline the request if it expects to miss the
+	// objective, so that the sender can ask the coordinator of another cell.
+	OnTimeOnly bool `msgpack:"onTimeOnly,omitempty"`
+}
+
+// WithElapsed returns the task after some time has passed.
+func (t Task) WithElapsed(elapsed time.Duration) Task {
+	t.Objective -= elapsed
+	t.Deadline -= elapsed
+	return t
 }
 
 func (t Task) class() batch.Class { return batch.Class{Rank: t.Rank, RouteRank: t.RouteRank} }
@@ -122,4 +132,7 @@
 	// coordinator, together with Results.
 	IsHandedOver bool       `msgpack:"isMoved,omitempty"`
 	Results      [][]string `msgpack:"made,omitempty"`
+	// IsDeclined means that the coordinator did nothing for the request, because it
+	// expected to miss the objective. It is set only for tasks with OnTimeOnly.
+	IsDeclined bool `msgpack:"isDeclined,omitempty"`
 }
