Share prompts between cells, and read the store less when a site starts

Change: coordinators tell those of other cells which prompts their engines read, and an engine fetches the beginning of a prompt from the engine of another cell that has read more of it. Cause 2: before the first configuration is written the operators' stream is empty, and the end of its copy is 0; the copy was read anew without a pause. Change: an empty stream is read at intervals; an instance that starts waits 1.5 s for a seed and then leaves the reads to the leader; only candidates write an entry, and entries are read only while candidates are unreachable. Requests now go to another cell if stages and engine together exceed the objective.

--- a/engine/choose.go
+++ b/engine/choose.go
@@ -93,9 +93,10 @@
 	return float64(len(withinRateWindow(s.sentAt, now))) < max(1, spec.ColdRequestsPerSecond*share)
 }
 
-// chooseEngine returns the engine with the lowest cost.
-func chooseEngine(spec Spec, servers []Server, p Prompt, n Requirements, now time.Time) (Server, bool) {
-	transferable := int64(0)
+// chooseEngine returns the engine with the lowest cost. The parameter remote is the
+// number of leading prompt tokens that an engine of another cell has read.
+func chooseEngine(spec Spec, servers []Server, p Prompt, n Requirements, remote int64, now time.Time) (Server, bool) {
+	transferable := remote
 	for _, s := range servers {
 		transferable = max(transferable, s.cachedTokensWithin(p, transferLifetime, now))
 	}
@@ -116,14 +117,18 @@
 }
 
 // transferSource returns the address of the engine from which the chosen one should
-// fetch the beginning of the prompt, empty for none.
-func transferSource(servers []Server, chosen Server, p Prompt, now time.Time) string {
+// fetch the beginning of the prompt, empty for none. It is an engine of another cell
+// only if that has read more of the prompt.
+func transferSource(servers []Server, remote *remoteCache, chosen Server, p Prompt, now time.Time) string {
 	best, tokens := "", chosen.cachedTokens(p, now)+minTransferTokens
 	for _, s := range servers {
 		if m := s.cachedTokensWithin(p, transferLifetime, now); m >= tokens && s.ID != chosen.ID && !now.Before(s.blockedUntil) {
 			best, tokens = s.Address, m+1
 		}
 	}
+	if address, m := remote.longest(p, now); m >= tokens {
+		return address
+	}
 	return best
 }
 
--- a/engine/commands.go
+++ b/engine/commands.go
@@ -63,11 +63,12 @@
 		return Reservation{}, false
 	}
 	servers := t.serversWithOutages(pl, now)
-	s, ok := chooseEngine(pl.spec, servers, p, n, now)
+	_, remote := pl.remote.longest(p, now)
+	s, ok := chooseEngine(pl.spec, servers, p, n, remote, now)
 	if !ok {
 		return Reservation{}, false
 	}
-	choice := Reservation{Endpoint: s.Endpoint, PrefixSource: transferSource(servers, s, p, now), ExpectedFirstEvent: s.expectedFirstEvent(p, now)}
+	choice := Reservation{Endpoint: s.Endpoint, PrefixSource: transferSource(servers, &pl.remote, s, p, now), ExpectedFirstEvent: s.expectedFirstEvent(p, now)}
 	pl.servers[s.ID] = s.WithRequest(request, p, now)
 	t.outages.RecordSent(s.DataCentre, now.Add(probeTimeout))
 	return choice, true
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -127,3 +127,32 @@
 	c.Restore([]PlacedRequest{{Pool: "models", EngineID: "e1", RequestID: "r3", Prompt: prompt(4000, "y"), IsRunning: true}, {Pool: "models", EngineID: "gone"}}, at)
 	is.Equal(q.Loads("models")[0].RunningRequests, 1)
 }
+
+// Guards against prompts that are prefilled again although an engine of another cell has
+// read them, and against transfers of prompts that were read too long ago or that an
+// engine of this cell has as well.
+func TestRemoteReads(t *testing.T) {
+	is := is.New(t)
+	at := time.Unix(1000, 0)
+	table := NewTable()
+	c := table.Commands()
+	c.SetPool(Spec{Pool: "models", Slots: 8, MemoryTokens: 100_000}, endpoints(2))
+	source := func(request string, p Prompt, now time.Time) string {
+		reserved, ok := c.Reserve("models", request, p, Requirements{ColdShare: 1}, now)
+		is.True(ok)
+		c.RecordEnd("models", reserved.ID, request)
+		return reserved.PrefixSource
+	}
+	p := prompt(8000, "x", "y")
+	is.Equal(source("r1", prompt(8000, "v", "w"), at), "")
+	c.AddRemoteReads([]RemoteRead{{Pool: "models", Address: "10.0.1.1:1", Prompt: p}, {Pool: "unknown", Address: "10.0.1.2:1", Prompt: p}}, at)
+	c.AddRemoteReads([]RemoteRead{{Pool: "models", Address: "10.0.1.1:1", Prompt: prompt(8000, "m", "n")}}, at)
+	is.Equal(source("r2", prompt(8000, "n", "m"), at), "") // the order of the parts counts
+	is.Equal(source("r3", p, at), "10.0.1.1:1")
+	is.Equal(source("r4", p, at), "") // an engine of this cell has it now
+	q := prompt(8000, "x2", "y2")
+	c.AddRemoteReads([]RemoteRead{{Pool: "models", Address: "10.0.1.1:1", Prompt: q}}, at)
+	is.Equal(source("r5", q, at.Add(transferLifetime)), "")
+	c.AddRemoteReads([]RemoteRead{{Pool: "models", Address: "10.0.1.1:1", Prompt: p}}, at.Add(transferLifetime))
+	is.Equal(len(table.pools["models"].remote.reads), 2) // old reads were removed
+}
--- a/engine/queries.go
+++ b/engine/queries.go
@@ -15,7 +15,8 @@
 	if pl == nil {
 		return Endpoint{}, false
 	}
-	s, ok := chooseEngine(pl.spec, pl.sortedServers(), p, n, now)
+	_, remote := pl.remote.longest(p, now)
+	s, ok := chooseEngine(pl.spec, pl.sortedServers(), p, n, remote, now)
 	return s.Endpoint, ok
 }
 
--- a/engine/table.go
+++ b/engine/table.go
@@ -20,6 +20,7 @@
 type pool struct {
 	spec    Spec
 	servers map[string]Server
+	remote  remoteCache
 }
 
 // NewTable returns an empty table.
--- a/entry/coordination.go
+++ b/entry/coordination.go
@@ -147,7 +147,28 @@
 	if !task.IsForced && i.view().Coordinator(i.ownScope(), time.Now()).Name != i.Settings.Name {
 		return preparation.Placement{IsHandedOver: true, Results: task.Results}, nil
 	}
-	return i.coordinator.Prepare(ctx, task)
+	placement, err := i.coordinator.Prepare(ctx, task)
+	if err == nil && placement.Server != "" {
+		i.shareRead(task, placement)
+	}
+	return placement, err
+}
+
+// shareRead notifies the coordinators of the other cells of a prompt that an engine of
+// this cell reads, so that engines of other cells can fetch its beginning from there.
+func (i *Instance) shareRead(task preparation.Task, placement preparation.Placement) {
+	if !task.Prompt.IsWorthTransfer() {
+		return
+	}
+	now := time.Now()
+	for _, name := range i.division.Load().layout.Cells() {
+		if name == i.ownCell() {
+			continue
+		}
+		if coordinator, ok := i.coordinatorOf(name, now); ok {
+			i.notices.add(coordinator, notice{Kind: remoteReadNotice, Pool: task.Pool, Server: placement.Server, Prompt: task.Prompt})
+		}
+	}
 }
 
 // sendStart notifies the coordinator of the first event of a request at its engine.
@@ -174,6 +195,7 @@
 func (i *Instance) applyNotices(notices []notice) (bool, error) {
 	now := time.Now()
 	var running []engine.PlacedRequest
+	var reads []engine.RemoteRead
 	for _, n := range notices {
 		switch n.Kind {
 		case startedNotice:
@@ -190,8 +212,13 @@
 			running = append(running, engine.PlacedRequest{
 				Pool: n.Pool, EngineID: n.Server, RequestID: n.RequestID, Prompt: n.Prompt, IsRunning: n.Kind == runningNotice,
 			})
+		case remoteReadNotice:
+			if server, ok := i.fleet.Queries().Server(n.Server, now); ok {
+				reads = append(reads, engine.RemoteRead{Pool: n.Pool, Address: server.Address, Prompt: n.Prompt})
+			}
 		}
 	}
+	i.coordinator.Engines.Commands().AddRemoteReads(reads, now)
 	i.coordinator.Engines.Commands().Restore(running, now)
 	return true, nil
 }
--- a/entry/feeds.go
+++ b/entry/feeds.go
@@ -65,7 +65,7 @@
 				isDown = err != nil
 				i.logStoreAvailability(stream, err)
 			}
-			if err == nil && wait > 0 {
+			if err == nil && wait > 0 && i.feeds.Queries().State(stream).End > 0 {
 				continue
 			}
 		}
@@ -82,9 +82,12 @@
 // isReader reports whether this instance reads a stream from the store. If the reads of
 // the leader fail, the candidates start to read one after the other. They do so
 // before the copies of the other instances are stale, so that these needn't read as
-// well.
+// well. An instance that starts leaves the reads to the leader that it finds.
 func (i *Instance) isReader(stream string) bool {
 	now := time.Now()
+	if i.isStarting(now) {
+		return i.view().Size() > 1 && i.candidateIndex(now) == 0
+	}
 	age := now.Sub(i.feeds.Queries().State(stream).ConfirmedAt)
 	switch index := i.candidateIndex(now); index {
 	case 0:
--- /dev/null
+++ b/entry/feeds_test.go
@@ -0,0 +1,59 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lycheecrank.example/membership"
+	"lycheecrank.example/platform"
+	"lycheecrank.example/standin/site"
+)
+
+// Guards against reads of an empty stream without a pause: before the first
+// configuration was written, each instance of a large site made 40 calls to the store in
+// its first second.
+func TestEmptyStreamIsReadAtIntervals(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	store := site.NewStore()
+	t.Cleanup(store.Close)
+	i := New(platform.Settings{Name: "n1", DataCentre: "a", PeerAddress: "n1:1", StoreAddress: store.Address()}, io.Discard)
+	const intervals = 5
+	ctx, cancel := context.WithTimeout(t.Context(), intervals*readCheckInterval)
+	defer cancel()
+	is.NoErr(i.follow(ctx, platform.OperatorStream, readWait, readCheckInterval))
+	reads := i.storeCalls.Values()["log-newest.200"]
+	is.True(reads >= 1)
+	is.True(reads <= intervals+1)
+}
+
+// Guards against reads of the store by all instances of a site that start at once.
+func TestStartingInstancesLeaveReadsToLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		newInstance := func(name string, seeds ...string) *Instance {
+			i := New(platform.Settings{Name: name, DataCentre: "a", PeerAddress: name + ":1", Seeds: seeds}, io.Discard)
+			t.Cleanup(func() { _ = i.Logger.Close() })
+			return i
+		}
+		i := newInstance("n2", "n1:1", "n2:1")
+		is.True(!i.isReader(platform.ServerStream)) // no contact yet
+		leader := membership.Instance{Name: "n1", Address: "n1:1", DataCentre: "a", EligibleSince: time.Now().UnixMilli()}
+		i.members.Commands().RecordContact(leader, nil, time.Now())
+		is.True(!i.isReader(platform.ServerStream)) // the leader reads
+		follower := membership.Instance{Name: "n3", Address: "n3:1", DataCentre: "a", EligibleSince: time.Now().UnixMilli()}
+		i.members.Commands().RecordContact(leader.WithLeaving(), nil, time.Now())
+		i.members.Commands().RecordContact(follower, nil, time.Now())
+		is.True(i.isReader(platform.ServerStream)) // this instance leads
+		alone := newInstance("n1", "n1:1")
+		is.True(alone.isReader(platform.ServerStream))
+		lonely := newInstance("n2", "n1:1")
+		time.Sleep(contactGrace)
+		is.True(lonely.isReader(platform.ServerStream)) // the seeds are down
+	})
+}
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -199,11 +199,7 @@
 // nextHeartbeatInterval returns the time until the next heartbeats. In a large site, an
 // instance that isn't a candidate for coordinator sends them half as often.
 func (i *Instance) nextHeartbeatInterval() time.Duration {
-	view, now := i.view(), time.Now()
-	isCandidate := func(scope membership.Scope) bool {
-		return slices.ContainsFunc(view.Candidates(scope, now), func(candidate membership.Instance) bool { return candidate.Name == i.Settings.Name })
-	}
-	if view.Size() > largeSiteSize && !isCandidate(membership.Scope{}) && !isCandidate(i.ownScope()) {
+	if i.view().Size() > largeSiteSize && !i.isCandidate(time.Now()) {
 		return 2 * heartbeatInterval
 	}
 	return heartbeatInterval
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -84,6 +84,9 @@
 	placements *placements
 	attemptLog *attemptLog
 
+	startedAt time.Time
+	// isRegistered is true if the store has an entry of this instance.
+	isRegistered atomic.Bool
 	// leavingAt is when the instance began to shut down, in nanoseconds since the Unix
 	// epoch; 0 if it isn't shutting down.
 	leavingAt atomic.Int64
@@ -135,6 +138,7 @@
 		fleet:              fleet.NewTable(),
 		heartbeatTrigger:   make(chan struct{}, 1),
 		fetchAddress:       make(chan string, 1),
+		startedAt:          time.Now(),
 		latencies:          newHistograms(),
 		refusals:           counter.NewSet("refusals"),
 		retries:            counter.NewSet("retries"),
--- a/entry/message.go
+++ b/entry/message.go
@@ -60,6 +60,9 @@
 	runningNotice
 	// promptReadNotice notifies a new coordinator of a prompt that an engine has read.
 	promptReadNotice
+	// remoteReadNotice notifies the coordinator of another cell of a prompt that an
+	// engine of the sender's cell reads.
+	remoteReadNotice
 )
 
 // notice notifies the coordinator of an event of a prepared request.
--- a/entry/registration.go
+++ b/entry/registration.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"lycheecrank.example/codec"
@@ -11,31 +12,67 @@
 )
 
 const (
-	// discoverInterval is how often an instance reads the entries of other instances.
+	// registrationInterval is how often an instance checks whether its entry has to be
+	// written or the entries of others have to be read.
+	registrationInterval = time.Second
+	// discoverInterval is how often an instance reads the entries of other instances
+	// while candidates are unreachable, lonelyInterval how often while all are.
 	discoverInterval = 15 * time.Second
-	// registrationRetryDelay is the pause after a failed read or write of entries. It
-	// also serves as the timeout of the removal of the entry at shutdown.
-	registrationRetryDelay = time.Second
+	lonelyInterval   = 3 * time.Second
+	// contactGrace is how long after its start an instance waits for contact with a seed
+	// before it reads the store. When all instances of a large site start at once, the
+	// seeds receive what they need from one of them.
+	contactGrace = 1500 * time.Millisecond
+	// unregisterTimeout bounds the removal of the entry at shutdown.
+	unregisterTimeout = time.Second
 	// registrationTimeout bounds a read or write of entries.
 	registrationTimeout = 1500 * time.Millisecond
 )
 
-// runRegistration writes the entry of this instance to the store once and reads the
-// entries of other instances regularly.
+// runRegistration writes the entry of this instance to the store once it is a candidate,
+// and reads the entries of other instances while it lacks contact with candidates. Other
+// instances learn of each other from heartbeats.
 func (i *Instance) runRegistration(ctx context.Context) error {
-	isWritten := false
-	for {
-		wait := discoverInterval
-		if !isWritten {
-			isWritten = i.register(ctx) == nil
+	var discoveredAt time.Time
+	pause(ctx, contactGrace)
+	for ctx.Err() == nil {
+		now := time.Now()
+		if !i.isRegistered.Load() && i.isCandidate(now) {
+			i.isRegistered.Store(i.register(ctx) == nil)
 		}
-		if err := i.discover(ctx); err != nil || !isWritten {
-			wait = registrationRetryDelay
-		}
-		if !pause(ctx, wait) {
-			return nil
+		if i.isDiscoveryDue(now.Sub(discoveredAt), now) && i.discover(ctx) == nil {
+			discoveredAt = now
 		}
+		pause(ctx, registrationInterval)
+	}
+	return nil
+}
+
+// isCandidate reports whether this instance is a candidate for leader of the site or for
+// coordinator of its cell.
+func (i *Instance) isCandidate(now time.Time) bool {
+	view := i.view()
+	isSelf := func(m membership.Instance) bool { return m.Name == i.Settings.Name }
+	return slices.ContainsFunc(view.Candidates(membership.Scope{}, now), isSelf) ||
+		slices.ContainsFunc(view.Candidates(i.ownScope(), now), isSelf)
+}
+
+// isDiscoveryDue reports whether the entries of other instances are to be read, a given
+// time after they were read last.
+func (i *Instance) isDiscoveryDue(sinceLast time.Duration, now time.Time) bool {
+	view := i.view()
+	reachable := len(view.Reachable(now))
+	if reachable == 0 {
+		return sinceLast >= lonelyInterval
 	}
+	return reachable < len(view.Candidates(membership.Scope{}, now))-1 && sinceLast >= discoverInterval
+}
+
+// isStarting reports whether this instance has just started and may still get what it
+// needs from another one.
+func (i *Instance) isStarting(now time.Time) bool {
+	isOther := func(address string) bool { return address != i.Settings.PeerAddress }
+	return now.Sub(i.startedAt) < contactGrace && slices.ContainsFunc(*i.seeds.Load(), isOther)
 }
 
 func (i *Instance) register(ctx context.Context) error {
@@ -50,7 +87,10 @@
 
 // unregister removes the entry of this instance at shutdown.
 func (i *Instance) unregister(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, registrationRetryDelay)
+	if !i.isRegistered.Load() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, unregisterTimeout)
 	defer cancel()
 	if err := i.store.Put(ctx, platform.InstanceStream, i.Settings.Name, nil); err != nil {
 		i.Logger.Write(event.LogUnavailable, platform.InstanceStream, err)
--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -177,7 +177,7 @@
 	ctx, cancel := context.WithTimeout(ctx, task.Deadline-reserve)
 	defer cancel()
 	if expected := c.expectedPreparation(task, openedAt); expected > 0 {
-		if task.OnTimeOnly && expected > task.Objective {
+		if task.OnTimeOnly && expected+task.engineTime() > task.Objective {
 			return Placement{IsDeclined: true}, nil
 		}
 		if expected > min(task.Objective+objectiveSlack, task.Deadline) {
--- a/preparation/table.go
+++ b/preparation/table.go
@@ -159,7 +159,7 @@
 // latestStart estimates when a stage has to start at the latest for the request to meet
 // its objective.
 func latestStart(j job, stage int, callTime func(pool string, pieces int) time.Duration) time.Time {
-	remaining := engineOverhead + time.Duration(j.task.Prompt.InputTokens)*time.Millisecond/prefillTokensPerMs
+	remaining := j.task.engineTime()
 	for i := stage; ; {
 		remaining += callTime(j.task.Stages[i].Pool, typicalCallPieces) + stageQueueTime
 		next, longest := -1, 0
--- a/preparation/task.go
+++ b/preparation/task.go
@@ -75,6 +75,11 @@
 	return t
 }
 
+// engineTime estimates the time from the end of the preparation to the first event.
+func (t Task) engineTime() time.Duration {
+	return engineOverhead + time.Duration(t.Prompt.InputTokens)*time.Millisecond/prefillTokensPerMs
+}
+
 func (t Task) class() batch.Class { return batch.Class{Rank: t.Rank, RouteRank: t.RouteRank} }
 
 // RunStatus is the status of a run at an engine, as used to assess the engine.
