Bound faulty answers, tie answers to their requests, and check for suspensions before sends

Only numbered events count now; such a stream ends 0.5 s after the time at which its client gives up. It is looked for before each admission, each send and each call of another instance; an attempt admitted before the break isn't sent, and keys count only once the configuration is confirmed again.

--- a/batch/commands.go
+++ b/batch/commands.go
@@ -114,6 +114,7 @@
 	unused := call.ResultBytes()
 	for _, m := range completed {
 		unused -= m.Piece.ResultBytes
+		t.pieces[m.Handle] = m.Piece.Identity
 		t.addResult(p, m.Handle, result{
 			pool: call.Pool, server: call.Server.ID, address: call.Server.Address,
 			dataCentre: call.Server.DataCentre, bytes: m.Piece.ResultBytes,
--- a/batch/queries.go
+++ b/batch/queries.go
@@ -178,6 +178,16 @@
 	return slices.Clone(t.poolNames)
 }
 
+// BelongsToOther reports whether a stage server has returned a handle for another piece
+// before.
+func (q Queries) BelongsToOther(handle string, piece Identity) bool {
+	t := q.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	owner, ok := t.pieces[handle]
+	return ok && owner != piece
+}
+
 // DataCentre returns the data centre that holds a result, empty if it is unknown.
 func (q Queries) DataCentre(handle string) string {
 	t := q.table
--- a/batch/table.go
+++ b/batch/table.go
@@ -21,7 +21,10 @@
 	// poolNames are sorted.
 	poolNames []string
 	results   map[string]result
-	lastCall  uint64
+	// pieces holds the piece of each result until it expires, also if the result was
+	// released earlier.
+	pieces   map[string]Identity
+	lastCall uint64
 	// outages tracks unreachable data centres by the servers of all pools.
 	outages outage.Tracker
 }
@@ -57,7 +60,7 @@
 // NewTable returns an empty table.
 func NewTable() *Table {
 	mu := lock.New(lock.RankBatch, "batch")
-	return &Table{mu: mu, changed: sync.NewCond(mu), pools: map[string]*pool{}, results: map[string]result{}}
+	return &Table{mu: mu, changed: sync.NewCond(mu), pools: map[string]*pool{}, results: map[string]result{}, pieces: map[string]Identity{}}
 }
 
 // Commands returns the methods that change the table.
@@ -175,6 +178,7 @@
 		due := 0
 		for due < len(p.expiries) && !now.Before(p.expiries[due].at) {
 			t.releaseResult(p.expiries[due].handle)
+			delete(t.pieces, p.expiries[due].handle)
 			due++
 		}
 		p.expiries = p.expiries[due:]
--- a/delivery/event.go
+++ b/delivery/event.go
@@ -15,13 +15,15 @@
 type eventReader struct {
 	source io.Reader
 	// lastEvent is the number of the last complete event, 0 if there was none.
-	lastEvent     int64
-	buffer        []byte
+	lastEvent int64
+	buffer    []byte
+	// searched is the number of bytes of the buffer that hold no end of an event.
+	searched      int
 	isSourceAtEnd bool
 }
 
 // maxEventBytes is the largest size of an event in bytes.
-const maxEventBytes = 1 << 20
+const maxEventBytes = 128 << 10
 
 var endOfEvent = []byte("\n\n")
 
@@ -31,9 +33,7 @@
 func (r *eventReader) next() ([]byte, error) {
 	chunk := make([]byte, 4<<10)
 	for {
-		if i := bytes.LastIndex(r.buffer, endOfEvent); i >= 0 {
-			complete := bytes.Clone(r.buffer[:i+len(endOfEvent)])
-			r.buffer = r.buffer[i+len(endOfEvent):]
+		if complete, ok := r.takeComplete(); ok {
 			return complete, r.checkNumbers(complete)
 		}
 		if r.isSourceAtEnd {
@@ -52,14 +52,29 @@
 			r.isSourceAtEnd = true
 		case err != nil:
 			// Complete events that arrived before the read error are still returned.
-			if bytes.LastIndex(r.buffer, endOfEvent) < 0 {
-				return nil, eris.Wrap(ErrNoValidAnswer, err.Error())
+			if complete, ok := r.takeComplete(); ok {
+				r.source = failedReader{err}
+				return complete, r.checkNumbers(complete)
 			}
-			r.source = failedReader{err}
+			return nil, eris.Wrap(ErrNoValidAnswer, err.Error())
 		}
 	}
 }
 
+// takeComplete removes the complete events from the buffer. It searches only bytes that
+// were added since the last search.
+func (r *eventReader) takeComplete() ([]byte, bool) {
+	i := bytes.LastIndex(r.buffer[r.searched:], endOfEvent)
+	if i < 0 {
+		r.searched = max(0, len(r.buffer)-len(endOfEvent)+1)
+		return nil, false
+	}
+	end := r.searched + i + len(endOfEvent)
+	complete := bytes.Clone(r.buffer[:end])
+	r.buffer, r.searched = r.buffer[end:], 0
+	return complete, true
+}
+
 // failedReader returns the same error for every read.
 type failedReader struct{ err error }
 
--- a/delivery/plain.go
+++ b/delivery/plain.go
@@ -49,6 +49,9 @@
 		reason := failureReason(answer, err)
 		r.PlainServers.Release(server.Name, backend.Observation{Reason: reason, SentAt: sent, ResponseTime: time.Since(sent), Incarnation: server.Incarnation}, time.Now())
 		avoid = append(avoid, server.Name)
+		if r.hadBreak(routed) && errors.Is(err, ErrNotReached) {
+			return result.withFailure(breakFailure().WithSent(mayHaveRun))
+		}
 		if errors.Is(err, ErrNotReached) || err == nil && answer.IsMisdirected {
 			unreached++
 			if unreached < maxUnreachedSends && ctx.Err() == nil && r.allowRetry(routed.attempt.ID, "unreached", result.Tries) {
@@ -80,11 +83,11 @@
 
 // exchange sends a request and reads up to maxBufferedBytes of its answer; the rest of a
 // larger answer stays unread in the body. It cancels the send to a silent server if the
-// request may be sent to another server. If the server is no longer listed, it returns
-// ErrNotReached without a send.
+// request may be sent to another server. If the server is no longer listed, or
+// the machine was suspended since the admission, it returns ErrNotReached without a send.
 func (r *Router) exchange(ctx context.Context, routed routedAttempt, reserved backend.Server, mayRetryElsewhere bool) (Answer, []byte, error) {
 	server, ok := r.Fleet.Server(reserved.Name, time.Now())
-	if !ok {
+	if !ok || r.hadBreak(routed) {
 		return Answer{}, nil, ErrNotReached
 	}
 	sendCtx, cancel := context.WithCancelCause(ctx)
--- a/delivery/router.go
+++ b/delivery/router.go
@@ -40,11 +40,32 @@
 	// IsLeaving reports whether this instance shuts down so soon that streams should
 	// go to another one.
 	IsLeaving func() bool
+	// LastBreak detects breaks: times in which the machine was suspended, which the clock
+	// of the runtime doesn't count. It is called before each admission and each send; nil
+	// stands for a machine that is never suspended.
+	LastBreak func() Break
 	// Retries counts sends beyond the first one by reason.
 	Retries *counter.Set
 	Logger  *event.Logger
 }
 
+// Break describes the breaks of a process so far.
+type Break struct {
+	Count   int64
+	EndedAt time.Time
+}
+
+// resumeGrace is how long after a break attempts are refused while the configuration is
+// not confirmed: keys and routes may have been withdrawn during the break.
+const resumeGrace = time.Second
+
+func (r *Router) lastBreak() Break {
+	if r.LastBreak == nil {
+		return Break{}
+	}
+	return r.LastBreak()
+}
+
 // routedAttempt is an attempt with its route, pool, workspace and times according to the
 // configuration. It is an immutable value.
 type routedAttempt struct {
@@ -55,6 +76,18 @@
 	rank      int
 	deadline  time.Time
 	objective time.Time
+	// breaks is the number of breaks before the admission. After another break, the
+	// attempt isn't sent any more: its route, key, server and deadline may have run out
+	// meanwhile.
+	breaks int64
+}
+
+// hadBreak reports whether the process had a break since the attempt was admitted.
+func (r *Router) hadBreak(routed routedAttempt) bool { return r.lastBreak().Count != routed.breaks }
+
+// breakFailure is the failure of an attempt that was not sent because of a break.
+func breakFailure() request.Failure {
+	return request.Refuse(request.ReasonDeadlinePassed, "the machine was suspended after the request was admitted").WithRetryAfter(staleRetryAfter)
 }
 
 // Deliver serves an attempt until its answer is forwarded or it has failed.
@@ -87,16 +120,21 @@
 // attempt, or refuses it. ReasonNoCatalogue also stands for a missing or outdated
 // configuration.
 func (r *Router) admit(attempt Attempt) (routedAttempt, *request.Failure) {
+	lastBreak := r.lastBreak()
 	now := time.Now()
 	configuration := r.Routes.Current()
-	if configuration.Version == 0 {
+	switch {
+	case configuration.Version == 0:
 		return routedAttempt{}, refuse(request.ReasonNoCatalogue, "no configuration received yet")
+	case lastBreak.Count > 0 && now.Sub(lastBreak.EndedAt) < resumeGrace && !r.Routes.IsCurrent(now):
+		f := request.Refuse(request.ReasonNoCatalogue, "the machine was suspended, and the configuration isn't confirmed yet").WithRetryAfter(staleRetryAfter)
+		return routedAttempt{}, &f
 	}
 	matched, ok := configuration.Match(attempt.Host, attempt.Path)
 	if !ok {
 		return routedAttempt{}, r.refuseUnknown(request.ReasonUnknownTarget, now)
 	}
-	routed := routedAttempt{attempt: attempt, route: matched, rank: matched.Rank}
+	routed := routedAttempt{attempt: attempt, route: matched, rank: matched.Rank, breaks: lastBreak.Count}
 	if configuration.NeedsKey(matched) {
 		workspace, ok := configuration.Workspace(attempt.Key)
 		if !ok {
--- a/delivery/silence.go
+++ b/delivery/silence.go
@@ -25,6 +25,9 @@
 	// silentIdleShare is the share of the client's idle timeout after which a stream that
 	// has started is moved to another engine.
 	silentIdleShare = 0.5
+	// stalledSlack is how long after the client's idle timeout a stream ends that can't be
+	// sent to another engine. The client normally disconnects before.
+	stalledSlack = 500 * time.Millisecond
 )
 
 // silenceTimer cancels a send whose engine is silent. The zero value does nothing.
@@ -34,20 +37,25 @@
 	maxPause time.Duration
 }
 
-// startSilenceTimer returns the context of a send and the timer that cancels the context. A
-// request that can't be sent to another engine gets no timer, because its engine may
-// still answer.
+// startSilenceTimer returns the context of a send and the timer that cancels the context.
+// Only numbered events restart the timer, so that a stalled engine that sends some bytes
+// now and then counts as silent. A request that can't be sent to another engine waits as
+// long as its client does, because its engine may still answer.
 func (s *preparedAttempt) startSilenceTimer(ctx context.Context, placement preparation.Placement) (context.Context, context.CancelFunc, silenceTimer) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	cancelSend := func() { cancel(context.Canceled) }
 	idle, ok := idleTimeout(s.routed.route)
-	if !ok || !s.canRetryElsewhere(placement.Server) {
+	if !ok {
 		return ctx, cancelSend, silenceTimer{}
 	}
-	first := silentFactor*placement.ExpectedFirstEvent + silentSlack
+	first, maxPause := time.Until(s.lastEventAt.Add(idle+stalledSlack)), idle+stalledSlack
+	if s.canRetryElsewhere(placement.Server) {
+		first = silentFactor*placement.ExpectedFirstEvent + silentSlack
+		maxPause = time.Duration(silentIdleShare * float64(idle))
+	}
 	return ctx, cancelSend, silenceTimer{
 		timer:    time.AfterFunc(first, func() { cancel(errSilent) }),
-		maxPause: time.Duration(silentIdleShare * float64(idle)),
+		maxPause: maxPause,
 	}
 }
 
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -94,6 +94,11 @@
 		router.OnRunEnd(routed.pool.Name, placement.Server, routed.attempt.ID, preparation.RunEnded)
 		return s.retryNotRun(ctx, placement.Server, request.Refuse(request.ReasonNoServer, "reserved engine is no longer available at its address"))
 	}
+	if router.hadBreak(routed) {
+		router.OnRunEnd(routed.pool.Name, placement.Server, routed.attempt.ID, preparation.RunEnded)
+		router.Abandon(routed.attempt.ID, s.task.Try)
+		return s.fail(breakFailure())
+	}
 	// Cancelling the context makes the engine stop a stream that is no longer read.
 	sendCtx, cancel, silence := s.startSilenceTimer(ctx, placement)
 	defer cancel()
@@ -215,7 +220,9 @@
 		if err != nil {
 			return s.retryBroken(ctx, server, withSilence(sendCtx, err))
 		}
-		silence.restart()
+		if events.lastEvent > s.lastEvent {
+			silence.restart()
+		}
 		if !hasEvent {
 			hasEvent = true
 			router.OnFirstEvent(routed.pool.Name, server, routed.attempt.ID, s.task.Try, time.Since(sentAt))
@@ -230,7 +237,9 @@
 		if routed.attempt.Write(event) != nil {
 			return s.endDisconnected(server)
 		}
-		s.lastEvent, s.lastEventAt = events.lastEvent, time.Now()
+		if events.lastEvent > s.lastEvent {
+			s.lastEvent, s.lastEventAt = events.lastEvent, time.Now()
+		}
 	}
 	s.runs++
 	router.OnRunEnd(routed.pool.Name, server, routed.attempt.ID, preparation.RunEnded)
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -66,6 +66,7 @@
 
 // handleCall handles a message of another instance according to its subject.
 func (i *Instance) handleCall(ctx context.Context, _ peer.Hello, subject string, data []byte) ([]byte, error) {
+	i.lastBreak()
 	switch subject {
 	case heartbeatSubject:
 		return serveCall(data, i.handleHeartbeat)
@@ -155,7 +156,7 @@
 	defer func() { _ = group.Wait() }()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	clock := heartbeatClock{sinceBoot: i.SinceBoot(), sentAt: time.Now(), interval: heartbeatInterval}
+	clock := heartbeatClock{sentAt: time.Now(), interval: heartbeatInterval}
 	coordinatorName := ""
 	for round := 0; ; round++ {
 		select {
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -85,6 +85,7 @@
 	attemptLog *attemptLog
 
 	startedAt time.Time
+	breaks    *breakMonitor
 	// isRegistered is true if the store has an entry of this instance.
 	isRegistered atomic.Bool
 	// leavingAt is when the instance began to shut down, in nanoseconds since the Unix
@@ -139,6 +140,7 @@
 		heartbeatTrigger:   make(chan struct{}, 1),
 		fetchAddress:       make(chan string, 1),
 		startedAt:          time.Now(),
+		breaks:             newBreakMonitor(),
 		latencies:          newHistograms(),
 		refusals:           counter.NewSet("refusals"),
 		retries:            counter.NewSet("retries"),
@@ -183,6 +185,7 @@
 		OnRunEnd:     i.sendEnd,
 		Abandon:      i.sendAbandon,
 		IsLeaving:    func() bool { return i.leavingFor() > refuseStreamsAfter },
+		LastBreak:    i.lastBreak,
 		Retries:      i.retries,
 		Logger:       i.Logger,
 	}
--- a/entry/run.go
+++ b/entry/run.go
@@ -46,6 +46,7 @@
 	if err != nil {
 		return err
 	}
+	i.lastBreak()
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var group errgroup.Group
--- a/preparation/calls.go
+++ b/preparation/calls.go
@@ -29,6 +29,9 @@
 	isEnded.Store(true)
 	now := time.Now()
 	c.OnCall(call.Pool, now.Sub(call.SentAt))
+	if err == nil && c.isRepeated(call, results) {
+		err = ErrRepeatedAnswer
+	}
 	if err != nil || len(results) != len(call.Pieces) {
 		c.failCall(call, err, now)
 		return
@@ -49,6 +52,23 @@
 	}
 }
 
+// isRepeated reports whether an answer contains a handle of another piece. Answers to
+// stage calls don't name their call, so that this is how the second copy of an answer
+// shows that arrives late on a connection in use again.
+func (c *Coordinator) isRepeated(call batch.Call, results []Result) bool {
+	seen := make(map[string]bool, len(results))
+	for i, r := range results {
+		if r.Status != Completed || i >= len(call.Pieces) {
+			continue
+		}
+		if seen[r.Handle] || c.Batches.Queries().BelongsToOther(r.Handle, call.Pieces[i].Identity) {
+			return true
+		}
+		seen[r.Handle] = true
+	}
+	return false
+}
+
 // applyResult applies the result of one piece.
 func (c *Coordinator) applyResult(call batch.Call, piece batch.Piece, result Result, now time.Time) {
 	switch result.Status {
--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -23,6 +23,9 @@
 	// ErrWrongServer means that a server other than the expected one answered at the
 	// address.
 	ErrWrongServer = errors.New("unexpected stage server at the address")
+	// ErrRepeatedAnswer means that the answer to a call contains results of an earlier
+	// call.
+	ErrRepeatedAnswer = errors.New("stage server repeated results of an earlier call")
 )
 
 // PieceStatus is the status of a piece after a call.
--- a/preparation/coordinator_test.go
+++ b/preparation/coordinator_test.go
@@ -67,6 +67,15 @@
 		{"a server always returns the wrong number of results", 1, chainTask("r"), func(batch.Call, int) ([]Result, error) {
 			return []Result{{Status: Completed, Handle: "x"}, {Status: Completed, Handle: "y"}}, nil
 		}},
+		{"a late second copy of an answer", 1, Task{
+			RequestID: "r", Pool: "models", Key: "k", Objective: 2 * time.Second, Deadline: 4 * time.Second,
+			Stages: []Stage{{Pool: "encode", Pieces: 1}, {Pool: "encode", After: []int{0}, Pieces: 1}},
+		}, func(_ batch.Call, n int) ([]Result, error) {
+			if n < 2 {
+				return []Result{{Status: Completed, Handle: "x1"}}, nil
+			}
+			return nil, nil
+		}},
 		{"no server", 0, chainTask("r"), nil},
 	}
 	var b strings.Builder
