Name the coordinator in a hand-over

Cause: an instance that was asked to prepare a request and isn't the coordinator only said so. Change: it names the coordinator, which is asked next and counts as reached.

--- a/entry/cells_test.go
+++ b/entry/cells_test.go
@@ -8,7 +8,9 @@
 
 	"lycheecrank.example/batch"
 	"lycheecrank.example/cell"
+	"lycheecrank.example/membership"
 	"lycheecrank.example/platform"
+	"lycheecrank.example/preparation"
 )
 
 // newDividedSite returns a site of the cells "a" and "b". Each cell has one instance and
@@ -125,3 +127,36 @@
 	is.True(header.Get("Retry-After") != "")
 	is.Equal(s.runCounts(), [2]int{0, 1})
 }
+
+// Guards against two coordinators at a time after a change that not all instances have
+// seen: an instance that isn't the coordinator names the one that is.
+func TestHandOverNamesCoordinator(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newTestSite(t)
+	s.start("n1", "n2", "n3")
+	name := s.instances[0].view().Coordinator(membership.Scope{}, time.Now()).Name
+	var others []*testInstance
+	for _, n := range s.instances {
+		if n.Settings.Name != name {
+			others = append(others, n)
+		}
+	}
+	task := preparation.Task{
+		RequestID: "r1", Try: 1, Pool: "models", Key: "k", Objective: 5 * time.Second, Deadline: 10 * time.Second,
+		Stages: []preparation.Stage{{Pool: "encode", Pieces: 1, Bytes: 1}},
+	}
+	reply, err := others[0].prepareLocally(t.Context(), task)
+	is.NoErr(err)
+	is.True(reply.Placement.IsHandedOver)
+	is.Equal(reply.Coordinator.Name, name)
+
+	// The last call to the coordinator failed, so that another instance is asked.
+	others[1].members.Commands().RecordFailure(name, time.Now())
+	placement, err := others[1].prepareIn(t.Context(), cell.Whole, task, time.Now())
+	is.NoErr(err)
+	is.True(placement.Server != "")
+	is.Equal(others[1].placements.coordinatorOf(task.RequestID).Name, name)
+	is.Equal(others[0].coordinator.Queries().JobCount(), 0)
+	is.True(others[1].view().IsReachable(name, time.Now()))
+}
--- a/entry/coordination.go
+++ b/entry/coordination.go
@@ -68,48 +68,61 @@
 	if !ok || task.Deadline <= 0 {
 		return preparation.Placement{}, false, nil
 	}
-	placement, err := i.prepareAt(ctx, coordinator, task)
+	reply, err := i.prepareAt(ctx, coordinator, task)
+	if err == nil && reply.Placement.IsHandedOver && reply.Coordinator.Name != coordinator.Name {
+		coordinator = reply.Coordinator
+		reply, err = i.prepareAt(ctx, coordinator, task)
+	}
 	switch {
 	case errors.Is(err, request.ReasonPeerUnreachable):
 		i.recordUnreachableCoordinator(coordinator)
 		return preparation.Placement{}, false, nil
 	case err != nil:
-		return placement, false, err
-	case placement.IsHandedOver || placement.IsDeclined:
+		return reply.Placement, false, err
+	case reply.Placement.IsHandedOver || reply.Placement.IsDeclined:
 		return preparation.Placement{}, false, nil
 	}
-	i.placements.add(task, placement, coordinator, now)
-	return placement, true, nil
+	i.placements.add(task, reply.Placement, coordinator, now)
+	return reply.Placement, true, nil
 }
 
 // prepareIn calls the coordinator of a cell to prepare a request. If it can't be
-// reached, prepareIn calls the next one within the remaining time of the request.
+// reached, prepareIn calls the next one within the remaining time of the request. An
+// instance that isn't the coordinator names the one that is.
 func (i *Instance) prepareIn(ctx context.Context, name string, task preparation.Task, startedAt time.Time) (preparation.Placement, error) {
 	var lastErr error
+	var named membership.Instance
 	for tries, moves := 0, 0; tries < maxPrepareTries; {
 		now := time.Now()
 		coordinator, ok := i.coordinatorOf(name, now)
+		if named.Name != "" {
+			coordinator, ok = named, true
+		}
 		next := task.WithElapsed(now.Sub(startedAt))
 		next.IsForced = tries > 0 || moves > maxMoves
 		if !ok || next.Deadline <= 0 || ctx.Err() != nil {
 			break
 		}
-		placement, err := i.prepareAt(ctx, coordinator, next)
+		reply, err := i.prepareAt(ctx, coordinator, next)
+		named = membership.Instance{}
 		switch {
-		case err == nil && !placement.IsHandedOver:
-			i.placements.add(task, placement, coordinator, now)
-			return placement, nil
+		case err == nil && !reply.Placement.IsHandedOver:
+			i.placements.add(task, reply.Placement, coordinator, now)
+			return reply.Placement, nil
 		case err == nil:
 			// The called instance returned the results that exist so far. The next one
 			// ignores them if IsRebuilt is set.
-			task.Results = placement.Results
+			task.Results = reply.Placement.Results
 			task.IsRebuilt = false
+			if reply.Coordinator.Name != coordinator.Name {
+				named = reply.Coordinator
+			}
 			moves++
 			i.retries.Add("coordinatorMoved")
 			pause(ctx, movePause)
 			continue
 		case !errors.Is(err, request.ReasonPeerUnreachable):
-			return placement, err
+			return reply.Placement, err
 		}
 		lastErr = err
 		tries++
@@ -126,32 +139,34 @@
 	i.retries.Add("coordinatorUnreachable")
 }
 
-func (i *Instance) prepareAt(ctx context.Context, coordinator membership.Instance, task preparation.Task) (preparation.Placement, error) {
+func (i *Instance) prepareAt(ctx context.Context, coordinator membership.Instance, task preparation.Task) (prepareReply, error) {
 	if coordinator.Name == i.Settings.Name {
 		return i.prepareLocally(ctx, task)
 	}
-	placement, err := callPeer[preparation.Placement](ctx, i, coordinator.Address, prepareSubject, task)
+	reply, err := callPeer[prepareReply](ctx, i, coordinator.Address, prepareSubject, task)
 	if err != nil {
 		// No engine has received the request, even if the coordinator received the call.
 		f := request.AsFailure(err)
 		f.Sent = false
-		return placement, f
+		return reply, f
 	}
-	return placement, nil
+	i.members.Commands().RecordReply(coordinator, time.Now())
+	return reply, nil
 }
 
 // prepareLocally prepares a request on this instance. If the task isn't forced and
 // another instance is the coordinator in the view of this one, it returns a placement
-// with IsHandedOver set instead.
-func (i *Instance) prepareLocally(ctx context.Context, task preparation.Task) (preparation.Placement, error) {
-	if !task.IsForced && i.view().Coordinator(i.ownScope(), time.Now()).Name != i.Settings.Name {
-		return preparation.Placement{IsHandedOver: true, Results: task.Results}, nil
+// with IsHandedOver set and names that instance.
+func (i *Instance) prepareLocally(ctx context.Context, task preparation.Task) (prepareReply, error) {
+	coordinator := i.view().Coordinator(i.ownScope(), time.Now())
+	if !task.IsForced && coordinator.Name != i.Settings.Name {
+		return prepareReply{Placement: preparation.Placement{IsHandedOver: true, Results: task.Results}, Coordinator: coordinator}, nil
 	}
 	placement, err := i.coordinator.Prepare(ctx, task)
 	if err == nil && placement.Server != "" {
 		i.shareRead(task, placement)
 	}
-	return placement, err
+	return prepareReply{Placement: placement, Coordinator: coordinator}, err
 }
 
 // shareRead notifies the coordinators of the other cells of a prompt that an engine of
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -71,7 +71,7 @@
 	case heartbeatSubject:
 		return serveCall(data, i.handleHeartbeat)
 	case prepareSubject:
-		return serveCall(data, func(task preparation.Task) (preparation.Placement, error) { return i.prepareLocally(ctx, task) })
+		return serveCall(data, func(task preparation.Task) (prepareReply, error) { return i.prepareLocally(ctx, task) })
 	case noticeSubject:
 		return serveCall(data, i.applyNotices)
 	}
--- a/entry/message.go
+++ b/entry/message.go
@@ -6,6 +6,7 @@
 	"lycheecrank.example/engine"
 	"lycheecrank.example/feed"
 	"lycheecrank.example/membership"
+	"lycheecrank.example/preparation"
 )
 
 // The subjects of messages between instances.
@@ -46,6 +47,13 @@
 	End     uint64        `msgpack:"end"`
 }
 
+// prepareReply is the reply of a coordinator to a task.
+type prepareReply struct {
+	Placement preparation.Placement `msgpack:"placement"`
+	// Coordinator is the coordinator of the cell according to the replying instance.
+	Coordinator membership.Instance `msgpack:"coordinator"`
+}
+
 // noticeKind is the event that a notice is about.
 type noticeKind int
 
--- a/membership/table.go
+++ b/membership/table.go
@@ -49,6 +49,11 @@
 	c.change(func(v View) View { return v.WithContact(instance, at).WithKnown(known, at) })
 }
 
+// RecordReply records a reply of an instance that doesn't describe it.
+func (c Commands) RecordReply(instance Instance, at time.Time) {
+	c.change(func(v View) View { return v.WithReply(instance, at) })
+}
+
 // AddKnown adds instances that are known from other sources than their own messages.
 func (c Commands) AddKnown(known []Instance, at time.Time) {
 	c.change(func(v View) View { return v.WithKnown(known, at) })
--- a/membership/view.go
+++ b/membership/view.go
@@ -52,6 +52,15 @@
 	return m
 }
 
+// WithReply returns the view after a reply of an instance that doesn't describe it. An
+// instance that is unknown so far is added as described by another one.
+func (v View) WithReply(instance Instance, at time.Time) View {
+	if known, ok := v.others[instance.Name]; ok {
+		instance = known.instance
+	}
+	return v.WithContact(instance, at)
+}
+
 // isNewerThan reports whether a description of an instance is newer than another one.
 // EligibleSince only grows, and an instance that is leaving doesn't stay.
 func (m Instance) isNewerThan(other Instance) bool {
--- a/membership/view_test.go
+++ b/membership/view_test.go
@@ -117,3 +117,21 @@
 	is.Equal(table.Queries().View().Candidates(Scope{}, at.Add(time.Second))[0].Name, "n03")
 	is.Equal(table.Queries().View().Candidates(Scope{}, at.Add(failureBackoff))[0].Name, "n01") // a candidate again
 }
+
+// Guards against a reply that replaces what an instance said about itself by the older
+// description that a third one gave.
+func TestReplyKeepsDescription(t *testing.T) {
+	is := is.New(t)
+	at := time.Unix(1000, 0)
+	table := NewTable(newInstance("n2", 20))
+	c := table.Commands()
+	c.RecordContact(newInstance("n1", 10).WithLeaving(), nil, at)
+	c.RecordReply(newInstance("n1", 10), at.Add(time.Second))
+	is.Equal(table.Queries().View().Coordinator(Scope{}, at.Add(time.Second)).Name, "n2")
+	c.RecordReply(newInstance("n0", 5), at.Add(time.Second))
+	is.Equal(table.Queries().View().Coordinator(Scope{}, at.Add(time.Second)).Name, "n0")
+	c.AddKnown([]Instance{newInstance("n0", 50)}, at.Add(time.Second)) // it restarted
+	is.Equal(table.Queries().View().Coordinator(Scope{}, at.Add(time.Second)).Name, "n2")
+	c.AddKnown([]Instance{newInstance("n0", 5)}, at.Add(time.Second)) // older news
+	is.Equal(table.Queries().View().Coordinator(Scope{}, at.Add(time.Second)).Name, "n2")
+}
