Find the leader sooner after a start, and keep contact with fewer candidates in a large site

Change: only instances that start together for the first time (bootstrap in the settings) leave the reads to the leader; an instance that knows no other one tries the seeds at each heartbeat.

--- a/entry/feeds_test.go
+++ b/entry/feeds_test.go
@@ -37,7 +37,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		newInstance := func(name string, seeds ...string) *Instance {
-			i := New(platform.Settings{Name: name, DataCentre: "a", PeerAddress: name + ":1", Seeds: seeds}, io.Discard)
+			i := New(platform.Settings{Name: name, DataCentre: "a", PeerAddress: name + ":1", Seeds: seeds, IsFirstStart: true}, io.Discard)
 			t.Cleanup(func() { _ = i.Logger.Close() })
 			return i
 		}
@@ -52,6 +52,9 @@
 		is.True(i.isReader(platform.ServerStream)) // this instance leads
 		alone := newInstance("n1", "n1:1")
 		is.True(alone.isReader(platform.ServerStream))
+		restarted := newInstance("n2", "n1:1")
+		restarted.Settings.IsFirstStart = false
+		is.True(restarted.isReader(platform.ServerStream)) // it serves again at once
 		lonely := newInstance("n2", "n1:1")
 		time.Sleep(contactGrace)
 		is.True(lonely.isReader(platform.ServerStream)) // the seeds are down
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -252,8 +252,13 @@
 			add(m.Address)
 		}
 	}
-	if round%seedRounds == 0 && len(view.Reachable(now)) < len(candidates)-1 || view.Size() == 1 {
+	isAlone := view.Size() == 1
+	if round%seedRounds == 0 && len(view.Reachable(now)) < len(candidates)-1 || isAlone {
 		for _, seed := range *i.seeds.Load() {
+			if isAlone {
+				// The seed may have started just after the last failed connection.
+				i.client.ResetBackoff(seed)
+			}
 			add(seed)
 		}
 	}
--- a/entry/registration.go
+++ b/entry/registration.go
@@ -20,8 +20,9 @@
 	discoverInterval = 15 * time.Second
 	lonelyInterval   = 3 * time.Second
 	// contactGrace is how long after its start an instance waits for contact with a seed
-	// before it reads the store. When all instances of a large site start at once, the
-	// seeds receive what they need from one of them.
+	// before it reads the entries of others, and, when the whole system starts for the
+	// first time, before it reads any stream of the store: if all instances of a large
+	// site read it at once, they use a large part of the calls of a day.
 	contactGrace = 1500 * time.Millisecond
 	// unregisterTimeout bounds the removal of the entry at shutdown.
 	unregisterTimeout = time.Second
@@ -68,11 +69,12 @@
 	return reachable < len(view.Candidates(membership.Scope{}, now))-1 && sinceLast >= discoverInterval
 }
 
-// isStarting reports whether this instance has just started and may still get what it
-// needs from another one.
+// isStarting reports whether this instance has just started together with all others and
+// may still get what it needs from one of them. An instance that starts alone reads the
+// store at once, so that it can serve again without a delay.
 func (i *Instance) isStarting(now time.Time) bool {
 	isOther := func(address string) bool { return address != i.Settings.PeerAddress }
-	return now.Sub(i.startedAt) < contactGrace && slices.ContainsFunc(*i.seeds.Load(), isOther)
+	return i.Settings.IsFirstStart && now.Sub(i.startedAt) < contactGrace && slices.ContainsFunc(*i.seeds.Load(), isOther)
 }
 
 func (i *Instance) register(ctx context.Context) error {
--- a/membership/view.go
+++ b/membership/view.go
@@ -140,17 +140,21 @@
 const (
 	// candidateCount is the number of candidates for coordinator that every instance
 	// stays in contact with. If all n instances were in contact with each other, the
-	// messages would grow with n squared.
-	candidateCount = 5
+	// messages would grow with n squared. In a site of more than largeSiteSize instances
+	// an instance stays in contact with the candidates of its cell as well, so that fewer
+	// of each kind are enough.
+	candidateCount      = 5
+	largeCandidateCount = 3
+	largeSiteSize       = 100
 	// failureBackoff is how long an instance is left out of the candidates after a
 	// failed call, unless a message of it has arrived since.
 	failureBackoff = 1500 * time.Millisecond
 )
 
 // Candidates returns the candidates for coordinator of a scope: at most candidateCount
-// instances, in the order in which they would be chosen. They are taken from this
-// instance, the reachable ones, and those that were last seen within staleAfter and to
-// which no call has failed within failureBackoff.
+// instances, or largeCandidateCount in a large site, in the order in which they would be
+// chosen. They are taken from this instance, the reachable ones, and those that were
+// last seen within staleAfter and to which no call has failed within failureBackoff.
 func (v View) Candidates(scope Scope, now time.Time) []Instance {
 	var candidates []Instance
 	if scope.contains(v.self) {
@@ -170,7 +174,11 @@
 		}
 		return 1
 	})
-	return candidates[:min(len(candidates), candidateCount)]
+	count := candidateCount
+	if v.Size() > largeSiteSize {
+		count = largeCandidateCount
+	}
+	return candidates[:min(len(candidates), count)]
 }
 
 // lastSeenAt returns the time of the last contact, or the time at which the instance
--- a/preparation/fleet_test.go
+++ b/preparation/fleet_test.go
@@ -7,7 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
-	"golang.org/x/sync/errgroup")
+	"golang.org/x/sync/errgroup"
+)
 
 // Load pattern: a fleet with more stage servers than the coordinator of a small site
 // has calls in progress. Guards against a coordinator that leaves idle servers without
