Don't count answers of full stage servers as tries

Each such answer counted for all pieces of its call: five of them ended a request of three pieces, and the budget for recomputed pieces ran out. A piece was also kept from the server that had been full, so that it was sent alone next time. Change: such pieces are queued again without a count, for any server, and a server that is full again and again is left alone for up to 0.3 s.

--- a/batch/server.go
+++ b/batch/server.go
@@ -54,8 +54,10 @@
 	// failure.
 	minBlock = 150 * time.Millisecond
 	maxBlock = 3 * time.Second
-	// fullBlock is how long a full server gets no calls.
-	fullBlock = 60 * time.Millisecond
+	// A full server gets no calls for a time that doubles with each consecutive time it
+	// is full: it may be busy with the calls of an earlier coordinator.
+	minFullBlock = 60 * time.Millisecond
+	maxFullBlock = 300 * time.Millisecond
 	// unaccountedLifetime is how long the unaccounted memory derived from a server's
 	// report counts as used. It is short, because a report is already some hundred
 	// milliseconds old and the unaccounted results expire by themselves.
@@ -82,7 +84,9 @@
 	unaccounted      int64
 	unaccountedUntil time.Time
 	failures         int
-	blockedUntil     time.Time
+	// fulls is the number of consecutive times that the server was full.
+	fulls        int
+	blockedUntil time.Time
 	// isDraining servers finish their calls and get no new ones.
 	isDraining bool
 }
@@ -105,6 +109,7 @@
 	s.AllocatedMemory = max(0, s.AllocatedMemory-unused)
 	s.failures = 0
 	if typical > 0 {
+		s.fulls = 0
 		current := s.currentSlowness(now)
 		s.Slowness, s.measuredAt = current+slownessWeight*(slownessSample(took, typical)-current), now
 	}
@@ -150,7 +155,8 @@
 
 // WithFull returns the server after it had no memory for a call or a result.
 func (s Server) WithFull(now time.Time) Server {
-	s.blockedUntil = now.Add(fullBlock)
+	s.blockedUntil = now.Add(min(maxFullBlock, minFullBlock<<min(s.fulls, 8)))
+	s.fulls++
 	return s
 }
 
--- a/preparation/calls.go
+++ b/preparation/calls.go
@@ -100,7 +100,24 @@
 	c.Logger.Write(event.StageCallFailed, call.Pool, call.Server.ID, len(call.Pieces), now.Sub(call.SentAt).Milliseconds(), err)
 	c.Batches.Commands().FailCall(call, isFull, now)
 	for _, p := range call.Pieces {
-		c.retryPiece(p, call.Server.ID)
+		if isFull {
+			c.requeuePiece(p)
+		} else {
+			c.retryPiece(p, call.Server.ID)
+		}
+	}
+}
+
+// requeuePiece queues a piece again whose call was not executed, because the server was
+// full. It takes nothing from the recompute budget and the limit of the request: after a
+// takeover, all servers of a pool may be full with the calls of the earlier coordinator.
+func (c *Coordinator) requeuePiece(piece batch.Piece) {
+	switch c.table.Commands().decideRetry(piece, false) {
+	case rebuildRequest:
+		c.Counters.Add("inputGivenUp")
+		c.rebuild(piece, "", time.Now())
+	case retryPiece:
+		c.Batches.Commands().Enqueue([]batch.Piece{piece})
 	}
 }
 
@@ -122,7 +139,7 @@
 // limit of the request or the recompute budget is exhausted, it refuses the request, so
 // that the client gets the refusal before its deadline.
 func (c *Coordinator) retryPiece(piece batch.Piece, avoid string) {
-	switch decision := c.table.Commands().decideRetry(piece); {
+	switch decision := c.table.Commands().decideRetry(piece, true); {
 	case decision == ignorePiece:
 		return
 	case decision == rebuildRequest:
--- a/preparation/commands.go
+++ b/preparation/commands.go
@@ -142,8 +142,8 @@
 const maxRecomputes = 12
 
 // decideRetry decides how to proceed with a piece that failed. If it returns retryPiece,
-// it has counted the piece as recomputed.
-func (c Commands) decideRetry(piece batch.Piece) retryDecision {
+// it has counted the piece as recomputed, unless its call was not executed.
+func (c Commands) decideRetry(piece batch.Piece, isExecuted bool) retryDecision {
 	table := c.table
 	table.mu.Lock()
 	defer table.mu.Unlock()
@@ -154,12 +154,15 @@
 		return ignorePiece
 	}
 	switch {
-	case jobEntry.job.recomputes >= maxRecomputes:
+	case isExecuted && jobEntry.job.recomputes >= maxRecomputes:
 		return refuseRequest
 	case jobEntry.job.hasReleasedInputs(piece.Stage):
 		return rebuildRequest
 	}
-	jobEntry.job = jobEntry.job.withInputsFetched(piece.Identity, false).withRecompute()
+	jobEntry.job = jobEntry.job.withInputsFetched(piece.Identity, false)
+	if isExecuted {
+		jobEntry.job = jobEntry.job.withRecompute()
+	}
 	return retryPiece
 }
 
--- a/preparation/coordinator_test.go
+++ b/preparation/coordinator_test.go
@@ -46,6 +46,12 @@
 			}
 			return nil, nil
 		}},
+		{"the only server is full with the calls of an earlier coordinator", 1, chainTask("r"), func(_ batch.Call, n int) ([]Result, error) {
+			if n >= 1 && n <= 5 {
+				return nil, ErrFull
+			}
+			return nil, nil
+		}},
 		{"one piece of three fails", 2, chainTask("r"), func(_ batch.Call, n int) ([]Result, error) {
 			if n == 1 {
 				return []Result{{Status: Completed, Handle: "x1"}, {Status: Failed}, {Status: Completed, Handle: "x3"}}, nil
