--- a/entry/cells_test.go
+++ b/entry/cells_test.go
@@ -13,10 +13,17 @@
 	"lycheecrank.example/preparation"
 )
 
+// objective is the objective of the requests of a divided site.
+const objective = 15 * time.Second
+
 // newDividedSite returns a site of the cells "a" and "b". Each cell has one instance and
 // one worker of each pool.
-func newDividedSite(t *testing.T) *testSite {
+func newDividedSite(t *testing.T, encodeTime time.Duration) *testSite {
 	s := newTestSite(t)
+	s.encodeTime = encodeTime
+	s.workers["encode-1"].Pause, s.workers["encode-2"].Pause = encodeTime, encodeTime
+	s.routes[2]["targetLatencyMs"] = objective.Milliseconds()
+	s.configure()
 	s.dataCentres["n2"] = "b"
 	for _, pool := range []string{"registry", "models", "encode", "rerank"} {
 		s.dataCentres[pool+"-2"] = "b"
@@ -54,7 +61,7 @@
 func TestCells(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	s := newDividedSite(t)
+	s := newDividedSite(t, 10*time.Millisecond)
 	for _, n := range s.instances {
 		for range 3 {
 			status, body, _ := n.send("POST", "/draft/7", "key-1")
@@ -93,11 +100,11 @@
 }
 
 // overload queues pieces of other requests at the coordinator of an instance: more than
-// its stage servers compute within the objective of a request.
+// its stage server computes within the objective of a request, at eight a second.
 func (n *testInstance) overload() {
-	const queued = 6000
+	const queued = 400
 	// The pieces are more urgent than those of new requests, but can still be on time.
-	start := time.Now().Add(4 * time.Second)
+	start := time.Now().Add(objective - 3*time.Second)
 	pieces := make([]batch.Piece, queued)
 	for k := range pieces {
 		pieces[k] = batch.Piece{
@@ -114,7 +121,7 @@
 func TestOverloadedCellDeclines(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	s := newDividedSite(t)
+	s := newDividedSite(t, time.Second)
 	s.instances[0].overload()
 	status, body, _ := s.instances[0].send("POST", "/draft/7", "key-1")
 	is.Equal(status, 200)
--- /dev/null
+++ b/entry/notices.go
@@ -0,0 +1,188 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"lycheecrank.example/engine"
+	"lycheecrank.example/membership"
+	"lycheecrank.example/preparation"
+)
+
+const (
+	// noticeBatchDelay is how long notices are collected for one message. The
+	// coordinator of a large site receives notices from all instances.
+	noticeBatchDelay = 50 * time.Millisecond
+	// noticeTimeout bounds the delivery of one message of notices.
+	noticeTimeout = time.Second
+	// maxQueuedNotices bounds the notices that wait to be sent.
+	maxQueuedNotices = 4096
+)
+
+// sendStart notifies the coordinator of the first event of a request at its engine.
+func (i *Instance) sendStart(pool, server, id string, try int, took time.Duration) {
+	i.notices.add(i.placements.coordinatorOf(id), notice{Kind: startedNotice, Pool: pool, Server: server, RequestID: id, Try: try, TimeToFirstEvent: took})
+}
+
+// sendEnd notifies the coordinator of the end of a request at its engine.
+func (i *Instance) sendEnd(pool, server, id string, status preparation.RunStatus) {
+	kind := map[preparation.RunStatus]noticeKind{
+		preparation.RunEnded: endedNotice, preparation.RunRefused: refusedNotice, preparation.RunFailed: failedNotice,
+	}[status]
+	i.notices.add(i.placements.coordinatorOf(id), notice{Kind: kind, Pool: pool, Server: server, RequestID: id})
+	i.placements.markEnded(id)
+}
+
+// sendAbandon notifies the coordinator that a prepared request won't be sent.
+func (i *Instance) sendAbandon(id string, try int) {
+	i.notices.add(i.placements.coordinatorOf(id), notice{Kind: abandonedNotice, RequestID: id, Try: try})
+}
+
+// applyNotices applies notices about prepared requests to the tables of the
+// coordinator.
+func (i *Instance) applyNotices(notices []notice) (bool, error) {
+	now := time.Now()
+	var running []engine.PlacedRequest
+	var reads []engine.RemoteRead
+	for _, n := range notices {
+		switch n.Kind {
+		case startedNotice:
+			i.coordinator.RecordFirstEvent(n.Pool, n.Server, n.RequestID, n.Try, n.TimeToFirstEvent)
+		case endedNotice:
+			i.coordinator.RecordEnd(n.Pool, n.Server, n.RequestID, preparation.RunEnded)
+		case refusedNotice:
+			i.coordinator.RecordEnd(n.Pool, n.Server, n.RequestID, preparation.RunRefused)
+		case failedNotice:
+			i.coordinator.RecordEnd(n.Pool, n.Server, n.RequestID, preparation.RunFailed)
+		case abandonedNotice:
+			i.coordinator.Abandon(n.RequestID, n.Try)
+		case runningNotice, promptReadNotice:
+			running = append(running, engine.PlacedRequest{
+				Pool: n.Pool, EngineID: n.Server, RequestID: n.RequestID, Prompt: n.Prompt, IsRunning: n.Kind == runningNotice,
+			})
+		case remoteReadNotice:
+			if server, ok := i.fleet.Queries().Server(n.Server, now); ok {
+				reads = append(reads, engine.RemoteRead{Pool: n.Pool, Address: server.Address, Prompt: n.Prompt})
+			}
+		}
+	}
+	i.coordinator.Engines.Commands().AddRemoteReads(reads, now)
+	i.coordinator.Engines.Commands().Restore(running, now)
+	return true, nil
+}
+
+// sendPlacements notifies a new coordinator of the requests of this instance that are
+// running in its cell, and of the prompts that engines have recently read for them.
+func (i *Instance) sendPlacements(coordinator membership.Instance) {
+	layout := i.division.Load().layout
+	isInCell := func(old membership.Instance) bool {
+		return layout.Of(old.DataCentre) == layout.Of(coordinator.DataCentre)
+	}
+	for _, n := range i.placements.reassign(coordinator, isInCell, time.Now()) {
+		i.notices.add(coordinator, n)
+	}
+}
+
+// addressedNotice is a notice with its recipient.
+type addressedNotice struct {
+	to     membership.Instance
+	notice notice
+}
+
+// noticeSender sends notices in the background, so that they don't delay the requests.
+type noticeSender struct {
+	instance *Instance
+	// deliver sends notices to the instance at an address.
+	deliver func(ctx context.Context, address string, notices []notice) error
+	queue   chan addressedNotice
+	// delivered receives a value when a delivery has ended.
+	delivered chan struct{}
+}
+
+func newNoticeSender(instance *Instance) *noticeSender {
+	return &noticeSender{
+		instance: instance,
+		deliver: func(ctx context.Context, address string, notices []notice) error {
+			_, err := callPeer[bool](ctx, instance, address, noticeSubject, notices)
+			return err
+		},
+		queue:     make(chan addressedNotice, maxQueuedNotices),
+		delivered: make(chan struct{}, 1),
+	}
+}
+
+func (n *noticeSender) add(to membership.Instance, message notice) {
+	if to.Name == "" {
+		return
+	}
+	if to.Name == n.instance.Settings.Name {
+		// applyNotices never returns an error.
+		_, _ = n.instance.applyNotices([]notice{message})
+		return
+	}
+	select {
+	case n.queue <- addressedNotice{to, message}:
+	default:
+		n.instance.coordinationCounts.Add("noticeDropped")
+	}
+}
+
+// run sends the notices to each instance in the order in which they were added. Notices
+// for an instance wait until the delivery of the earlier ones has ended.
+func (n *noticeSender) run(ctx context.Context) error {
+	var group errgroup.Group
+	defer func() { _ = group.Wait() }()
+	busy := &sync.Map{}
+	waiting := map[string][]notice{}
+	for {
+		select {
+		case a := <-n.queue:
+			waiting[a.to.Address] = append(waiting[a.to.Address], a.notice)
+		case <-n.delivered:
+			if len(waiting) == 0 {
+				continue
+			}
+		case <-ctx.Done():
+			return nil
+		}
+		pause(ctx, noticeBatchDelay)
+		n.drainQueue(waiting)
+		for address, list := range waiting {
+			if _, isBusy := busy.LoadOrStore(address, true); isBusy {
+				continue
+			}
+			delete(waiting, address)
+			group.Go(func() error {
+				n.send(ctx, address, list)
+				busy.Delete(address)
+				select {
+				case n.delivered <- struct{}{}:
+				default:
+				}
+				return nil
+			})
+		}
+	}
+}
+
+func (n *noticeSender) drainQueue(waiting map[string][]notice) {
+	for {
+		select {
+		case a := <-n.queue:
+			waiting[a.to.Address] = append(waiting[a.to.Address], a.notice)
+		default:
+			return
+		}
+	}
+}
+
+func (n *noticeSender) send(ctx context.Context, address string, list []notice) {
+	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
+	defer cancel()
+	if err := n.deliver(ctx, address, list); err != nil {
+		n.instance.coordinationCounts.AddN("noticeLost", int64(len(list)))
+	}
+}
--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -41,6 +41,8 @@
 	// dataCentres holds the data centres of workers and instances by ID; the others are
 	// in "a".
 	dataCentres map[string]string
+	// encodeTime is the time of a call to a server of the pool "encode".
+	encodeTime time.Duration
 	// divide replaces the division of the site into cells; it may be nil.
 	divide func(instances int, pools map[string]map[string]int) cell.Layout
 }
@@ -55,7 +57,7 @@
 }
 
 func newTestSite(t *testing.T) *testSite {
-	s := &testSite{t: t, store: site.NewStore(), workers: map[string]*site.Worker{}, dataCentres: map[string]string{}}
+	s := &testSite{t: t, store: site.NewStore(), workers: map[string]*site.Worker{}, dataCentres: map[string]string{}, encodeTime: 10 * time.Millisecond}
 	t.Cleanup(s.store.Close)
 	for _, pool := range []string{"registry", "models", "encode", "rerank"} {
 		for n := range 2 {
@@ -99,14 +101,16 @@
 	s.version++
 	// The result memory is so small that each result takes a third of it: results are
 	// released at their stage servers only while memory is short.
-	pieces := map[string]any{"slots": 1, "batch": 8, "callMs": 10, "itemMs": 1, "headroomMb": 0.003, "handleS": 10}
+	pieces := func(callTime time.Duration) map[string]any {
+		return map[string]any{"slots": 1, "batch": 8, "callMs": callTime.Milliseconds(), "itemMs": 1, "headroomMb": 0.003, "handleS": 10}
+	}
 	s.store.PutJSON(platform.OperatorStream, platform.ConfigurationKey, map[string]any{
 		"version": s.version, "routes": s.routes, "tenants": s.workspaces,
 		"services": []map[string]any{
 			{"name": "registry"},
 			{"name": "models", "engine": map[string]any{"slots": 8, "kvCapacity": 100000, "kvTokenBytes": 100}},
-			{"name": "encode", "pieces": pieces},
-			{"name": "rerank", "pieces": pieces},
+			{"name": "encode", "pieces": pieces(s.encodeTime)},
+			{"name": "rerank", "pieces": pieces(10 * time.Millisecond)},
 		},
 	})
 }
