Keep a request in the cell that prepared its first try, and avoid cells that were just unreachable

Cause, found by reading: a request that another cell had placed was prepared for its second try in its own cell, which has neither its results nor the only engine that may still serve it: it would have waited until its deadline. An instance that overflows to a data centre that is cut off waits up to 0.9 s for each of its candidates in turn. Tests: TestCells (second try), TestRecentFailure.

--- a/entry/cells_test.go
+++ b/entry/cells_test.go
@@ -90,6 +90,24 @@
 	is.Equal(status, 200)
 	is.Equal(s.runCounts(), [2]int{3, 7})
 
+	// A request whose first try was placed by the other cell stays there: only that one
+	// has its results, and the engine that may serve it.
+	task := preparation.Task{
+		RequestID: "r1", Try: 1, Pool: "models", Key: "k", Objective: objective, Deadline: objective,
+		Stages: []preparation.Stage{{Pool: "encode", Pieces: 1, Bytes: 1}, {Pool: "rerank", After: []int{0}, Pieces: 1, Bytes: 1}},
+	}
+	placement, err := s.instances[0].prepare(t.Context(), task)
+	is.NoErr(err)
+	is.Equal(placement.Server, "models-2")
+	s.announce("rerank-1", "rerank", "ready")
+	s.waitFor("the cell has all servers", func() bool { return s.instances[0].division.Load().usable["rerank"]["a"] == 1 })
+	task.Try, task.RequiredEngine = 2, "models-2"
+	placement, err = s.instances[0].prepare(t.Context(), task)
+	is.NoErr(err)
+	is.Equal(placement.Server, "models-2")
+	s.announce("rerank-1", "rerank", "draining")
+	s.waitFor("the cell has no server of a stage again", func() bool { return s.instances[0].division.Load().usable["rerank"]["a"] == 0 })
+
 	// Without a coordinator in the other cell, the request is refused as not run.
 	s.instances[1].stop()
 	<-s.instances[1].done
--- a/entry/prepare.go
+++ b/entry/prepare.go
@@ -28,7 +28,15 @@
 // If all of them decline, the first cell decides whether the request can be served late.
 func (i *Instance) prepare(ctx context.Context, task preparation.Task) (preparation.Placement, error) {
 	startedAt := time.Now()
-	cells := i.division.Load().order(i.ownCell(), task)
+	division := i.division.Load()
+	if previous := i.placements.coordinatorOf(task.RequestID); task.Try > 1 && previous.Name != "" {
+		// The cell of the last try has the results and, if only one may serve the request,
+		// the engine.
+		if name := division.layout.Of(previous.DataCentre); division.canServe(name, task) {
+			return i.prepareIn(ctx, name, task, startedAt)
+		}
+	}
+	cells := division.order(i.ownCell(), task)
 	if task.Try == 1 && len(cells) > 1 {
 		for _, name := range cells[:min(len(cells), maxAskedCells)] {
 			placement, isPlaced, err := i.prepareOnTime(ctx, name, task, startedAt)
@@ -42,13 +50,15 @@
 }
 
 // prepareOnTime asks the coordinator of a cell to prepare a request, unless that expects
-// to miss the objective. It reports false if another cell should be asked.
+// to miss the objective. It reports false if another cell should be asked. Another cell
+// with a recent failure isn't asked: its data centre may be cut off, where a call takes
+// as long as its timeout.
 func (i *Instance) prepareOnTime(ctx context.Context, name string, task preparation.Task, startedAt time.Time) (preparation.Placement, bool, error) {
 	now := time.Now()
 	coordinator, ok := i.coordinatorOf(name, now)
 	task.OnTimeOnly = true
 	task = task.WithElapsed(now.Sub(startedAt))
-	if !ok || task.Deadline <= 0 {
+	if !ok || task.Deadline <= 0 || name != i.ownCell() && i.view().HasRecentFailure(i.scopeOf(name), now) {
 		return preparation.Placement{}, false, nil
 	}
 	reply, err := i.prepareAt(ctx, coordinator, task)
--- a/membership/view.go
+++ b/membership/view.go
@@ -181,6 +181,17 @@
 	return candidates[:min(len(candidates), count)]
 }
 
+// HasRecentFailure reports whether a call to an instance of a scope has failed within
+// failureBackoff, and no message of it has arrived since.
+func (v View) HasRecentFailure(scope Scope, now time.Time) bool {
+	for _, s := range v.others {
+		if scope.contains(s.instance) && now.Sub(s.failedAt) < failureBackoff && s.failedAt.After(s.contactAt) {
+			return true
+		}
+	}
+	return false
+}
+
 // lastSeenAt returns the time of the last contact, or the time at which the instance
 // became known if there was no contact.
 func (s contactState) lastSeenAt() time.Time {
--- a/membership/view_test.go
+++ b/membership/view_test.go
@@ -135,3 +135,26 @@
 	c.AddKnown([]Instance{newInstance("n0", 5)}, at.Add(time.Second)) // older news
 	is.Equal(table.Queries().View().Coordinator(Scope{}, at.Add(time.Second)).Name, "n2")
 }
+
+// Guards against requests for a data centre that was found to be cut off a moment ago,
+// and against one that is avoided for long after a failure.
+func TestRecentFailure(t *testing.T) {
+	is := is.New(t)
+	at := time.Unix(1000, 0)
+	other := Scope{Contains: func(dataCentre string) bool { return dataCentre == "b" }}
+	distant := newInstance("n1", 10)
+	distant.DataCentre = "b"
+	table := NewTable(newInstance("n2", 20))
+	c := table.Commands()
+	hasFailed := func(after time.Duration) bool { return table.Queries().View().HasRecentFailure(other, at.Add(after)) }
+	c.RecordContact(distant, nil, at)
+	is.True(!hasFailed(0))
+	c.RecordFailure("n1", at.Add(time.Millisecond))
+	is.True(hasFailed(2 * time.Millisecond))
+	is.True(!hasFailed(time.Millisecond + failureBackoff))
+	c.RecordContact(distant, nil, at.Add(3*time.Millisecond))
+	is.True(!hasFailed(4 * time.Millisecond))
+	own := Scope{Contains: func(dataCentre string) bool { return dataCentre == "a" }}
+	c.RecordFailure("n1", at.Add(5*time.Millisecond))
+	is.True(!table.Queries().View().HasRecentFailure(own, at.Add(6*time.Millisecond)))
+}
