Wait for contact before coordinating after a start, and learn of all instances sooner

Change: a request waits, within its deadline, while its instance has just started and has had no contact (1.5 s at most); for 3 s after its start an instance asks one other for the known instances in each round.

--- a/entry/feeds_test.go
+++ b/entry/feeds_test.go
@@ -55,8 +55,12 @@
 		restarted := newInstance("n2", "n1:1")
 		restarted.Settings.IsFirstStart = false
 		is.True(restarted.isReader(platform.ServerStream)) // it serves again at once
+		is.True(restarted.awaitsContact(time.Now()))
+		restarted.members.Commands().RecordContact(leader, nil, time.Now())
+		is.True(!restarted.awaitsContact(time.Now()))
 		lonely := newInstance("n2", "n1:1")
 		time.Sleep(contactGrace)
+		is.True(!lonely.awaitsContact(time.Now()))
 		is.True(lonely.isReader(platform.ServerStream)) // the seeds are down
 	})
 }
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -31,6 +31,10 @@
 	// knownRounds is the number of heartbeat rounds of which one includes the list of
 	// the known instances.
 	knownRounds = 8
+	// settlingTime is how long after its start an instance asks one other for the known
+	// instances in each round: when all instances start at once, the lists of the first
+	// rounds are incomplete.
+	settlingTime = 3 * time.Second
 	// seedRounds is the number of heartbeat rounds of which one goes to the seeds as
 	// well while candidates are unreachable.
 	seedRounds = 4
@@ -169,9 +173,10 @@
 		i.checkEligibility(&clock, now, coordinatorName == i.Settings.Name)
 		timer.Reset(clock.interval)
 		i.members.Commands().RemoveStale(now)
+		isSettling := now.Sub(i.startedAt) < settlingTime
 		for _, t := range i.heartbeatTargets(round, now) {
 			group.Go(func() error {
-				i.sendHeartbeat(ctx, t, round%knownRounds == 0)
+				i.sendHeartbeat(ctx, t, round%knownRounds == 0 || t.wantsRecords && isSettling)
 				return nil
 			})
 		}
--- a/entry/prepare.go
+++ b/entry/prepare.go
@@ -96,6 +96,10 @@
 		if !ok || next.Deadline <= 0 || ctx.Err() != nil {
 			break
 		}
+		if i.awaitsContact(now) {
+			pause(ctx, movePause)
+			continue
+		}
 		reply, err := i.prepareAt(ctx, coordinator, next)
 		named = membership.Instance{}
 		switch {
--- a/entry/registration.go
+++ b/entry/registration.go
@@ -73,8 +73,18 @@
 // may still get what it needs from one of them. An instance that starts alone reads the
 // store at once, so that it can serve again without a delay.
 func (i *Instance) isStarting(now time.Time) bool {
-	isOther := func(address string) bool { return address != i.Settings.PeerAddress }
-	return i.Settings.IsFirstStart && now.Sub(i.startedAt) < contactGrace && slices.ContainsFunc(*i.seeds.Load(), isOther)
+	return i.Settings.IsFirstStart && now.Sub(i.startedAt) < contactGrace && i.hasOtherSeeds()
+}
+
+// awaitsContact reports whether this instance has just started and has had no contact
+// with another one yet. After a stop of the whole site, each instance would otherwise
+// coordinate its own requests for a moment, and all of them would fill the same servers.
+func (i *Instance) awaitsContact(now time.Time) bool {
+	return now.Sub(i.startedAt) < contactGrace && i.view().Size() == 1 && i.hasOtherSeeds()
+}
+
+func (i *Instance) hasOtherSeeds() bool {
+	return slices.ContainsFunc(*i.seeds.Load(), func(address string) bool { return address != i.Settings.PeerAddress })
 }
 
 func (i *Instance) register(ctx context.Context) error {
