--- a/membership/view.go
+++ b/membership/view.go
@@ -2,9 +2,10 @@
 // whether they are reachable. Package member does the same from other sources for the
 // daemon of package instance.
 //
-// Package membership also chooses the coordinator: the instance that prepares the
-// requests of all instances, which means that it has the stages of a request computed
-// and reserves an engine (see package preparation). Among equally suitable reachable
+// Package membership also chooses the coordinator of a scope, which is the whole site or
+// a part of it: the instance that prepares the requests of all instances of the scope,
+// which means that it has the stages of a request computed and reserves an engine (see
+// package preparation). Among equally suitable reachable
 // instances it is the one that has been eligible for the longest time, so that an
 // instance that returns doesn't take the role back. The choice isn't stored, and
 // instances may disagree for a short time: two concurrent coordinators cause extra work,
--- a/preparation/task.go
+++ b/preparation/task.go
@@ -1,7 +1,7 @@
 // Package preparation gets requests ready to run on a model engine: it computes the
 // results of their stages and reserves an engine. One instance at a time, the
-// coordinator, does this for all requests, so that stage calls are batched well and
-// engines are loaded evenly.
+// coordinator, does this for all requests of a site, or of a cell of a large site (see
+// package cell), so that stage calls are batched well and engines are loaded evenly.
 package preparation
 
 import (
