Divide a site only where a cell has enough servers of each pool

In cells that small a piece waits for much of a call, and its chat route has 0.79 s for three stages. Change: a site is divided from 3.25 servers of each pool a data centre; one that is divided stays so down to 1.5 servers and 4 instances, so that failures don't move it. Golden file divide: the column for a site divided before, one row, and two rows that are one cell now unless divided before.

--- a/cell/layout.go
+++ b/cell/layout.go
@@ -3,9 +3,9 @@
 // own: the coordinator has the stages of its cell's requests computed by the stage
 // servers of the cell and reserves the engines of the cell. A small site is one cell.
 //
-// The division is a pure function of values that all instances know and that change
-// rarely, so that instances agree on it without messages. Instances that disagree for a
-// short time send a server more calls than it has slots, as two coordinators at a time
+// The division is a pure function of the division so far and of values that all
+// instances know and that change rarely, so that instances agree on it without messages.
+// Instances that disagree, such as one that has started while a pool is reduced, send a server more calls than it has slots, as two coordinators at a time
 // do; no guarantee depends on the division.
 package cell
 
@@ -19,13 +19,16 @@
 
 const (
 	// minInstances is the number of instances for each data centre from which a site is
-	// divided. Smaller sites have few servers, and their coordinator has little work.
-	minInstances = 8
+	// divided. Smaller sites have few servers, and their coordinator has little work. A
+	// divided site stays divided down to minInstancesDivided.
+	minInstances        = 8
+	minInstancesDivided = 4
 	// minServers is the number of servers of each pool for each data centre from which a
-	// site is divided. With fewer servers, a cell would often have no server of a pool
-	// or would have to wait for its only one. It leaves room for the loss of a third of
-	// a pool with three servers in each data centre.
-	minServers = 1.5
+	// site is divided. With fewer servers, a piece waits for much of a call until one of
+	// its cell is idle. A divided site stays divided down to minServersDivided, so that
+	// the loss of half of a pool doesn't move all requests to other coordinators.
+	minServers        = 3.25
+	minServersDivided = 1.5
 )
 
 // Layout is the division of a site into cells. It is an immutable value. The zero value
@@ -37,15 +40,19 @@
 
 // Divide returns the layout of a site with a number of instances and the listed servers
 // of each pool by data centre. Pools whose servers are shared by all instances, such as
-// plain services, are left out.
-func Divide(instances int, pools map[string]map[string]int) Layout {
+// plain services, are left out. The parameter current is the layout so far.
+func Divide(current Layout, instances int, pools map[string]map[string]int) Layout {
+	needInstances, needServers := minInstances, minServers
+	if current.IsDivided() {
+		needInstances, needServers = minInstancesDivided, minServersDivided
+	}
 	named := map[string]bool{}
 	for _, byDataCentre := range pools {
 		for dc := range byDataCentre {
 			named[dc] = true
 		}
 	}
-	if len(named) < 2 || instances < minInstances*len(named) {
+	if len(named) < 2 || instances < needInstances*len(named) {
 		return Layout{}
 	}
 	for _, byDataCentre := range pools {
@@ -53,7 +60,7 @@
 		for _, n := range byDataCentre {
 			total += n
 		}
-		if float64(total) < minServers*float64(len(named)) {
+		if float64(total) < needServers*float64(len(named)) {
 			return Layout{}
 		}
 	}
--- a/cell/layout_test.go
+++ b/cell/layout_test.go
@@ -20,8 +20,8 @@
 	return pool
 }
 
-// Guards against cells without servers at small sites, against one coordinator for
-// hundreds of instances, and against a division that changes when a third of a pool
+// Guards against cells with too few servers, against one coordinator for hundreds of
+// instances, and against a division that changes when a third of a pool or a data centre
 // fails.
 func TestDivide(t *testing.T) {
 	four := []string{"a", "b", "c", "d"}
@@ -40,12 +40,13 @@
 		{"73 instances, one data centre lost", 55, map[string]map[string]int{"encode": spread(14, four[:3]...), "rerank": spread(11, four[:3]...), "models": spread(105, four[:3]...)}},
 		{"73 instances, 4 servers in one pool", 73, map[string]map[string]int{"encode": spread(18, four...), "rerank": spread(4, four...), "models": spread(140, four...)}},
 		{"74 instances in five data centres, a third of a pool failed", 74, map[string]map[string]int{"encode": spread(18, five...), "rerank": spread(9, five...), "models": spread(90, five...)}},
+		{"74 instances in five data centres, 14 to 18 servers a pool", 74, map[string]map[string]int{"encode": spread(18, five...), "rerank": spread(14, five...), "models": spread(90, five...)}},
 		{"295 instances, 35 to 43 servers a pool", 295, map[string]map[string]int{"encode": spread(42, six...), "rerank": spread(35, six...), "models": spread(160, six...)}},
 		{"one data centre", 40, map[string]map[string]int{"encode": {"a": 40}}},
 		{"no servers are listed yet", 40, nil},
 	} {
-		layout := cell.Divide(c.instances, c.pools)
-		fmt.Fprintf(&b, "%-62s %q\n", c.name, layout.Cells())
+		divided := cell.Divide(cell.Layout{}, 295, map[string]map[string]int{"models": spread(160, six...)})
+		fmt.Fprintf(&b, "%-62s %q, if divided before %q\n", c.name, cell.Divide(cell.Layout{}, c.instances, c.pools).Cells(), cell.Divide(divided, c.instances, c.pools).Cells())
 	}
 	goldie.New(t).Assert(t, "divide", []byte(b.String()))
 }
@@ -55,7 +56,7 @@
 func TestOrder(t *testing.T) {
 	is := is.New(t)
 	six := []string{"a", "b", "c", "d", "e", "f"}
-	layout := cell.Divide(295, map[string]map[string]int{"encode": spread(42, six...)})
+	layout := cell.Divide(cell.Layout{}, 295, map[string]map[string]int{"encode": spread(42, six...)})
 	all := func(string) bool { return true }
 	withoutC := func(c string) bool { return c != "c" }
 	second := map[string]int{}
--- a/entry/cells.go
+++ b/entry/cells.go
@@ -44,7 +44,7 @@
 			divided[p.Name] = listed[p.Name]
 		}
 	}
-	next := division{layout: i.Divide(i.view().Size(), divided), usable: map[string]map[string]int{}}
+	next := division{layout: i.Divide(i.division.Load().layout, i.view().Size(), divided), usable: map[string]map[string]int{}}
 	for name := range divided {
 		counts := map[string]int{}
 		for _, s := range usable[name] {
--- a/entry/cells_test.go
+++ b/entry/cells_test.go
@@ -29,16 +29,17 @@
 		s.dataCentres[pool+"-2"] = "b"
 		s.announce(pool+"-2", pool, "ready")
 	}
-	s.divide = func(_ int, pools map[string]map[string]int) cell.Layout {
+	s.divide = func(current cell.Layout, _ int, pools map[string]map[string]int) cell.Layout {
 		const instancesOfLargeSite = 100
-		doubled := map[string]map[string]int{}
+		const serversPerWorker = 4
+		enlarged := map[string]map[string]int{}
 		for name, byDataCentre := range pools {
-			doubled[name] = map[string]int{}
+			enlarged[name] = map[string]int{}
 			for dc, n := range byDataCentre {
-				doubled[name][dc] = 2 * n
+				enlarged[name][dc] = serversPerWorker * n
 			}
 		}
-		return cell.Divide(instancesOfLargeSite, doubled)
+		return cell.Divide(current, instancesOfLargeSite, enlarged)
 	}
 	s.start("n1", "n2")
 	for _, n := range s.instances {
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -54,9 +54,9 @@
 	// MetricsAddress is the address at which the counters are served. If it is empty,
 	// they aren't served.
 	MetricsAddress string
-	// Divide returns the division of the site into cells, for the number of known
-	// instances and the listed servers of each pool by data centre.
-	Divide func(instances int, pools map[string]map[string]int) cell.Layout
+	// Divide returns the division of the site into cells, for the division so far, the
+	// number of known instances and the listed servers of each pool by data centre.
+	Divide func(current cell.Layout, instances int, pools map[string]map[string]int) cell.Layout
 	Logger *event.Logger
 
 	store *platform.Store
--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -44,7 +44,7 @@
 	// encodeTime is the time of a call to a server of the pool "encode".
 	encodeTime time.Duration
 	// divide replaces the division of the site into cells; it may be nil.
-	divide func(instances int, pools map[string]map[string]int) cell.Layout
+	divide func(current cell.Layout, instances int, pools map[string]map[string]int) cell.Layout
 }
 
 // testInstance is a running instance of a test site.
