--- a/preparation/coordinator_test.go
+++ b/preparation/coordinator_test.go
@@ -46,8 +46,8 @@
 			}
 			return nil, nil
 		}},
-		{"the only server is full with the calls of an earlier coordinator", 1, chainTask("r"), func(_ batch.Call, n int) ([]Result, error) {
-			if n >= 1 && n <= 5 {
+		{"the only server is full with the calls of an earlier coordinator", 1, withMoreTime(chainTask("r")), func(_ batch.Call, n int) ([]Result, error) {
+			if n >= 1 && n <= maxRecomputes+1 {
 				return nil, ErrFull
 			}
 			return nil, nil
--- a/preparation/fixture_test.go
+++ b/preparation/fixture_test.go
@@ -160,6 +160,12 @@
 	return task
 }
 
+// withMoreTime gives a task an objective and a deadline several times as long.
+func withMoreTime(task Task) Task {
+	task.Objective, task.Deadline = 10*time.Second, 20*time.Second
+	return task
+}
+
 // describe returns the outcome of a preparation and the calls that the stage servers
 // received.
 func (r *fixture) describe(p Placement, err error) string {
