Log how far a broken answer had come and the parts of its prompt

A broken request showed its engine and the error, not its prompt nor the state of its answer.

Change: event 410 "answer broken". No change of logic: a send is described by a value of its own, run, from which the event is written.

--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"lycheecrank.example/event"
 	"lycheecrank.example/preparation"
 	"lycheecrank.example/request"
 )
@@ -15,6 +16,16 @@
 // attempt fails. A try is a preparation and, if an engine is reserved, a send to it.
 const maxNotRunTries = 4
 
+// run is one send of a prepared request to an engine.
+type run struct {
+	server string
+	sentAt time.Time
+	// answeredAt is when the head of the answer arrived, zero before.
+	answeredAt time.Time
+	// events is the number of complete events that the engine has sent.
+	events int64
+}
+
 // servePrepared serves an attempt whose request is prepared before it is sent: its pool
 // has engines, or its route has stages. The route may be of any kind.
 func (r *Router) servePrepared(ctx context.Context, routed routedAttempt) Result {
@@ -103,7 +114,7 @@
 	sendCtx, cancel, silence := s.startSilenceTimer(ctx, placement)
 	defer cancel()
 	defer silence.stop()
-	sentAt := time.Now()
+	current := &run{server: placement.Server, sentAt: time.Now()}
 	s.sends++
 	answer, err := routed.attempt.Send(sendCtx, ForwardOptions{
 		Server: server, Workspace: routed.workspace, Deadline: routed.deadline, Inputs: placement.Inputs, Source: placement.PrefixSource, IsPrepared: len(routed.route.Stages) > 0,
@@ -115,9 +126,10 @@
 		return s.retryNotRun(ctx, placement.Server, request.Refuse(request.ReasonServerUnreachable, "engine not reached").WithRetryAfter(unreachedRetryAfter))
 	case err != nil:
 		s.addReached(placement.Server)
-		return s.retryBroken(ctx, placement.Server, withSilence(sendCtx, err))
+		return s.retryBroken(ctx, current, withSilence(sendCtx, err))
 	}
 	defer func() { _ = answer.Body.Close() }()
+	current.answeredAt = time.Now()
 	if !answer.IsMisdirected {
 		s.addReached(placement.Server)
 	}
@@ -138,11 +150,11 @@
 		router.OnRunEnd(routed.pool.Name, placement.Server, routed.attempt.ID, preparation.RunRefused)
 		return s.retryNotRun(ctx, placement.Server, request.Refuse(request.ReasonQueueFull, "engine is full").WithRetryAfter(fullRetryAfter))
 	case !answer.IsValid:
-		return s.retryBroken(ctx, placement.Server, ErrNoValidAnswer)
+		return s.retryBroken(ctx, current, ErrNoValidAnswer)
 	case !answer.isSuccess():
 		return s.forwardFailure(answer, placement.Server)
 	}
-	return s.forwardEvents(ctx, sendCtx, answer, placement.Server, sentAt, silence)
+	return s.forwardEvents(ctx, sendCtx, answer, current, silence)
 }
 
 // brokenRunStatus returns the status of a run whose send failed or whose stream ended
@@ -177,10 +189,13 @@
 
 // retryBroken retries at another engine after a send that may have run the request, if the
 // route allows it.
-func (s *preparedAttempt) retryBroken(ctx context.Context, server string, err error) (Result, bool) {
+func (s *preparedAttempt) retryBroken(ctx context.Context, broken *run, err error) (Result, bool) {
 	s.runs++
-	s.router.OnRunEnd(s.routed.pool.Name, server, s.routed.attempt.ID, brokenRunStatus(ctx))
-	s.task.AvoidEngines = append(slices.Clone(s.task.AvoidEngines), server)
+	s.router.OnRunEnd(s.routed.pool.Name, broken.server, s.routed.attempt.ID, brokenRunStatus(ctx))
+	s.task.AvoidEngines = append(slices.Clone(s.task.AvoidEngines), broken.server)
+	if ctx.Err() == nil {
+		s.logBroken(broken, err)
+	}
 	reason := "streamBroken"
 	if errors.Is(err, errSilent) {
 		reason = "engineSilent"
@@ -192,6 +207,16 @@
 	return s.fail(mayHaveRunFailure(ctx, err))
 }
 
+func (s *preparedAttempt) logBroken(broken *run, err error) {
+	answerMs := int64(-1)
+	if !broken.answeredAt.IsZero() {
+		answerMs = broken.answeredAt.Sub(broken.sentAt).Milliseconds()
+	}
+	attempt := s.routed.attempt
+	s.router.Logger.Write(event.AnswerBroken, attempt.ID, s.routed.route.Name, broken.server, time.Since(broken.sentAt).Milliseconds(), answerMs,
+		broken.events, attempt.Prompt.PartIDs(), err)
+}
+
 // forwardFailure forwards the error answer of an engine.
 func (s *preparedAttempt) forwardFailure(answer Answer, server string) (Result, bool) {
 	s.runs++
@@ -208,24 +233,25 @@
 }
 
 // forwardEvents sends the events of a stream to the client as they arrive.
-func (s *preparedAttempt) forwardEvents(ctx, sendCtx context.Context, answer Answer, server string, sentAt time.Time, silence silenceTimer) (Result, bool) {
-	router, routed := s.router, s.routed
+func (s *preparedAttempt) forwardEvents(ctx, sendCtx context.Context, answer Answer, current *run, silence silenceTimer) (Result, bool) {
+	router, routed, server := s.router, s.routed, current.server
 	events := eventReader{source: answer.Body, lastEvent: s.lastEvent}
 	hasEvent := false
 	for {
-		event, err := events.next()
+		data, err := events.next()
 		if errors.Is(err, io.EOF) {
 			break
 		}
 		if err != nil {
-			return s.retryBroken(ctx, server, withSilence(sendCtx, err))
+			return s.retryBroken(ctx, current, withSilence(sendCtx, err))
 		}
 		if events.lastEvent > s.lastEvent {
 			silence.restart()
+			current.events += events.lastEvent - s.lastEvent
 		}
 		if !hasEvent {
 			hasEvent = true
-			router.OnFirstEvent(routed.pool.Name, server, routed.attempt.ID, s.task.Try, time.Since(sentAt))
+			router.OnFirstEvent(routed.pool.Name, server, routed.attempt.ID, s.task.Try, time.Since(current.sentAt))
 		}
 		if !s.hasStarted {
 			if answer.WriteHeader() != nil {
@@ -234,7 +260,7 @@
 			s.hasStarted = true
 			s.timeToFirstEvent = time.Since(routed.attempt.ArrivedAt)
 		}
-		if routed.attempt.Write(event) != nil {
+		if routed.attempt.Write(data) != nil {
 			return s.endDisconnected(server)
 		}
 		if events.lastEvent > s.lastEvent {
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -29,6 +29,15 @@
 // MaxTokens returns the memory that the request may use, in tokens.
 func (p Prompt) MaxTokens() int64 { return p.InputTokens + p.MaxOutputTokens }
 
+// PartIDs returns the IDs of the parts in order.
+func (p Prompt) PartIDs() []string {
+	ids := make([]string, 0, len(p.Parts))
+	for _, part := range p.Parts {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // Spec describes the engines of a pool.
 type Spec struct {
 	Pool  string
--- a/event/events.go
+++ b/event/events.go
@@ -43,6 +43,7 @@
 	RequestPlaced             = Event{407, log.InfoLevel, "request placed", []string{"request", "pool", "backendServer", "dataCentre", "waitedMs", "rank", "results", "source", "try"}, "The results of all stages before the engine are computed and the coordinator has chosen the engine."}
 	RequestRejected           = Event{408, log.InfoLevel, "request turned away", []string{"request", "pool", "rank", "waitedMs", "leftMs", "reason", "detail"}, "The coordinator of the entry instances refused a request before it was sent to an engine, or its preparation failed or was cancelled."}
 	AttemptRetried            = Event{409, log.InfoLevel, "attempt retried", []string{"request", "reason", "tries"}, "A try of an attempt failed, and the instance prepares the request again or sends it to another server; reason is the cause."}
+	AnswerBroken              = Event{410, log.InfoLevel, "answer broken", []string{"request", "route", "backendServer", "ms", "answerMs", "events", "parts", "error"}, "An engine broke off its answer, or sent none, while the client still waited. ms is the time since the send, answerMs the time from the send to the head of the answer, or -1 if there was none; events is the number of complete events, and parts are the IDs of the parts of the prompt."}
 	ServerCold                = Event{501, log.WarnLevel, "backend server cold", []string{"backendServer", "reason"}, "A backend server is treated as cold and gets no more than its cold limit."}
 	ServerWarm                = Event{502, log.InfoLevel, "backend server warm", []string{"backendServer"}, "A backend server has reached its full limit."}
 	ServerLeaving             = Event{503, log.InfoLevel, "backend server leaving", []string{"backendServer"}, "A backend server is leaving and gets no new work."}
@@ -66,7 +67,7 @@
 		Started, Leaving, Stopped, InstanceListUnavailable, EntryStarted, ResumedAfterBreak, MetricsUnavailable, LogLinesDropped, SettingsApplied, SettingsRefused, SteppedDown,
 		CatalogueApplied, CatalogueEditRefused, LogUnavailable, LogRecordUnreadable, CatalogueSnapshotAppended, LogAvailable, ConfigurationApplied, EvacuationChanged,
 		PeerConnected, PeerLost, PeerFrameRefused, CoordinatorChosen, SiteDivided,
-		RequestRefused, RequestFinished, ResultDropped, AttemptServed, AttemptFailed, ResultsRebuilt, RequestPlaced, RequestRejected, AttemptRetried,
+		RequestRefused, RequestFinished, ResultDropped, AttemptServed, AttemptFailed, ResultsRebuilt, RequestPlaced, RequestRejected, AttemptRetried, AnswerBroken,
 		ServerCold, ServerWarm, ServerLeaving, StageCallFailed, ServerListed, ServerUnlisted, PoolDepth,
 		OwnershipAcquired, OwnershipLost, OwnershipReleased, OwnershipLeaseExpired,
 		ClaimUndecided, PrecedenceRecordsLost, DecisionRecordsNotSealed, DecisionRecords,
