Reproduce engines that crash one after the other under requests of one kind

The stand-in of a worker could not crash under a request.

Change: a worker of the stand-ins can crash when it begins to answer a request whose prompt has a given part: all its connections break off, and it lists itself as a new process.

--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -61,15 +61,7 @@
 	t.Cleanup(s.store.Close)
 	for _, pool := range []string{"registry", "models", "encode", "rerank"} {
 		for n := range 2 {
-			id := fmt.Sprintf("%s-%d", pool, n+1)
-			w := site.NewWorker(id)
-			t.Cleanup(w.Close)
-			w.Pause = 10 * time.Millisecond
-			if pool == "models" {
-				w.Events, w.NeedsInputs = 5, true
-			}
-			s.workers[id] = w
-			s.announce(id, pool, "ready")
+			s.addWorker(fmt.Sprintf("%s-%d", pool, n+1), pool)
 		}
 	}
 	s.routes = []map[string]any{
@@ -86,10 +78,24 @@
 	return s
 }
 
+// addWorker starts a worker and writes its entry. After a crash it is a new process.
+func (s *testSite) addWorker(id, pool string) {
+	w := site.NewWorker(id)
+	s.t.Cleanup(w.Close)
+	w.Pause = 10 * time.Millisecond
+	if pool == "models" {
+		w.Events, w.NeedsInputs = 5, true
+	}
+	w.OnCrash = func() { s.announce(id, pool, "ready") }
+	s.workers[id] = w
+	s.announce(id, pool, "ready")
+}
+
 // announce writes the entry of a worker.
 func (s *testSite) announce(id, pool, state string) {
 	s.store.PutJSON(platform.ServerStream, id, map[string]any{
 		"service": pool, "address": s.workers[id].Address(), "zone": s.dataCentreOf(id), "slots": 4, "state": state, "sequence": 1,
+		"born": 1_000_000 + s.workers[id].Crashes(),
 	})
 }
 
@@ -188,6 +194,11 @@
 // send sends a client request and returns the status, the body and the headers of the
 // response. Status 0 stands for a broken response.
 func (n *testInstance) send(method, path, key string) (int, string, http.Header) {
+	return n.sendPrompt(method, path, key, "aa:60,bb:40")
+}
+
+// sendPrompt sends a client request with the given parts of a prompt.
+func (n *testInstance) sendPrompt(method, path, key, prompt string) (int, string, http.Header) {
 	req, err := http.NewRequest(method, "http://"+n.Settings.ClientAddress+path, strings.NewReader("helmet"))
 	if err != nil {
 		return 0, err.Error(), nil
@@ -199,7 +210,7 @@
 	req.Header.Set("Pieces", "1,2")
 	req.Header.Set("Piece-Key", "k")
 	req.Header.Set("Token-Usage", "100,50")
-	req.Header.Set("Prompt-Prefix", "aa:60,bb:40")
+	req.Header.Set("Prompt-Prefix", prompt)
 	req.Header.Set("Tenant", "forged")
 	req.Header.Set("Kv-Hold", "forged")
 	res, err := http.DefaultClient.Do(req)
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"io"
 	"maps"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -24,9 +26,14 @@
 	Pause time.Duration
 	// NeedsInputs refuses requests without results of stages.
 	NeedsInputs bool
+	// OnCrash is called after each crash, unless it is nil.
+	OnCrash func()
 
 	mu      sync.Mutex
 	runs    []Run
+	crashes int
+	// connections holds the open connections, which a crash closes.
+	connections map[net.Conn]bool
 	fault   Fault
 	handles map[string]bool
 	made    int
@@ -56,20 +63,56 @@
 	Freezes bool
 	// Status is answered in place of 200, if it is not 0.
 	Status int
+	// CrashPart crashes the worker when it begins to answer a request whose prompt has
+	// this part, if it is not empty: all connections break off, and it starts again.
+	CrashPart string
 }
 
 // NewWorker starts a worker on loopback.
 func NewWorker(id string) *Worker {
-	w := &Worker{ID: id, handles: map[string]bool{}}
+	w := &Worker{ID: id, handles: map[string]bool{}, connections: map[net.Conn]bool{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /stage-run", w.stageRun)
 	mux.HandleFunc("POST /stage-free", w.stageFree)
 	mux.HandleFunc("GET /report", w.report)
 	mux.HandleFunc("/", w.request)
-	w.Server = httptest.NewServer(mux)
+	w.Server = httptest.NewUnstartedServer(mux)
+	w.Config.ConnState = w.trackConnection
+	w.Start()
 	return w
 }
 
+func (w *Worker) trackConnection(conn net.Conn, state http.ConnState) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		w.connections[conn] = true
+	case http.StateClosed, http.StateHijacked:
+		delete(w.connections, conn)
+	}
+}
+
+// crash breaks all connections off.
+func (w *Worker) crash() {
+	w.mu.Lock()
+	w.crashes++
+	for conn := range w.connections {
+		_ = conn.Close()
+	}
+	w.mu.Unlock()
+	if w.OnCrash != nil {
+		w.OnCrash()
+	}
+}
+
+// Crashes returns how often the worker has crashed.
+func (w *Worker) Crashes() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.crashes
+}
+
 // Address returns the IP and port of the worker.
 func (w *Worker) Address() string { return w.Listener.Addr().String() }
 
@@ -132,6 +175,11 @@
 	if fault.Status != 0 {
 		rw.WriteHeader(fault.Status)
 	}
+	if fault.CrashPart != "" && strings.Contains(r.Header.Get("Prompt-Prefix"), fault.CrashPart+":") {
+		_ = http.NewResponseController(rw).Flush()
+		w.crash()
+		return
+	}
 	if w.Events == 0 {
 		time.Sleep(w.Pause)
 		fmt.Fprintf(rw, "answer of %s to %s", w.ID, r.Header.Get("Attempt-Id"))
