--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -34,9 +34,9 @@
 	crashes int
 	// connections holds the open connections, which a crash closes.
 	connections map[net.Conn]bool
-	fault   Fault
-	handles map[string]bool
-	made    int
+	fault       Fault
+	handles     map[string]bool
+	made        int
 }
 
 // Run is a request that the worker has run.
