Quarantine the parts of prompts that crash engines

What callers saw: requests with one part in their prompts ended one engine after the other.

Cause: nothing remembered under which requests an engine ended. The class of fault is a poison request: a failure was attributed to the server alone, so each request with the same content was sent to the next server.

Evidence: event 410 shows at each end one request with a head and no event, and the same part in all of them, with which no request got any further.

Change: package quarantine. A break right after the head of an answer is evidence against the part of the prompt that has gone without a success for longest. Three such crashes, at different engines, not at the same moment and of two requests or more, quarantine the part: its requests are refused at once with promptQuarantined and a Retry-After until the next probe. Instances pass crashes and entries on with their heartbeats, so that a new coordinator knows them, and write entries to the store for the case that all stop. One request is sent as a probe after 15 s, 30 s and so on; a success of a part, at any instance, takes it out of the quarantine. Logs: events 411 to 414; metrics: beliefs.quarantine.

Why it works: the verdict needs three ends, the bound allows five and the time in contact after them, and the refusal is checked at the admission, by the coordinator, and directly before the send.

--- a/delivery/router.go
+++ b/delivery/router.go
@@ -9,10 +9,12 @@
 
 	"lycheecrank.example/backend"
 	"lycheecrank.example/counter"
+	"lycheecrank.example/engine"
 	"lycheecrank.example/event"
 	"lycheecrank.example/fleet"
 	"lycheecrank.example/pipeline"
 	"lycheecrank.example/preparation"
+	"lycheecrank.example/quarantine"
 	"lycheecrank.example/request"
 	"lycheecrank.example/route"
 )
@@ -37,6 +39,12 @@
 	Abandon      func(id string, try int)
 	// OnAdmission is called with each admitted attempt before it is served.
 	OnAdmission func(a Admission)
+	// Verdict returns the reason for which a request with a prompt is refused, if there is
+	// one (see package quarantine).
+	Verdict func(prompt engine.Prompt) (quarantine.Verdict, bool)
+	// OnCrash is called when an engine breaks off an answer that has just begun: the head
+	// has arrived and no event.
+	OnCrash func(server fleet.Server, id string, prompt engine.Prompt)
 	// IsLeaving reports whether this instance shuts down so soon that streams should
 	// go to another one.
 	IsLeaving func() bool
@@ -156,6 +164,8 @@
 		return routed, refuse(request.ReasonMalformed, "number of pieces of a stage is negative or above the limit")
 	case !now.Before(routed.deadline):
 		return routed, refuse(request.ReasonDeadlinePassedOnArrival, "the deadline of the request passed before its admission")
+	case r.isQuarantined(attempt):
+		return routed, r.quarantineFailure(attempt)
 	case r.IsLeaving() && matched.Kind == route.Stream:
 		f := request.Refuse(request.ReasonLeaving, "the instance is shutting down").WithRetryAfter(leavingRetryAfter)
 		return routed, &f
@@ -163,6 +173,24 @@
 	return routed, nil
 }
 
+// isQuarantined reports whether the prompt of an attempt is quarantined and no probe is
+// due. While one is, the coordinator decides which request is the probe.
+func (r *Router) isQuarantined(attempt Attempt) bool {
+	verdict, ok := r.Verdict(attempt.Prompt)
+	return ok && !verdict.IsProbeDue
+}
+
+// quarantineFailure returns the failure of an attempt whose prompt is quarantined, nil if
+// it isn't.
+func (r *Router) quarantineFailure(attempt Attempt) *request.Failure {
+	verdict, ok := r.Verdict(attempt.Prompt)
+	if !ok {
+		return nil
+	}
+	f := verdict.Failure()
+	return &f
+}
+
 // maxPieces is the largest number of pieces of a stage. It protects the
 // coordinator's memory against numbers from outside.
 const maxPieces = 1024
--- a/delivery/router_test.go
+++ b/delivery/router_test.go
@@ -16,10 +16,12 @@
 
 	"lycheecrank.example/backend"
 	"lycheecrank.example/counter"
+	"lycheecrank.example/engine"
 	"lycheecrank.example/event"
 	"lycheecrank.example/fleet"
 	"lycheecrank.example/pipeline"
 	"lycheecrank.example/preparation"
+	"lycheecrank.example/quarantine"
 	"lycheecrank.example/request"
 	"lycheecrank.example/route"
 )
@@ -90,6 +92,10 @@
 		OnRunEnd: func(_, server, _ string, e preparation.RunStatus) {
 			r.notifications = append(r.notifications, fmt.Sprintf("ended %s %s", server, []string{"without fault", "refused", "failed"}[e]))
 		},
+		Verdict: func(engine.Prompt) (quarantine.Verdict, bool) { return quarantine.Verdict{}, false },
+		OnCrash: func(server fleet.Server, _ string, _ engine.Prompt) {
+			r.notifications = append(r.notifications, "crashed "+server.ID)
+		},
 		OnAdmission: func(Admission) {},
 		Abandon:     func(string, int) { r.notifications = append(r.notifications, "abandoned") },
 	}
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lycheecrank.example/event"
+	"lycheecrank.example/fleet"
 	"lycheecrank.example/preparation"
 	"lycheecrank.example/request"
 )
@@ -18,7 +19,7 @@
 
 // run is one send of a prepared request to an engine.
 type run struct {
-	server string
+	server fleet.Server
 	sentAt time.Time
 	// answeredAt is when the head of the answer arrived, zero before.
 	answeredAt time.Time
@@ -26,6 +27,9 @@
 	events int64
 }
 
+// hasJustBegun reports whether the engine has begun its answer and sent no event yet.
+func (r *run) hasJustBegun() bool { return !r.answeredAt.IsZero() && r.events == 0 }
+
 // servePrepared serves an attempt whose request is prepared before it is sent: its pool
 // has engines, or its route has stages. The route may be of any kind.
 func (r *Router) servePrepared(ctx context.Context, routed routedAttempt) Result {
@@ -105,6 +109,11 @@
 		router.OnRunEnd(routed.pool.Name, placement.Server, routed.attempt.ID, preparation.RunEnded)
 		return s.retryNotRun(ctx, placement.Server, request.Refuse(request.ReasonNoServer, "reserved engine is no longer available at its address"))
 	}
+	if failure := router.quarantineFailure(routed.attempt); failure != nil && !placement.IsProbe {
+		router.OnRunEnd(routed.pool.Name, placement.Server, routed.attempt.ID, preparation.RunEnded)
+		router.Abandon(routed.attempt.ID, s.task.Try)
+		return s.fail(*failure)
+	}
 	if router.hadBreak(routed) {
 		router.OnRunEnd(routed.pool.Name, placement.Server, routed.attempt.ID, preparation.RunEnded)
 		router.Abandon(routed.attempt.ID, s.task.Try)
@@ -114,7 +123,7 @@
 	sendCtx, cancel, silence := s.startSilenceTimer(ctx, placement)
 	defer cancel()
 	defer silence.stop()
-	current := &run{server: placement.Server, sentAt: time.Now()}
+	current := &run{server: server, sentAt: time.Now()}
 	s.sends++
 	answer, err := routed.attempt.Send(sendCtx, ForwardOptions{
 		Server: server, Workspace: routed.workspace, Deadline: routed.deadline, Inputs: placement.Inputs, Source: placement.PrefixSource, IsPrepared: len(routed.route.Stages) > 0,
@@ -191,10 +200,13 @@
 // route allows it.
 func (s *preparedAttempt) retryBroken(ctx context.Context, broken *run, err error) (Result, bool) {
 	s.runs++
-	s.router.OnRunEnd(s.routed.pool.Name, broken.server, s.routed.attempt.ID, brokenRunStatus(ctx))
-	s.task.AvoidEngines = append(slices.Clone(s.task.AvoidEngines), broken.server)
+	s.router.OnRunEnd(s.routed.pool.Name, broken.server.ID, s.routed.attempt.ID, brokenRunStatus(ctx))
+	s.task.AvoidEngines = append(slices.Clone(s.task.AvoidEngines), broken.server.ID)
 	if ctx.Err() == nil {
 		s.logBroken(broken, err)
+		if broken.hasJustBegun() && !errors.Is(err, errSilent) {
+			s.router.OnCrash(broken.server, s.routed.attempt.ID, s.routed.attempt.Prompt)
+		}
 	}
 	reason := "streamBroken"
 	if errors.Is(err, errSilent) {
@@ -213,7 +225,7 @@
 		answerMs = broken.answeredAt.Sub(broken.sentAt).Milliseconds()
 	}
 	attempt := s.routed.attempt
-	s.router.Logger.Write(event.AnswerBroken, attempt.ID, s.routed.route.Name, broken.server, time.Since(broken.sentAt).Milliseconds(), answerMs,
+	s.router.Logger.Write(event.AnswerBroken, attempt.ID, s.routed.route.Name, broken.server.ID, time.Since(broken.sentAt).Milliseconds(), answerMs,
 		broken.events, attempt.Prompt.PartIDs(), err)
 }
 
@@ -234,7 +246,7 @@
 
 // forwardEvents sends the events of a stream to the client as they arrive.
 func (s *preparedAttempt) forwardEvents(ctx, sendCtx context.Context, answer Answer, current *run, silence silenceTimer) (Result, bool) {
-	router, routed, server := s.router, s.routed, current.server
+	router, routed, server := s.router, s.routed, current.server.ID
 	events := eventReader{source: answer.Body, lastEvent: s.lastEvent}
 	hasEvent := false
 	for {
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -38,6 +38,13 @@
 	return ids
 }
 
+// SharedParts returns the IDs of the parts that other requests may share: all but the
+// last one, which belongs to the request or its session.
+func (p Prompt) SharedParts() []string {
+	ids := p.PartIDs()
+	return ids[:max(0, len(ids)-1)]
+}
+
 // Spec describes the engines of a pool.
 type Spec struct {
 	Pool  string
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -87,8 +87,11 @@
 func (i *Instance) handleHeartbeat(received heartbeat) (heartbeat, error) {
 	// Positions in a received heartbeat can't confirm a copy of this instance: the
 	// heartbeat may have been delayed, so the time that they describe is unknown.
-	i.recordContact(received, time.Now())
+	now := time.Now()
+	i.recordContact(received, now)
+	i.mergeQuarantine(received.Quarantine, now)
 	reply := i.newHeartbeat(len(received.Known) > 0)
+	reply.Quarantine = i.missingQuarantine(received, now)
 	if received.WantsRecords {
 		reply.Missing = i.missingRecords(received.Positions)
 	}
@@ -138,7 +141,7 @@
 
 func (i *Instance) newHeartbeat(includesKnown bool) heartbeat {
 	view := i.view()
-	message := heartbeat{Self: view.Self(), Positions: i.positions()}
+	message := heartbeat{Self: view.Self(), Positions: i.positions(), QuarantineDigest: i.quarantine.Queries().Digest()}
 	if includesKnown {
 		message.Known = view.Known()
 	}
@@ -193,10 +196,12 @@
 	now := time.Now()
 	i.Logger.Write(event.CoordinatorChosen, coordinator.Name, coordinator.EligibleSince, len(i.view().Reachable(now)), len(i.view().Known()))
 	if coordinator.Name != i.Settings.Name {
+		i.coordinatorSince.Store(0)
 		i.coordinator.HandOver()
 		i.sendPlacements(coordinator)
 		return
 	}
+	i.coordinatorSince.Store(now.UnixNano())
 	i.coordinator.Resume()
 	i.sendPlacements(coordinator)
 	group.Go(func() error { return i.coordinator.RefreshFreeMemory(ctx) })
@@ -301,6 +306,8 @@
 	sentAt := time.Now()
 	message := i.newHeartbeat(includesKnown)
 	message.WantsRecords = to.wantsRecords
+	message.IsCandidate = i.isCandidate(sentAt)
+	message.Quarantine = i.quarantine.Queries().Fresh(sentAt)
 	reply, err := callPeer[heartbeat](ctx, i, to.address, heartbeatSubject, message)
 	switch {
 	case errors.Is(err, request.ReasonPeerUnreachable):
@@ -311,6 +318,7 @@
 		i.coordinationCounts.Add("heartbeatLate")
 	default:
 		i.recordContact(reply, time.Now())
+		i.mergeQuarantine(reply.Quarantine, time.Now())
 		i.applyReply(reply, sentAt)
 	}
 }
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -37,6 +37,7 @@
 	"lycheecrank.example/pipeline"
 	"lycheecrank.example/platform"
 	"lycheecrank.example/preparation"
+	"lycheecrank.example/quarantine"
 	"lycheecrank.example/route"
 )
 
@@ -83,6 +84,13 @@
 	notices    *noticeSender
 	placements *placements
 	attemptLog *attemptLog
+	// quarantine holds the parts of prompts that crash engines.
+	quarantine *quarantine.Table
+	// quarantineWrites holds the parts whose entries have to be written to the store.
+	quarantineWrites chan string
+	// coordinatorSince is the Unix time in nanoseconds at which this instance became the
+	// coordinator of its cell, 0 if it isn't.
+	coordinatorSince atomic.Int64
 
 	startedAt time.Time
 	breaks    *breakMonitor
@@ -139,6 +147,8 @@
 		fleet:              fleet.NewTable(),
 		heartbeatTrigger:   make(chan struct{}, 1),
 		fetchAddress:       make(chan string, 1),
+		quarantine:         quarantine.NewTable(),
+		quarantineWrites:   make(chan string, maxQuarantineWrites),
 		startedAt:          time.Now(),
 		breaks:             newBreakMonitor(),
 		latencies:          newHistograms(),
@@ -170,6 +180,7 @@
 	i.coordinator = preparation.NewCoordinator()
 	i.coordinator.Call, i.coordinator.ReleaseResults, i.coordinator.FreeMemory = i.stageClient.Call, i.stageClient.ReleaseResults, i.stageClient.FreeMemory
 	i.coordinator.ColdShare = func() float64 { return coldShare * i.view().ReachableShare(i.ownScope(), time.Now()) }
+	i.coordinator.Admit, i.coordinator.OnFirstEvent = i.admitPrompt, i.recordSuccess
 	i.coordinator.Logger, i.coordinator.Counters = i.Logger, i.coordinationCounts
 	i.coordinator.OnPrepared, i.coordinator.OnCall = i.latencies.preparations.Record, i.latencies.stageCalls.Record
 	i.placements = newPlacements()
@@ -181,6 +192,8 @@
 		PlainServers: i.plainServers.Commands(),
 		Budget:       pipeline.NewBudget(retryBudget(i.Settings)),
 		Prepare:      i.prepare,
+		Verdict:      i.verdict,
+		OnCrash:      i.recordCrash,
 		OnFirstEvent: i.sendStart,
 		OnRunEnd:     i.sendEnd,
 		Abandon:      i.sendAbandon,
--- a/entry/message.go
+++ b/entry/message.go
@@ -7,6 +7,7 @@
 	"lycheecrank.example/feed"
 	"lycheecrank.example/membership"
 	"lycheecrank.example/preparation"
+	"lycheecrank.example/quarantine"
 )
 
 // The subjects of messages between instances.
@@ -36,6 +37,12 @@
 	// Missing is set in replies to heartbeats with WantsRecords. It holds the records
 	// that the receiver of the reply lacks.
 	Missing []streamRecords `msgpack:"missing,omitempty"`
+	// QuarantineDigest identifies the quarantine entries of the sender, and IsCandidate
+	// is set if the sender is a candidate for coordinator, which needs all crashes.
+	QuarantineDigest uint64 `msgpack:"quarantineDigest,omitempty"`
+	IsCandidate      bool   `msgpack:"isCandidate,omitempty"`
+	// Quarantine holds what the receiver may lack.
+	Quarantine quarantine.Update `msgpack:"quarantine,omitempty"`
 }
 
 // streamRecords holds the records of a stream with offsets from From up to, but not
@@ -82,4 +89,7 @@
 	Try              int           `msgpack:"try,omitempty"`
 	TimeToFirstEvent time.Duration `msgpack:"took,omitempty"`
 	Prompt           engine.Prompt `msgpack:"prompt,omitempty"`
+	// HasBegun is set in a running or prompt read notice if the engine has begun its
+	// answer.
+	HasBegun bool `msgpack:"hasBegun,omitempty"`
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -51,6 +51,8 @@
 	// number of client attempts in progress.
 	InPreparation int   `json:"inPreparation"`
 	InFlight      int64 `json:"inFlight"`
+	// Quarantine holds the quarantined parts of prompts.
+	Quarantine []quarantineStatus `json:"quarantine"`
 }
 
 // queueStatus is the state of the queue of a stage pool on this instance.
@@ -82,6 +84,7 @@
 		Servers:              i.fleet.Queries().States(now),
 		InPreparation:        i.coordinator.Queries().JobCount(),
 		InFlight:             i.attemptLog.inFlight.Load(),
+		Quarantine:           i.quarantineStatuses(now),
 	}
 	for _, p := range i.positions() {
 		if p.Stream == platform.ServerStream {
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -24,6 +24,7 @@
 
 // sendStart notifies the coordinator of the first event of a request at its engine.
 func (i *Instance) sendStart(pool, server, id string, try int, took time.Duration) {
+	i.recordSuccess(i.placements.markBegun(id))
 	i.notices.add(i.placements.coordinatorOf(id), notice{Kind: startedNotice, Pool: pool, Server: server, RequestID: id, Try: try, TimeToFirstEvent: took})
 }
 
@@ -60,6 +61,9 @@
 		case abandonedNotice:
 			i.coordinator.Abandon(n.RequestID, n.Try)
 		case runningNotice, promptReadNotice:
+			if n.HasBegun {
+				i.recordSuccess(n.Prompt)
+			}
 			running = append(running, engine.PlacedRequest{
 				Pool: n.Pool, EngineID: n.Server, RequestID: n.RequestID, Prompt: n.Prompt, IsRunning: n.Kind == runningNotice,
 			})
--- a/entry/placements.go
+++ b/entry/placements.go
@@ -26,7 +26,9 @@
 	prompt      engine.Prompt
 	coordinator membership.Instance
 	placedAt    time.Time
-	isEnded     bool
+	// hasBegun is set once the engine has sent the first event.
+	hasBegun bool
+	isEnded  bool
 }
 
 // placements holds the recently placed requests by ID.
@@ -65,6 +67,19 @@
 	return p.byID[id].coordinator
 }
 
+// markBegun records that the engine has begun its answer to a request, and returns the
+// prompt.
+func (p *placements) markBegun(id string) engine.Prompt {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	placed, ok := p.byID[id]
+	if ok {
+		placed.hasBegun = true
+		p.byID[id] = placed
+	}
+	return placed.prompt
+}
+
 func (p *placements) markEnded(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -91,7 +106,7 @@
 			placed.coordinator = coordinator
 			p.byID[id] = placed
 		}
-		notices = append(notices, notice{Kind: kind, Pool: placed.pool, Server: placed.server, RequestID: id, Prompt: placed.prompt})
+		notices = append(notices, notice{Kind: kind, Pool: placed.pool, Server: placed.server, RequestID: id, Prompt: placed.prompt, HasBegun: placed.hasBegun})
 	}
 	return notices
 }
--- a/event/events.go
+++ b/event/events.go
@@ -44,6 +44,10 @@
 	RequestRejected           = Event{408, log.InfoLevel, "request turned away", []string{"request", "pool", "rank", "waitedMs", "leftMs", "reason", "detail"}, "The coordinator of the entry instances refused a request before it was sent to an engine, or its preparation failed or was cancelled."}
 	AttemptRetried            = Event{409, log.InfoLevel, "attempt retried", []string{"request", "reason", "tries"}, "A try of an attempt failed, and the instance prepares the request again or sends it to another server; reason is the cause."}
 	AnswerBroken              = Event{410, log.InfoLevel, "answer broken", []string{"request", "route", "backendServer", "ms", "answerMs", "events", "parts", "error"}, "An engine broke off its answer, or sent none, while the client still waited. ms is the time since the send, answerMs the time from the send to the head of the answer, or -1 if there was none; events is the number of complete events, and parts are the IDs of the parts of the prompt."}
+	PromptQuarantined         = Event{411, log.WarnLevel, "prompt quarantined", []string{"parts", "level", "backendServers", "requests", "since"}, "Requests whose prompt has all of these parts are refused, because engines crashed when they began to answer such requests: backendServers and requests list the crashes that count. level is 1 plus the number of probes that have crashed an engine since; since is the beginning in Unix milliseconds. The coordinator that decides and each instance that learns of it write this event."}
+	QuarantineEnded           = Event{412, log.InfoLevel, "quarantine ended", []string{"parts", "succeeded", "generation"}, "Requests with all of these parts are served again, because requests with the parts in succeeded have succeeded, here or at another instance. If some parts are left, 411 follows for these. generation counts the ends for the same parts."}
+	QuarantineProbed          = Event{413, log.InfoLevel, "quarantine probed", []string{"request", "parts"}, "The coordinator admits one request with quarantined parts to find out whether it still crashes its engine."}
+	EngineCrashed             = Event{414, log.WarnLevel, "engine crashed", []string{"request", "backendServer", "dataCentre", "parts"}, "An engine broke off an answer that had just begun; parts are the parts of the prompt that other requests may share, of which one may be the cause. See 411."}
 	ServerCold                = Event{501, log.WarnLevel, "backend server cold", []string{"backendServer", "reason"}, "A backend server is treated as cold and gets no more than its cold limit."}
 	ServerWarm                = Event{502, log.InfoLevel, "backend server warm", []string{"backendServer"}, "A backend server has reached its full limit."}
 	ServerLeaving             = Event{503, log.InfoLevel, "backend server leaving", []string{"backendServer"}, "A backend server is leaving and gets no new work."}
@@ -68,6 +72,7 @@
 		CatalogueApplied, CatalogueEditRefused, LogUnavailable, LogRecordUnreadable, CatalogueSnapshotAppended, LogAvailable, ConfigurationApplied, EvacuationChanged,
 		PeerConnected, PeerLost, PeerFrameRefused, CoordinatorChosen, SiteDivided,
 		RequestRefused, RequestFinished, ResultDropped, AttemptServed, AttemptFailed, ResultsRebuilt, RequestPlaced, RequestRejected, AttemptRetried, AnswerBroken,
+		PromptQuarantined, QuarantineEnded, QuarantineProbed, EngineCrashed,
 		ServerCold, ServerWarm, ServerLeaving, StageCallFailed, ServerListed, ServerUnlisted, PoolDepth,
 		OwnershipAcquired, OwnershipLost, OwnershipReleased, OwnershipLeaseExpired,
 		ClaimUndecided, PrecedenceRecordsLost, DecisionRecordsNotSealed, DecisionRecords,
--- a/lock/lock.go
+++ b/lock/lock.go
@@ -17,6 +17,7 @@
 	RankBatch       = 45
 	RankBackend     = 50
 	RankEngine      = 55
+	RankQuarantine  = 57
 	RankRequest     = 60
 	RankClaim       = 70
 	RankPrecedence  = 80
--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -95,6 +95,13 @@
 	// instance may use, from 0 to 1. It is below 1 because two coordinators may act at
 	// the same time.
 	ColdShare func() float64
+	// Admit decides about a request before and after its stages are computed. It reports
+	// whether the request is sent as a probe (see package quarantine), and returns a
+	// failure if it may not be sent.
+	Admit func(task Task) (isProbe bool, failure *request.Failure)
+	// OnFirstEvent is called with the prompt of each request whose first event is
+	// recorded.
+	OnFirstEvent func(prompt engine.Prompt)
 	// OnDecision is called for each try that reserved an engine or was refused.
 	OnDecision func(p Decision)
 	// OnPrepared and OnCall are called with the durations of preparations and stage
@@ -117,6 +124,8 @@
 func NewCoordinator() *Coordinator {
 	return &Coordinator{
 		ColdShare:       func() float64 { return 1 },
+		Admit:           func(Task) (bool, *request.Failure) { return false, nil },
+		OnFirstEvent:    func(engine.Prompt) {},
 		OnDecision:      func(Decision) {},
 		OnPrepared:      func(string, time.Duration) {},
 		OnCall:          func(string, time.Duration) {},
@@ -176,6 +185,10 @@
 
 func (c *Coordinator) prepare(ctx context.Context, task Task) (Placement, error) {
 	openedAt := time.Now()
+	isProbe, failure := c.Admit(task)
+	if failure != nil {
+		return Placement{}, *failure
+	}
 	reserve := min(refusalReserve, task.Deadline/10)
 	ctx, cancel := context.WithTimeout(ctx, task.Deadline-reserve)
 	defer cancel()
@@ -204,7 +217,7 @@
 		c.Abandon(task.RequestID, task.Try)
 		return Placement{}, c.contextFailure(ctx, "stages")
 	}
-	placement, err := c.reserveEngine(ctx, task)
+	placement, err := c.reserveEngine(ctx, task, isProbe)
 	if err != nil {
 		c.Abandon(task.RequestID, task.Try)
 		return Placement{}, err
@@ -306,11 +319,18 @@
 }
 
 // reserveEngine reserves an engine and waits while no engine has capacity for the
-// request.
-func (c *Coordinator) reserveEngine(ctx context.Context, task Task) (Placement, error) {
+// request. The parameter isProbe reports whether the request was admitted as a probe.
+func (c *Coordinator) reserveEngine(ctx context.Context, task Task, isProbe bool) (Placement, error) {
 	timer := time.NewTimer(engineRetryInterval)
 	defer timer.Stop()
 	for {
+		if !isProbe {
+			// The prompt may have been quarantined while the stages were computed.
+			var failure *request.Failure
+			if isProbe, failure = c.Admit(task); failure != nil {
+				return Placement{}, *failure
+			}
+		}
 		j, ok := c.table.Commands().job(task.RequestID)
 		if !ok {
 			return Placement{}, request.Refuse(request.ReasonCancelled, "preparation cancelled while waiting for an engine")
@@ -319,7 +339,7 @@
 		requirements := engine.Requirements{InputBytes: c.inputBytes(j), AvoidEngines: task.AvoidEngines, RequiredEngine: task.RequiredEngine, ColdShare: c.ColdShare()}
 		reservation, ok := c.Engines.Commands().Reserve(task.Pool, task.RequestID, task.Prompt, requirements, time.Now())
 		if ok {
-			return Placement{Server: reservation.ID, Address: reservation.Address, DataCentre: reservation.DataCentre, PrefixSource: reservation.PrefixSource, Inputs: inputs, ExpectedFirstEvent: reservation.ExpectedFirstEvent}, nil
+			return Placement{Server: reservation.ID, Address: reservation.Address, DataCentre: reservation.DataCentre, PrefixSource: reservation.PrefixSource, Inputs: inputs, ExpectedFirstEvent: reservation.ExpectedFirstEvent, IsProbe: isProbe}, nil
 		}
 		c.Counters.Add("noEngine")
 		timer.Reset(engineRetryInterval)
@@ -351,6 +371,9 @@
 // stages, which the engine fetches before the first event.
 func (c *Coordinator) RecordFirstEvent(pool, server, id string, try int, took time.Duration) {
 	c.Engines.Commands().RecordFirstEvent(pool, server, id, took)
+	if j, ok := c.table.Commands().job(id); ok {
+		c.OnFirstEvent(j.task.Prompt)
+	}
 	c.release(c.table.Commands().close(id, try))
 }
 
--- a/request/reason.go
+++ b/request/reason.go
@@ -67,6 +67,8 @@
 	ReasonResultInvalid Reason = "resultInvalid"
 	// The retry budget is used up; the detail is the failure of the last attempt.
 	ReasonRetryBudget Reason = "retryBudget"
+	// A part of the prompt has crashed engines, and requests with it are refused.
+	ReasonPromptQuarantined Reason = "promptQuarantined"
 	// The deadline passed before the request or step finished.
 	ReasonDeadlinePassed Reason = "deadlinePassed"
 	// The request was cancelled.
@@ -118,6 +120,7 @@
 	{ReasonPermissionExpired, true, true, true},
 	{ReasonServerUnreachable, true, true, true},
 	{ReasonServerCold, true, true, true},
+	{ReasonPromptQuarantined, false, true, true},
 	{ReasonServerFailed, true, true, true},
 	{ReasonResultInvalid, true, true, true},
 	{ReasonRetryBudget, false, true, true},
