Heed what backend servers say about themselves in their answers

The code read neither Server-Leaving nor Retry-After of an answer, so a server that was leaving got requests until its entry in the store said so, and one that had turned a request away was asked again at once.

Change: an answer with Server-Leaving takes the server out of service at this instance and its coordinator until it is listed as another process. An engine choice whose requirements exclude every engine is refused at once too.

--- a/backend/choose.go
+++ b/backend/choose.go
@@ -41,7 +41,7 @@
 
 // HasFreeSlot reports whether the server can take one more step of a rank.
 func (s Server) HasFreeSlot(rank int, p Permission, now time.Time) bool {
-	return rank <= s.LowestRank && s.InFlight < s.Limit(p) && !now.Before(s.backoffUntil)
+	return rank <= s.LowestRank && s.InFlight < s.Limit(p) && !now.Before(s.backoffUntil) && !now.Before(s.PausedUntil)
 }
 
 // ExpectedTime estimates the duration of one more step on the server. The
--- a/backend/commands.go
+++ b/backend/commands.go
@@ -62,6 +62,11 @@
 	})
 }
 
+// Pause records that a server wants no steps of this instance until a time.
+func (c Commands) Pause(name string, until time.Time) {
+	c.update(name, func(s Server) Server { return s.WithPause(until) })
+}
+
 // ApplyReport applies a load report of a server.
 func (c Commands) ApplyReport(name string, r Report, now time.Time) {
 	c.update(name, func(s Server) Server { return s.WithReport(r, now) })
--- a/backend/server.go
+++ b/backend/server.go
@@ -48,6 +48,9 @@
 	// TakenOut is set if operators have taken the server out, so that it gets no
 	// new steps.
 	TakenOut bool
+	// PausedUntil is the end of the time in which the server wants no steps of this
+	// instance.
+	PausedUntil time.Time
 }
 
 // Server is an instance's view of a backend server. It is an immutable value.
@@ -162,6 +165,14 @@
 // no new steps.
 func (s Server) IsLeaving() bool { return s.TakenOut || s.ListedLeaving || s.ReportedLeaving }
 
+// WithPause returns the server after it said that it wants no steps until a time.
+func (s Server) WithPause(until time.Time) Server {
+	if s.PausedUntil.Before(until) {
+		s.PausedUntil = until
+	}
+	return s
+}
+
 // WithTakenOut returns the server as taken out.
 func (s Server) WithTakenOut() Server {
 	s.TakenOut = true
--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -294,15 +294,15 @@
 		c.CompleteCall(call, []CompletedPiece{{call.Pieces[0], "h3"}}, time.Now())
 		_, ok = table.nextCall(time.Now())
 		is.True(!ok) // full
-		due, rest := table.Queries().SelectForRelease([]string{"h1", "unknown"}, 0.5)
+		due, rest := table.Queries().SelectForRelease([]string{"h1", "unknown"}, 0.5, time.Now())
 		is.Equal(due, map[string][]string{"10.0.0.1:1": {"h1"}})
 		is.Equal(len(rest), 0)
-		due, rest = table.Queries().SelectForRelease([]string{"h1", "unknown"}, 2)
+		due, rest = table.Queries().SelectForRelease([]string{"h1", "unknown"}, 2, time.Now())
 		is.Equal(len(due), 0)
 		is.Equal(rest, []string{"h1"}) // less than this share is in use
 		c.ReleaseResults([]string{"h1", "unknown"})
 		c.ReleaseResults([]string{"h1"}) // has no effect the second time
-		due, rest = table.Queries().SelectForRelease([]string{"h1"}, 0)
+		due, rest = table.Queries().SelectForRelease([]string{"h1"}, 0, time.Now())
 		is.Equal(len(due)+len(rest), 0)
 		call, ok = table.nextCall(time.Now())
 		is.True(ok)
--- a/batch/commands.go
+++ b/batch/commands.go
@@ -149,6 +149,18 @@
 	t.changed.Signal()
 }
 
+// Pause records that a server wants no calls until a time.
+func (c Commands) Pause(id string, until time.Time) {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.pools {
+		if s, ok := p.servers[id]; ok {
+			p.servers[id] = s.WithPause(until)
+		}
+	}
+}
+
 // MarkFull records that a server had no memory for a result.
 func (c Commands) MarkFull(call Call, now time.Time) {
 	t := c.table
--- a/batch/queries.go
+++ b/batch/queries.go
@@ -135,8 +135,8 @@
 
 // SelectForRelease splits handles into those at stage servers that use at least a share
 // of their result memory, whose results are due for release, by address, and the rest.
-// Unknown handles are omitted.
-func (q Queries) SelectForRelease(handles []string, share float64) (due map[string][]string, rest []string) {
+// Results at servers that want no calls are in the rest. Unknown handles are omitted.
+func (q Queries) SelectForRelease(handles []string, share float64, now time.Time) (due map[string][]string, rest []string) {
 	t := q.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -147,7 +147,8 @@
 			continue
 		}
 		p := t.pools[r.pool]
-		if float64(p.servers[r.server].AllocatedMemory) < share*float64(p.spec.ResultMemoryBytes) {
+		s := p.servers[r.server]
+		if now.Before(s.pausedUntil) || float64(s.AllocatedMemory) < share*float64(p.spec.ResultMemoryBytes) {
 			rest = append(rest, h)
 			continue
 		}
--- a/batch/server.go
+++ b/batch/server.go
@@ -87,6 +87,8 @@
 	// fulls is the number of consecutive times that the server was full.
 	fulls        int
 	blockedUntil time.Time
+	// pausedUntil is the end of the time in which the server wants no calls.
+	pausedUntil time.Time
 	// isDraining servers finish their calls and get no new ones.
 	isDraining bool
 }
@@ -153,6 +155,14 @@
 	return s
 }
 
+// WithPause returns the server after it said that it wants no calls until a time.
+func (s Server) WithPause(until time.Time) Server {
+	if s.pausedUntil.Before(until) {
+		s.pausedUntil = until
+	}
+	return s
+}
+
 // WithFull returns the server after it had no memory for a call or a result.
 func (s Server) WithFull(now time.Time) Server {
 	s.blockedUntil = now.Add(min(maxFullBlock, minFullBlock<<min(s.fulls, 8)))
@@ -197,7 +207,9 @@
 }
 
 // isBlocked reports whether the server must not get calls now.
-func (s Server) isBlocked(now time.Time) bool { return s.isDraining || now.Before(s.blockedUntil) }
+func (s Server) isBlocked(now time.Time) bool {
+	return s.isDraining || now.Before(s.blockedUntil) || now.Before(s.pausedUntil)
+}
 
 // untilFree returns how long the server is expected to be busy. An overdue call may
 // never end: it is expected to take as long again as it is overdue.
--- a/batch/table.go
+++ b/batch/table.go
@@ -156,6 +156,7 @@
 		}
 		for _, s := range p.servers {
 			consider(s.blockedUntil)
+			consider(s.pausedUntil)
 			consider(s.unaccountedUntil)
 			consider(t.outages.BlockedUntil(s.DataCentre))
 		}
--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -84,6 +84,11 @@
 	IsMisdirected bool
 	// IsInputGone is set if a stage result that the request needs no longer exists.
 	IsInputGone bool
+	// IsLeaving is set if the server says that it is leaving.
+	IsLeaving bool
+	// PauseFor is how long the server wants no requests of this instance, 0 if it has not
+	// said so.
+	PauseFor time.Duration
 	// IsValid is set if the answer belongs to the request and, if it is a success,
 	// is signed by the server.
 	IsValid bool
--- a/delivery/plain.go
+++ b/delivery/plain.go
@@ -39,7 +39,7 @@
 	for {
 		server, ok := r.reserve(ctx, routed, avoid)
 		if !ok {
-			return result.withFailure(r.noServerFailure(ctx, mayHaveRun))
+			return result.withFailure(r.noServerFailure(ctx, routed.pool.Name, mayHaveRun))
 		}
 		sent := time.Now()
 		mayRetryElsewhere := routed.route.IsRepeatable() && reached+1 < routed.route.MaxServers
@@ -103,6 +103,7 @@
 		cancel(context.Canceled)
 		return Answer{}, nil, err
 	}
+	r.applyStatements(server.ID, answer)
 	answer.Body = &sendBody{ReadCloser: answer.Body, cancel: cancel}
 	if answer.IsNotRun {
 		_ = answer.Body.Close()
@@ -171,7 +172,8 @@
 		if server, ok := r.PlainServers.Reserve(routed.pool.Name, 0, avoid, permission, now); ok {
 			return server, true
 		}
-		if now.After(limit) {
+		until, isPaused := r.Fleet.PausedUntil(routed.pool.Name, now)
+		if now.After(limit) || isPaused && until.After(limit) {
 			return backend.Server{}, false
 		}
 		timer.Reset(reserveInterval)
@@ -183,13 +185,28 @@
 	}
 }
 
+// pauseFailure returns the failure of a request while all servers of its pool want no
+// requests of this instance, nil if one accepts them.
+func (r *Router) pauseFailure(pool string) *request.Failure {
+	now := time.Now()
+	until, ok := r.Fleet.PausedUntil(pool, now)
+	if !ok {
+		return nil
+	}
+	f := request.Refuse(request.ReasonQueueFull, "all backend servers of the pool have turned requests away and want none for a time").WithRetryAfter(until.Sub(now))
+	return &f
+}
+
 // noServerFailure returns the failure of a request for which no slot became free before
 // its client disconnected or its waiting time ended.
-func (r *Router) noServerFailure(ctx context.Context, mayHaveRun bool) request.Failure {
+func (r *Router) noServerFailure(ctx context.Context, pool string, mayHaveRun bool) request.Failure {
 	reason := request.ReasonNoServer
 	if errors.Is(ctx.Err(), context.Canceled) {
 		reason = request.ReasonCancelled
 	}
+	if failure := r.pauseFailure(pool); failure != nil && ctx.Err() == nil {
+		return failure.WithSent(mayHaveRun)
+	}
 	return request.Refuse(reason, "no backend server of the pool had a free slot while the request waited").WithSent(mayHaveRun).WithRetryAfter(fullRetryAfter)
 }
 
--- a/delivery/router.go
+++ b/delivery/router.go
@@ -37,6 +37,10 @@
 	OnFirstEvent func(pool, server, id string, try int, took time.Duration)
 	OnRunEnd     func(pool, server, id string, status preparation.RunStatus)
 	Abandon      func(id string, try int)
+	// OnLeaving is called with the ID of a server that says in an answer that it is
+	// leaving, OnPause with that of a server that wants no requests for a time.
+	OnLeaving func(server string)
+	OnPause   func(server string, pause time.Duration)
 	// OnAdmission is called with each admitted attempt before it is served.
 	OnAdmission func(a Admission)
 	// Verdict returns the reason for which a request with a prompt is refused, if there is
@@ -191,6 +195,16 @@
 	return &f
 }
 
+// applyStatements passes on what a server says about itself in an answer.
+func (r *Router) applyStatements(server string, answer Answer) {
+	if answer.IsLeaving {
+		r.OnLeaving(server)
+	}
+	if answer.PauseFor > 0 {
+		r.OnPause(server, answer.PauseFor)
+	}
+}
+
 // maxPieces is the largest number of pieces of a stage. It protects the
 // coordinator's memory against numbers from outside.
 const maxPieces = 1024
--- a/delivery/router_test.go
+++ b/delivery/router_test.go
@@ -96,6 +96,7 @@
 		OnCrash: func(server fleet.Server, _ string, _ engine.Prompt) {
 			r.notifications = append(r.notifications, "crashed "+server.ID)
 		},
+		OnLeaving: func(string) {}, OnPause: func(string, time.Duration) {},
 		OnAdmission: func(Admission) {},
 		Abandon:     func(string, int) { r.notifications = append(r.notifications, "abandoned") },
 	}
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -94,11 +94,19 @@
 // request is to be prepared and sent again.
 func (s *preparedAttempt) prepareAndSend(ctx context.Context) (Result, bool) {
 	router, routed := s.router, s.routed
+	if failure := router.pauseFailure(routed.pool.Name); failure != nil {
+		if s.task.Try > 0 {
+			router.Abandon(routed.attempt.ID, s.task.Try)
+		}
+		return s.fail(*failure)
+	}
 	now := time.Now()
 	s.task.Try++
 	s.task.Objective, s.task.Deadline = routed.objective.Sub(now), s.idleDeadline().Sub(now)
 	s.task.RetryWindow = routed.deadline.Sub(now)
-	placement, err := router.Prepare(ctx, s.task)
+	task := s.task
+	task.AvoidEngines = slices.Concat(s.task.AvoidEngines, router.Fleet.Paused(routed.pool.Name, now))
+	placement, err := router.Prepare(ctx, task)
 	s.task.IsRebuilt = false
 	if err != nil {
 		return s.fail(request.AsFailure(err))
@@ -138,6 +146,7 @@
 		return s.retryBroken(ctx, current, withSilence(sendCtx, err))
 	}
 	defer func() { _ = answer.Body.Close() }()
+	router.applyStatements(placement.Server, answer)
 	current.answeredAt = time.Now()
 	if !answer.IsMisdirected {
 		s.addReached(placement.Server)
--- a/engine/queries.go
+++ b/engine/queries.go
@@ -1,6 +1,9 @@
 package engine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Queries reads a Table. Concurrent calls are safe.
 type Queries struct{ table *Table }
@@ -20,6 +23,24 @@
 	return s.Endpoint, ok
 }
 
+// AreAllExcluded reports whether the requirements exclude each engine of a pool that has
+// engines.
+func (q Queries) AreAllExcluded(poolName string, n Requirements) bool {
+	t := q.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	pl := t.pools[poolName]
+	if pl == nil || len(pl.servers) == 0 {
+		return false
+	}
+	for id := range pl.servers {
+		if !slices.Contains(n.AvoidEngines, id) {
+			return false
+		}
+	}
+	return true
+}
+
 // Load is the number of requests at an engine and the number of their prompt tokens that
 // still have to be prefilled.
 type Load struct {
--- a/entry/apply.go
+++ b/entry/apply.go
@@ -180,6 +180,6 @@
 func plainSpec(server fleet.Server) backend.Spec {
 	return backend.Spec{
 		Name: server.ID, Pool: server.Pool, DataCentre: server.DataCentre, Address: server.Address,
-		LowestRank: lowestRank, MaxInFlight: server.Slots + queuedPerServer, ColdInFlight: server.Slots,
+		LowestRank: lowestRank, MaxInFlight: server.Slots + queuedPerServer, ColdInFlight: server.Slots, PausedUntil: server.PausedUntil(),
 	}
 }
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -177,6 +177,7 @@
 	i.client = peer.NewClient(hello)
 	i.client.PeerTimeout, i.client.Logger = peerReplyTimeout, i.Logger
 	i.server = &peer.Server{Self: hello, PeerTimeout: peerReplyTimeout, Logger: i.Logger, Ask: i.handleCall}
+	i.stageClient.OnLeaving, i.stageClient.OnPause = i.markLeaving, i.pauseServer
 	i.coordinator = preparation.NewCoordinator()
 	i.coordinator.Call, i.coordinator.ReleaseResults, i.coordinator.FreeMemory = i.stageClient.Call, i.stageClient.ReleaseResults, i.stageClient.FreeMemory
 	i.coordinator.ColdShare = func() float64 { return coldShare * i.view().ReachableShare(i.ownScope(), time.Now()) }
@@ -194,6 +195,8 @@
 		Prepare:      i.prepare,
 		Verdict:      i.verdict,
 		OnCrash:      i.recordCrash,
+		OnLeaving:    i.markLeaving,
+		OnPause:      i.pauseServer,
 		OnFirstEvent: i.sendStart,
 		OnRunEnd:     i.sendEnd,
 		Abandon:      i.sendAbandon,
--- a/entry/message.go
+++ b/entry/message.go
@@ -78,6 +78,8 @@
 	// remoteReadNotice notifies the coordinator of another cell of a prompt that an
 	// engine of the sender's cell reads.
 	remoteReadNotice
+	// leavingNotice notifies the coordinator of a server that said that it is leaving.
+	leavingNotice
 )
 
 // notice notifies the coordinator of an event of a prepared request.
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lycheecrank.example/engine"
+	"lycheecrank.example/event"
 	"lycheecrank.example/membership"
 	"lycheecrank.example/preparation"
 )
@@ -42,6 +43,38 @@
 	i.notices.add(i.placements.coordinatorOf(id), notice{Kind: abandonedNotice, RequestID: id, Try: try})
 }
 
+// markLeaving records that a server said in an answer that it is leaving, and notifies
+// the coordinator: the entry of the server in the store may show it later.
+func (i *Instance) markLeaving(server string) {
+	if i.recordLeaving(server) {
+		if coordinator := i.view().Coordinator(i.ownScope(), time.Now()); coordinator.Name != i.Settings.Name {
+			i.notices.add(coordinator, notice{Kind: leavingNotice, Server: server})
+		}
+	}
+}
+
+// recordLeaving takes a server that is leaving out of service. It reports whether this is
+// new.
+func (i *Instance) recordLeaving(server string) bool {
+	if !i.fleet.Commands().MarkLeaving(server) {
+		return false
+	}
+	i.Logger.Write(event.ServerLeaving, server)
+	i.syncServers(time.Now())
+	return true
+}
+
+// pauseServer records that a server turned a request away and wants none of this instance
+// for a time.
+func (i *Instance) pauseServer(server string, pause time.Duration) {
+	until := time.Now().Add(pause)
+	i.fleet.Commands().Pause(server, until)
+	i.plainServers.Commands().Pause(server, until)
+	i.coordinator.Batches.Commands().Pause(server, until)
+	i.coordinationCounts.Add("serverPaused")
+	i.Logger.Write(event.ServerPaused, server, pause.Milliseconds())
+}
+
 // applyNotices applies notices about prepared requests to the tables of the
 // coordinator.
 func (i *Instance) applyNotices(notices []notice) (bool, error) {
@@ -67,6 +100,8 @@
 			running = append(running, engine.PlacedRequest{
 				Pool: n.Pool, EngineID: n.Server, RequestID: n.RequestID, Prompt: n.Prompt, IsRunning: n.Kind == runningNotice,
 			})
+		case leavingNotice:
+			i.recordLeaving(n.Server)
 		case remoteReadNotice:
 			if server, ok := i.fleet.Queries().Server(n.Server, now); ok {
 				reads = append(reads, engine.RemoteRead{Pool: n.Pool, Address: server.Address, Prompt: n.Prompt})
--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -45,6 +45,10 @@
 	encodeTime time.Duration
 	// divide replaces the division of the site into cells; it may be nil.
 	divide func(current cell.Layout, instances int, pools map[string]map[string]int) cell.Layout
+	// restarts counts the announced restarts of workers.
+	restarts map[string]int
+	// modify changes each instance before it runs; it may be nil.
+	modify func(i *Instance)
 }
 
 // testInstance is a running instance of a test site.
@@ -57,7 +61,7 @@
 }
 
 func newTestSite(t *testing.T) *testSite {
-	s := &testSite{t: t, store: site.NewStore(), workers: map[string]*site.Worker{}, dataCentres: map[string]string{}, encodeTime: 10 * time.Millisecond}
+	s := &testSite{t: t, store: site.NewStore(), workers: map[string]*site.Worker{}, dataCentres: map[string]string{}, restarts: map[string]int{}, encodeTime: 10 * time.Millisecond}
 	t.Cleanup(s.store.Close)
 	for _, pool := range []string{"registry", "models", "encode", "rerank"} {
 		for n := range 2 {
@@ -95,7 +99,7 @@
 func (s *testSite) announce(id, pool, state string) {
 	s.store.PutJSON(platform.ServerStream, id, map[string]any{
 		"service": pool, "address": s.workers[id].Address(), "zone": s.dataCentreOf(id), "slots": 4, "state": state, "sequence": 1,
-		"born": 1_000_000 + s.workers[id].Crashes(),
+		"born": 1_000_000 + s.workers[id].Crashes() + s.restarts[id],
 	})
 }
 
@@ -143,6 +147,9 @@
 	if s.divide != nil {
 		i.Divide = s.divide
 	}
+	if s.modify != nil {
+		s.modify(i)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	n := &testInstance{Instance: i, stop: stop, done: make(chan error, 1), log: log}
 	var group errgroup.Group
--- a/fleet/queries.go
+++ b/fleet/queries.go
@@ -38,12 +38,44 @@
 	return pools
 }
 
-// Server returns a server and whether it may get new work. Callers check this right
-// before a send, because the server may have left while the request waited.
+// Server returns a server and whether it may get new work of this instance. Callers check
+// this right before a send, because the server may have left while the request waited.
 func (q Queries) Server(id string, now time.Time) (Server, bool) {
 	list := q.table.current.Load()
 	server, ok := list.servers[id]
-	return server, ok && list.isUsable(server, now)
+	return server, ok && list.isUsable(server, now) && !now.Before(server.pausedUntil)
+}
+
+// Paused returns the IDs of the servers of a pool that want no requests of this instance,
+// sorted.
+func (q Queries) Paused(pool string, now time.Time) []string {
+	var paused []string
+	for id, s := range q.table.current.Load().servers {
+		if s.Pool == pool && now.Before(s.pausedUntil) {
+			paused = append(paused, id)
+		}
+	}
+	slices.Sort(paused)
+	return paused
+}
+
+// PausedUntil returns when the first server of a pool wants requests of this instance
+// again. It reports false if a server may get new work now, or if there is none at all.
+func (q Queries) PausedUntil(pool string, now time.Time) (time.Time, bool) {
+	list := q.table.current.Load()
+	var first time.Time
+	for _, s := range list.servers {
+		if s.Pool != pool || !list.isUsable(s, now) {
+			continue
+		}
+		if !now.Before(s.pausedUntil) {
+			return time.Time{}, false
+		}
+		if first.IsZero() || s.pausedUntil.Before(first) {
+			first = s.pausedUntil
+		}
+	}
+	return first, !first.IsZero()
 }
 
 // States holds the number of servers of a pool in each state.
@@ -52,7 +84,8 @@
 	Usable int `json:"usable"`
 	// Cold is the number of usable servers in cold start.
 	Cold int `json:"cold"`
-	// Draining is the number of servers that report that they are draining.
+	// Draining is the number of servers that report that they are draining, in their
+	// entries or answers.
 	Draining int `json:"draining"`
 	// Lapsed is the number of other servers whose entry has lapsed, including those that
 	// may still get new work during lapseGracePeriod.
@@ -68,7 +101,7 @@
 	for _, s := range list.servers {
 		states := pools[s.Pool]
 		switch {
-		case s.IsDraining:
+		case s.IsDraining || s.saysLeaving:
 			states.Draining++
 		case !s.lapsedAt.IsZero():
 			states.Lapsed++
@@ -94,5 +127,5 @@
 }
 
 func (l *List) isUsable(s Server, now time.Time) bool {
-	return !s.IsDraining && !s.isGone(now) && !l.evacuated[s.DataCentre]
+	return !s.IsDraining && !s.saysLeaving && !s.isGone(now) && !l.evacuated[s.DataCentre]
 }
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -70,13 +70,25 @@
 					delete(next, id)
 				}
 			}
-			next[c.Server.ID] = c.Server
+			next[c.Server.ID] = c.Server.withStatements(s)
 		}
 	}
 	l.servers = next
 	return l
 }
 
+// withServer returns the list with an updated server. It changes nothing if the server
+// isn't listed.
+func (l List) withServer(id string, update func(Server) Server) List {
+	s, ok := l.servers[id]
+	if !ok {
+		return l
+	}
+	l.servers = maps.Clone(l.servers)
+	l.servers[id] = update(s)
+	return l
+}
+
 // byAddress returns the IDs of the servers that may share an address after the changes, by
 // address. It leaves out addresses to which the changes add no new or moved server.
 func (l List) byAddress(changes []Change) map[string][]string {
--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -342,6 +342,9 @@
 			return Placement{Server: reservation.ID, Address: reservation.Address, DataCentre: reservation.DataCentre, PrefixSource: reservation.PrefixSource, Inputs: inputs, ExpectedFirstEvent: reservation.ExpectedFirstEvent, IsProbe: isProbe}, nil
 		}
 		c.Counters.Add("noEngine")
+		if c.Engines.Queries().AreAllExcluded(task.Pool, requirements) {
+			return Placement{}, request.Refuse(request.ReasonNoServer, "all engines have refused or failed the request").WithRetryAfter(task.retryAfter(0))
+		}
 		timer.Reset(engineRetryInterval)
 		select {
 		case <-timer.C:
--- a/preparation/upkeep.go
+++ b/preparation/upkeep.go
@@ -78,7 +78,7 @@
 	defer func() { _ = group.Wait() }()
 	var pending []string
 	runEvery(ctx, releaseInterval, func() {
-		due, rest := c.Batches.Queries().SelectForRelease(append(pending, c.drainReleased()...), minHeldShare)
+		due, rest := c.Batches.Queries().SelectForRelease(append(pending, c.drainReleased()...), minHeldShare, time.Now())
 		pending = rest
 		for address, handles := range due {
 			group.Go(func() error {
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -32,6 +32,8 @@
 	mu      sync.Mutex
 	runs    []Run
 	crashes int
+	refused int
+	calls   int
 	// connections holds the open connections, which a crash closes.
 	connections map[net.Conn]bool
 	fault       Fault
@@ -63,6 +65,10 @@
 	Freezes bool
 	// Status is answered in place of 200, if it is not 0.
 	Status int
+	// SaysLeaving marks all answers with Server-Leaving.
+	SaysLeaving bool
+	// RetryAfter is the Retry-After of refusals in seconds, 0 for none.
+	RetryAfter float64
 	// CrashPart crashes the worker when it begins to answer a request whose prompt has
 	// this part, if it is not empty: all connections break off, and it starts again.
 	CrashPart string
@@ -106,6 +112,33 @@
 	}
 }
 
+// Calls returns how many calls of stages the worker has executed.
+func (w *Worker) Calls() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.calls
+}
+
+// Refused returns how many requests and calls the worker has refused.
+func (w *Worker) Refused() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.refused
+}
+
+// refuse refuses a request or a call. The caller holds the lock.
+func (w *Worker) refuse(rw http.ResponseWriter, r *http.Request) {
+	w.refused++
+	if id := r.Header.Get("Attempt-Id"); id != "" {
+		rw.Header().Set("Attempt-Id", id)
+	}
+	if w.fault.RetryAfter > 0 {
+		rw.Header().Set("Retry-After", strconv.FormatFloat(w.fault.RetryAfter, 'f', -1, 64))
+	}
+	rw.Header().Set("Not-Executed", "1")
+	rw.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // Crashes returns how often the worker has crashed.
 func (w *Worker) Crashes() int {
 	w.mu.Lock()
@@ -149,14 +182,17 @@
 	w.mu.Lock()
 	fault := w.fault
 	number := len(w.runs)
+	if fault.SaysLeaving {
+		rw.Header().Set("Server-Leaving", "1")
+	}
 	isRefused := fault.IsFull || w.NeedsInputs && r.Header.Get("Inputs") == ""
-	if !isRefused {
+	if isRefused {
+		w.refuse(rw, r)
+	} else {
 		w.runs = append(w.runs, Run{Attempt: r.Header.Get("Attempt-Id"), Path: r.RequestURI, Body: string(body), Header: r.Header.Clone()})
 	}
 	w.mu.Unlock()
 	if isRefused {
-		rw.Header().Set("Not-Executed", "1")
-		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	if fault.LosesAnswers {
@@ -230,11 +266,14 @@
 	time.Sleep(w.Pause)
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.fault.SaysLeaving {
+		rw.Header().Set("Server-Leaving", "1")
+	}
 	if w.fault.IsFull {
-		rw.Header().Set("Not-Executed", "1")
-		rw.WriteHeader(http.StatusServiceUnavailable)
+		w.refuse(rw, r)
 		return
 	}
+	w.calls++
 	var answer stageItems
 	for range call.Items {
 		w.made++
