Don't end a stream as complete, or with an error's text, after a broken one

A stream had begun and broke off, and the next server answered with an error; clients found the error in their stream, or a stream that ended as if it were complete.

Cause: an answer without any event ended the stream as complete, and an event without a number was forwarded in a stream whose events have numbers.

Change: a stream without an event is a broken one, and once there was a number, each event with data needs one. An empty answer counts as a crash of its engine only if it ends with its connection.

--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -89,6 +89,9 @@
 	// PauseFor is how long the server wants no requests of this instance, 0 if it has not
 	// said so.
 	PauseFor time.Duration
+	// EndsWithConnection is set if the body has neither a length nor chunks, so that its
+	// end can't be told from a connection that the server closed early.
+	EndsWithConnection bool
 	// IsValid is set if the answer belongs to the request and, if it is a success,
 	// is signed by the server.
 	IsValid bool
--- a/delivery/event.go
+++ b/delivery/event.go
@@ -80,18 +80,27 @@
 
 func (f failedReader) Read([]byte) (int, error) { return 0, f.err }
 
-// checkNumbers checks that each event number is one higher than the previous one.
+// checkNumbers checks that each event number is one higher than the previous one. Once
+// there was a number, each event with data must have one: the text of an error is not a
+// part of the stream.
 func (r *eventReader) checkNumbers(events []byte) error {
-	for _, line := range bytes.Split(events, []byte("\n")) {
-		text, ok := bytes.CutPrefix(line, []byte("id:"))
-		if !ok {
-			continue
+	for block := range bytes.SplitSeq(events, endOfEvent) {
+		hasNumber, hasData := false, false
+		for line := range bytes.SplitSeq(block, []byte("\n")) {
+			text, ok := bytes.CutPrefix(line, []byte("id:"))
+			hasData = hasData || len(line) > 0 && line[0] != ':'
+			if !ok {
+				continue
+			}
+			n, err := strconv.ParseInt(string(bytes.TrimSpace(text)), 10, 64)
+			if err != nil || r.lastEvent != 0 && n != r.lastEvent+1 {
+				return eris.Wrapf(ErrNoValidAnswer, "event number %q is invalid or does not follow %d", text, r.lastEvent)
+			}
+			r.lastEvent, hasNumber = n, true
 		}
-		n, err := strconv.ParseInt(string(bytes.TrimSpace(text)), 10, 64)
-		if err != nil || r.lastEvent != 0 && n != r.lastEvent+1 {
-			return eris.Wrapf(ErrNoValidAnswer, "event number %q is invalid or does not follow %d", text, r.lastEvent)
+		if hasData && !hasNumber && r.lastEvent != 0 {
+			return eris.Wrapf(ErrNoValidAnswer, "event without a number after event %d", r.lastEvent)
 		}
-		r.lastEvent = n
 	}
 	return nil
 }
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -7,10 +7,13 @@
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"lycheecrank.example/event"
 	"lycheecrank.example/fleet"
 	"lycheecrank.example/preparation"
 	"lycheecrank.example/request"
+	"lycheecrank.example/route"
 )
 
 // maxNotRunTries is the number of tries that didn't run the request after which the
@@ -21,14 +24,17 @@
 type run struct {
 	server fleet.Server
 	sentAt time.Time
+	// isCutOff is set if the answer broke off, and unset if it only lacks a valid event.
+	isCutOff bool
 	// answeredAt is when the head of the answer arrived, zero before.
 	answeredAt time.Time
 	// events is the number of complete events that the engine has sent.
 	events int64
 }
 
-// hasJustBegun reports whether the engine has begun its answer and sent no event yet.
-func (r *run) hasJustBegun() bool { return !r.answeredAt.IsZero() && r.events == 0 }
+// hasJustBegun reports whether an answer broke off that the engine had begun and in which
+// it had sent no event yet.
+func (r *run) hasJustBegun() bool { return r.isCutOff && !r.answeredAt.IsZero() && r.events == 0 }
 
 // servePrepared serves an attempt whose request is prepared before it is sent: its pool
 // has engines, or its route has stages. The route may be of any kind.
@@ -261,9 +267,14 @@
 	for {
 		data, err := events.next()
 		if errors.Is(err, io.EOF) {
+			if !hasEvent && routed.route.Kind == route.Stream {
+				current.isCutOff = answer.EndsWithConnection
+				return s.retryBroken(ctx, current, eris.Wrap(ErrNoValidAnswer, "stream without an event"))
+			}
 			break
 		}
 		if err != nil {
+			current.isCutOff = true
 			return s.retryBroken(ctx, current, withSilence(sendCtx, err))
 		}
 		if events.lastEvent > s.lastEvent {
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -26,6 +26,8 @@
 	Pause time.Duration
 	// NeedsInputs refuses requests without results of stages.
 	NeedsInputs bool
+	// OnRun is called when a request begins to run, unless it is nil.
+	OnRun func()
 	// OnCrash is called after each crash, unless it is nil.
 	OnCrash func()
 
@@ -65,6 +67,9 @@
 	Freezes bool
 	// Status is answered in place of 200, if it is not 0.
 	Status int
+	// Raw is written in place of an answer, after which the connection ends, if it is not
+	// empty. {id} stands for the ID of the attempt.
+	Raw string
 	// SaysLeaving marks all answers with Server-Leaving.
 	SaysLeaving bool
 	// RetryAfter is the Retry-After of refusals in seconds, 0 for none.
@@ -195,9 +200,16 @@
 	if isRefused {
 		return
 	}
+	if w.OnRun != nil {
+		w.OnRun()
+	}
 	if fault.LosesAnswers {
 		panic(http.ErrAbortHandler)
 	}
+	if fault.Raw != "" {
+		writeRaw(rw, strings.ReplaceAll(fault.Raw, "{id}", r.Header.Get("Attempt-Id")))
+		return
+	}
 	if fault.Freezes {
 		<-r.Context().Done()
 		return
@@ -252,6 +264,16 @@
 	}
 }
 
+// writeRaw writes bytes to the connection and closes it.
+func writeRaw(rw http.ResponseWriter, text string) {
+	conn, _, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = io.WriteString(conn, text)
+	_ = conn.Close()
+}
+
 // stageItems is a call of a stage, or its answer.
 type stageItems struct {
 	Items []map[string]any `json:"items"`
