Show quarantined prompts to operators, and judge crashes learned during a takeover

Cause: a coordinator that learned of a crash in its first second didn't judge it until the next crash. Operators could see the quarantine in logs and counters only.

Change: coordinators judge each half second too. lycheectl quarantine shows what instances have quarantined, why, since when and when the next probe is due.

Measured: entry TestQuarantineOutlastsInstances: two crashes, the coordinator stops, a third crash; the next coordinator quarantines the prompts; after a stop of all instances a new one reads the entry from the store.

--- a/cmd/lycheectl/main.go
+++ b/cmd/lycheectl/main.go
@@ -46,6 +46,7 @@
 			serverCommand(),
 			precedenceCommand(),
 			explainCommand(),
+			quarantineCommand(),
 		},
 	}
 	quiet(root)
--- /dev/null
+++ b/console/quarantine.go
@@ -0,0 +1,109 @@
+package console
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"lycheecrank.example/operator"
+)
+
+// QuarantineCrash is a crash of an engine that counts against parts of prompts.
+type QuarantineCrash struct {
+	BackendServer string    `json:"backendServer"`
+	Request       string    `json:"request"`
+	At            time.Time `json:"at"`
+}
+
+// Quarantine are parts of prompts whose requests an instance refuses, because engines
+// crashed when they began to answer such requests.
+type Quarantine struct {
+	Parts []string `json:"parts"`
+	// Level is 1 plus the number of probes that have crashed an engine since.
+	Level int       `json:"level"`
+	Since time.Time `json:"since"`
+	// NextProbeMs is the time until a request is sent as a probe, in milliseconds.
+	NextProbeMs int64             `json:"nextProbeMs"`
+	Evidence    []QuarantineCrash `json:"evidence"`
+}
+
+// InstanceQuarantine is what one instance has quarantined, or why that isn't known.
+type InstanceQuarantine struct {
+	Metrics    string       `json:"metrics"`
+	Quarantine []Quarantine `json:"quarantine"`
+	Error      string       `json:"error,omitempty"`
+}
+
+// maxMetricsBytes bounds the counters of an instance.
+const maxMetricsBytes = 16 << 20
+
+// Quarantines reads the counters of entry instances at the given URLs, and returns what
+// each of them has quarantined, in order. It returns operator.ErrUnavailable, together with the
+// answers that there are, if an instance didn't answer.
+func Quarantines(ctx context.Context, client *http.Client, urls []string) ([]InstanceQuarantine, error) {
+	var all []InstanceQuarantine
+	var failed []string
+	for _, url := range urls {
+		found, err := readQuarantine(ctx, client, url)
+		status := InstanceQuarantine{Metrics: url, Quarantine: found}
+		if err != nil {
+			status.Error = err.Error()
+			failed = append(failed, url)
+		}
+		all = append(all, status)
+	}
+	if len(failed) > 0 {
+		return all, eris.Wrapf(operator.ErrUnavailable, "no counters from %s", strings.Join(failed, ", "))
+	}
+	return all, nil
+}
+
+func readQuarantine(ctx context.Context, client *http.Client, url string) ([]Quarantine, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return nil, eris.Wrap(err, "create request")
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return nil, eris.Wrap(err, "read counters")
+	}
+	defer func() { _ = res.Body.Close() }()
+	var counters struct {
+		Beliefs struct {
+			Quarantine []Quarantine `json:"quarantine"`
+		} `json:"beliefs"`
+	}
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxMetricsBytes)).Decode(&counters); err != nil {
+		return nil, eris.Wrap(err, "decode counters")
+	}
+	return counters.Beliefs.Quarantine, nil
+}
+
+// QuarantineTable returns what instances have quarantined as a text.
+func QuarantineTable(all []InstanceQuarantine) string {
+	table := newTable("instance", "parts", "level", "since", "next probe", "crashes")
+	for _, i := range all {
+		if i.Error != "" {
+			table.add(i.Metrics, "unknown: "+i.Error, "", "", "", "")
+			continue
+		}
+		if len(i.Quarantine) == 0 {
+			table.add(i.Metrics, "none", "", "", "", "")
+		}
+		for _, q := range i.Quarantine {
+			var crashes []string
+			for _, c := range q.Evidence {
+				crashes = append(crashes, fmt.Sprintf("%s at %s by %s", c.BackendServer, c.At.Format(time.TimeOnly), c.Request))
+			}
+			nextProbe := time.Duration(q.NextProbeMs) * time.Millisecond
+			table.add(i.Metrics, strings.Join(q.Parts, ","), q.Level, q.Since.Format(time.RFC3339), nextProbe, strings.Join(crashes, "; "))
+		}
+	}
+	return table.String()
+}
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -20,6 +20,9 @@
 	// judgeDelay is how long a new coordinator learns of successes before it quarantines
 	// parts of prompts.
 	judgeDelay = time.Second
+	// judgeInterval is how often a coordinator judges crashes in addition to when it
+	// learns of one.
+	judgeInterval = 500 * time.Millisecond
 	// probeTurn is how long one cell may send a probe before it is the turn of the next
 	// one, which may have requests with the part where the first has none.
 	probeTurn = 5 * time.Second
@@ -68,6 +71,14 @@
 	i.announceQuarantine(i.quarantine.Commands().Judge(now, isOwn))
 }
 
+// runJudging judges the crashes that this instance learned of before it was allowed to.
+func (i *Instance) runJudging(ctx context.Context) error {
+	for pause(ctx, judgeInterval) {
+		i.judgeCrashes(time.Now())
+	}
+	return nil
+}
+
 // announceQuarantine logs entries that this instance has changed, sends them to all
 // reachable instances and writes them to the store.
 func (i *Instance) announceQuarantine(changed []quarantine.Entry) {
--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"lycheecrank.example/engine"
+	"lycheecrank.example/platform"
 	"lycheecrank.example/standin/site"
 )
 
@@ -86,3 +89,61 @@
 		is.Equal(body, wholeStream())
 	}
 }
+
+// stopInstance stops an instance and waits for its end.
+func (s *testSite) stopInstance(n *testInstance) {
+	n.stop()
+	<-n.done
+	n.done <- nil // for the cleanup
+	s.instances = slices.DeleteFunc(s.instances, func(other *testInstance) bool { return other == n })
+}
+
+func (s *testSite) coordinator() *testInstance {
+	name := s.instances[0].view().Coordinator(s.instances[0].ownScope(), time.Now()).Name
+	return s.instances[slices.IndexFunc(s.instances, func(n *testInstance) bool { return n.Settings.Name == name })]
+}
+
+func (n *testInstance) isRefusing() bool {
+	_, ok := n.verdict(engine.Prompt{Parts: []engine.Part{{ID: "first"}, {ID: "second"}, {ID: crashPart}, {ID: "own"}}})
+	return ok
+}
+
+// Guards against crashes that are forgotten with the coordinator, and against quarantined
+// prompts that are served again after all instances have stopped.
+func TestQuarantineOutlastsInstances(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newTestSite(t)
+	s.addCrashingEngines()
+	s.start("n1", "n2", "n3")
+	sendCrashing := func(count int) {
+		for range count {
+			before := s.crashes()
+			s.waitFor("an engine crashes", func() bool {
+				s.instances[0].sendPrompt("POST", "/chat/1", "key-1", crashingPrompt())
+				return s.crashes() > before
+			})
+			pause(t.Context(), 250*time.Millisecond) // crashes at the same moment count as one
+		}
+	}
+	sendCrashing(2)
+	s.stopInstance(s.coordinator())
+	sendCrashing(1)
+	s.waitFor("the next coordinator quarantines the prompts, and all know it", func() bool {
+		return !slices.ContainsFunc(s.instances, func(n *testInstance) bool { return !n.isRefusing() })
+	})
+	is.Equal(s.crashes(), 3)
+	s.waitFor("the entry is in the store", func() bool {
+		_, ok := s.store.Newest(platform.QuarantineStream, "deadly,first,second")
+		return ok
+	})
+	for len(s.instances) > 0 {
+		s.stopInstance(s.instances[0])
+	}
+	s.start("n4")
+	s.waitFor("a new instance reads the entry", s.instances[0].isRefusing)
+	status, _, header := s.instances[0].sendPrompt("POST", "/chat/1", "key-1", crashingPrompt())
+	is.Equal(status, 503)
+	is.True(header.Get("Retry-After") != "")
+	is.Equal(s.crashes(), 3)
+}
--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -77,6 +77,10 @@
 			"stages": []map[string]any{{"service": "encode", "bytes": 1000}, {"service": "rerank", "after": []int{0}, "bytes": 1000}},
 		},
 	}
+	s.routes = append(s.routes, map[string]any{
+		"name": "chat", "host": "shop.example", "pathPrefix": "/chat/", "kind": "streaming", "service": "models", "maxAttempts": 1,
+		"timeoutMs": 20000, "targetLatencyMs": 5000, "stages": []map[string]any{{"service": "encode", "bytes": 1000}},
+	})
 	s.workspaces = []map[string]any{{"name": "parents", "apiKeys": []string{"key-1"}}}
 	s.configure()
 	return s
