Compute once a round whether the instance is a candidate

Cause: it was computed for each heartbeat, of which an instance of a large site sends ten a round. Change: the result of the round is kept.

--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -176,6 +176,7 @@
 		i.checkEligibility(&clock, now, coordinatorName == i.Settings.Name)
 		timer.Reset(clock.interval)
 		i.members.Commands().RemoveStale(now)
+		i.wasCandidate.Store(i.isCandidate(now))
 		isSettling := now.Sub(i.startedAt) < settlingTime
 		for _, t := range i.heartbeatTargets(round, now) {
 			group.Go(func() error {
@@ -306,7 +307,7 @@
 	sentAt := time.Now()
 	message := i.newHeartbeat(includesKnown)
 	message.WantsRecords = to.wantsRecords
-	message.IsCandidate = i.isCandidate(sentAt)
+	message.IsCandidate = i.wasCandidate.Load()
 	message.Quarantine = i.quarantine.Queries().Fresh(sentAt)
 	reply, err := callPeer[heartbeat](ctx, i, to.address, heartbeatSubject, message)
 	switch {
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -88,6 +88,9 @@
 	quarantine *quarantine.Table
 	// quarantineWrites holds the parts whose entries have to be written to the store.
 	quarantineWrites chan string
+	// wasCandidate is set if this instance was a candidate for coordinator in the last
+	// round of heartbeats.
+	wasCandidate atomic.Bool
 	// coordinatorSince is the Unix time in nanoseconds at which this instance became the
 	// coordinator of its cell, 0 if it isn't.
 	coordinatorSince atomic.Int64
