Play crashing prompts, pauses and leaving answers in the soak

Cause: the soak knew none of the new faults of servers.

Change: a server may ask for no requests for 0.5 s, say that it is leaving until it is replaced, or crash under one part of prompts, which one attempt in eight has; each listing of a ready server is a new process.

--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // wholeEvents is the number of events of a whole stream.
@@ -53,6 +55,18 @@
 	return outcomes
 }
 
+// crashPart is a part of the prompts of some attempts, on which engines may crash.
+const crashPart = "cc"
+
+// promptOf returns the parts of an attempt's prompt. One attempt in eight has crashPart.
+func promptOf(id string) string {
+	own := fmt.Sprintf("own-%s:20", id)
+	if xxhash.Sum64String(id)%8 == 0 {
+		return "aa:60," + crashPart + ":20," + own
+	}
+	return "aa:60,bb:20," + own
+}
+
 // ask sends an attempt.
 func (s *soakSite) ask(client *http.Client, i *instance, route, key, id string) outcome {
 	o := outcome{id: id, route: route, instance: i.name, at: time.Since(s.began)}
@@ -64,7 +78,7 @@
 	req.Host = "shop.example"
 	for name, value := range map[string]string{
 		"Attempt-Id": id, "Authorization": "Token " + key, "Deadline-Ms": "4000", "Pieces": "1,2", "Piece-Key": "k",
-		"Token-Usage": "100,50", "Prompt-Prefix": "aa:60,bb:40", "Tenant": "forged",
+		"Token-Usage": "100,50", "Prompt-Prefix": promptOf(id), "Tenant": "forged",
 	} {
 		req.Header.Set(name, value)
 	}
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -122,11 +122,11 @@
 	pool := pools[r.IntN(len(pools))]
 	id := fmt.Sprintf("%s-%d", pool, 1+r.IntN(2))
 	w := s.workers[id]
-	faults := []site.Fault{{IsFull: true}, {LosesAnswers: true}, {HasForeignID: true}, {Freezes: true}, {Status: 500}}
+	faults := []site.Fault{{IsFull: true}, {LosesAnswers: true}, {HasForeignID: true}, {Freezes: true}, {Status: 500}, {IsFull: true, RetryAfter: 0.5}}
 	if pool == "models" {
-		faults = append(faults, site.Fault{CutAfter: 1 + r.IntN(3)})
+		faults = append(faults, site.Fault{CutAfter: 1 + r.IntN(3)}, site.Fault{CrashPart: crashPart})
 	}
-	n := r.IntN(len(faults) + 1)
+	n := r.IntN(len(faults) + 2)
 	if n < len(faults) {
 		s.note("worker %s: %+v for %v", id, faults[n], lasts)
 		w.SetFault(faults[n])
@@ -134,15 +134,18 @@
 		w.SetFault(site.Fault{})
 		return nil
 	}
-	s.note("worker %s drains for %v", id, lasts)
-	for _, state := range []string{"draining", "ready"} {
-		s.store.PutJSON(platform.ServerStream, id, map[string]any{
-			"service": pool, "address": s.links[id].Address(), "zone": "a", "slots": 8, "state": state, "sequence": 2,
-		})
-		if state == "draining" {
-			pause(ctx, lasts)
-		}
+	if n == len(faults) {
+		s.note("worker %s says that it is leaving for %v, and is replaced", id, lasts)
+		w.SetFault(site.Fault{SaysLeaving: true})
+		pause(ctx, lasts)
+		w.SetFault(site.Fault{})
+		s.list(pool, id, "ready")
+		return nil
 	}
+	s.note("worker %s drains for %v", id, lasts)
+	s.list(pool, id, "draining")
+	pause(ctx, lasts)
+	s.list(pool, id, "ready")
 	return nil
 }
 
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -33,13 +33,15 @@
 	// all have beside key-1.
 	version int
 	key     string
+	// starts counts the starts of each worker.
+	starts map[string]int
 	// faults tells what was done and when, for the report.
 	faults []string
 	began  time.Time
 }
 
 func newSoakSite(ctx context.Context, t *testing.T, instances int) *soakSite {
-	s := &soakSite{t: t, store: site.NewStore(), workers: map[string]*site.Worker{}, links: map[string]*link.Link{}, began: time.Now(), key: "key-0"}
+	s := &soakSite{t: t, store: site.NewStore(), workers: map[string]*site.Worker{}, links: map[string]*link.Link{}, starts: map[string]int{}, began: time.Now(), key: "key-0"}
 	t.Cleanup(s.close)
 	for _, pool := range pools {
 		for n := range 2 {
@@ -50,9 +52,8 @@
 			}
 			s.workers[w.ID] = w
 			s.links[w.ID] = s.newLink(ctx, w.Address())
-			s.store.PutJSON(platform.ServerStream, w.ID, map[string]any{
-				"service": pool, "address": s.links[w.ID].Address(), "zone": "a", "slots": 8, "state": "ready", "sequence": 1,
-			})
+			s.list(pool, w.ID, "ready")
+			w.OnCrash = func() { s.list(pool, w.ID, "ready") }
 		}
 	}
 	s.configure("key-0")
@@ -72,6 +73,19 @@
 	return s
 }
 
+// list writes the entry of a worker. Each time that it is ready, it is a new process.
+func (s *soakSite) list(pool, id, state string) {
+	s.mu.Lock()
+	if state == "ready" {
+		s.starts[id]++
+	}
+	born := s.starts[id]
+	s.mu.Unlock()
+	s.store.PutJSON(platform.ServerStream, id, map[string]any{
+		"service": pool, "address": s.links[id].Address(), "zone": "a", "slots": 8, "state": state, "sequence": 1, "born": born,
+	})
+}
+
 func (s *soakSite) newLink(ctx context.Context, target string) *link.Link {
 	l, err := link.New(ctx, target)
 	if err != nil {
