Keep one type for the status of a quarantine, and check prompts in one place

Cause: the instance and the command line described the same status twice, and the admission asked for the verdict twice, so that a quarantine that ended in between skipped a check. Change: quarantine.Status serves both; the admission and the send each ask once. Measured: tests of delivery, entry, console, quarantine and lycheectl pass.

--- a/console/quarantine.go
+++ b/console/quarantine.go
@@ -12,32 +12,14 @@
 	"github.com/rotisserie/eris"
 
 	"lycheecrank.example/operator"
+	"lycheecrank.example/quarantine"
 )
 
-// QuarantineCrash is a crash of an engine that counts against parts of prompts.
-type QuarantineCrash struct {
-	BackendServer string    `json:"backendServer"`
-	Request       string    `json:"request"`
-	At            time.Time `json:"at"`
-}
-
-// Quarantine are parts of prompts whose requests an instance refuses, because engines
-// crashed when they began to answer such requests.
-type Quarantine struct {
-	Parts []string `json:"parts"`
-	// Level is 1 plus the number of probes that have crashed an engine since.
-	Level int       `json:"level"`
-	Since time.Time `json:"since"`
-	// NextProbeMs is the time until a request is sent as a probe, in milliseconds.
-	NextProbeMs int64             `json:"nextProbeMs"`
-	Evidence    []QuarantineCrash `json:"evidence"`
-}
-
 // InstanceQuarantine is what one instance has quarantined, or why that isn't known.
 type InstanceQuarantine struct {
-	Metrics    string       `json:"metrics"`
-	Quarantine []Quarantine `json:"quarantine"`
-	Error      string       `json:"error,omitempty"`
+	Metrics    string              `json:"metrics"`
+	Quarantine []quarantine.Status `json:"quarantine"`
+	Error      string              `json:"error,omitempty"`
 }
 
 // maxMetricsBytes bounds the counters of an instance.
@@ -64,7 +46,7 @@
 	return all, nil
 }
 
-func readQuarantine(ctx context.Context, client *http.Client, url string) ([]Quarantine, error) {
+func readQuarantine(ctx context.Context, client *http.Client, url string) ([]quarantine.Status, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
 		return nil, eris.Wrap(err, "create request")
@@ -76,7 +58,7 @@
 	defer func() { _ = res.Body.Close() }()
 	var counters struct {
 		Beliefs struct {
-			Quarantine []Quarantine `json:"quarantine"`
+			Quarantine []quarantine.Status `json:"quarantine"`
 		} `json:"beliefs"`
 	}
 	if err := json.NewDecoder(io.LimitReader(res.Body, maxMetricsBytes)).Decode(&counters); err != nil {
--- a/delivery/router.go
+++ b/delivery/router.go
@@ -168,31 +168,16 @@
 		return routed, refuse(request.ReasonMalformed, "number of pieces of a stage is negative or above the limit")
 	case !now.Before(routed.deadline):
 		return routed, refuse(request.ReasonDeadlinePassedOnArrival, "the deadline of the request passed before its admission")
-	case r.isQuarantined(attempt):
-		return routed, r.quarantineFailure(attempt)
 	case r.IsLeaving() && matched.Kind == route.Stream:
 		f := request.Refuse(request.ReasonLeaving, "the instance is shutting down").WithRetryAfter(leavingRetryAfter)
 		return routed, &f
 	}
-	return routed, nil
-}
-
-// isQuarantined reports whether the prompt of an attempt is quarantined and no probe is
-// due. While one is, the coordinator decides which request is the probe.
-func (r *Router) isQuarantined(attempt Attempt) bool {
-	verdict, ok := r.Verdict(attempt.Prompt)
-	return ok && !verdict.IsProbeDue
-}
-
-// quarantineFailure returns the failure of an attempt whose prompt is quarantined, nil if
-// it isn't.
-func (r *Router) quarantineFailure(attempt Attempt) *request.Failure {
-	verdict, ok := r.Verdict(attempt.Prompt)
-	if !ok {
-		return nil
+	// While a probe is due, the coordinator decides which request is the probe.
+	if verdict, ok := r.Verdict(attempt.Prompt); ok && !verdict.IsProbeDue {
+		f := verdict.Failure()
+		return routed, &f
 	}
-	f := verdict.Failure()
-	return &f
+	return routed, nil
 }
 
 // applyStatements passes on what a server says about itself in an answer.
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -123,10 +123,10 @@
 		router.OnRunEnd(routed.pool.Name, placement.Server, routed.attempt.ID, preparation.RunEnded)
 		return s.retryNotRun(ctx, placement.Server, request.Refuse(request.ReasonNoServer, "reserved engine is no longer available at its address"))
 	}
-	if failure := router.quarantineFailure(routed.attempt); failure != nil && !placement.IsProbe {
+	if verdict, ok := router.Verdict(routed.attempt.Prompt); ok && !placement.IsProbe {
 		router.OnRunEnd(routed.pool.Name, placement.Server, routed.attempt.ID, preparation.RunEnded)
 		router.Abandon(routed.attempt.ID, s.task.Try)
-		return s.fail(*failure)
+		return s.fail(verdict.Failure())
 	}
 	if router.hadBreak(routed) {
 		router.OnRunEnd(routed.pool.Name, placement.Server, routed.attempt.ID, preparation.RunEnded)
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -7,6 +7,7 @@
 	"lycheecrank.example/fleet"
 	"lycheecrank.example/membership"
 	"lycheecrank.example/platform"
+	"lycheecrank.example/quarantine"
 )
 
 // histograms holds the latencies that are served with the counters.
@@ -52,7 +53,7 @@
 	InPreparation int   `json:"inPreparation"`
 	InFlight      int64 `json:"inFlight"`
 	// Quarantine holds the quarantined parts of prompts.
-	Quarantine []quarantineStatus `json:"quarantine"`
+	Quarantine []quarantine.Status `json:"quarantine"`
 }
 
 // queueStatus is the state of the queue of a stage pool on this instance.
@@ -84,7 +85,7 @@
 		Servers:              i.fleet.Queries().States(now),
 		InPreparation:        i.coordinator.Queries().JobCount(),
 		InFlight:             i.attemptLog.inFlight.Load(),
-		Quarantine:           i.quarantineStatuses(now),
+		Quarantine:           i.quarantine.Queries().Statuses(now),
 	}
 	for _, p := range i.positions() {
 		if p.Stream == platform.ServerStream {
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -231,39 +231,3 @@
 	i.mergeQuarantine(update, time.Now())
 	return nil
 }
-
-// quarantineStatus is a quarantine entry as shown with the counters.
-type quarantineStatus struct {
-	Parts []string `json:"parts"`
-	Level int      `json:"level"`
-	// Since is the beginning of the quarantine.
-	Since time.Time `json:"since"`
-	// NextProbeMs is the time until a request is sent as a probe, in milliseconds.
-	NextProbeMs int64             `json:"nextProbeMs"`
-	Evidence    []quarantineCrash `json:"evidence"`
-}
-
-// quarantineCrash is a crash that counts against the parts.
-type quarantineCrash struct {
-	BackendServer string    `json:"backendServer"`
-	Request       string    `json:"request"`
-	At            time.Time `json:"at"`
-}
-
-func (i *Instance) quarantineStatuses(now time.Time) []quarantineStatus {
-	statuses := []quarantineStatus{}
-	for _, e := range i.quarantine.Queries().Entries() {
-		verdict, ok := i.quarantine.Queries().Verdict(e.Parts, now)
-		if !ok {
-			continue
-		}
-		status := quarantineStatus{
-			Parts: e.Parts, Level: e.Level, Since: time.UnixMilli(e.SinceUnixMilli).UTC(), NextProbeMs: verdict.RetryAfter.Milliseconds(),
-		}
-		for _, c := range e.Evidence {
-			status.Evidence = append(status.Evidence, quarantineCrash{BackendServer: c.Server, Request: c.RequestID, At: time.UnixMilli(c.AtUnixMilli).UTC()})
-		}
-		statuses = append(statuses, status)
-	}
-	return statuses
-}
