Keep in mind that a removed server said that it was leaving

Cause: what a server says about itself was dropped with its entry, so that an entry of the same process that came back made it usable again.

Change: the list keeps removed servers that said that they were leaving, at most 1024. Measured: fleet TestLeavingOutlastsRemoval failed before (usable after a removal and the same entry) and passes.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -81,3 +81,35 @@
 	is.Equal(len(l.servers), count)
 	is.True(allocated < 2000*count) // bytes: a few copies, not one for each change
 }
+
+// Guards against new work for a server that said that it is leaving, when its entry comes
+// back after a removal, and against a new process that gets none.
+func TestLeavingOutlastsRemoval(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	table := NewTable()
+	c, q := table.Commands(), table.Queries()
+	entry := Server{ID: "s1", Pool: "models", Address: "10.0.0.1:1", StartedUnixMilli: 1}
+	isUsable := func() bool {
+		_, ok := q.Server("s1", now)
+		return ok
+	}
+	c.Apply([]Change{{Server: entry}})
+	is.True(isUsable())
+	is.True(c.MarkLeaving("s1"))
+	is.True(!c.MarkLeaving("s1")) // known
+	is.True(!isUsable())
+	c.Apply([]Change{{Server: entry}})
+	is.True(!isUsable())
+	c.Apply([]Change{{Server: entry, IsRemoved: true}, {Server: entry}})
+	is.True(!isUsable())
+	entry.StartedUnixMilli = 2
+	c.Apply([]Change{{Server: entry}})
+	is.True(isUsable())
+	c.Pause("s1", now.Add(time.Second))
+	is.True(!isUsable())
+	_, ok := q.Server("s1", now.Add(time.Second))
+	is.True(ok)
+	is.Equal(q.Paused("models", now), []string{"s1"})
+	is.Equal(len(q.Usable(now)["models"]), 1) // the pause concerns this instance alone, which checks it before each send
+}
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -32,6 +32,27 @@
 type List struct {
 	servers   map[string]Server
 	evacuated map[string]bool
+	// departed holds removed servers that said that they were leaving: an entry of the
+	// same process that comes back is no reason to send to it again.
+	departed map[string]Server
+}
+
+// maxDeparted bounds the departed servers. When there are more, all are forgotten.
+const maxDeparted = 1024
+
+// withDeparted returns the list after the removal of a server.
+func (l List) withDeparted(s Server) List {
+	if !s.saysLeaving {
+		return l
+	}
+	if len(l.departed) >= maxDeparted {
+		l.departed = nil
+	}
+	next := make(map[string]Server, len(l.departed)+1)
+	maps.Copy(next, l.departed)
+	next[s.ID] = s
+	l.departed = next
+	return l
 }
 
 // Change is a change of the list: a new entry of a server, or the end of an entry.
@@ -60,6 +81,7 @@
 		switch {
 		case c.IsRemoved:
 			delete(next, c.Server.ID)
+			l = l.withDeparted(s)
 		case !c.LapsedAt.IsZero():
 			if isListed {
 				next[s.ID] = s.WithLapse(c.LapsedAt)
@@ -70,6 +92,9 @@
 					delete(next, id)
 				}
 			}
+			if !isListed {
+				s = l.departed[c.Server.ID]
+			}
 			next[c.Server.ID] = c.Server.withStatements(s)
 		}
 	}
