Don't divide a site because of servers that a release adds for a moment

Cause: the site has 14 servers in its smallest stage pool and five data centres, too few to be divided (3.25 a data centre). A release of 40 in 100 of the servers lists new ones beside those that they replace: at second 7.5 to 8.5 all 74 instances log "site divided", and the site stays divided after the release, as a divided site only needs 1.5 servers a data centre.

Change: package cell keeps a division back until the site has had enough servers for 10 s, except in the first 10 s of an instance.

--- a/entry/cells.go
+++ b/entry/cells.go
@@ -15,6 +15,8 @@
 // immutable value.
 type division struct {
 	layout cell.Layout
+	// transition holds the layout with a division that is not in force yet.
+	transition cell.Transition
 	// usable holds the number of usable servers by pool and cell.
 	usable map[string]map[string]int
 }
@@ -44,7 +46,10 @@
 			divided[p.Name] = listed[p.Name]
 		}
 	}
-	next := division{layout: i.Divide(i.division.Load().layout, i.view().Size(), divided), usable: map[string]map[string]int{}}
+	old, now := i.division.Load(), time.Now()
+	proposal := i.Divide(old.layout, i.view().Size(), divided)
+	transition := old.transition.WithProposal(proposal, now.Sub(i.startedAt), now)
+	next := division{layout: transition.Layout, transition: transition, usable: map[string]map[string]int{}}
 	for name := range divided {
 		counts := map[string]int{}
 		for _, s := range usable[name] {
@@ -52,7 +57,7 @@
 		}
 		next.usable[name] = counts
 	}
-	if old := i.division.Swap(&next); !old.layout.Equal(next.layout) {
+	if old = i.division.Swap(&next); !old.layout.Equal(next.layout) {
 		i.Logger.Write(event.SiteDivided, next.layout.Cells(), i.view().Size())
 	}
 	return next
