Measure the prefill speed of engines

The choice of an engine and the expected time to the first event assumed 40 prompt tokens per millisecond for each engine, while engines of one pool have 38 to 70 and change.

The coordinator now estimates the speed of each engine from the times to the first event: the median of its latest samples, with the speed of the pool for engines without samples and for old ones, bounded to 10 to 200, and 40 without measurements. A time counts only if most of the tokens prefilled meanwhile are the request's own, because the rest of it is waiting. Delay that the speed accounts for is taken out of excessDelay. The sums over the requests of an engine are kept, and no longer computed for each choice.

Simulated engines with 12 to 70 tokens per millisecond, prompts prefilled in turn and all at a time: all estimates of engines with at least 20 requests in 20 s are within 0.6 and 1.4 of the actual speed.

--- a/engine/bench_test.go
+++ b/engine/bench_test.go
@@ -35,7 +35,7 @@
 			b.Fatal("no engine")
 		}
 		open = append(open, placed{choice.ID, id})
-		c.RecordFirstEvent("models", choice.ID, id, 300*time.Millisecond)
+		c.RecordFirstEvent("models", choice.ID, id, 300*time.Millisecond, time.Now())
 	}
 	for range running {
 		run()
--- a/engine/choose.go
+++ b/engine/choose.go
@@ -3,8 +3,6 @@
 import "time"
 
 const (
-	// prefillTokensPerMillisecond is the prefill speed of current engines.
-	prefillTokensPerMillisecond = 40
 	// minFirstEventTime is the time to the first event of an idle engine that has the
 	// whole prompt cached.
 	minFirstEventTime = 40 * time.Millisecond
@@ -43,44 +41,40 @@
 	ColdShare float64
 }
 
-// prefillTime returns the time to prefill a number of prompt tokens.
-func prefillTime(tokens int64) time.Duration {
-	return time.Duration(max(0, tokens)) * time.Millisecond / prefillTokensPerMillisecond
-}
-
 // cost estimates the time to the first event and adds the other costs of choosing the
 // engine. transferable is the largest number of leading prompt tokens that an engine
-// has in its cache and could transfer.
-func (s Server) cost(spec Spec, p Prompt, n Requirements, transferable int64, now time.Time) time.Duration {
+// has in its cache and could transfer, ofPool the prefill speed of the pool.
+func (s Server) cost(spec Spec, p Prompt, n Requirements, transferable int64, ofPool float64, now time.Time) time.Duration {
 	own := s.cachedTokens(p, now)
 	missing := p.InputTokens - own
 	if transferable-own >= minTransferTokens {
 		missing -= int64((1 - transferFactor) * float64(transferable-own))
 	}
-	used, pending := p.MaxTokens(), int64(0)
-	for _, r := range s.requests {
-		used += r.tokens
-		pending += r.pendingPrefill
+	speed := s.speed.value(ofPool, now)
+	cost := missFactor*prefillTime(missing, speed) + prefillTime(s.pendingPrefill, speed) + time.Duration(len(s.requests))*requestCost + s.excessDelay + s.fetchCost(n)
+	used := s.heldTokens + p.MaxTokens()
+	if len(s.requests) >= spec.Slots || spec.MemoryTokens > 0 && float64(used) > memoryShare*float64(spec.MemoryTokens) {
+		cost += overloadCost
 	}
-	cost := missFactor*prefillTime(missing) + prefillTime(pending) + time.Duration(len(s.requests))*requestCost + s.excessDelay
+	return cost
+}
+
+// fetchCost returns the cost of the results that the engine fetches from other data
+// centres.
+func (s Server) fetchCost(n Requirements) time.Duration {
+	cost := time.Duration(0)
 	for dc, bytes := range n.InputBytes {
 		if dc != s.DataCentre {
 			cost += time.Duration(float64(crossDataCentreCost) * float64(bytes) / (1 << 20))
 		}
 	}
-	if len(s.requests) >= spec.Slots || spec.MemoryTokens > 0 && float64(used) > memoryShare*float64(spec.MemoryTokens) {
-		cost += overloadCost
-	}
 	return cost
 }
 
 // expectedFirstEvent estimates the time to the first event of a request.
-func (s Server) expectedFirstEvent(p Prompt, now time.Time) time.Duration {
-	pending := p.InputTokens - s.cachedTokens(p, now)
-	for _, r := range s.requests {
-		pending += r.pendingPrefill
-	}
-	return minFirstEventTime + prefillTime(pending) + time.Duration(len(s.requests))*requestCost + s.excessDelay
+func (s Server) expectedFirstEvent(p Prompt, ofPool float64, now time.Time) time.Duration {
+	pending := s.pendingPrefill + p.InputTokens - s.cachedTokens(p, now)
+	return minFirstEventTime + prefillTime(pending, s.speed.value(ofPool, now)) + time.Duration(len(s.requests))*requestCost + s.excessDelay
 }
 
 // isWithinColdRate reports whether one more request keeps the engine within the rate
@@ -94,8 +88,9 @@
 }
 
 // chooseEngine returns the engine with the lowest cost. The parameter remote is the
-// number of leading prompt tokens that an engine of another cell has read.
-func chooseEngine(spec Spec, servers []Server, p Prompt, n Requirements, remote int64, now time.Time) (Server, bool) {
+// number of leading prompt tokens that an engine of another cell has read, ofPool the
+// prefill speed of the pool.
+func chooseEngine(spec Spec, servers []Server, p Prompt, n Requirements, remote int64, ofPool float64, now time.Time) (Server, bool) {
 	transferable := remote
 	for _, s := range servers {
 		transferable = max(transferable, s.cachedTokensWithin(p, transferLifetime, now))
@@ -105,7 +100,7 @@
 		if n.RequiredEngine != "" && n.RequiredEngine != s.ID || now.Before(s.blockedUntil) || contains(n.AvoidEngines, s.ID) || !s.isWithinColdRate(spec, n.ColdShare, now) {
 			continue
 		}
-		cost := s.cost(spec, p, n, transferable, now)
+		cost := s.cost(spec, p, n, transferable, ofPool, now)
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
--- a/engine/commands.go
+++ b/engine/commands.go
@@ -64,22 +64,35 @@
 	}
 	servers := t.serversWithOutages(pl, now)
 	_, remote := pl.remote.longest(p, now)
-	s, ok := chooseEngine(pl.spec, servers, p, n, remote, now)
+	ofPool := pl.speed.value(now)
+	s, ok := chooseEngine(pl.spec, servers, p, n, remote, ofPool, now)
 	if !ok {
 		return Reservation{}, false
 	}
-	choice := Reservation{Endpoint: s.Endpoint, PrefixSource: transferSource(servers, &pl.remote, s, p, now), ExpectedFirstEvent: s.expectedFirstEvent(p, now)}
-	pl.servers[s.ID] = s.WithRequest(request, p, now)
+	choice := Reservation{Endpoint: s.Endpoint, PrefixSource: transferSource(servers, &pl.remote, s, p, now), ExpectedFirstEvent: s.expectedFirstEvent(p, ofPool, now)}
+	pl.servers[s.ID] = s.WithRequest(request, p, n, choice.PrefixSource != "", now)
 	t.outages.RecordSent(s.DataCentre, now.Add(probeTimeout))
 	return choice, true
 }
 
 // RecordFirstEvent records the first event of a request and the time to it.
-func (c Commands) RecordFirstEvent(poolName, id, request string, took time.Duration) {
-	c.updateServer(poolName, id, func(s Server) Server {
-		c.table.outages.RecordSuccess(s.DataCentre)
-		return s.WithFirstEvent(request, took)
-	})
+func (c Commands) RecordFirstEvent(poolName, id, request string, took time.Duration, now time.Time) {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.pools[poolName]
+	if p == nil {
+		return
+	}
+	s, ok := p.servers[id]
+	if !ok {
+		return
+	}
+	t.outages.RecordSuccess(s.DataCentre)
+	if sample, ok := s.speedSample(request, took); ok {
+		p.speed = p.speed.withSample(sample, now)
+	}
+	p.servers[id] = s.WithFirstEvent(request, took, p.speed.value(now), now)
 }
 
 // RecordEnd records that a request has ended at an engine.
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -78,12 +78,22 @@
 type Server struct {
 	Endpoint
 	requests map[string]activeRequest
+	// heldTokens and pendingPrefill are the sums over the requests.
+	heldTokens     int64
+	pendingPrefill int64
+	// sentPrefill is the number of tokens to prefill of all requests that were ever sent.
+	sentPrefill int64
+	// measured are the requests without a first event whose time to that event gives a
+	// sample of the prefill speed.
+	measured []measuredRequest
+	speed    measuredSpeed
 	cached   map[string]time.Time
 	// sentAt are the times at which the engine got requests within rateWindow.
 	sentAt       []time.Time
 	failures     int
 	blockedUntil time.Time
-	// excessDelay is the smoothed time to the first event beyond the estimate.
+	// excessDelay is the smoothed time to the first event beyond the estimate with the
+	// measured prefill speed.
 	excessDelay time.Duration
 }
 
@@ -107,10 +117,28 @@
 	return Server{Endpoint: p, requests: map[string]activeRequest{}, cached: map[string]time.Time{}}
 }
 
-// WithRequest returns the engine after a request was sent to it.
-func (s Server) WithRequest(request string, p Prompt, now time.Time) Server {
+// withActive returns the engine with a new or changed request.
+func (s Server) withActive(request string, r activeRequest) Server {
+	old := s.requests[request]
 	s.requests = maps.Clone(s.requests)
-	s.requests[request] = activeRequest{tokens: p.MaxTokens(), pendingPrefill: p.InputTokens - s.cachedTokens(p, now)}
+	s.requests[request] = r
+	s.heldTokens += r.tokens - old.tokens
+	s.pendingPrefill += r.pendingPrefill - old.pendingPrefill
+	return s
+}
+
+// WithRequest returns the engine after a request was sent to it. The parameter
+// isTransferred is set if the engine fetches a part of the prompt from another engine.
+func (s Server) WithRequest(request string, p Prompt, n Requirements, isTransferred bool, now time.Time) Server {
+	r := activeRequest{tokens: p.MaxTokens(), pendingPrefill: max(0, p.InputTokens-s.cachedTokens(p, now))}
+	if !isTransferred && r.pendingPrefill >= minSampleTokens {
+		s.measured = append(slices.Clip(s.measured), measuredRequest{
+			id: request, own: r.pendingPrefill, ahead: s.pendingPrefill, sentBefore: s.sentPrefill,
+			baseDelay: minFirstEventTime + time.Duration(len(s.requests))*requestCost + s.fetchCost(n),
+		})
+	}
+	s = s.withActive(request, r)
+	s.sentPrefill += r.pendingPrefill
 	s.sentAt = append(withinRateWindow(s.sentAt, now), now)
 	return s.WithCached(p, now)
 }
@@ -135,7 +163,10 @@
 	s.requests, s.cached = maps.Clone(s.requests), maps.Clone(s.cached)
 	for _, l := range requests {
 		if l.IsRunning {
+			old := s.requests[l.RequestID]
 			s.requests[l.RequestID] = activeRequest{tokens: l.Prompt.MaxTokens()}
+			s.heldTokens += l.Prompt.MaxTokens() - old.tokens
+			s.pendingPrefill -= old.pendingPrefill
 		}
 		for _, part := range l.Prompt.Parts {
 			s.cached[part.ID] = now
@@ -146,28 +177,37 @@
 
 // WithFirstEvent returns the engine after the first event of a request, which came a
 // given time after the request was sent.
-func (s Server) WithFirstEvent(request string, took time.Duration) Server {
+func (s Server) WithFirstEvent(request string, took time.Duration, ofPool float64, now time.Time) Server {
 	r, ok := s.requests[request]
 	if !ok {
 		return s
 	}
-	estimate := prefillTime(r.pendingPrefill) + minFirstEventTime
+	if sample, ok := s.speedSample(request, took); ok {
+		before := prefillTime(r.pendingPrefill, s.speed.value(ofPool, now))
+		s.speed = s.speed.withSample(sample, now)
+		// A delay that the speed accounts for from now on is no excess any more.
+		explained := prefillTime(r.pendingPrefill, s.speed.value(ofPool, now)) - before
+		s.excessDelay = max(0, s.excessDelay-max(0, explained))
+	}
+	estimate := prefillTime(r.pendingPrefill, s.speed.value(ofPool, now)) + minFirstEventTime
 	s.excessDelay += time.Duration(delayWeight * float64(max(0, took-estimate)-s.excessDelay))
 	r.pendingPrefill = 0
-	s.requests = maps.Clone(s.requests)
-	s.requests[request] = r
+	s = s.withActive(request, r).withoutMeasured(request)
 	s.failures = 0
 	return s
 }
 
 // WithoutRequest returns the engine after a request has ended there.
 func (s Server) WithoutRequest(request string) Server {
-	if _, ok := s.requests[request]; !ok {
+	r, ok := s.requests[request]
+	if !ok {
 		return s
 	}
 	s.requests = maps.Clone(s.requests)
 	delete(s.requests, request)
-	return s
+	s.heldTokens -= r.tokens
+	s.pendingPrefill -= r.pendingPrefill
+	return s.withoutMeasured(request)
 }
 
 // WithFailure returns the engine after it failed a request.
@@ -185,9 +225,10 @@
 	return s
 }
 
-// WithoutCache returns the engine after it has lost its cache.
+// WithoutCache returns the engine after a restart, which has emptied its cache. The
+// prefill speed of the new process is unknown.
 func (s Server) WithoutCache() Server {
-	s.cached = map[string]time.Time{}
+	s.cached, s.speed = map[string]time.Time{}, measuredSpeed{}
 	return s
 }
 
--- /dev/null
+++ b/engine/prefill_test.go
@@ -0,0 +1,191 @@
+package engine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sebdah/goldie/v2"
+	"pgregory.net/rapid"
+)
+
+// simulatedEngine prefills the prompts of its requests in steps of a millisecond, one
+// after the other or all at a time, and then generates for a second and a half.
+type simulatedEngine struct {
+	queue []simulatedPrefill
+	ends  []simulatedEnd
+}
+
+type simulatedPrefill struct {
+	request string
+	left    float64
+	sentAt  time.Time
+}
+
+type simulatedEnd struct {
+	request string
+	at      time.Time
+}
+
+// step advances the engine by a millisecond and returns the requests with a finished
+// prefill.
+func (e *simulatedEngine) step(speed float64, isShared bool) []simulatedPrefill {
+	var finished, rest []simulatedPrefill
+	// Running requests take a share of each step.
+	speed /= 1 + 0.01*float64(len(e.ends))
+	for i, p := range e.queue {
+		switch {
+		case isShared:
+			p.left -= speed / float64(len(e.queue))
+		case i == 0:
+			p.left -= speed
+		}
+		if p.left <= 0 {
+			finished = append(finished, p)
+			continue
+		}
+		rest = append(rest, p)
+	}
+	e.queue = rest
+	return finished
+}
+
+// simulation sends requests to simulated engines for some seconds.
+type simulation struct {
+	seed      uint64
+	perSecond float64
+	isShared  bool
+	// speed returns the real speed of an engine in tokens per millisecond.
+	speed func(engine int, second float64) float64
+}
+
+// run returns the estimates of the engines and the number of their requests in the last
+// half of the time.
+func (s simulation) run(engines, seconds int) (estimates []float64, counts []int) {
+	random := rand.New(rand.NewPCG(s.seed, 1))
+	table := NewTable()
+	c := table.Commands()
+	c.SetPool(Spec{Pool: "models", Slots: 64, MemoryTokens: 400_000}, endpoints(engines))
+	simulated, counts := make([]simulatedEngine, engines), make([]int, engines)
+	start := time.Unix(1000, 0)
+	now := start
+	for ms := range seconds * 1000 {
+		now = start.Add(time.Duration(ms) * time.Millisecond)
+		if random.Float64() < s.perSecond/1000 {
+			request := fmt.Sprint("r", ms)
+			p := prompt(2500+random.Int64N(6000), request)
+			choice, _ := c.Reserve("models", request, p, Requirements{ColdShare: 1}, now)
+			n := 0
+			_, _ = fmt.Sscanf(choice.ID, "e%d", &n)
+			simulated[n-1].queue = append(simulated[n-1].queue, simulatedPrefill{request: request, left: float64(p.InputTokens), sentAt: now})
+			if 2*ms >= seconds*1000 {
+				counts[n-1]++
+			}
+		}
+		for i := range simulated {
+			e, id := &simulated[i], fmt.Sprintf("e%d", i+1)
+			for _, f := range e.step(s.speed(i, float64(ms)/1000), s.isShared) {
+				delay := minFirstEventTime + time.Duration(random.IntN(15))*time.Millisecond
+				if random.IntN(20) == 0 {
+					delay += 400 * time.Millisecond
+				}
+				c.RecordFirstEvent("models", id, f.request, now.Sub(f.sentAt)+delay, now)
+				e.ends = append(e.ends, simulatedEnd{f.request, now.Add(1500 * time.Millisecond)})
+			}
+			for len(e.ends) > 0 && !now.Before(e.ends[0].at) {
+				c.RecordEnd("models", id, e.ends[0].request)
+				e.ends = e.ends[1:]
+			}
+		}
+	}
+	pl := table.pools["models"]
+	for _, server := range pl.sortedServers() {
+		estimates = append(estimates, server.speed.value(pl.speed.value(now), now))
+	}
+	return estimates, counts
+}
+
+// Guards against a prefill speed that isn't found from times that also include waiting,
+// and that doesn't follow an engine that becomes slow or recovers.
+func TestMeasuredSpeed(t *testing.T) {
+	is := is.New(t)
+	different := func(engine int, _ float64) float64 { return []float64{38, 46, 54, 62, 70, 50}[engine] }
+	cases := []struct {
+		name  string
+		speed func(engine int, second float64) float64
+	}{
+		{"equal", func(int, float64) float64 { return 40 }},
+		{"different", different},
+		{"the first becomes slow after 20 s", func(engine int, second float64) float64 {
+			if engine == 0 && second >= 20 {
+				return 15
+			}
+			return different(engine, second)
+		}},
+		{"the first recovers after 10 s", func(engine int, second float64) float64 {
+			if engine == 0 && second < 10 {
+				return 12
+			}
+			return different(engine, second)
+		}},
+	}
+	var b strings.Builder
+	isWrong := false
+	for _, load := range []struct {
+		perSecond float64
+		isShared  bool
+	}{{6, false}, {24, false}, {24, true}} {
+		for _, c := range cases {
+			estimates, counts := simulation{seed: 1, perSecond: load.perSecond, isShared: load.isShared, speed: c.speed}.run(6, 40)
+			fmt.Fprintf(&b, "%s, %g requests per second, all prompts at a time: %v\n", c.name, load.perSecond, load.isShared)
+			for i, estimate := range estimates {
+				actual := c.speed(i, 40)
+				fmt.Fprintf(&b, "  e%d actual %2.0f estimated %3.0f requests %3d\n", i+1, actual, estimate, counts[i])
+				isWrong = isWrong || counts[i] >= 20 && (estimate < 0.6*actual || estimate > 1.4*actual)
+			}
+		}
+	}
+	goldie.New(t).Assert(t, "prefill", []byte(b.String()))
+	is.True(!isWrong)
+}
+
+// Guards against an estimate outside its bounds, also after samples that no engine gives,
+// against one that stays after its measurements are outdated, and against another speed
+// than the default one without measurements.
+func TestSpeedBounds(t *testing.T) {
+	is := is.New(t)
+	is.Equal(measuredSpeed{}.value(poolSpeed{}.value(time.Unix(1000, 0)), time.Unix(1000, 0)), defaultPrefillSpeed)
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		table := NewTable()
+		c := table.Commands()
+		c.SetPool(Spec{Pool: "models", Slots: 64}, endpoints(2))
+		for n := range rapid.IntRange(1, 60).Draw(t, "requests") {
+			id := fmt.Sprint(n)
+			choice, ok := c.Reserve("models", id, prompt(rapid.Int64Range(0, 200_000).Draw(t, "tokens"), id), Requirements{ColdShare: 1}, now)
+			if !ok {
+				continue
+			}
+			now = now.Add(rapid.SampledFrom([]time.Duration{0, time.Millisecond, time.Second}).Draw(t, "pause"))
+			took := rapid.SampledFrom([]time.Duration{-time.Second, 0, 1, time.Millisecond, 300 * time.Millisecond, time.Hour}).Draw(t, "took")
+			c.RecordFirstEvent("models", choice.ID, id, took, now)
+			c.RecordEnd("models", choice.ID, id)
+		}
+		p := table.pools["models"]
+		for _, s := range p.servers {
+			if v := s.speed.value(p.speed.value(now), now); v < minPrefillSpeed-1e-9 || v > maxPrefillSpeed+1e-9 {
+				t.Fatalf("speed %g", v)
+			}
+			later := now.Add(10 * time.Minute)
+			if v := s.speed.value(p.speed.value(later), later); v < 0.99*defaultPrefillSpeed || v > 1.01*defaultPrefillSpeed {
+				t.Fatalf("speed %g long after the last sample", v)
+			}
+			if s.heldTokens != 0 || s.pendingPrefill != 0 {
+				t.Fatalf("%d tokens held and %d pending without a request", s.heldTokens, s.pendingPrefill)
+			}
+		}
+	})
+}
--- a/engine/queries.go
+++ b/engine/queries.go
@@ -19,7 +19,7 @@
 		return Endpoint{}, false
 	}
 	_, remote := pl.remote.longest(p, now)
-	s, ok := chooseEngine(pl.spec, pl.sortedServers(), p, n, remote, now)
+	s, ok := chooseEngine(pl.spec, pl.sortedServers(), p, n, remote, pl.speed.value(now), now)
 	return s.Endpoint, ok
 }
 
@@ -60,11 +60,7 @@
 	}
 	var loads []Load
 	for _, s := range pl.sortedServers() {
-		l := Load{Endpoint: s.Endpoint, RunningRequests: len(s.requests)}
-		for _, r := range s.requests {
-			l.PendingPrefill += r.pendingPrefill
-		}
-		loads = append(loads, l)
+		loads = append(loads, Load{Endpoint: s.Endpoint, RunningRequests: len(s.requests), PendingPrefill: s.pendingPrefill})
 	}
 	return loads
 }
--- a/engine/table.go
+++ b/engine/table.go
@@ -21,6 +21,7 @@
 	spec    Spec
 	servers map[string]Server
 	remote  remoteCache
+	speed   poolSpeed
 }
 
 // NewTable returns an empty table.
--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -373,7 +373,7 @@
 // RecordFirstEvent records the first event of a request and releases the results of its
 // stages, which the engine fetches before the first event.
 func (c *Coordinator) RecordFirstEvent(pool, server, id string, try int, took time.Duration) {
-	c.Engines.Commands().RecordFirstEvent(pool, server, id, took)
+	c.Engines.Commands().RecordFirstEvent(pool, server, id, took, time.Now())
 	if j, ok := c.table.Commands().job(id); ok {
 		c.OnFirstEvent(j.task.Prompt)
 	}
