Count the delay of an engine once, and let it fall with its age

The excess delay of an engine was measured against the time of the request's own tokens alone, so the wait behind other prompts counted twice in the next choice: as pending tokens and as excess. The same held for results from other data centres. The first event of a request that another coordinator had placed counted its whole prefill as excess. And the excess stayed until the next request: an engine that was avoided for one late event was avoided forever.

The excess is now the time beyond the full estimate at the send, only for requests that this coordinator has sent, and halves every 5 s. The expected time to the first event includes the fetch of results.

--- a/engine/choose.go
+++ b/engine/choose.go
@@ -51,7 +51,7 @@
 		missing -= int64((1 - transferFactor) * float64(transferable-own))
 	}
 	speed := s.speed.value(ofPool, now)
-	cost := missFactor*prefillTime(missing, speed) + prefillTime(s.pendingPrefill, speed) + time.Duration(len(s.requests))*requestCost + s.excessDelay + s.fetchCost(n)
+	cost := missFactor*prefillTime(missing, speed) + prefillTime(s.pendingPrefill, speed) + time.Duration(len(s.requests))*requestCost + s.currentExcess(now) + s.fetchCost(n)
 	used := s.heldTokens + p.MaxTokens()
 	if len(s.requests) >= spec.Slots || spec.MemoryTokens > 0 && float64(used) > memoryShare*float64(spec.MemoryTokens) {
 		cost += overloadCost
@@ -72,9 +72,9 @@
 }
 
 // expectedFirstEvent estimates the time to the first event of a request.
-func (s Server) expectedFirstEvent(p Prompt, ofPool float64, now time.Time) time.Duration {
+func (s Server) expectedFirstEvent(p Prompt, n Requirements, ofPool float64, now time.Time) time.Duration {
 	pending := s.pendingPrefill + p.InputTokens - s.cachedTokens(p, now)
-	return minFirstEventTime + prefillTime(pending, s.speed.value(ofPool, now)) + time.Duration(len(s.requests))*requestCost + s.excessDelay
+	return minFirstEventTime + prefillTime(pending, s.speed.value(ofPool, now)) + time.Duration(len(s.requests))*requestCost + s.currentExcess(now) + s.fetchCost(n)
 }
 
 // isWithinColdRate reports whether one more request keeps the engine within the rate
--- a/engine/commands.go
+++ b/engine/commands.go
@@ -69,7 +69,7 @@
 	if !ok {
 		return Reservation{}, false
 	}
-	choice := Reservation{Endpoint: s.Endpoint, PrefixSource: transferSource(servers, &pl.remote, s, p, now), ExpectedFirstEvent: s.expectedFirstEvent(p, ofPool, now)}
+	choice := Reservation{Endpoint: s.Endpoint, PrefixSource: transferSource(servers, &pl.remote, s, p, now), ExpectedFirstEvent: s.expectedFirstEvent(p, n, ofPool, now)}
 	pl.servers[s.ID] = s.WithRequest(request, p, n, choice.PrefixSource != "", now)
 	t.outages.RecordSent(s.DataCentre, now.Add(probeTimeout))
 	return choice, true
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -83,18 +83,19 @@
 	pendingPrefill int64
 	// sentPrefill is the number of tokens to prefill of all requests that were ever sent.
 	sentPrefill int64
-	// measured are the requests without a first event whose time to that event gives a
-	// sample of the prefill speed.
-	measured []measuredRequest
-	speed    measuredSpeed
-	cached   map[string]time.Time
+	// awaited are the requests that this coordinator has sent and that have no first event
+	// yet.
+	awaited []awaitedRequest
+	speed   measuredSpeed
+	cached  map[string]time.Time
 	// sentAt are the times at which the engine got requests within rateWindow.
 	sentAt       []time.Time
 	failures     int
 	blockedUntil time.Time
 	// excessDelay is the smoothed time to the first event beyond the estimate with the
-	// measured prefill speed.
+	// measured prefill speed, as of delayedAt.
 	excessDelay time.Duration
+	delayedAt   time.Time
 }
 
 const (
@@ -109,8 +110,11 @@
 	// failure.
 	minBlock = 250 * time.Millisecond
 	maxBlock = 4 * time.Second
-	// delayWeight is the weight of a new sample of the delay.
-	delayWeight = 0.3
+	// delayWeight is the weight of a new sample of the delay, delayHalfLife the time in
+	// which the delay loses half of its value without one. An engine that is avoided for
+	// its delay gives no sample that shows its end.
+	delayWeight   = 0.3
+	delayHalfLife = 5 * time.Second
 )
 
 func newServer(p Endpoint) Server {
@@ -131,12 +135,11 @@
 // isTransferred is set if the engine fetches a part of the prompt from another engine.
 func (s Server) WithRequest(request string, p Prompt, n Requirements, isTransferred bool, now time.Time) Server {
 	r := activeRequest{tokens: p.MaxTokens(), pendingPrefill: max(0, p.InputTokens-s.cachedTokens(p, now))}
-	if !isTransferred && r.pendingPrefill >= minSampleTokens {
-		s.measured = append(slices.Clip(s.measured), measuredRequest{
-			id: request, own: r.pendingPrefill, ahead: s.pendingPrefill, sentBefore: s.sentPrefill,
-			baseDelay: minFirstEventTime + time.Duration(len(s.requests))*requestCost + s.fetchCost(n),
-		})
-	}
+	s.awaited = append(slices.Clip(s.awaited), awaitedRequest{
+		id: request, own: r.pendingPrefill, ahead: s.pendingPrefill, sentBefore: s.sentPrefill,
+		baseDelay:     minFirstEventTime + time.Duration(len(s.requests))*requestCost + s.fetchCost(n),
+		isTransferred: isTransferred,
+	})
 	s = s.withActive(request, r)
 	s.sentPrefill += r.pendingPrefill
 	s.sentAt = append(withinRateWindow(s.sentAt, now), now)
@@ -182,17 +185,20 @@
 	if !ok {
 		return s
 	}
-	if sample, ok := s.speedSample(request, took); ok {
-		before := prefillTime(r.pendingPrefill, s.speed.value(ofPool, now))
-		s.speed = s.speed.withSample(sample, now)
+	if awaited, ok := s.awaitedRequest(request); ok {
+		excess := s.currentExcess(now)
+		before := awaited.estimate(s.speed.value(ofPool, now))
+		if sample, ok := s.speedSample(request, took); ok {
+			s.speed = s.speed.withSample(sample, now)
+		}
+		estimate := awaited.estimate(s.speed.value(ofPool, now))
 		// A delay that the speed accounts for from now on is no excess any more.
-		explained := prefillTime(r.pendingPrefill, s.speed.value(ofPool, now)) - before
-		s.excessDelay = max(0, s.excessDelay-max(0, explained))
+		excess = max(0, excess-max(0, estimate-before))
+		s.excessDelay = excess + time.Duration(delayWeight*float64(max(0, took-estimate)-excess))
+		s.delayedAt = now
 	}
-	estimate := prefillTime(r.pendingPrefill, s.speed.value(ofPool, now)) + minFirstEventTime
-	s.excessDelay += time.Duration(delayWeight * float64(max(0, took-estimate)-s.excessDelay))
 	r.pendingPrefill = 0
-	s = s.withActive(request, r).withoutMeasured(request)
+	s = s.withActive(request, r).withoutAwaited(request)
 	s.failures = 0
 	return s
 }
@@ -207,7 +213,7 @@
 	delete(s.requests, request)
 	s.heldTokens -= r.tokens
 	s.pendingPrefill -= r.pendingPrefill
-	return s.withoutMeasured(request)
+	return s.withoutAwaited(request)
 }
 
 // WithFailure returns the engine after it failed a request.
--- a/engine/prefill.go
+++ b/engine/prefill.go
@@ -124,8 +124,8 @@
 	return math.Exp2(-float64(max(0, age)) / float64(halfLife))
 }
 
-// measuredRequest is a request whose time to the first event is measured.
-type measuredRequest struct {
+// awaitedRequest is a request whose time to the first event is measured.
+type awaitedRequest struct {
 	id string
 	// own is the number of prompt tokens that have to be prefilled, ahead that of other
 	// requests when this one was sent, and sentBefore the value of Server.sentPrefill then.
@@ -134,29 +134,51 @@
 	sentBefore int64
 	// baseDelay is the expected part of the time to the first event without prefill.
 	baseDelay time.Duration
+	// isTransferred is set if the engine fetches a part of the own tokens.
+	isTransferred bool
 }
 
-func (s Server) withoutMeasured(request string) Server {
-	i := slices.IndexFunc(s.measured, func(m measuredRequest) bool { return m.id == request })
+// estimate returns the time to the first event that was to be expected at a speed.
+func (a awaitedRequest) estimate(speed float64) time.Duration {
+	return a.baseDelay + prefillTime(a.own+a.ahead, speed)
+}
+
+func (s Server) awaitedRequest(request string) (awaitedRequest, bool) {
+	i := slices.IndexFunc(s.awaited, func(a awaitedRequest) bool { return a.id == request })
+	if i < 0 {
+		return awaitedRequest{}, false
+	}
+	return s.awaited[i], true
+}
+
+func (s Server) withoutAwaited(request string) Server {
+	i := slices.IndexFunc(s.awaited, func(a awaitedRequest) bool { return a.id == request })
 	if i >= 0 {
-		s.measured = slices.Delete(slices.Clone(s.measured), i, i+1)
+		s.awaited = slices.Delete(slices.Clone(s.awaited), i, i+1)
 	}
 	return s
 }
 
+// currentExcess returns the excess delay, which falls with the age of the measurement.
+func (s Server) currentExcess(now time.Time) time.Duration {
+	if s.excessDelay == 0 {
+		return 0
+	}
+	return time.Duration(float64(s.excessDelay) * halved(now.Sub(s.delayedAt), delayHalfLife))
+}
+
 // speedSample returns the prefill speed that the time to the first event of a request
 // shows, or false if the time shows too little about it.
 func (s Server) speedSample(request string, took time.Duration) (float64, bool) {
-	i := slices.IndexFunc(s.measured, func(m measuredRequest) bool { return m.id == request })
-	if i < 0 || took <= 0 {
+	a, ok := s.awaitedRequest(request)
+	if !ok || a.isTransferred || a.own < minSampleTokens || took <= 0 {
 		return 0, false
 	}
-	m := s.measured[i]
-	others := m.ahead + max(0, s.sentPrefill-m.sentBefore-m.own)
-	if float64(m.own) < minOwnShare*float64(m.own+others) {
+	others := a.ahead + max(0, s.sentPrefill-a.sentBefore-a.own)
+	if float64(a.own) < minOwnShare*float64(a.own+others) {
 		return 0, false
 	}
-	prefill := took - min(m.baseDelay, time.Duration(maxBaseShare*float64(took)))
-	speed := float64(m.own+others/2) / prefill.Seconds() / 1000
+	prefill := took - min(a.baseDelay, time.Duration(maxBaseShare*float64(took)))
+	speed := float64(a.own+others/2) / prefill.Seconds() / 1000
 	return min(maxPrefillSpeed, max(minPrefillSpeed, speed)), true
 }
--- a/engine/prefill_test.go
+++ b/engine/prefill_test.go
@@ -109,7 +109,8 @@
 }
 
 // Guards against a prefill speed that isn't found from times that also include waiting,
-// and that doesn't follow an engine that becomes slow or recovers.
+// that doesn't follow an engine that becomes slow or recovers, and against engines that
+// get no request any more after a delay that has ended.
 func TestMeasuredSpeed(t *testing.T) {
 	is := is.New(t)
 	different := func(engine int, _ float64) float64 { return []float64{38, 46, 54, 62, 70, 50}[engine] }
@@ -133,7 +134,7 @@
 		}},
 	}
 	var b strings.Builder
-	isWrong := false
+	isWrong, isStarved := false, false
 	for _, load := range []struct {
 		perSecond float64
 		isShared  bool
@@ -144,12 +145,14 @@
 			for i, estimate := range estimates {
 				actual := c.speed(i, 40)
 				fmt.Fprintf(&b, "  e%d actual %2.0f estimated %3.0f requests %3d\n", i+1, actual, estimate, counts[i])
+				isStarved = isStarved || load.perSecond > 20 && counts[i] == 0
 				isWrong = isWrong || counts[i] >= 20 && (estimate < 0.6*actual || estimate > 1.4*actual)
 			}
 		}
 	}
 	goldie.New(t).Assert(t, "prefill", []byte(b.String()))
 	is.True(!isWrong)
+	is.True(!isStarved)
 }
 
 // Guards against an estimate outside its bounds, also after samples that no engine gives,
