Keep the requests at an engine within its memory

An engine crashes if the requests at it need more than its memory. The choice only added a second of cost above 0.85 of it, so a request with a cached prompt or in a shortage still went there.

An engine without memory for a request, with its prompt and its largest output, is never chosen, and one above 0.85 of its memory only if no other has a free slot and memory below that. A request that finds no memory waits until its objective and is then refused as not run; one above the memory of a whole engine is refused at once. Negative and absurd token counts of clients no longer lower the sum.

--- a/engine/bench_test.go
+++ b/engine/bench_test.go
@@ -7,18 +7,35 @@
 )
 
 // BenchmarkRequest measures the cost of a request for the coordinator of a large site:
-// the choice among 60 engines with 10 requests each on average, the first event and the
-// end.
+// the choice among engines with 10 requests each on average, the first event and the end.
 func BenchmarkRequest(b *testing.B) {
+	for _, engines := range []int{60, 140} {
+		b.Run(fmt.Sprint(engines, "Engines"), func(b *testing.B) { benchmarkRequest(b, engines) })
+	}
+}
+
+// BenchmarkShortage measures the cost of a check of a request that waits for memory.
+func BenchmarkShortage(b *testing.B) {
+	t := NewTable()
+	c := t.Commands()
+	c.SetPool(Spec{Pool: "models", Slots: 64, MemoryTokens: 10}, endpoints(140))
+	p := Prompt{InputTokens: 9000, Parts: []Part{{ID: "x", Tokens: 9000}}}
+	b.ReportAllocs()
+	for b.Loop() {
+		c.Reserve("models", "r", p, Requirements{ColdShare: 1}, time.Now())
+	}
+}
+
+func benchmarkRequest(b *testing.B, engines int) {
 	t := NewTable()
 	c := t.Commands()
 	var endpoints []Endpoint
-	for n := range 60 {
-		id := fmt.Sprintf("e%02d", n)
+	for n := range engines {
+		id := fmt.Sprintf("e%03d", n)
 		endpoints = append(endpoints, Endpoint{ID: id, Address: id + ":1", DataCentre: fmt.Sprint("dc", n%4)})
 	}
 	c.SetPool(Spec{Pool: "models", Slots: 64, MemoryTokens: 367_166}, endpoints)
-	const running = 600
+	running := 10 * engines
 	type placed struct{ server, request string }
 	var open []placed
 	number := 0
--- a/engine/choose.go
+++ b/engine/choose.go
@@ -1,6 +1,9 @@
 package engine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// minFirstEventTime is the time to the first event of an idle engine that has the
@@ -20,8 +23,8 @@
 	// crossDataCentreCost is the cost of a megabyte of results from another data
 	// centre.
 	crossDataCentreCost = 60 * time.Millisecond
-	// memoryShare is the share of an engine's memory that running requests may use
-	// before other engines are preferred.
+	// memoryShare is the share of an engine's memory that running requests use while
+	// another engine has capacity.
 	memoryShare = 0.85
 	// overloadCost is added for an engine without a free slot or enough memory.
 	overloadCost = time.Second
@@ -52,8 +55,7 @@
 	}
 	speed := s.speed.value(ofPool, now)
 	cost := missFactor*prefillTime(missing, speed) + prefillTime(s.pendingPrefill, speed) + time.Duration(len(s.requests))*requestCost + s.currentExcess(now) + s.fetchCost(n)
-	used := s.heldTokens + p.MaxTokens()
-	if len(s.requests) >= spec.Slots || spec.MemoryTokens > 0 && float64(used) > memoryShare*float64(spec.MemoryTokens) {
+	if len(s.requests) >= spec.Slots || !s.hasSpareMemory(spec, p) {
 		cost += overloadCost
 	}
 	return cost
@@ -87,28 +89,80 @@
 	return float64(len(withinRateWindow(s.sentAt, now))) < max(1, spec.ColdRequestsPerSecond*share)
 }
 
-// chooseEngine returns the engine with the lowest cost. The parameter remote is the
-// number of leading prompt tokens that an engine of another cell has read, ofPool the
-// prefill speed of the pool.
+// isAllowed reports whether an engine may get a request, apart from its memory.
+func (s Server) isAllowed(spec Spec, n Requirements, now time.Time) bool {
+	isExcluded := n.RequiredEngine != "" && n.RequiredEngine != s.ID || slices.Contains(n.AvoidEngines, s.ID)
+	return !isExcluded && !now.Before(s.blockedUntil) && s.isWithinColdRate(spec, n.ColdShare, now)
+}
+
+// hasMemory reports whether the memory of the engine holds the request besides the
+// running ones, each with its largest output.
+func (s Server) hasMemory(spec Spec, p Prompt) bool {
+	return spec.MemoryTokens <= 0 || s.heldTokens+p.MaxTokens() <= spec.MemoryTokens
+}
+
+// hasSpareMemory reports whether the request leaves the part of the memory free that is
+// used only if no other engine has capacity.
+func (s Server) hasSpareMemory(spec Spec, p Prompt) bool {
+	return spec.MemoryTokens <= 0 || float64(s.heldTokens+p.MaxTokens()) <= memoryShare*float64(spec.MemoryTokens)
+}
+
+// candidate is an engine with its cost.
+type candidate struct {
+	index int
+	cost  time.Duration
+}
+
+func (c candidate) orCheaper(index int, cost time.Duration) candidate {
+	if c.index < 0 || cost < c.cost {
+		return candidate{index, cost}
+	}
+	return c
+}
+
+// chooseEngine returns the engine with the lowest cost. An engine that has no spare memory
+// is chosen only if no other one has capacity, and one without memory never: engines crash
+// if the requests at them need more. The parameter remote is the number of leading prompt
+// tokens that an engine of another cell has read, ofPool the prefill speed of the pool.
 func chooseEngine(spec Spec, servers []Server, p Prompt, n Requirements, remote int64, ofPool float64, now time.Time) (Server, bool) {
 	transferable := remote
 	for _, s := range servers {
 		transferable = max(transferable, s.cachedTokensWithin(p, transferLifetime, now))
 	}
-	best, bestCost := -1, time.Duration(0)
+	// withCapacity is the best engine with a free slot and spare memory, withSlots that
+	// with a free slot only, and full the best one without a free slot.
+	none := candidate{index: -1}
+	withCapacity, withSlots, full := none, none, none
 	for i, s := range servers {
-		if n.RequiredEngine != "" && n.RequiredEngine != s.ID || now.Before(s.blockedUntil) || contains(n.AvoidEngines, s.ID) || !s.isWithinColdRate(spec, n.ColdShare, now) {
+		if !s.hasMemory(spec, p) || !s.isAllowed(spec, n, now) {
 			continue
 		}
 		cost := s.cost(spec, p, n, transferable, ofPool, now)
-		if best < 0 || cost < bestCost {
-			best, bestCost = i, cost
+		switch {
+		case len(s.requests) >= spec.Slots:
+			full = full.orCheaper(i, cost)
+		case s.hasSpareMemory(spec, p):
+			withCapacity = withCapacity.orCheaper(i, cost)
+		default:
+			withSlots = withSlots.orCheaper(i, cost)
 		}
 	}
-	if best < 0 {
+	best := withCapacity
+	if best.index < 0 {
+		best = withSlots
+	}
+	if full.index >= 0 {
+		best = best.orCheaper(full.index, full.cost)
+	}
+	if best.index < 0 {
 		return Server{}, false
 	}
-	return servers[best], true
+	return servers[best.index], true
+}
+
+// isShortOfMemory reports whether an engine could get the request if it had more memory.
+func isShortOfMemory(spec Spec, servers []Server, p Prompt, n Requirements, now time.Time) bool {
+	return slices.ContainsFunc(servers, func(s Server) bool { return !s.hasMemory(spec, p) && s.isAllowed(spec, n, now) })
 }
 
 // transferSource returns the address of the engine from which the chosen one should
@@ -126,12 +180,3 @@
 	}
 	return best
 }
-
-func contains(ids []string, id string) bool {
-	for _, other := range ids {
-		if other == id {
-			return true
-		}
-	}
-	return false
-}
--- a/engine/commands.go
+++ b/engine/commands.go
@@ -19,7 +19,7 @@
 		p = &pool{servers: map[string]Server{}}
 		t.pools[spec.Pool] = p
 	}
-	p.spec = spec
+	p.spec, p.shortage = spec, memoryShortage{}
 	for id := range p.servers {
 		if !slices.ContainsFunc(endpoints, func(pl Endpoint) bool { return pl.ID == id }) {
 			delete(p.servers, id)
@@ -51,6 +51,20 @@
 	PrefixSource string
 	// ExpectedFirstEvent is the estimated time to the first event.
 	ExpectedFirstEvent time.Duration
+	// LacksMemory is set if no engine was reserved because those that may get the request
+	// lack the memory for it.
+	LacksMemory bool
+}
+
+// memoryCheckInterval is how long the finding that no engine has memory for a request
+// holds for larger ones, unless a request ends. All waiting requests check again and
+// again, which would use the coordinator's processor in a shortage.
+const memoryCheckInterval = 25 * time.Millisecond
+
+// memoryShortage is the finding that no engine has memory for a request of some tokens.
+type memoryShortage struct {
+	tokens int64
+	until  time.Time
 }
 
 // Reserve chooses an engine for a request and adds the request to its load.
@@ -62,12 +76,19 @@
 	if pl == nil {
 		return Reservation{}, false
 	}
+	if now.Before(pl.shortage.until) && p.MaxTokens() >= pl.shortage.tokens {
+		return Reservation{LacksMemory: true}, false
+	}
 	servers := t.serversWithOutages(pl, now)
 	_, remote := pl.remote.longest(p, now)
 	ofPool := pl.speed.value(now)
 	s, ok := chooseEngine(pl.spec, servers, p, n, remote, ofPool, now)
 	if !ok {
-		return Reservation{}, false
+		lacksMemory := isShortOfMemory(pl.spec, servers, p, n, now)
+		if lacksMemory && n.RequiredEngine == "" && len(n.AvoidEngines) == 0 {
+			pl.shortage = memoryShortage{tokens: p.MaxTokens(), until: now.Add(memoryCheckInterval)}
+		}
+		return Reservation{LacksMemory: lacksMemory}, false
 	}
 	choice := Reservation{Endpoint: s.Endpoint, PrefixSource: transferSource(servers, &pl.remote, s, p, now), ExpectedFirstEvent: s.expectedFirstEvent(p, n, ofPool, now)}
 	pl.servers[s.ID] = s.WithRequest(request, p, n, choice.PrefixSource != "", now)
@@ -145,7 +166,11 @@
 	defer t.mu.Unlock()
 	if p := t.pools[poolName]; p != nil {
 		if s, ok := p.servers[id]; ok {
-			p.servers[id] = update(s)
+			next := update(s)
+			if next.heldTokens < s.heldTokens {
+				p.shortage = memoryShortage{}
+			}
+			p.servers[id] = next
 		}
 	}
 }
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -26,8 +26,13 @@
 	MaxOutputTokens int64 `msgpack:"output"`
 }
 
+// maxCount bounds the token counts that clients state, so that sums don't overflow.
+const maxCount = 1 << 40
+
+func clampCount(tokens int64) int64 { return min(maxCount, max(0, tokens)) }
+
 // MaxTokens returns the memory that the request may use, in tokens.
-func (p Prompt) MaxTokens() int64 { return p.InputTokens + p.MaxOutputTokens }
+func (p Prompt) MaxTokens() int64 { return clampCount(p.InputTokens) + clampCount(p.MaxOutputTokens) }
 
 // PartIDs returns the IDs of the parts in order.
 func (p Prompt) PartIDs() []string {
@@ -134,7 +139,7 @@
 // WithRequest returns the engine after a request was sent to it. The parameter
 // isTransferred is set if the engine fetches a part of the prompt from another engine.
 func (s Server) WithRequest(request string, p Prompt, n Requirements, isTransferred bool, now time.Time) Server {
-	r := activeRequest{tokens: p.MaxTokens(), pendingPrefill: max(0, p.InputTokens-s.cachedTokens(p, now))}
+	r := activeRequest{tokens: p.MaxTokens(), pendingPrefill: clampCount(clampCount(p.InputTokens) - s.cachedTokens(p, now))}
 	s.awaited = append(slices.Clip(s.awaited), awaitedRequest{
 		id: request, own: r.pendingPrefill, ahead: s.pendingPrefill, sentBefore: s.sentPrefill,
 		baseDelay:     minFirstEventTime + time.Duration(len(s.requests))*requestCost + s.fetchCost(n),
--- a/engine/queries.go
+++ b/engine/queries.go
@@ -41,12 +41,25 @@
 	return true
 }
 
-// Load is the number of requests at an engine and the number of their prompt tokens that
-// still have to be prefilled.
+// MemoryTokens returns the memory of an engine of a pool in tokens, 0 if it is unknown.
+func (q Queries) MemoryTokens(poolName string) int64 {
+	t := q.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if pl := t.pools[poolName]; pl != nil {
+		return pl.spec.MemoryTokens
+	}
+	return 0
+}
+
+// Load is the load of an engine.
 type Load struct {
 	Endpoint
 	RunningRequests int
-	PendingPrefill  int64
+	// PendingPrefill is the number of prompt tokens that still have to be prefilled.
+	PendingPrefill int64
+	// HeldTokens is the number of tokens that the running requests may use.
+	HeldTokens int64
 }
 
 // Loads returns the load of the engines of a pool, by ID.
@@ -60,7 +73,7 @@
 	}
 	var loads []Load
 	for _, s := range pl.sortedServers() {
-		loads = append(loads, Load{Endpoint: s.Endpoint, RunningRequests: len(s.requests), PendingPrefill: s.pendingPrefill})
+		loads = append(loads, Load{Endpoint: s.Endpoint, RunningRequests: len(s.requests), PendingPrefill: s.pendingPrefill, HeldTokens: s.heldTokens})
 	}
 	return loads
 }
--- a/engine/table.go
+++ b/engine/table.go
@@ -22,6 +22,8 @@
 	servers map[string]Server
 	remote  remoteCache
 	speed   poolSpeed
+	// shortage is the latest finding that no engine has memory for a request.
+	shortage memoryShortage
 }
 
 // NewTable returns an empty table.
--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -78,6 +79,9 @@
 	// after its inputs were released and starts over.
 	memoryPressureShare = 0.7
 	memoryPressureDelay = 100 * time.Millisecond
+	// memoryRetryAfter is the delay before a client retries after no engine had memory for
+	// its request: the time in which some of the running requests end.
+	memoryRetryAfter = time.Second
 	// refusalReserve is the time before the deadline at which an unfinished preparation
 	// is stopped and its request refused, so that the refusal reaches the client in time.
 	refusalReserve = 60 * time.Millisecond
@@ -189,6 +193,9 @@
 	if failure != nil {
 		return Placement{}, *failure
 	}
+	if limit := c.Engines.Queries().MemoryTokens(task.Pool); task.Try <= 1 && limit > 0 && task.Prompt.MaxTokens() > limit {
+		return Placement{}, request.Refuse(request.ReasonInputTooLarge, fmt.Sprintf("the prompt and the largest output have %d tokens, the memory of an engine holds %d", task.Prompt.MaxTokens(), limit))
+	}
 	reserve := min(refusalReserve, task.Deadline/10)
 	ctx, cancel := context.WithTimeout(ctx, task.Deadline-reserve)
 	defer cancel()
@@ -217,7 +224,7 @@
 		c.Abandon(task.RequestID, task.Try)
 		return Placement{}, c.contextFailure(ctx, "stages")
 	}
-	placement, err := c.reserveEngine(ctx, task, isProbe)
+	placement, err := c.reserveEngine(ctx, task, isProbe, openedAt.Add(task.Objective))
 	if err != nil {
 		c.Abandon(task.RequestID, task.Try)
 		return Placement{}, err
@@ -319,8 +326,9 @@
 }
 
 // reserveEngine reserves an engine and waits while no engine has capacity for the
-// request. The parameter isProbe reports whether the request was admitted as a probe.
-func (c *Coordinator) reserveEngine(ctx context.Context, task Task, isProbe bool) (Placement, error) {
+// request; for memory, it waits until the objective. The parameter isProbe reports whether
+// the request was admitted as a probe.
+func (c *Coordinator) reserveEngine(ctx context.Context, task Task, isProbe bool, objective time.Time) (Placement, error) {
 	timer := time.NewTimer(engineRetryInterval)
 	defer timer.Stop()
 	for {
@@ -342,6 +350,12 @@
 			return Placement{Server: reservation.ID, Address: reservation.Address, DataCentre: reservation.DataCentre, PrefixSource: reservation.PrefixSource, Inputs: inputs, ExpectedFirstEvent: reservation.ExpectedFirstEvent, IsProbe: isProbe}, nil
 		}
 		c.Counters.Add("noEngine")
+		if reservation.LacksMemory {
+			c.Counters.Add("noEngineMemory")
+			if !time.Now().Before(objective) {
+				return Placement{}, request.Refuse(request.ReasonQueueFull, "no engine has memory for the request within its objective").WithRetryAfter(task.retryAfter(memoryRetryAfter))
+			}
+		}
 		if c.Engines.Queries().AreAllExcluded(task.Pool, requirements) {
 			return Placement{}, request.Refuse(request.ReasonNoServer, "all engines have refused or failed the request").WithRetryAfter(task.retryAfter(0))
 		}
