Let a broken stream wait for engine memory after its objective

The objective of a request that was sent before is usually over, so its stream was refused at the first check without memory although its client waits.

--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -326,8 +326,9 @@
 }
 
 // reserveEngine reserves an engine and waits while no engine has capacity for the
-// request; for memory, it waits until the objective. The parameter isProbe reports whether
-// the request was admitted as a probe.
+// request; for memory, it waits until the objective. The objective of a request that was
+// sent before may be over, as when its stream goes on at another engine. The parameter
+// isProbe reports whether the request was admitted as a probe.
 func (c *Coordinator) reserveEngine(ctx context.Context, task Task, isProbe bool, objective time.Time) (Placement, error) {
 	timer := time.NewTimer(engineRetryInterval)
 	defer timer.Stop()
@@ -352,7 +353,7 @@
 		c.Counters.Add("noEngine")
 		if reservation.LacksMemory {
 			c.Counters.Add("noEngineMemory")
-			if !time.Now().Before(objective) {
+			if task.Try <= 1 && !time.Now().Before(objective) {
 				return Placement{}, request.Refuse(request.ReasonQueueFull, "no engine has memory for the request within its objective").WithRetryAfter(task.retryAfter(memoryRetryAfter))
 			}
 		}
--- a/preparation/memory_test.go
+++ b/preparation/memory_test.go
@@ -12,7 +12,8 @@
 )
 
 // Guards against a request that is sent to an engine without memory for it, that isn't
-// refused at its objective, or at once if it can never be served.
+// refused at its objective, or at once if it can never be served, and against a stream
+// that isn't continued because its objective is over.
 func TestEngineMemory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -20,10 +21,11 @@
 		spec := engineSpec(8)
 		spec.MemoryTokens = 10_000
 		r.Engines.Commands().SetPool(spec, engineEndpoints(2))
+		try, objective := 1, time.Second
 		prepare := func(id string, tokens int64) (time.Duration, Placement, error) {
 			startedAt := time.Now()
 			p, err := r.Prepare(t.Context(), Task{
-				RequestID: id, Pool: "models", Try: 1, Objective: time.Second, Deadline: 4 * time.Second,
+				RequestID: id, Pool: "models", Try: try, Objective: objective, Deadline: 4 * time.Second,
 				Prompt: engine.Prompt{InputTokens: tokens, MaxOutputTokens: 500},
 			})
 			return time.Since(startedAt), p, err
@@ -46,5 +48,10 @@
 		is.NoErr(err)
 		is.Equal(third.Server, first.Server)
 		is.True(took >= 300*time.Millisecond && took <= 300*time.Millisecond+engineRetryInterval)
+		try, objective = 2, -time.Second
+		time.AfterFunc(2*time.Second, func() { r.RecordEnd("models", second.Server, "r3", RunEnded) })
+		_, fourth, err := prepare("r6", 6_000)
+		is.NoErr(err)
+		is.Equal(fourth.Server, second.Server)
 	})
 }
