--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -13,6 +13,7 @@
 	"lycheecrank.example/engine"
 	"lycheecrank.example/fleet"
 	"lycheecrank.example/request"
+	"lycheecrank.example/speed"
 )
 
 // Sentinel errors of sends.
@@ -91,6 +92,8 @@
 	// PauseFor is how long the server wants no requests of this instance, 0 if it has not
 	// said so.
 	PauseFor time.Duration
+	// Load is the load that the server reports, the zero value if it reports none.
+	Load speed.Report
 	// EndsWithConnection is set if the body has neither a length nor chunks, so that its
 	// end can't be told from a connection that the server closed early.
 	EndsWithConnection bool
