Use the reported slowness in the choice of plain and stage servers

The expected time of a plain server is adjusted by the slowness that it reports now, relative to that during the measurements of its service time; the expected time of a stage call by the reported slowness, and the measured slowness is what remains beyond it. A change of a tenth or less is ignored. Without the figure all choices are as before: the golden files of both packages are unchanged.

--- a/backend/choose.go
+++ b/backend/choose.go
@@ -44,11 +44,16 @@
 	return rank <= s.LowestRank && s.InFlight < s.Limit(p) && !now.Before(s.backoffUntil) && !now.Before(s.PausedUntil)
 }
 
-// ExpectedTime estimates the duration of one more step on the server. The
+// expectedTime estimates the duration of one more step on the server. The
 // smoothed service time already includes the effect of other steps at typical
-// load; the second term spreads steps over servers before one is full.
-func (s Server) ExpectedTime() time.Duration {
-	return s.ServiceTime + s.ServiceTime*time.Duration(s.InFlight)/time.Duration(max(1, s.CurrentLimit))
+// load; the second term spreads steps over servers before one is full. The ratio
+// adjusts it if the server reports another slowness now than while it was measured.
+func expectedTime(s *Server, now time.Time) time.Duration {
+	expected := s.ServiceTime + s.ServiceTime*time.Duration(s.InFlight)/time.Duration(max(1, s.CurrentLimit))
+	if ratio := s.speed.Ratio(now); ratio != 1 {
+		return time.Duration(float64(expected) * ratio)
+	}
+	return expected
 }
 
 // maxServiceTimeAge is the age above which a measured service time is ignored when
@@ -74,7 +79,7 @@
 // Choose returns the available server with the shortest expected time. It returns
 // one of the servers to avoid only if no other is available.
 func Choose(servers []Server, rank int, avoid []string, p Permission, now time.Time) (Server, bool) {
-	best, bestAvoided := -1, false
+	best, bestAvoided, bestTime := -1, false, time.Duration(0)
 	for i := range servers {
 		s := &servers[i]
 		// The first comparison is cheap and skips most servers of a busy pool.
@@ -82,8 +87,9 @@
 			continue
 		}
 		avoided := slices.Contains(avoid, s.Name)
-		if best < 0 || isBetter(s, &servers[best], avoided, bestAvoided) {
-			best, bestAvoided = i, avoided
+		expected := expectedTime(s, now)
+		if best < 0 || isBetter(s, &servers[best], avoided, bestAvoided, expected, bestTime) {
+			best, bestAvoided, bestTime = i, avoided, expected
 		}
 	}
 	if best < 0 {
@@ -95,13 +101,12 @@
 // isBetter reports whether s is preferred over best. It prefers, in this order, a
 // server that is not to be avoided, a shorter expected time, and fewer steps in
 // flight.
-func isBetter(s, best *Server, avoided, bestAvoided bool) bool {
+func isBetter(s, best *Server, avoided, bestAvoided bool, expected, bestTime time.Duration) bool {
 	if avoided != bestAvoided {
 		return bestAvoided
 	}
-	a, b := s.ExpectedTime(), best.ExpectedTime()
-	if a != b {
-		return a < b
+	if expected != bestTime {
+		return expected < bestTime
 	}
 	return s.InFlight < best.InFlight
 }
--- a/backend/commands.go
+++ b/backend/commands.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lycheecrank.example/event"
+	"lycheecrank.example/speed"
 )
 
 // Commands changes a Table. Concurrent calls are safe.
@@ -67,6 +68,11 @@
 	c.update(name, func(s Server) Server { return s.WithPause(until) })
 }
 
+// RecordLoad records the load that a server reported with a response, received at a time.
+func (c Commands) RecordLoad(name string, load speed.Report, at time.Time) {
+	c.update(name, func(s Server) Server { return s.WithLoad(load, at) })
+}
+
 // ApplyReport applies a load report of a server.
 func (c Commands) ApplyReport(name string, r Report, now time.Time) {
 	c.update(name, func(s Server) Server { return s.WithReport(r, now) })
--- a/backend/observation.go
+++ b/backend/observation.go
@@ -107,6 +107,7 @@
 		s.Deviation = updateAverage(s.Deviation, (o.ResponseTime - s.ServiceTime).Abs())
 	}
 	s.ServiceTime = updateAverage(s.ServiceTime, o.ResponseTime)
+	s.speed = s.speed.WithMeasurement(sampleWeight, now)
 	s.measuredAt = now
 	if s.Warmth == Warm || o.SentAt.Before(s.ColdSince) {
 		return s
--- a/backend/server.go
+++ b/backend/server.go
@@ -3,7 +3,11 @@
 // a server may get and which server is the best one for a step.
 package backend
 
-import "time"
+import (
+	"time"
+
+	"lycheecrank.example/speed"
+)
 
 // Warmth is the warm-up state of a server, which determines its limit.
 type Warmth int
@@ -72,6 +76,8 @@
 	Deviation time.Duration
 	// measuredAt is when ServiceTime was last measured.
 	measuredAt time.Time
+	// speed is the slowness that the server reports with its responses.
+	speed speed.Estimate
 	// ListedLeaving is set if the server is leaving according to the platform's list
 	// of instances, which contains the backend servers too. The list and the load
 	// reports may both lag behind, so either one suffices.
@@ -173,6 +179,12 @@
 	return s
 }
 
+// WithLoad returns the server after a response with its load was received at a time.
+func (s Server) WithLoad(load speed.Report, at time.Time) Server {
+	s.speed = s.speed.WithReport(load, at)
+	return s
+}
+
 // WithTakenOut returns the server as taken out.
 func (s Server) WithTakenOut() Server {
 	s.TakenOut = true
--- a/batch/choose.go
+++ b/batch/choose.go
@@ -83,7 +83,7 @@
 		typical := spec.typicalTime(len(pieces))
 		return Call{
 			Server: s.Endpoint, Pool: spec.Pool, Pieces: pieces, SentAt: now,
-			TypicalTime: typical, ExpectedTime: s.expectedTime(spec, len(pieces), now),
+			TypicalTime: typical, ExpectedTime: s.boundedTime(spec, len(pieces), now),
 		}, true
 	}
 	return Call{}, false
--- a/batch/commands.go
+++ b/batch/commands.go
@@ -4,6 +4,8 @@
 	"context"
 	"strings"
 	"time"
+
+	"lycheecrank.example/speed"
 )
 
 // Commands changes a Table. Concurrent calls are safe.
@@ -161,6 +163,18 @@
 	}
 }
 
+// RecordLoad records the load that a server reported with a response, received at a time.
+func (c Commands) RecordLoad(id string, load speed.Report, at time.Time) {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.pools {
+		if s, ok := p.servers[id]; ok {
+			p.servers[id] = s.WithLoad(load, at)
+		}
+	}
+}
+
 // MarkFull records that a server had no memory for a result.
 func (c Commands) MarkFull(call Call, now time.Time) {
 	t := c.table
--- a/batch/server.go
+++ b/batch/server.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"lycheecrank.example/speed"
 )
 
 // Spec describes the servers of a pool.
@@ -75,9 +77,11 @@
 	// progress.
 	AllocatedMemory int64
 	// Slowness is the smoothed ratio of the measured to the typical time of a call, as
-	// of measuredAt.
+	// of measuredAt, without the slowness that the server reports.
 	Slowness   float64
 	measuredAt time.Time
+	// reported is the slowness that the server reports.
+	reported speed.Estimate
 
 	// unaccounted is the memory in use, until unaccountedUntil, by results that are not
 	// in the table.
@@ -113,7 +117,7 @@
 	if typical > 0 {
 		s.fulls = 0
 		current := s.currentSlowness(now)
-		s.Slowness, s.measuredAt = current+slownessWeight*(slownessSample(took, typical)-current), now
+		s.Slowness, s.measuredAt = current+slownessWeight*(s.slownessSample(took, typical, now)-current), now
 	}
 	return s
 }
@@ -122,13 +126,21 @@
 // least that slow.
 func (s Server) WithTimeout(took, typical time.Duration, now time.Time) Server {
 	if typical > 0 {
-		s.Slowness, s.measuredAt = max(s.currentSlowness(now), slownessSample(took, typical)), now
+		s.Slowness, s.measuredAt = max(s.currentSlowness(now), s.slownessSample(took, typical, now)), now
 	}
 	return s
 }
 
-func slownessSample(took, typical time.Duration) float64 {
-	return min(maxSlowness, max(minSlowness, float64(took)/float64(typical)))
+// slownessSample returns the slowness that the time of a call shows beyond the reported
+// one.
+func (s Server) slownessSample(took, typical time.Duration, now time.Time) float64 {
+	return min(maxSlowness, max(minSlowness, float64(took)/float64(typical)/s.reported.Factor(now)))
+}
+
+// WithLoad returns the server after a response with its load was received at a time.
+func (s Server) WithLoad(load speed.Report, at time.Time) Server {
+	s.reported = s.reported.WithReport(load, at)
+	return s
 }
 
 // currentSlowness returns the slowness, which decays to 1 with the age of the
@@ -217,5 +229,11 @@
 
 // expectedTime returns the expected time of a call with some pieces.
 func (s Server) expectedTime(spec Spec, pieces int, now time.Time) time.Duration {
-	return time.Duration(float64(spec.typicalTime(pieces)) * s.currentSlowness(now))
+	return time.Duration(float64(spec.typicalTime(pieces)) * s.currentSlowness(now) * s.reported.Factor(now))
+}
+
+// boundedTime returns the expected time of a call, from which its timeout is derived. It
+// isn't shortened by a reported slowness below the usual one, which may end meanwhile.
+func (s Server) boundedTime(spec Spec, pieces int, now time.Time) time.Duration {
+	return time.Duration(float64(spec.typicalTime(pieces)) * s.currentSlowness(now) * max(1, s.reported.Factor(now)))
 }
--- a/delivery/router.go
+++ b/delivery/router.go
@@ -17,6 +17,7 @@
 	"lycheecrank.example/quarantine"
 	"lycheecrank.example/request"
 	"lycheecrank.example/route"
+	"lycheecrank.example/speed"
 )
 
 // Router serves attempts. Set the exported fields before the first call. Concurrent calls
@@ -41,6 +42,8 @@
 	// leaving, OnPause with that of a server that wants no requests for a time.
 	OnLeaving func(server string)
 	OnPause   func(server string, pause time.Duration)
+	// OnLoad is called with the load that a server reports in its answer to a request.
+	OnLoad func(server, id string, load speed.Report)
 	// OnAdmission is called with each admitted attempt before it is served.
 	OnAdmission func(a Admission)
 	// Verdict returns the reason for which a request with a prompt is refused, if there is
@@ -180,8 +183,11 @@
 	return routed, nil
 }
 
-// applyStatements passes on what a server says about itself in an answer.
-func (r *Router) applyStatements(server string, answer Answer) {
+// applyStatements passes on what a server says about itself in an answer to a request.
+func (r *Router) applyStatements(server, id string, answer Answer) {
+	if answer.Load != (speed.Report{}) {
+		r.OnLoad(server, id, answer.Load)
+	}
 	if answer.IsLeaving {
 		r.OnLeaving(server)
 	}
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -181,6 +181,7 @@
 	i.client.PeerTimeout, i.client.Logger = peerReplyTimeout, i.Logger
 	i.server = &peer.Server{Self: hello, PeerTimeout: peerReplyTimeout, Logger: i.Logger, Ask: i.handleCall}
 	i.stageClient.OnLeaving, i.stageClient.OnPause = i.markLeaving, i.pauseServer
+	i.stageClient.OnLoad = i.recordStageLoad
 	i.coordinator = preparation.NewCoordinator()
 	i.coordinator.Call, i.coordinator.ReleaseResults, i.coordinator.FreeMemory = i.stageClient.Call, i.stageClient.ReleaseResults, i.stageClient.FreeMemory
 	i.coordinator.ColdShare = func() float64 { return coldShare * i.view().ReachableShare(i.ownScope(), time.Now()) }
@@ -200,6 +201,7 @@
 		OnCrash:      i.recordCrash,
 		OnLeaving:    i.markLeaving,
 		OnPause:      i.pauseServer,
+		OnLoad:       i.recordLoad,
 		OnFirstEvent: i.sendStart,
 		OnRunEnd:     i.sendEnd,
 		Abandon:      i.sendAbandon,
