Use the reported slowness of engines, and show the engine pools

Instances pass the load in the head of an engine's answer to the coordinator with the notices of the first event and the end of the run. The coordinator divides the expected prefill speed by the smoothed slowness; samples of the speed are those at the usual slowness, so that neither counts twice. The expected time to the first event, from which an engine counts as silent, isn't shortened by it.

--- a/engine/choose.go
+++ b/engine/choose.go
@@ -53,8 +53,8 @@
 	if transferable-own >= minTransferTokens {
 		missing -= int64((1 - transferFactor) * float64(transferable-own))
 	}
-	speed := s.speed.value(ofPool, now)
-	cost := missFactor*prefillTime(missing, speed) + prefillTime(s.pendingPrefill, speed) + time.Duration(len(s.requests))*requestCost + s.currentExcess(now) + s.fetchCost(n)
+	tokensPerMs := s.prefillSpeed(ofPool, now)
+	cost := missFactor*prefillTime(missing, tokensPerMs) + prefillTime(s.pendingPrefill, tokensPerMs) + time.Duration(len(s.requests))*requestCost + s.currentExcess(now) + s.fetchCost(n)
 	if len(s.requests) >= spec.Slots || !s.hasSpareMemory(spec, p) {
 		cost += overloadCost
 	}
@@ -73,10 +73,12 @@
 	return cost
 }
 
-// expectedFirstEvent estimates the time to the first event of a request.
+// expectedFirstEvent estimates the time to the first event of a request. After some times
+// as long, the engine counts as silent, so that the time isn't shortened by a reported
+// slowness below the usual one, which may end meanwhile.
 func (s Server) expectedFirstEvent(p Prompt, n Requirements, ofPool float64, now time.Time) time.Duration {
 	pending := s.pendingPrefill + p.InputTokens - s.cachedTokens(p, now)
-	return minFirstEventTime + prefillTime(pending, s.speed.value(ofPool, now)) + time.Duration(len(s.requests))*requestCost + s.currentExcess(now) + s.fetchCost(n)
+	return minFirstEventTime + prefillTime(pending, min(s.speed.value(ofPool, now), s.prefillSpeed(ofPool, now))) + time.Duration(len(s.requests))*requestCost + s.currentExcess(now) + s.fetchCost(n)
 }
 
 // isWithinColdRate reports whether one more request keeps the engine within the rate
--- a/engine/commands.go
+++ b/engine/commands.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"lycheecrank.example/speed"
 )
 
 // Commands changes a Table. Concurrent calls are safe.
@@ -110,12 +112,17 @@
 		return
 	}
 	t.outages.RecordSuccess(s.DataCentre)
-	if sample, ok := s.speedSample(request, took); ok {
+	if sample, ok := s.speedSample(request, took, now); ok {
 		p.speed = p.speed.withSample(sample, now)
 	}
 	p.servers[id] = s.WithFirstEvent(request, took, p.speed.value(now), now)
 }
 
+// RecordLoad records the load that an engine reported with a response, received at a time.
+func (c Commands) RecordLoad(poolName, id string, load speed.Report, at time.Time) {
+	c.updateServer(poolName, id, func(s Server) Server { return s.WithLoad(load, at) })
+}
+
 // RecordEnd records that a request has ended at an engine.
 func (c Commands) RecordEnd(poolName, id, request string) {
 	c.updateServer(poolName, id, func(s Server) Server { return s.WithoutRequest(request) })
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -7,6 +7,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"lycheecrank.example/speed"
 )
 
 // Part is a part of a prompt that other requests may share.
@@ -92,7 +94,10 @@
 	// yet.
 	awaited []awaitedRequest
 	speed   measuredSpeed
-	cached  map[string]time.Time
+	// reported is the slowness that the engine reports. The measured speed is that of the
+	// usual slowness.
+	reported speed.Estimate
+	cached   map[string]time.Time
 	// sentAt are the times at which the engine got requests within rateWindow.
 	sentAt       []time.Time
 	failures     int
@@ -192,11 +197,11 @@
 	}
 	if awaited, ok := s.awaitedRequest(request); ok {
 		excess := s.currentExcess(now)
-		before := awaited.estimate(s.speed.value(ofPool, now))
-		if sample, ok := s.speedSample(request, took); ok {
+		before := awaited.estimate(s.prefillSpeed(ofPool, now))
+		if sample, ok := s.speedSample(request, took, now); ok {
 			s.speed = s.speed.withSample(sample, now)
 		}
-		estimate := awaited.estimate(s.speed.value(ofPool, now))
+		estimate := awaited.estimate(s.prefillSpeed(ofPool, now))
 		// A delay that the speed accounts for from now on is no excess any more.
 		excess = max(0, excess-max(0, estimate-before))
 		s.excessDelay = excess + time.Duration(delayWeight*float64(max(0, took-estimate)-excess))
@@ -221,6 +226,12 @@
 	return s.withoutAwaited(request)
 }
 
+// WithLoad returns the engine after a response with its load was received at a time.
+func (s Server) WithLoad(load speed.Report, at time.Time) Server {
+	s.reported = s.reported.WithReport(load, at)
+	return s
+}
+
 // WithFailure returns the engine after it failed a request.
 func (s Server) WithFailure(now time.Time) Server {
 	s.blockedUntil = now.Add(min(maxBlock, minBlock<<min(s.failures, 8)))
@@ -239,7 +250,7 @@
 // WithoutCache returns the engine after a restart, which has emptied its cache. The
 // prefill speed of the new process is unknown.
 func (s Server) WithoutCache() Server {
-	s.cached, s.speed = map[string]time.Time{}, measuredSpeed{}
+	s.cached, s.speed, s.reported = map[string]time.Time{}, measuredSpeed{}, speed.Estimate{}
 	return s
 }
 
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -117,15 +117,15 @@
 	c.SetPool(Spec{Pool: "models", Slots: 9}, endpoints(1))
 	c.Reserve("models", "r1", prompt(4000, "x"), Requirements{ColdShare: 1}, at)
 	c.Reserve("models", "r2", prompt(4000, "y"), Requirements{ColdShare: 1}, at)
-	is.Equal(q.Loads("models")[0].PendingPrefill, int64(8000))
+	is.Equal(q.Loads("models", at)[0].PendingPrefill, int64(8000))
 	c.RecordFirstEvent("models", "e1", "r1", time.Second, at)
-	is.Equal(q.Loads("models")[0].PendingPrefill, int64(4000))
-	is.Equal(q.Loads("models")[0].RunningRequests, 2)
+	is.Equal(q.Loads("models", at)[0].PendingPrefill, int64(4000))
+	is.Equal(q.Loads("models", at)[0].RunningRequests, 2)
 	c.RecordEnd("models", "e1", "r1")
 	c.RecordFailure("models", "e1", "r2", at)
-	is.Equal(q.Loads("models")[0].RunningRequests, 0)
+	is.Equal(q.Loads("models", at)[0].RunningRequests, 0)
 	c.Restore([]PlacedRequest{{Pool: "models", EngineID: "e1", RequestID: "r3", Prompt: prompt(4000, "y"), IsRunning: true}, {Pool: "models", EngineID: "gone"}}, at)
-	is.Equal(q.Loads("models")[0].RunningRequests, 1)
+	is.Equal(q.Loads("models", at)[0].RunningRequests, 1)
 }
 
 // Guards against prompts that are prefilled again although an engine of another cell has
--- a/engine/memory_test.go
+++ b/engine/memory_test.go
@@ -83,7 +83,7 @@
 	is.True(reserve("r3", -100_000, 6000))
 	is.True(!reserve("r4", 3000, 2000))
 	c.Restore([]PlacedRequest{{Pool: "models", EngineID: "e1", RequestID: "r5", Prompt: prompt(3000, "x"), IsRunning: true}}, at)
-	is.Equal(table.Queries().Loads("models")[0].HeldTokens, int64(9050))
+	is.Equal(table.Queries().Loads("models", at)[0].HeldTokens, int64(9050))
 	is.True(!reserve("r6", 500, 1000))
 	c.RecordRejection("models", "e1", "r3", at)
 	is.True(!reserve("r7", 500, 1000)) // the engine is blocked after the rejection
--- a/engine/prefill.go
+++ b/engine/prefill.go
@@ -167,9 +167,14 @@
 	return time.Duration(float64(s.excessDelay) * halved(now.Sub(s.delayedAt), delayHalfLife))
 }
 
-// speedSample returns the prefill speed that the time to the first event of a request
-// shows, or false if the time shows too little about it.
-func (s Server) speedSample(request string, took time.Duration) (float64, bool) {
+// prefillSpeed returns the prefill speed that is expected at the reported slowness.
+func (s Server) prefillSpeed(ofPool float64, now time.Time) float64 {
+	return s.speed.value(ofPool, now) / s.reported.Factor(now)
+}
+
+// speedSample returns the prefill speed at the usual slowness that the time to the first
+// event of a request shows, or false if the time shows too little about it.
+func (s Server) speedSample(request string, took time.Duration, now time.Time) (float64, bool) {
 	a, ok := s.awaitedRequest(request)
 	if !ok || a.isTransferred || a.own < minSampleTokens || took <= 0 {
 		return 0, false
@@ -179,6 +184,6 @@
 		return 0, false
 	}
 	prefill := took - min(a.baseDelay, time.Duration(maxBaseShare*float64(took)))
-	speed := float64(a.own+others/2) / prefill.Seconds() / 1000
-	return min(maxPrefillSpeed, max(minPrefillSpeed, speed)), true
+	tokensPerMs := float64(a.own+others/2) / prefill.Seconds() / 1000 * s.reported.Factor(now)
+	return min(maxPrefillSpeed, max(minPrefillSpeed, tokensPerMs)), true
 }
--- a/engine/prefill_test.go
+++ b/engine/prefill_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +12,8 @@
 	"github.com/matryer/is"
 	"github.com/sebdah/goldie/v2"
 	"pgregory.net/rapid"
+
+	"lycheecrank.example/speed"
 )
 
 // simulatedEngine prefills the prompts of its requests in steps of a millisecond, one
@@ -33,6 +37,9 @@
 // step advances the engine by a millisecond and returns the requests with a finished
 // prefill.
 func (e *simulatedEngine) step(speed float64, isShared bool) []simulatedPrefill {
+	if len(e.queue) == 0 {
+		return nil
+	}
 	var finished, rest []simulatedPrefill
 	// Running requests take a share of each step.
 	speed /= 1 + 0.01*float64(len(e.ends))
@@ -60,6 +67,19 @@
 	isShared  bool
 	// speed returns the real speed of an engine in tokens per millisecond.
 	speed func(engine int, second float64) float64
+	// slowness, if set, is the factor by which an engine is slower for a time, and reports
+	// with its answers if isReported is set.
+	slowness   func(engine int, second float64) float64
+	isReported bool
+	// onFirstEvent, if set, is called with the time to each first event.
+	onFirstEvent func(engine int, second float64, took time.Duration)
+}
+
+func (s simulation) slownessOf(engine int, second float64) float64 {
+	if s.slowness == nil {
+		return 1
+	}
+	return s.slowness(engine, second)
 }
 
 // run returns the estimates of the engines and the number of their requests in the last
@@ -68,7 +88,8 @@
 	random := rand.New(rand.NewPCG(s.seed, 1))
 	table := NewTable()
 	c := table.Commands()
-	c.SetPool(Spec{Pool: "models", Slots: 64, MemoryTokens: 400_000}, endpoints(engines))
+	ids := endpoints(engines)
+	c.SetPool(Spec{Pool: "models", Slots: 64, MemoryTokens: 400_000}, ids)
 	simulated, counts := make([]simulatedEngine, engines), make([]int, engines)
 	start := time.Unix(1000, 0)
 	now := start
@@ -86,13 +107,21 @@
 			}
 		}
 		for i := range simulated {
-			e, id := &simulated[i], fmt.Sprintf("e%d", i+1)
-			for _, f := range e.step(s.speed(i, float64(ms)/1000), s.isShared) {
+			e, id := &simulated[i], ids[i].ID
+			second := float64(ms) / 1000
+			slowness := s.slownessOf(i, second)
+			for _, f := range e.step(s.speed(i, second)/slowness, s.isShared) {
 				delay := minFirstEventTime + time.Duration(random.IntN(15))*time.Millisecond
 				if random.IntN(20) == 0 {
 					delay += 400 * time.Millisecond
 				}
+				if s.isReported {
+					c.RecordLoad("models", id, speed.Report{Slowness: slowness}, now)
+				}
 				c.RecordFirstEvent("models", id, f.request, now.Sub(f.sentAt)+delay, now)
+				if s.onFirstEvent != nil {
+					s.onFirstEvent(i, second, now.Sub(f.sentAt)+delay)
+				}
 				e.ends = append(e.ends, simulatedEnd{f.request, now.Add(1500 * time.Millisecond)})
 			}
 			for len(e.ends) > 0 && !now.Before(e.ends[0].at) {
@@ -155,6 +184,53 @@
 	is.True(!isStarved)
 }
 
+// Guards against an engine that gets its usual share of the requests while it reports that
+// it is slow, or less than that after its recovery, and against a share that changes
+// because of a figure that only fluctuates.
+func TestReportedSlowness(t *testing.T) {
+	is := is.New(t)
+	cases := []struct {
+		name     string
+		slowness func(engine int, second float64) float64
+	}{
+		{"as usual", nil},
+		{"the first is slow from 12 s to 24 s", func(engine int, second float64) float64 {
+			if engine == 0 && second >= 12 && second < 24 {
+				return 4
+			}
+			return 1
+		}},
+		{"the first is slow for 1 s in 3", func(engine int, second float64) float64 {
+			if engine == 0 && math.Mod(second, 3) < 1 {
+				return 4
+			}
+			return 1
+		}},
+		{"all fluctuate each 50 ms", func(engine int, second float64) float64 { return 0.6 + 0.8*float64((int(second*20)+engine)%2) }},
+	}
+	var b strings.Builder
+	for _, c := range cases {
+		for _, isReported := range []bool{false, true} {
+			// Counts are those of the first engine in each 6 s.
+			counts, times := make([]int, 6), []time.Duration{}
+			simulation{
+				seed: 5, perSecond: 30, speed: func(int, float64) float64 { return 50 }, slowness: c.slowness, isReported: isReported,
+				onFirstEvent: func(engine int, second float64, took time.Duration) {
+					times = append(times, took)
+					if engine == 0 {
+						counts[int(second)/6]++
+					}
+				},
+			}.run(6, 36)
+			slices.Sort(times)
+			fmt.Fprintf(&b, "%s, reported %v: requests of the first engine in each 6 s %v, time to the first event median %v, p99 %v\n",
+				c.name, isReported, counts, times[len(times)/2].Round(time.Millisecond), times[len(times)*99/100].Round(time.Millisecond))
+			is.True(counts[5] > 15) // of 30 if all engines are alike
+		}
+	}
+	goldie.New(t).Assert(t, "reported_slowness", []byte(b.String()))
+}
+
 // Guards against an estimate outside its bounds, also after samples that no engine gives,
 // against one that stays after its measurements are outdated, and against another speed
 // than the default one without measurements.
--- a/engine/queries.go
+++ b/engine/queries.go
@@ -52,6 +52,21 @@
 	return 0
 }
 
+// Pools returns the names of the pools with engines.
+func (q Queries) Pools() []string {
+	t := q.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var names []string
+	for name, pl := range t.pools {
+		if len(pl.servers) > 0 {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // Load is the load of an engine.
 type Load struct {
 	Endpoint
@@ -60,10 +75,12 @@
 	PendingPrefill int64
 	// HeldTokens is the number of tokens that the running requests may use.
 	HeldTokens int64
+	// TokensPerMs is the expected prefill speed.
+	TokensPerMs float64
 }
 
 // Loads returns the load of the engines of a pool, by ID.
-func (q Queries) Loads(poolName string) []Load {
+func (q Queries) Loads(poolName string, now time.Time) []Load {
 	t := q.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -72,8 +89,12 @@
 		return nil
 	}
 	var loads []Load
+	ofPool := pl.speed.value(now)
 	for _, s := range pl.sortedServers() {
-		loads = append(loads, Load{Endpoint: s.Endpoint, RunningRequests: len(s.requests), PendingPrefill: s.pendingPrefill, HeldTokens: s.heldTokens})
+		loads = append(loads, Load{
+			Endpoint: s.Endpoint, RunningRequests: len(s.requests), PendingPrefill: s.pendingPrefill, HeldTokens: s.heldTokens,
+			TokensPerMs: s.prefillSpeed(ofPool, now),
+		})
 	}
 	return loads
 }
--- a/entry/load.go
+++ b/entry/load.go
@@ -15,10 +15,12 @@
 }
 
 // recordLoad records the load that a server reports in its answer to a request, if it
-// reports its slowness.
-func (i *Instance) recordLoad(server, _ string, load speed.Report) {
+// reports its slowness. The load of an engine is passed on with the notices of the run.
+func (i *Instance) recordLoad(server, id string, load speed.Report) {
 	if load.Slowness == 0 {
 		return
 	}
-	i.plainServers.Commands().RecordLoad(server, load, time.Now())
+	now := time.Now()
+	i.plainServers.Commands().RecordLoad(server, load, now)
+	i.placements.recordLoad(id, load, now)
 }
--- a/entry/message.go
+++ b/entry/message.go
@@ -8,6 +8,7 @@
 	"lycheecrank.example/membership"
 	"lycheecrank.example/preparation"
 	"lycheecrank.example/quarantine"
+	"lycheecrank.example/speed"
 )
 
 // The subjects of messages between instances.
@@ -91,6 +92,10 @@
 	Try              int           `msgpack:"try,omitempty"`
 	TimeToFirstEvent time.Duration `msgpack:"took,omitempty"`
 	Prompt           engine.Prompt `msgpack:"prompt,omitempty"`
+	// Load is the load that the server reported with its answer to the request, and
+	// LoadAge the time since then, in a notice about the first event or the end of a run.
+	Load    speed.Report  `msgpack:"load,omitempty"`
+	LoadAge time.Duration `msgpack:"loadAge,omitempty"`
 	// HasBegun is set in a running or prompt read notice if the engine has begun its
 	// answer.
 	HasBegun bool `msgpack:"hasBegun,omitempty"`
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"lycheecrank.example/counter"
@@ -48,6 +50,7 @@
 	ReachableInstances   int                     `json:"reachableInstances"`
 	Servers              map[string]fleet.States `json:"servers"`
 	Queues               []queueStatus           `json:"queues"`
+	Engines              []engineStatus          `json:"engines"`
 	// InPreparation is the number of requests that this instance prepares, InFlight the
 	// number of client attempts in progress.
 	InPreparation int   `json:"inPreparation"`
@@ -66,6 +69,46 @@
 	ResultMemoryShare float64 `json:"roomTaken"`
 }
 
+// engineStatus is the state of an engine pool according to this instance as coordinator.
+type engineStatus struct {
+	Pool          string `json:"pool"`
+	Engines       int    `json:"engines"`
+	Running       int    `json:"running"`
+	PendingTokens int64  `json:"pendingTokens"`
+	// The expected prefill speeds of the engines, in tokens per millisecond.
+	SlowestTokensPerMs float64 `json:"slowestTokensPerMs"`
+	MedianTokensPerMs  float64 `json:"medianTokensPerMs"`
+	FastestTokensPerMs float64 `json:"fastestTokensPerMs"`
+	// MemoryShare is the largest share of an engine's memory that its running requests
+	// may need.
+	MemoryShare float64 `json:"memoryShare"`
+}
+
+func (i *Instance) engineStatuses(now time.Time) []engineStatus {
+	engines := i.coordinator.Engines.Queries()
+	var statuses []engineStatus
+	for _, pool := range engines.Pools() {
+		s := engineStatus{Pool: pool}
+		memory := engines.MemoryTokens(pool)
+		var speeds []float64
+		for _, l := range engines.Loads(pool, now) {
+			s.Engines++
+			s.Running += l.RunningRequests
+			s.PendingTokens += l.PendingPrefill
+			speeds = append(speeds, math.Round(l.TokensPerMs*10)/10)
+			if memory > 0 {
+				s.MemoryShare = max(s.MemoryShare, float64(l.HeldTokens)/float64(memory))
+			}
+		}
+		if len(speeds) > 0 {
+			slices.Sort(speeds)
+			s.SlowestTokensPerMs, s.MedianTokensPerMs, s.FastestTokensPerMs = speeds[0], speeds[len(speeds)/2], speeds[len(speeds)-1]
+		}
+		statuses = append(statuses, s)
+	}
+	return statuses
+}
+
 func (i *Instance) status() instanceStatus {
 	now := time.Now()
 	view := i.view()
@@ -85,6 +128,7 @@
 		Servers:              i.fleet.Queries().States(now),
 		InPreparation:        i.coordinator.Queries().JobCount(),
 		InFlight:             i.attemptLog.inFlight.Load(),
+		Engines:              i.engineStatuses(now),
 		Quarantine:           i.quarantine.Queries().Statuses(now),
 	}
 	for _, p := range i.positions() {
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -26,7 +26,10 @@
 // sendStart notifies the coordinator of the first event of a request at its engine.
 func (i *Instance) sendStart(pool, server, id string, try int, took time.Duration) {
 	i.recordSuccess(i.placements.markBegun(id))
-	i.notices.add(i.placements.coordinatorOf(id), notice{Kind: startedNotice, Pool: pool, Server: server, RequestID: id, Try: try, TimeToFirstEvent: took})
+	load, age := i.placements.loadOf(id, time.Now())
+	i.notices.add(i.placements.coordinatorOf(id), notice{
+		Kind: startedNotice, Pool: pool, Server: server, RequestID: id, Try: try, TimeToFirstEvent: took, Load: load, LoadAge: age,
+	})
 }
 
 // sendEnd notifies the coordinator of the end of a request at its engine.
@@ -34,7 +37,8 @@
 	kind := map[preparation.RunStatus]noticeKind{
 		preparation.RunEnded: endedNotice, preparation.RunRefused: refusedNotice, preparation.RunFailed: failedNotice,
 	}[status]
-	i.notices.add(i.placements.coordinatorOf(id), notice{Kind: kind, Pool: pool, Server: server, RequestID: id})
+	load, age := i.placements.loadOf(id, time.Now())
+	i.notices.add(i.placements.coordinatorOf(id), notice{Kind: kind, Pool: pool, Server: server, RequestID: id, Load: load, LoadAge: age})
 	i.placements.markEnded(id)
 }
 
@@ -82,6 +86,9 @@
 	var running []engine.PlacedRequest
 	var reads []engine.RemoteRead
 	for _, n := range notices {
+		if n.Load.Slowness > 0 {
+			i.coordinator.Engines.Commands().RecordLoad(n.Pool, n.Server, n.Load, now.Add(-max(0, n.LoadAge)))
+		}
 		switch n.Kind {
 		case startedNotice:
 			i.coordinator.RecordFirstEvent(n.Pool, n.Server, n.RequestID, n.Try, n.TimeToFirstEvent)
--- a/entry/placements.go
+++ b/entry/placements.go
@@ -7,6 +7,7 @@
 	"lycheecrank.example/lock"
 	"lycheecrank.example/membership"
 	"lycheecrank.example/preparation"
+	"lycheecrank.example/speed"
 )
 
 const (
@@ -29,6 +30,9 @@
 	// hasBegun is set once the engine has sent the first event.
 	hasBegun bool
 	isEnded  bool
+	// load is the load that the engine reported with its answer, received at loadAt.
+	load   speed.Report
+	loadAt time.Time
 }
 
 // placements holds the recently placed requests by ID.
@@ -80,6 +84,27 @@
 	return placed.prompt
 }
 
+// recordLoad records the load that the engine of a request reported with its answer.
+func (p *placements) recordLoad(id string, load speed.Report, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if placed, ok := p.byID[id]; ok {
+		placed.load, placed.loadAt = load, now
+		p.byID[id] = placed
+	}
+}
+
+// loadOf returns the load that the engine of a request reported, and the time since then.
+func (p *placements) loadOf(id string, now time.Time) (speed.Report, time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	placed := p.byID[id]
+	if placed.loadAt.IsZero() {
+		return speed.Report{}, 0
+	}
+	return placed.load, now.Sub(placed.loadAt)
+}
+
 func (p *placements) markEnded(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/entry/report.go
+++ b/entry/report.go
@@ -42,7 +42,7 @@
 }
 
 // runDepthLog logs the queue depth of each stage pool that has waiting or running work
-// on this instance.
+// on this instance, and the load of each engine pool with running requests.
 func (i *Instance) runDepthLog(ctx context.Context) error {
 	for pause(ctx, logInterval) {
 		now := time.Now()
@@ -53,6 +53,11 @@
 			}
 			i.Logger.Write(event.PoolDepth, pool, depth.WaitingPieces, depth.Servers, depth.BusyServers, depth.ExpectedWait.Milliseconds(), depth.UsedMemoryShare, i.coordinator.Queries().JobCount())
 		}
+		for _, s := range i.engineStatuses(now) {
+			if s.Running > 0 {
+				i.Logger.Write(event.EnginePool, s.Pool, s.Engines, s.Running, s.PendingTokens, s.SlowestTokensPerMs, s.MedianTokensPerMs, s.FastestTokensPerMs, s.MemoryShare)
+			}
+		}
 	}
 	return nil
 }
