Stop counting requests at an engine after their deadline

A request counted at its engine until the notice of its end. Notices can be lost, and a killed instance sends none, so such requests counted forever. Since the memory of engines is a strict bound, an engine would have lost a part of its capacity with each of them.

A request now counts until 1 s after its deadline, with which its engine has ended it, or for 30 s if the deadline is unknown. Instances pass the remaining time on to a new coordinator.

--- a/engine/choose.go
+++ b/engine/choose.go
@@ -39,6 +39,8 @@
 	AvoidEngines []string
 	// RequiredEngine is the ID of the only engine that may be chosen, empty for any.
 	RequiredEngine string
+	// Until is when the request has ended at the latest, zero if it is unknown.
+	Until time.Time
 	// ColdShare is the share of the request rate of cold engines that this coordinator
 	// may use, from 0 to 1.
 	ColdShare float64
--- a/engine/commands.go
+++ b/engine/commands.go
@@ -18,7 +18,7 @@
 	defer t.mu.Unlock()
 	p := t.pools[spec.Pool]
 	if p == nil {
-		p = &pool{servers: map[string]Server{}}
+		p = &pool{servers: map[string]Server{}, until: map[placement]time.Time{}}
 		t.pools[spec.Pool] = p
 	}
 	p.spec, p.shortage = spec, memoryShortage{}
@@ -78,6 +78,7 @@
 	if pl == nil {
 		return Reservation{}, false
 	}
+	pl.sweep(now)
 	if now.Before(pl.shortage.until) && p.MaxTokens() >= pl.shortage.tokens {
 		return Reservation{LacksMemory: true}, false
 	}
@@ -94,6 +95,7 @@
 	}
 	choice := Reservation{Endpoint: s.Endpoint, PrefixSource: transferSource(servers, &pl.remote, s, p, now), ExpectedFirstEvent: s.expectedFirstEvent(p, n, ofPool, now)}
 	pl.servers[s.ID] = s.WithRequest(request, p, n, choice.PrefixSource != "", now)
+	pl.expect(s.ID, request, n.Until, now)
 	t.outages.RecordSent(s.DataCentre, now.Add(probeTimeout))
 	return choice, true
 }
@@ -151,6 +153,8 @@
 	// IsRunning is false for a request that has ended and whose prompt may still be
 	// cached.
 	IsRunning bool
+	// Until is when the request has ended at the latest, zero if it is unknown.
+	Until time.Time
 }
 
 // Restore restores placements by another coordinator. A new coordinator gets thousands
@@ -165,6 +169,14 @@
 	for k, ls := range byServer {
 		c.updateServer(k.pool, k.server, func(s Server) Server { return s.WithRestored(ls, now) })
 	}
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, l := range requests {
+		if p := t.pools[l.Pool]; p != nil && l.IsRunning {
+			p.expect(l.EngineID, l.RequestID, l.Until, now)
+		}
+	}
 }
 
 func (c Commands) updateServer(poolName, id string, update func(Server) Server) {
--- a/engine/memory_test.go
+++ b/engine/memory_test.go
@@ -90,3 +90,36 @@
 	at = at.Add(minBlock)
 	is.True(reserve("r8", 500, 1000))
 }
+
+// Guards against engines that stay full because the notices of ends were lost, and against
+// requests that stop counting before their end.
+func TestLostEnds(t *testing.T) {
+	is := is.New(t)
+	at := time.Unix(1000, 0)
+	table := NewTable()
+	c := table.Commands()
+	c.SetPool(Spec{Pool: "models", Slots: 9, MemoryTokens: 10_000}, endpoints(2))
+	reserve := func(request string, until time.Time) bool {
+		_, ok := c.Reserve("models", request, prompt(8000, request), Requirements{ColdShare: 1, Until: until}, at)
+		return ok
+	}
+	is.True(reserve("r1", at.Add(5*time.Second)))
+	is.True(reserve("r2", time.Time{}))
+	at = at.Add(4900 * time.Millisecond)
+	is.True(!reserve("r3", time.Time{}))
+	at = at.Add(sweepInterval)
+	is.True(reserve("r3", at.Add(5*time.Second)))
+	is.True(!reserve("r4", time.Time{}))
+	c.RecordEnd("models", "e1", "r3")
+	is.True(reserve("r3", at.Add(time.Minute))) // the later end counts
+	c.Restore([]PlacedRequest{{Pool: "models", EngineID: "e2", RequestID: "r5", Prompt: prompt(100, "x"), IsRunning: true, Until: at.Add(40 * time.Second)}}, at)
+	at = at.Add(30 * time.Second)
+	is.True(reserve("r6", at.Add(time.Second))) // r2 has no known end
+	is.True(!reserve("r7", time.Time{}))
+	at = at.Add(12 * time.Second)
+	is.True(reserve("r8", time.Time{}))
+	at = at.Add(time.Hour)
+	is.True(reserve("r9", time.Time{}))
+	is.True(reserve("r10", time.Time{}))
+	is.Equal(len(table.pools["models"].until), 2)
+}
--- a/engine/table.go
+++ b/engine/table.go
@@ -24,6 +24,9 @@
 	speed   poolSpeed
 	// shortage is the latest finding that no engine has memory for a request.
 	shortage memoryShortage
+	// until is when each request has ended at the latest.
+	until   map[placement]time.Time
+	sweptAt time.Time
 }
 
 // NewTable returns an empty table.
--- a/entry/message.go
+++ b/entry/message.go
@@ -96,6 +96,8 @@
 	// LoadAge the time since then, in a notice about the first event or the end of a run.
 	Load    speed.Report  `msgpack:"load,omitempty"`
 	LoadAge time.Duration `msgpack:"loadAge,omitempty"`
+	// Remaining is the time until the request has ended at the latest, in a running notice.
+	Remaining time.Duration `msgpack:"remaining,omitempty"`
 	// HasBegun is set in a running or prompt read notice if the engine has begun its
 	// answer.
 	HasBegun bool `msgpack:"hasBegun,omitempty"`
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -104,8 +104,12 @@
 			if n.HasBegun {
 				i.recordSuccess(n.Prompt)
 			}
+			var until time.Time
+			if n.Remaining > 0 {
+				until = now.Add(n.Remaining)
+			}
 			running = append(running, engine.PlacedRequest{
-				Pool: n.Pool, EngineID: n.Server, RequestID: n.RequestID, Prompt: n.Prompt, IsRunning: n.Kind == runningNotice,
+				Pool: n.Pool, EngineID: n.Server, RequestID: n.RequestID, Prompt: n.Prompt, IsRunning: n.Kind == runningNotice, Until: until,
 			})
 		case leavingNotice:
 			i.recordLeaving(n.Server)
--- a/entry/placements.go
+++ b/entry/placements.go
@@ -30,6 +30,8 @@
 	// hasBegun is set once the engine has sent the first event.
 	hasBegun bool
 	isEnded  bool
+	// until is when the request has ended at the latest.
+	until time.Time
 	// load is the load that the engine reported with its answer, received at loadAt.
 	load   speed.Report
 	loadAt time.Time
@@ -60,7 +62,7 @@
 	if _, ok := p.byID[task.RequestID]; !ok {
 		p.order = append(p.order, task.RequestID)
 	}
-	p.byID[task.RequestID] = placedRequest{pool: task.Pool, server: result.Server, prompt: task.Prompt, coordinator: coordinator, placedAt: now}
+	p.byID[task.RequestID] = placedRequest{pool: task.Pool, server: result.Server, prompt: task.Prompt, coordinator: coordinator, placedAt: now, until: now.Add(max(task.RetryWindow, task.Deadline))}
 }
 
 // coordinatorOf returns the coordinator that is notified about a request, or the zero
@@ -131,7 +133,7 @@
 			placed.coordinator = coordinator
 			p.byID[id] = placed
 		}
-		notices = append(notices, notice{Kind: kind, Pool: placed.pool, Server: placed.server, RequestID: id, Prompt: placed.prompt, HasBegun: placed.hasBegun})
+		notices = append(notices, notice{Kind: kind, Pool: placed.pool, Server: placed.server, RequestID: id, Prompt: placed.prompt, HasBegun: placed.hasBegun, Remaining: max(0, placed.until.Sub(now))})
 	}
 	return notices
 }
--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -82,6 +82,8 @@
 	// memoryRetryAfter is the delay before a client retries after no engine had memory for
 	// its request: the time in which some of the running requests end.
 	memoryRetryAfter = time.Second
+	// endSlack is how long after the deadline of a request its engine may take to end it.
+	endSlack = time.Second
 	// refusalReserve is the time before the deadline at which an unfinished preparation
 	// is stopped and its request refused, so that the refusal reaches the client in time.
 	refusalReserve = 60 * time.Millisecond
@@ -330,6 +332,7 @@
 // sent before may be over, as when its stream goes on at another engine. The parameter
 // isProbe reports whether the request was admitted as a probe.
 func (c *Coordinator) reserveEngine(ctx context.Context, task Task, isProbe bool, objective time.Time) (Placement, error) {
+	until := time.Now().Add(max(task.RetryWindow, task.Deadline) + endSlack)
 	timer := time.NewTimer(engineRetryInterval)
 	defer timer.Stop()
 	for {
@@ -345,7 +348,7 @@
 			return Placement{}, request.Refuse(request.ReasonCancelled, "preparation cancelled while waiting for an engine")
 		}
 		inputs := j.engineInputs()
-		requirements := engine.Requirements{InputBytes: c.inputBytes(j), AvoidEngines: task.AvoidEngines, RequiredEngine: task.RequiredEngine, ColdShare: c.ColdShare()}
+		requirements := engine.Requirements{InputBytes: c.inputBytes(j), AvoidEngines: task.AvoidEngines, RequiredEngine: task.RequiredEngine, Until: until, ColdShare: c.ColdShare()}
 		reservation, ok := c.Engines.Commands().Reserve(task.Pool, task.RequestID, task.Prompt, requirements, time.Now())
 		if ok {
 			return Placement{Server: reservation.ID, Address: reservation.Address, DataCentre: reservation.DataCentre, PrefixSource: reservation.PrefixSource, Inputs: inputs, ExpectedFirstEvent: reservation.ExpectedFirstEvent, IsProbe: isProbe}, nil
