--- a/engine/commands.go
+++ b/engine/commands.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -38,6 +39,7 @@
 		s.Endpoint = pl
 		p.servers[pl.ID] = s
 	}
+	p.ids = slices.Sorted(maps.Keys(p.servers))
 }
 
 // probeTimeout is how long a data centre stays blocked after a request was sent there
--- a/engine/table.go
+++ b/engine/table.go
@@ -1,8 +1,6 @@
 package engine
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"lycheecrank.example/lock"
@@ -20,8 +18,10 @@
 type pool struct {
 	spec    Spec
 	servers map[string]Server
-	remote  remoteCache
-	speed   poolSpeed
+	// ids are the keys of servers, sorted.
+	ids    []string
+	remote remoteCache
+	speed  poolSpeed
 	// shortage is the latest finding that no engine has memory for a request.
 	shortage memoryShortage
 	// until is when each request has ended at the latest.
@@ -53,8 +53,8 @@
 }
 
 func (p *pool) sortedServers() []Server {
-	servers := make([]Server, 0, len(p.servers))
-	for _, id := range slices.Sorted(maps.Keys(p.servers)) {
+	servers := make([]Server, 0, len(p.ids))
+	for _, id := range p.ids {
 		servers = append(servers, p.servers[id])
 	}
 	return servers
