Keep the count of an engine that leaves the list while requests run there

An engine that was evacuated or unlisted for a moment came back with no requests, although its streams were still running, so it could get more than its memory. Its state is now kept while requests run there.

TestEligibleAgain fails before the change (a second request of 8,000 tokens is placed on an engine of 10,000) and passes after it.

--- a/engine/commands.go
+++ b/engine/commands.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -12,7 +11,9 @@
 type Commands struct{ table *Table }
 
 // SetPool replaces the specification and the eligible engines of a pool. The state of
-// an engine that remains is kept, except for the cache of one that has restarted.
+// an engine that remains is kept, except for the cache of one that has restarted. So is
+// that of an engine with running requests: it may become eligible again, as at the end of
+// an evacuation, and must not get more than its memory then.
 func (c Commands) SetPool(spec Spec, endpoints []Endpoint) {
 	t := c.table
 	t.mu.Lock()
@@ -23,12 +24,14 @@
 		t.pools[spec.Pool] = p
 	}
 	p.spec, p.shortage = spec, memoryShortage{}
-	for id := range p.servers {
-		if !slices.ContainsFunc(endpoints, func(pl Endpoint) bool { return pl.ID == id }) {
+	for id, s := range p.servers {
+		if len(s.requests) == 0 && !slices.ContainsFunc(endpoints, func(pl Endpoint) bool { return pl.ID == id }) {
 			delete(p.servers, id)
 		}
 	}
+	p.ids = nil
 	for _, pl := range endpoints {
+		p.ids = append(p.ids, pl.ID)
 		s, ok := p.servers[pl.ID]
 		switch {
 		case !ok || s.Address != pl.Address:
@@ -39,7 +42,7 @@
 		s.Endpoint = pl
 		p.servers[pl.ID] = s
 	}
-	p.ids = slices.Sorted(maps.Keys(p.servers))
+	slices.Sort(p.ids)
 }
 
 // probeTimeout is how long a data centre stays blocked after a request was sent there
--- a/engine/memory_test.go
+++ b/engine/memory_test.go
@@ -123,3 +123,32 @@
 	is.True(reserve("r10", time.Time{}))
 	is.Equal(len(table.pools["models"].until), 2)
 }
+
+// Guards against an engine that gets more than its memory after it was not eligible for a
+// time, and against one that stays known after its last request.
+func TestEligibleAgain(t *testing.T) {
+	is := is.New(t)
+	at := time.Unix(1000, 0)
+	table := NewTable()
+	c, q := table.Commands(), table.Queries()
+	spec := Spec{Pool: "models", Slots: 9, MemoryTokens: 10_000}
+	reserve := func(request string) bool {
+		_, ok := c.Reserve("models", request, prompt(8000, request), Requirements{ColdShare: 1}, at)
+		return ok
+	}
+	c.SetPool(spec, endpoints(1))
+	is.True(reserve("r1"))
+	c.SetPool(spec, nil)
+	is.True(!reserve("r2"))
+	is.Equal(len(q.Loads("models", at)), 0)
+	is.Equal(len(q.Pools()), 0)
+	is.True(!q.AreAllExcluded("models", Requirements{AvoidEngines: []string{"e1"}}))
+	c.SetPool(spec, endpoints(1))
+	is.True(!reserve("r3"))
+	c.SetPool(spec, nil)
+	c.RecordEnd("models", "e1", "r1")
+	c.SetPool(spec, nil)
+	is.Equal(len(table.pools["models"].servers), 0)
+	c.SetPool(spec, endpoints(1))
+	is.True(reserve("r4"))
+}
--- a/engine/queries.go
+++ b/engine/queries.go
@@ -30,10 +30,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	pl := t.pools[poolName]
-	if pl == nil || len(pl.servers) == 0 {
+	if pl == nil || len(pl.ids) == 0 {
 		return false
 	}
-	for id := range pl.servers {
+	for _, id := range pl.ids {
 		if !slices.Contains(n.AvoidEngines, id) {
 			return false
 		}
@@ -59,7 +59,7 @@
 	defer t.mu.Unlock()
 	var names []string
 	for name, pl := range t.pools {
-		if len(pl.servers) > 0 {
+		if len(pl.ids) > 0 {
 			names = append(names, name)
 		}
 	}
--- a/engine/table.go
+++ b/engine/table.go
@@ -16,9 +16,10 @@
 }
 
 type pool struct {
-	spec    Spec
+	spec Spec
+	// servers holds the eligible engines, and others while requests run there.
 	servers map[string]Server
-	// ids are the keys of servers, sorted.
+	// ids are the IDs of the eligible engines, sorted.
 	ids    []string
 	remote remoteCache
 	speed  poolSpeed
