Decline a request without engine memory while another cell can be asked

The coordinator of a cell whose engines lack memory for a request had it wait until its objective and refused it, although the engines of another cell may have memory. It now declines such a request on arrival if it is asked to serve it on time only; the cell that is asked last still waits for memory.

--- a/engine/queries.go
+++ b/engine/queries.go
@@ -41,6 +41,30 @@
 	return true
 }
 
+// IsShortOfMemory reports whether no engine can get a request now because those that may
+// get it lack the memory.
+func (q Queries) IsShortOfMemory(poolName string, p Prompt, n Requirements, now time.Time) bool {
+	t := q.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	pl := t.pools[poolName]
+	if pl == nil {
+		return false
+	}
+	isShort := false
+	for _, id := range pl.ids {
+		s := pl.servers[id]
+		switch {
+		case t.outages.IsBlocked(s.DataCentre, now) || !s.isAllowed(pl.spec, n, now):
+		case s.hasMemory(pl.spec, p):
+			return false
+		default:
+			isShort = true
+		}
+	}
+	return isShort
+}
+
 // MemoryTokens returns the memory of an engine of a pool in tokens, 0 if it is unknown.
 func (q Queries) MemoryTokens(poolName string) int64 {
 	t := q.table
--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -209,6 +209,9 @@
 			return Placement{}, refuseEarly(task, expected)
 		}
 	}
+	if task.OnTimeOnly && c.Engines.Queries().IsShortOfMemory(task.Pool, task.Prompt, engine.Requirements{AvoidEngines: task.AvoidEngines, ColdShare: 1}, openedAt) {
+		return Placement{IsDeclined: true}, nil
+	}
 	c.depositRecomputes(task)
 	c.restoreResults(task, openedAt)
 	job, followUp, ok := c.table.Commands().open(task, c.preferredDataCentre(task, openedAt), c.poolInfo(), openedAt)
--- a/preparation/memory_test.go
+++ b/preparation/memory_test.go
@@ -12,8 +12,9 @@
 )
 
 // Guards against a request that is sent to an engine without memory for it, that isn't
-// refused at its objective, or at once if it can never be served, and against a stream
-// that isn't continued because its objective is over.
+// refused at its objective, or at once if it can never be served, that isn't declined while
+// another cell can be asked, and against a stream that isn't continued because its
+// objective is over.
 func TestEngineMemory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -38,6 +39,9 @@
 		_, second, err := prepare("r3", 9_000)
 		is.NoErr(err)
 		is.True(first.Server != second.Server)
+		declined, err := r.Prepare(t.Context(), Task{RequestID: "r0", Pool: "models", Try: 1, OnTimeOnly: true, Deadline: time.Second, Prompt: engine.Prompt{InputTokens: 5_000}})
+		is.NoErr(err)
+		is.True(declined.IsDeclined)
 		took, _, err = prepare("r4", 5_000)
 		failure := request.AsFailure(err)
 		is.Equal(failure.Reason, request.ReasonQueueFull)
