--- a/engine/engine.go
+++ b/engine/engine.go
@@ -7,6 +7,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"lycheecrank.example/speed"
 )
 
 // Part is a part of a prompt that other requests may share.
@@ -26,8 +28,13 @@
 	MaxOutputTokens int64 `msgpack:"output"`
 }
 
+// maxCount bounds the token counts that clients state, so that sums don't overflow.
+const maxCount = 1 << 40
+
+func clampCount(tokens int64) int64 { return min(maxCount, max(0, tokens)) }
+
 // MaxTokens returns the memory that the request may use, in tokens.
-func (p Prompt) MaxTokens() int64 { return p.InputTokens + p.MaxOutputTokens }
+func (p Prompt) MaxTokens() int64 { return clampCount(p.InputTokens) + clampCount(p.MaxOutputTokens) }
 
 // PartIDs returns the IDs of the parts in order.
 func (p Prompt) PartIDs() []string {
@@ -78,13 +85,27 @@
 type Server struct {
 	Endpoint
 	requests map[string]activeRequest
+	// heldTokens and pendingPrefill are the sums over the requests.
+	heldTokens     int64
+	pendingPrefill int64
+	// sentPrefill is the number of tokens to prefill of all requests that were ever sent.
+	sentPrefill int64
+	// awaited are the requests that this coordinator has sent and that have no first event
+	// yet.
+	awaited []awaitedRequest
+	speed   measuredSpeed
+	// reported is the slowness that the engine reports. The measured speed is that of the
+	// usual slowness.
+	reported speed.Estimate
 	cached   map[string]time.Time
 	// sentAt are the times at which the engine got requests within rateWindow.
 	sentAt       []time.Time
 	failures     int
 	blockedUntil time.Time
-	// excessDelay is the smoothed time to the first event beyond the estimate.
+	// excessDelay is the smoothed time to the first event beyond the estimate with the
+	// measured prefill speed, as of delayedAt.
 	excessDelay time.Duration
+	delayedAt   time.Time
 }
 
 const (
@@ -99,18 +120,38 @@
 	// failure.
 	minBlock = 250 * time.Millisecond
 	maxBlock = 4 * time.Second
-	// delayWeight is the weight of a new sample of the delay.
-	delayWeight = 0.3
+	// delayWeight is the weight of a new sample of the delay, delayHalfLife the time in
+	// which the delay loses half of its value without one. An engine that is avoided for
+	// its delay gives no sample that shows its end.
+	delayWeight   = 0.3
+	delayHalfLife = 5 * time.Second
 )
 
 func newServer(p Endpoint) Server {
 	return Server{Endpoint: p, requests: map[string]activeRequest{}, cached: map[string]time.Time{}}
 }
 
-// WithRequest returns the engine after a request was sent to it.
-func (s Server) WithRequest(request string, p Prompt, now time.Time) Server {
+// withActive returns the engine with a new or changed request.
+func (s Server) withActive(request string, r activeRequest) Server {
+	old := s.requests[request]
 	s.requests = maps.Clone(s.requests)
-	s.requests[request] = activeRequest{tokens: p.MaxTokens(), pendingPrefill: p.InputTokens - s.cachedTokens(p, now)}
+	s.requests[request] = r
+	s.heldTokens += r.tokens - old.tokens
+	s.pendingPrefill += r.pendingPrefill - old.pendingPrefill
+	return s
+}
+
+// WithRequest returns the engine after a request was sent to it. The parameter
+// isTransferred is set if the engine fetches a part of the prompt from another engine.
+func (s Server) WithRequest(request string, p Prompt, n Requirements, isTransferred bool, now time.Time) Server {
+	r := activeRequest{tokens: p.MaxTokens(), pendingPrefill: clampCount(clampCount(p.InputTokens) - s.cachedTokens(p, now))}
+	s.awaited = append(slices.Clip(s.awaited), awaitedRequest{
+		id: request, own: r.pendingPrefill, ahead: s.pendingPrefill, sentBefore: s.sentPrefill,
+		baseDelay:     minFirstEventTime + time.Duration(len(s.requests))*requestCost + s.fetchCost(n),
+		isTransferred: isTransferred,
+	})
+	s = s.withActive(request, r)
+	s.sentPrefill += r.pendingPrefill
 	s.sentAt = append(withinRateWindow(s.sentAt, now), now)
 	return s.WithCached(p, now)
 }
@@ -135,7 +176,10 @@
 	s.requests, s.cached = maps.Clone(s.requests), maps.Clone(s.cached)
 	for _, l := range requests {
 		if l.IsRunning {
+			old := s.requests[l.RequestID]
 			s.requests[l.RequestID] = activeRequest{tokens: l.Prompt.MaxTokens()}
+			s.heldTokens += l.Prompt.MaxTokens() - old.tokens
+			s.pendingPrefill -= old.pendingPrefill
 		}
 		for _, part := range l.Prompt.Parts {
 			s.cached[part.ID] = now
@@ -146,27 +190,45 @@
 
 // WithFirstEvent returns the engine after the first event of a request, which came a
 // given time after the request was sent.
-func (s Server) WithFirstEvent(request string, took time.Duration) Server {
+func (s Server) WithFirstEvent(request string, took time.Duration, ofPool float64, now time.Time) Server {
 	r, ok := s.requests[request]
 	if !ok {
 		return s
 	}
-	estimate := prefillTime(r.pendingPrefill) + minFirstEventTime
-	s.excessDelay += time.Duration(delayWeight * float64(max(0, took-estimate)-s.excessDelay))
+	if awaited, ok := s.awaitedRequest(request); ok {
+		excess := s.currentExcess(now)
+		before := awaited.estimate(s.prefillSpeed(ofPool, now))
+		if sample, ok := s.speedSample(request, took, now); ok {
+			s.speed = s.speed.withSample(sample, now)
+		}
+		estimate := awaited.estimate(s.prefillSpeed(ofPool, now))
+		// A delay that the speed accounts for from now on is no excess any more.
+		excess = max(0, excess-max(0, estimate-before))
+		s.excessDelay = excess + time.Duration(delayWeight*float64(max(0, took-estimate)-excess))
+		s.delayedAt = now
+	}
 	r.pendingPrefill = 0
-	s.requests = maps.Clone(s.requests)
-	s.requests[request] = r
+	s = s.withActive(request, r).withoutAwaited(request)
 	s.failures = 0
 	return s
 }
 
 // WithoutRequest returns the engine after a request has ended there.
 func (s Server) WithoutRequest(request string) Server {
-	if _, ok := s.requests[request]; !ok {
+	r, ok := s.requests[request]
+	if !ok {
 		return s
 	}
 	s.requests = maps.Clone(s.requests)
 	delete(s.requests, request)
+	s.heldTokens -= r.tokens
+	s.pendingPrefill -= r.pendingPrefill
+	return s.withoutAwaited(request)
+}
+
+// WithLoad returns the engine after a response with its load was received at a time.
+func (s Server) WithLoad(load speed.Report, at time.Time) Server {
+	s.reported = s.reported.WithReport(load, at)
 	return s
 }
 
@@ -185,9 +247,10 @@
 	return s
 }
 
-// WithoutCache returns the engine after it has lost its cache.
+// WithoutCache returns the engine after a restart, which has emptied its cache. The
+// prefill speed of the new process is unknown.
 func (s Server) WithoutCache() Server {
-	s.cached = map[string]time.Time{}
+	s.cached, s.speed, s.reported = map[string]time.Time{}, measuredSpeed{}, speed.Estimate{}
 	return s
 }
 
--- a/engine/table.go
+++ b/engine/table.go
@@ -1,8 +1,6 @@
 package engine
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"lycheecrank.example/lock"
@@ -18,9 +16,18 @@
 }
 
 type pool struct {
-	spec    Spec
+	spec Spec
+	// servers holds the eligible engines, and others while requests run there.
 	servers map[string]Server
-	remote  remoteCache
+	// ids are the IDs of the eligible engines, sorted.
+	ids    []string
+	remote remoteCache
+	speed  poolSpeed
+	// shortage is the latest finding that no engine has memory for a request.
+	shortage memoryShortage
+	// until is when each request has ended at the latest.
+	until   map[placement]time.Time
+	sweptAt time.Time
 }
 
 // NewTable returns an empty table.
@@ -47,8 +54,8 @@
 }
 
 func (p *pool) sortedServers() []Server {
-	servers := make([]Server, 0, len(p.servers))
-	for _, id := range slices.Sorted(maps.Keys(p.servers)) {
+	servers := make([]Server, 0, len(p.ids))
+	for _, id := range p.ids {
 		servers = append(servers, p.servers[id])
 	}
 	return servers
--- a/entry/placements.go
+++ b/entry/placements.go
@@ -7,6 +7,7 @@
 	"lycheecrank.example/lock"
 	"lycheecrank.example/membership"
 	"lycheecrank.example/preparation"
+	"lycheecrank.example/speed"
 )
 
 const (
@@ -29,6 +30,11 @@
 	// hasBegun is set once the engine has sent the first event.
 	hasBegun bool
 	isEnded  bool
+	// until is when the request has ended at the latest.
+	until time.Time
+	// load is the load that the engine reported with its answer, received at loadAt.
+	load   speed.Report
+	loadAt time.Time
 }
 
 // placements holds the recently placed requests by ID.
@@ -56,7 +62,7 @@
 	if _, ok := p.byID[task.RequestID]; !ok {
 		p.order = append(p.order, task.RequestID)
 	}
-	p.byID[task.RequestID] = placedRequest{pool: task.Pool, server: result.Server, prompt: task.Prompt, coordinator: coordinator, placedAt: now}
+	p.byID[task.RequestID] = placedRequest{pool: task.Pool, server: result.Server, prompt: task.Prompt, coordinator: coordinator, placedAt: now, until: now.Add(max(task.RetryWindow, task.Deadline))}
 }
 
 // coordinatorOf returns the coordinator that is notified about a request, or the zero
@@ -80,6 +86,27 @@
 	return placed.prompt
 }
 
+// recordLoad records the load that the engine of a request reported with its answer.
+func (p *placements) recordLoad(id string, load speed.Report, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if placed, ok := p.byID[id]; ok {
+		placed.load, placed.loadAt = load, now
+		p.byID[id] = placed
+	}
+}
+
+// loadOf returns the load that the engine of a request reported, and the time since then.
+func (p *placements) loadOf(id string, now time.Time) (speed.Report, time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	placed := p.byID[id]
+	if placed.loadAt.IsZero() {
+		return speed.Report{}, 0
+	}
+	return placed.load, now.Sub(placed.loadAt)
+}
+
 func (p *placements) markEnded(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -106,7 +133,7 @@
 			placed.coordinator = coordinator
 			p.byID[id] = placed
 		}
-		notices = append(notices, notice{Kind: kind, Pool: placed.pool, Server: placed.server, RequestID: id, Prompt: placed.prompt, HasBegun: placed.hasBegun})
+		notices = append(notices, notice{Kind: kind, Pool: placed.pool, Server: placed.server, RequestID: id, Prompt: placed.prompt, HasBegun: placed.hasBegun, Remaining: max(0, placed.until.Sub(now))})
 	}
 	return notices
 }
--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -78,6 +79,11 @@
 	// after its inputs were released and starts over.
 	memoryPressureShare = 0.7
 	memoryPressureDelay = 100 * time.Millisecond
+	// memoryRetryAfter is the delay before a client retries after no engine had memory for
+	// its request: the time in which some of the running requests end.
+	memoryRetryAfter = time.Second
+	// endSlack is how long after the deadline of a request its engine may take to end it.
+	endSlack = time.Second
 	// refusalReserve is the time before the deadline at which an unfinished preparation
 	// is stopped and its request refused, so that the refusal reaches the client in time.
 	refusalReserve = 60 * time.Millisecond
@@ -189,6 +195,9 @@
 	if failure != nil {
 		return Placement{}, *failure
 	}
+	if limit := c.Engines.Queries().MemoryTokens(task.Pool); task.Try <= 1 && limit > 0 && task.Prompt.MaxTokens() > limit {
+		return Placement{}, request.Refuse(request.ReasonInputTooLarge, fmt.Sprintf("the prompt and the largest output have %d tokens, the memory of an engine holds %d", task.Prompt.MaxTokens(), limit))
+	}
 	reserve := min(refusalReserve, task.Deadline/10)
 	ctx, cancel := context.WithTimeout(ctx, task.Deadline-reserve)
 	defer cancel()
@@ -200,6 +209,9 @@
 			return Placement{}, refuseEarly(task, expected)
 		}
 	}
+	if task.OnTimeOnly && c.Engines.Queries().IsShortOfMemory(task.Pool, task.Prompt, engine.Requirements{AvoidEngines: task.AvoidEngines, ColdShare: 1}, openedAt) {
+		return Placement{IsDeclined: true}, nil
+	}
 	c.depositRecomputes(task)
 	c.restoreResults(task, openedAt)
 	job, followUp, ok := c.table.Commands().open(task, c.preferredDataCentre(task, openedAt), c.poolInfo(), openedAt)
@@ -217,7 +229,7 @@
 		c.Abandon(task.RequestID, task.Try)
 		return Placement{}, c.contextFailure(ctx, "stages")
 	}
-	placement, err := c.reserveEngine(ctx, task, isProbe)
+	placement, err := c.reserveEngine(ctx, task, isProbe, openedAt.Add(task.Objective))
 	if err != nil {
 		c.Abandon(task.RequestID, task.Try)
 		return Placement{}, err
@@ -319,8 +331,11 @@
 }
 
 // reserveEngine reserves an engine and waits while no engine has capacity for the
-// request. The parameter isProbe reports whether the request was admitted as a probe.
-func (c *Coordinator) reserveEngine(ctx context.Context, task Task, isProbe bool) (Placement, error) {
+// request; for memory, it waits until the objective. The objective of a request that was
+// sent before may be over, as when its stream goes on at another engine. The parameter
+// isProbe reports whether the request was admitted as a probe.
+func (c *Coordinator) reserveEngine(ctx context.Context, task Task, isProbe bool, objective time.Time) (Placement, error) {
+	until := time.Now().Add(max(task.RetryWindow, task.Deadline) + endSlack)
 	timer := time.NewTimer(engineRetryInterval)
 	defer timer.Stop()
 	for {
@@ -336,12 +351,18 @@
 			return Placement{}, request.Refuse(request.ReasonCancelled, "preparation cancelled while waiting for an engine")
 		}
 		inputs := j.engineInputs()
-		requirements := engine.Requirements{InputBytes: c.inputBytes(j), AvoidEngines: task.AvoidEngines, RequiredEngine: task.RequiredEngine, ColdShare: c.ColdShare()}
+		requirements := engine.Requirements{InputBytes: c.inputBytes(j), AvoidEngines: task.AvoidEngines, RequiredEngine: task.RequiredEngine, Until: until, ColdShare: c.ColdShare()}
 		reservation, ok := c.Engines.Commands().Reserve(task.Pool, task.RequestID, task.Prompt, requirements, time.Now())
 		if ok {
 			return Placement{Server: reservation.ID, Address: reservation.Address, DataCentre: reservation.DataCentre, PrefixSource: reservation.PrefixSource, Inputs: inputs, ExpectedFirstEvent: reservation.ExpectedFirstEvent, IsProbe: isProbe}, nil
 		}
 		c.Counters.Add("noEngine")
+		if reservation.LacksMemory {
+			c.Counters.Add("noEngineMemory")
+			if task.Try <= 1 && !time.Now().Before(objective) {
+				return Placement{}, request.Refuse(request.ReasonQueueFull, "no engine has memory for the request within its objective").WithRetryAfter(task.retryAfter(memoryRetryAfter))
+			}
+		}
 		if c.Engines.Queries().AreAllExcluded(task.Pool, requirements) {
 			return Placement{}, request.Refuse(request.ReasonNoServer, "all engines have refused or failed the request").WithRetryAfter(task.retryAfter(0))
 		}
@@ -373,7 +394,7 @@
 // RecordFirstEvent records the first event of a request and releases the results of its
 // stages, which the engine fetches before the first event.
 func (c *Coordinator) RecordFirstEvent(pool, server, id string, try int, took time.Duration) {
-	c.Engines.Commands().RecordFirstEvent(pool, server, id, took)
+	c.Engines.Commands().RecordFirstEvent(pool, server, id, took, time.Now())
 	if j, ok := c.table.Commands().job(id); ok {
 		c.OnFirstEvent(j.task.Prompt)
 	}
