Decide on arrival whether a request is served on time, late or refused

Cause: pieces wait by latest start. In a lasting overload the queue grows until every piece is served at its latest start, so that requests miss their objectives in the next stage by a little. The estimate on arrival counted only the queues, not the pieces of requests that are in earlier stages.

Change: package admission decides from two estimates; a request that can't be on time is queued behind those that can, or refused at once. The coordinator counts the pieces upstream of each pool every 25 ms.

--- a/batch/piece.go
+++ b/batch/piece.go
@@ -30,8 +30,8 @@
 	RouteRank int
 }
 
-// compare returns a negative number if the class is served before another one.
-func (c Class) compare(other Class) int {
+// Compare returns a negative number if the class is served before another one.
+func (c Class) Compare(other Class) int {
 	return cmp.Or(cmp.Compare(c.Rank, other.Rank), cmp.Compare(c.RouteRank, other.RouteRank))
 }
 
--- a/batch/queries.go
+++ b/batch/queries.go
@@ -52,8 +52,9 @@
 }
 
 // EstimateWait estimates how long a piece with a latest start and a class would wait if
-// it were queued now.
-func (q Queries) EstimateWait(name string, start time.Time, c Class, now time.Time) time.Duration {
+// it were queued now, behind the pieces in the queue and those upstream: pieces that will
+// be queued before it.
+func (q Queries) EstimateWait(name string, upstream int, start time.Time, c Class, now time.Time) time.Duration {
 	t := q.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -65,7 +66,7 @@
 	if rate <= 0 {
 		return 0
 	}
-	return time.Duration(p.queue.piecesAhead(start, c, now) / rate * float64(time.Second))
+	return time.Duration((p.queue.piecesAhead(start, c, now) + float64(upstream)) / rate * float64(time.Second))
 }
 
 // UnattainableRequest is a request that cannot be completed in time, with the estimated
--- a/batch/queue.go
+++ b/batch/queue.go
@@ -32,7 +32,7 @@
 
 // covers reports whether a new piece of a class would be displaced.
 func (d displacement) covers(c Class, now time.Time) bool {
-	return !d.at.IsZero() && c.compare(d.class) >= 0 && now.Sub(d.at) <= displacementLife
+	return !d.at.IsZero() && c.Compare(d.class) >= 0 && now.Sub(d.at) <= displacementLife
 }
 
 // withClass returns the displacement after a piece of a class was displaced.
@@ -129,7 +129,7 @@
 func lowestClassPiece(pieces []Piece, c Class) (Piece, bool) {
 	at := -1
 	for i, p := range pieces {
-		if p.compare(c) > 0 && (at < 0 || p.compare(pieces[at].Class) >= 0) {
+		if p.Compare(c) > 0 && (at < 0 || p.Compare(pieces[at].Class) >= 0) {
 			at = i
 		}
 	}
@@ -187,5 +187,5 @@
 // compareLate orders late pieces by class and deadline. They are served after the
 // others, because a late piece that is served first makes another one late as well.
 func compareLate(a, b Piece) int {
-	return cmp.Or(a.compare(b.Class), a.Deadline.Compare(b.Deadline), compareIdentity(a, b))
+	return cmp.Or(a.Compare(b.Class), a.Deadline.Compare(b.Deadline), compareIdentity(a, b))
 }
--- /dev/null
+++ b/preparation/backlog.go
@@ -0,0 +1,59 @@
+package preparation
+
+import (
+	"time"
+
+	"lycheecrank.example/batch"
+)
+
+// backlogInterval is how often the backlog is counted. Counting visits all jobs, which
+// would take much of a coordinator's processor time if it were done for each request.
+const backlogInterval = 25 * time.Millisecond
+
+// backlogKey identifies pieces that count alike.
+type backlogKey struct {
+	pool   string
+	class  batch.Class
+	isLate bool
+}
+
+// backlog holds the number of pieces that jobs will queue once their preceding stages are
+// complete. The queues don't hold these pieces yet, but they are served before those of
+// requests that arrive now.
+type backlog struct {
+	countedAt time.Time
+	pieces    map[backlogKey]int
+}
+
+// countBacklog counts the pieces of all jobs. The caller holds the lock.
+func (t *Table) countBacklog(now time.Time) backlog {
+	counted := backlog{countedAt: now, pieces: map[backlogKey]int{}}
+	for _, e := range t.jobs {
+		for i, s := range e.job.task.Stages {
+			if s.Pieces > 0 && !e.job.queued[i] {
+				counted.pieces[backlogKey{s.Pool, e.job.task.class(), e.job.task.isLate}] += s.Pieces
+			}
+		}
+	}
+	return counted
+}
+
+// backlog returns the number of pieces that jobs will queue in a pool before those of a
+// request that arrives now: the pieces of equal and better classes, and for a late
+// request those of all classes.
+func (c Commands) backlog(pool string, class batch.Class, isLate bool, now time.Time) int {
+	table := c.table
+	table.mu.Lock()
+	defer table.mu.Unlock()
+	if now.Sub(table.counted.countedAt) >= backlogInterval {
+		table.counted = table.countBacklog(now)
+	}
+	total := 0
+	for key, n := range table.counted.pieces {
+		isAhead := isLate || !key.isLate && key.class.Compare(class) <= 0
+		if key.pool == pool && isAhead {
+			total += n
+		}
+	}
+	return total
+}
--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"lycheecrank.example/admission"
 	"lycheecrank.example/batch"
 	"lycheecrank.example/counter"
 	"lycheecrank.example/engine"
@@ -201,12 +202,17 @@
 	reserve := min(refusalReserve, task.Deadline/10)
 	ctx, cancel := context.WithTimeout(ctx, task.Deadline-reserve)
 	defer cancel()
-	if expected := c.expectedPreparation(task, openedAt); expected > 0 {
-		if task.OnTimeOnly && expected+task.engineTime() > task.Objective {
+	if task.isNew() {
+		outcome, expected := admission.Decide(c.estimate(task, openedAt), admission.Terms{Objective: task.Objective, Deadline: task.Deadline, OnTimeOnly: task.OnTimeOnly})
+		switch outcome {
+		case admission.Decline:
 			return Placement{IsDeclined: true}, nil
-		}
-		if expected > min(task.Objective+objectiveSlack, task.Deadline) {
+		case admission.Refuse:
 			return Placement{}, refuseEarly(task, expected)
+		case admission.Late:
+			c.Counters.Add("admittedLate")
+			task.isLate = true
+		case admission.OnTime:
 		}
 	}
 	if task.OnTimeOnly && c.Engines.Queries().IsShortOfMemory(task.Pool, task.Prompt, engine.Requirements{AvoidEngines: task.AvoidEngines, ColdShare: 1}, openedAt) {
@@ -273,17 +279,22 @@
 // Resume accepts requests again after HandOver.
 func (c *Coordinator) Resume() { c.table.Commands().resume() }
 
+// estimate returns how long the stages of a new request are expected to take.
+func (c *Coordinator) estimate(task Task, now time.Time) admission.Estimate {
+	late := task
+	late.isLate = true
+	return admission.Estimate{OnTime: c.expectedPreparation(task, now), Late: c.expectedPreparation(late, now), Engine: task.engineTime()}
+}
+
 // expectedPreparation returns the time that the stages of a new request are expected to
-// take, or 0 for a request whose preparation has begun earlier.
+// take.
 func (c *Coordinator) expectedPreparation(task Task, now time.Time) time.Duration {
-	if len(task.Results) > 0 || task.Try > 1 {
-		return 0
-	}
 	planned := newJob(task, now)
 	expected := time.Duration(0)
 	for i, s := range task.Stages {
 		if s.Pieces > 0 {
-			wait := c.Batches.Queries().EstimateWait(s.Pool, latestStart(planned, i, c.callTime), task.class(), now)
+			upstream := c.table.Commands().backlog(s.Pool, task.class(), task.isLate, now)
+			wait := c.Batches.Queries().EstimateWait(s.Pool, upstream, latestStart(planned, i, c.callTime), task.class(), now)
 			expected = max(expected, wait) + c.callTime(s.Pool, typicalCallPieces)
 		}
 	}
--- a/preparation/table.go
+++ b/preparation/table.go
@@ -15,6 +15,7 @@
 	// isHandedOver makes the table reject new jobs, except forced ones. It is set while
 	// the coordinator's requests belong to another coordinator.
 	isHandedOver bool
+	counted      backlog
 }
 
 // entry is a job with the channels on which its preparation waits.
@@ -157,8 +158,11 @@
 )
 
 // latestStart estimates when a stage has to start at the latest for the request to meet
-// its objective.
+// its objective. It is the zero time for a request that was admitted as late.
 func latestStart(j job, stage int, callTime func(pool string, pieces int) time.Duration) time.Time {
+	if j.task.isLate {
+		return time.Time{}
+	}
 	remaining := j.task.engineTime()
 	for i := stage; ; {
 		remaining += callTime(j.task.Stages[i].Pool, typicalCallPieces) + stageQueueTime
--- a/preparation/task.go
+++ b/preparation/task.go
@@ -66,8 +66,14 @@
 	// OnTimeOnly makes the coordinator decline the request if it expects to miss the
 	// objective, so that the sender can ask the coordinator of another cell.
 	OnTimeOnly bool `msgpack:"onTimeOnly,omitempty"`
+	// isLate is set if the request was admitted although it is expected to miss its
+	// objective.
+	isLate bool
 }
 
+// isNew reports whether no coordinator has begun to prepare the request.
+func (t Task) isNew() bool { return len(t.Results) == 0 && t.Try <= 1 }
+
 // WithElapsed returns the task after some time has passed.
 func (t Task) WithElapsed(elapsed time.Duration) Task {
 	t.Objective -= elapsed
--- a/preparation/upkeep.go
+++ b/preparation/upkeep.go
@@ -23,10 +23,6 @@
 	anyTry = 1 << 30
 	// sweepInterval is the interval at which jobs past their deadline are removed.
 	sweepInterval = time.Second
-	// objectiveSlack limits how late a request may be: it is accepted if it is expected to
-	// miss its objective by at most this time. Short bursts of requests cause shorter
-	// delays.
-	objectiveSlack = 1800 * time.Millisecond
 	// shedInterval is the interval at which queued requests that can't meet their
 	// deadline are refused.
 	shedInterval = 100 * time.Millisecond
