delivery: send an attempt to a server again only on a connection of its own

Cause: servePlain could send an attempt once more to the only server with a free slot, the one that had just refused it, on a kept connection. For engines, the second send was told apart by the name of the server, which misses another server that is listed at the address of one that answered 421.

Change: Deliver wraps the send of each attempt. A send to an address that has received the attempt is marked as a second one, whatever the pool, and uses a connection of its own. If that connection fails, the call counts as not having reached the server, as before.

--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -70,7 +70,8 @@
 	LastEvent int64
 	// IsRepeatable is set if the request may run more than once.
 	IsRepeatable bool
-	// IsResend is set if the server has got this request before.
+	// IsResend is set if a server at this address has received the attempt before. It is
+	// sent on a connection of its own then (see markResends).
 	IsResend bool
 	// IsModel is set if the request goes to a model engine.
 	IsModel bool
--- /dev/null
+++ b/delivery/resend.go
@@ -0,0 +1,27 @@
+package delivery
+
+import (
+	"context"
+	"errors"
+	"slices"
+)
+
+// sendFunc sends an attempt to a server (see Attempt.Send).
+type sendFunc func(ctx context.Context, options ForwardOptions) (Answer, error)
+
+// markResends returns a function that calls send and sets IsResend for each address that
+// has received the attempt before. On a kept connection, a late copy of the first answer
+// could arrive, which names the same attempt. The address counts, not the server: after a
+// 421, another server may be listed at the address. The sends of an attempt must not
+// overlap.
+func markResends(send sendFunc) sendFunc {
+	var addresses []string
+	return func(ctx context.Context, options ForwardOptions) (Answer, error) {
+		options.IsResend = slices.Contains(addresses, options.Server.Address)
+		answer, err := send(ctx, options)
+		if !errors.Is(err, ErrNotReached) && !options.IsResend {
+			addresses = append(addresses, options.Server.Address)
+		}
+		return answer, err
+	}
+}
--- a/delivery/router.go
+++ b/delivery/router.go
@@ -115,6 +115,7 @@
 	ctx, cancel := context.WithDeadline(ctx, routed.deadline)
 	defer cancel()
 	r.Budget.Deposit()
+	routed.attempt.Send = markResends(attempt.Send)
 	var result Result
 	if routed.pool.Engine != nil || len(routed.route.Stages) > 0 {
 		result = r.servePrepared(ctx, routed)
--- a/delivery/router_test.go
+++ b/delivery/router_test.go
@@ -58,6 +58,7 @@
 	kinds := []route.Route{
 		{Name: "lookup", Prefix: "/lookup/", Kind: route.Idempotent, MaxServers: 2, Targets: []route.Target{{Pool: "registry"}}, Timeout: 800 * time.Millisecond},
 		{Name: "order", Prefix: "/order/", Kind: route.Once, MaxServers: 1, Targets: []route.Target{{Pool: "registry"}}, Timeout: 800 * time.Millisecond},
+		{Name: "transfer", Prefix: "/transfer/", Kind: route.Once, MaxServers: 2, Targets: []route.Target{{Pool: "registry"}}, Timeout: 800 * time.Millisecond},
 		{Name: "chat", Prefix: "/chat/", Kind: route.Stream, MaxServers: 1, Targets: []route.Target{{Pool: "models"}}, Timeout: 10 * time.Second, Objective: 500 * time.Millisecond},
 		{Name: "draft", Prefix: "/draft/", Kind: route.Stream, IsResumable: true, MaxServers: 2, Targets: []route.Target{{Pool: "models"}}, Timeout: 10 * time.Second, Objective: 500 * time.Millisecond, Stages: []route.Stage{{Pool: "encode"}}},
 	}
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -142,7 +142,6 @@
 	answer, err := routed.attempt.Send(sendCtx, ForwardOptions{
 		Server: server, Workspace: routed.workspace, Deadline: routed.deadline, Inputs: placement.Inputs, Source: placement.PrefixSource, IsPrepared: len(routed.route.Stages) > 0,
 		Rank: routed.rank, LastEvent: s.lastEvent, IsRepeatable: routed.route.IsRepeatable(), IsModel: true,
-		IsResend: slices.Contains(s.reached, placement.Server),
 	})
 	switch {
 	case errors.Is(err, ErrNotReached):
