delivery: forward no refusal that a server doesn't guarantee

Cause: a server's own 503 without Not-Executed was forwarded unchanged. To a client, 503 guarantees that its request has not run, which the server had not said. The same holds for 429, 408 and 421.

For plain servers a repeatable request still goes to another server first.

Measured: TestRefusalWithoutGuarantee fails before the change and passes after it.

--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -22,6 +22,9 @@
 	// ErrNoValidAnswer means that the request was sent, completely or in part, but no
 	// complete and valid answer was received. The request may have run.
 	ErrNoValidAnswer = errors.New("no valid answer from the backend server")
+	// errUnprovenRefusal means that the server answered with the status of a refusal, but
+	// did not guarantee that it has not run the request.
+	errUnprovenRefusal = errors.New("backend server refused the request without the guarantee that it has not run")
 )
 
 // Attempt is one attempt of a client. Its functions convert between this package's
@@ -82,6 +85,9 @@
 	Status int
 	// IsNotRun is set if the server guarantees that it has not run the request.
 	IsNotRun bool
+	// IsRefusalStatus is set if the status guarantees to a client that its request has not
+	// run. Only with IsNotRun does the server guarantee it too.
+	IsRefusalStatus bool
 	// IsMisdirected is set if another server answered: the request has not reached
 	// the server that it was sent to.
 	IsMisdirected bool
--- a/delivery/plain.go
+++ b/delivery/plain.go
@@ -77,6 +77,10 @@
 		if err != nil {
 			return result.withFailure(mayHaveRunFailure(ctx, err))
 		}
+		if routed.hidesRefusal(answer) {
+			_ = answer.Body.Close()
+			return result.withFailure(mayHaveRunFailure(ctx, errUnprovenRefusal))
+		}
 		return forwardAnswer(routed, answer, body, result)
 	}
 }
--- a/delivery/resend.go
+++ b/delivery/resend.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"slices"
+
+	"lycheecrank.example/route"
 )
 
 // sendFunc sends an attempt to a server (see Attempt.Send).
@@ -25,3 +27,10 @@
 		return answer, err
 	}
 }
+
+// hidesRefusal reports whether an answer must not be forwarded because its status would
+// guarantee to the client that the request has not run, which the server doesn't
+// guarantee. The client of an idempotent request may repeat it anyway.
+func (v routedAttempt) hidesRefusal(answer Answer) bool {
+	return answer.IsRefusalStatus && !answer.IsNotRun && v.route.Kind != route.Idempotent
+}
--- a/delivery/resend_test.go
+++ b/delivery/resend_test.go
@@ -42,8 +42,8 @@
 // send of an attempt to an address: the client would be told that a request has not run
 // which a server runs.
 func TestLateRefusalAfterResend(t *testing.T) {
-	full := Answer{Status: 503, IsNotRun: true, IsValid: true}
-	misdirected := Answer{Status: 421, IsNotRun: true, IsMisdirected: true, IsValid: true}
+	full := Answer{Status: 503, IsNotRun: true, IsRefusalStatus: true, IsValid: true}
+	misdirected := Answer{Status: 421, IsNotRun: true, IsMisdirected: true, IsRefusalStatus: true, IsValid: true}
 	for _, row := range []struct {
 		name    string
 		refusal Answer
@@ -61,3 +61,28 @@
 		})
 	}
 }
+
+// Guards against the status of a refusal that reaches the client of a request that may not
+// be repeated, although the server doesn't guarantee that it has not run the request.
+func TestRefusalWithoutGuarantee(t *testing.T) {
+	for _, row := range []struct {
+		path        string
+		isForwarded bool
+	}{{"/order/1", false}, {"/transfer/1", false}, {"/lookup/1", true}, {"/chat/1", false}, {"/draft/1", false}} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			r := newTestRouter()
+			refusal := scriptedAnswer{answer: Answer{Status: 503, IsRefusalStatus: true, IsValid: true}}
+			r.script = []scriptedAnswer{refusal, refusal}
+			result := r.Deliver(t.Context(), r.attempt(row.path))
+			if row.isForwarded {
+				is.True(result.Failure == nil) // the client may repeat the request
+				return
+			}
+			is.Equal(r.headersWritten, 0)  // the status doesn't reach the client
+			is.True(result.Failure != nil) // the client gets an error
+			is.True(result.Failure.Sent)   // it says that the request may have run
+			is.Equal(len(r.sends), 1)      // the request is sent once
+		})
+	}
+}
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -252,6 +252,9 @@
 	if s.hasStarted {
 		return s.fail(request.Refuse(request.ReasonServerFailed, "engine answered with an error after the stream had started"))
 	}
+	if s.routed.hidesRefusal(answer) {
+		return s.fail(request.Refuse(request.ReasonOutcomeUnknown, errUnprovenRefusal.Error()))
+	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes))
 	if err != nil {
 		return s.fail(request.Refuse(request.ReasonResultInvalid, "answer of the engine truncated"))
