platform: open a connection for each call to a stage server

Cause: /stage-run, /stage-free and /report went out on kept connections and carry no ID.

Change: the client for stage servers keeps no connections. A call whose connection fails counts as not having reached the server: its pieces are queued again for another server, without taking from the recompute budget and from the limit of their request.

--- a/preparation/calls.go
+++ b/preparation/calls.go
@@ -1,6 +1,7 @@
 package preparation
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -53,8 +54,8 @@
 }
 
 // isRepeated reports whether an answer contains a handle of another piece. Answers to
-// stage calls don't name their call, so that this is how the second copy of an answer
-// shows that arrives late on a connection in use again.
+// stage calls don't name their call. Each call has a connection of its own, so that only a
+// faulty server gives such an answer.
 func (c *Coordinator) isRepeated(call batch.Call, results []Result) bool {
 	seen := make(map[string]bool, len(results))
 	for i, r := range results {
@@ -91,32 +92,40 @@
 // failCall records a failed call and queues its pieces again for other servers. The error
 // is nil if the server returned a wrong number of results.
 func (c *Coordinator) failCall(call batch.Call, err error, now time.Time) {
-	isFull := errors.Is(err, ErrFull)
+	isFull, isNotReached := errors.Is(err, ErrFull), errors.Is(err, ErrNotReached)
 	reason := "callFailed"
-	if isFull {
+	switch {
+	case isFull:
 		reason = "callRefused"
+	case isNotReached:
+		reason = "callNotReached"
 	}
 	c.Counters.Add(reason)
 	c.Logger.Write(event.StageCallFailed, call.Pool, call.Server.ID, len(call.Pieces), now.Sub(call.SentAt).Milliseconds(), err)
 	c.Batches.Commands().FailCall(call, isFull, now)
 	for _, p := range call.Pieces {
-		if isFull {
-			c.requeuePiece(p)
-		} else {
+		switch {
+		case isFull:
+			c.requeuePiece(p, "")
+		case isNotReached:
+			c.requeuePiece(p, call.Server.ID)
+		default:
 			c.retryPiece(p, call.Server.ID)
 		}
 	}
 }
 
 // requeuePiece queues a piece again whose call was not executed, because the server was
-// full. It takes nothing from the recompute budget and the limit of the request: after a
-// takeover, all servers of a pool may be full with the calls of the earlier coordinator.
-func (c *Coordinator) requeuePiece(piece batch.Piece) {
+// full or not reached, for a server other than the avoided one. It takes nothing from the
+// recompute budget and the limit of the request: after a takeover, all servers of a pool
+// may be full with the calls of the earlier coordinator.
+func (c *Coordinator) requeuePiece(piece batch.Piece, avoid string) {
 	switch c.table.Commands().decideRetry(piece, false) {
 	case rebuildRequest:
 		c.Counters.Add("inputGivenUp")
-		c.rebuild(piece, "", time.Now())
+		c.rebuild(piece, avoid, time.Now())
 	case retryPiece:
+		piece.AvoidServer = cmp.Or(avoid, piece.AvoidServer)
 		c.Batches.Commands().Enqueue([]batch.Piece{piece})
 	}
 }
--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -20,6 +20,8 @@
 var (
 	// ErrFull means that the server had no free slot and did not execute the call.
 	ErrFull = errors.New("stage server full")
+	// ErrNotReached means that no byte of the call reached a server.
+	ErrNotReached = errors.New("stage server not reached")
 	// ErrWrongServer means that a server other than the expected one answered at the
 	// address.
 	ErrWrongServer = errors.New("unexpected stage server at the address")
--- a/preparation/coordinator_test.go
+++ b/preparation/coordinator_test.go
@@ -40,6 +40,12 @@
 			}
 			return nil, nil
 		}},
+		{"a server isn't reached", 2, chainTask("r"), func(_ batch.Call, n int) ([]Result, error) {
+			if n == 0 {
+				return nil, ErrNotReached
+			}
+			return nil, nil
+		}},
 		{"a server is full", 1, chainTask("r"), func(_ batch.Call, n int) ([]Result, error) {
 			if n == 0 {
 				return nil, ErrFull
