backend: limit the requests to plain servers in cold start over all instances

Cause: coldPerS of a pool was applied to engines only.

Change: ColdLimit.Turn decides from the number of known instances, the limit and the time whether an instance may send a request to a server in cold start. A server that could not be reached counts as cold for coldStartS or until it reports, since it may have restarted. In Choose, a server in cold start whose service time is unknown is expected to be as slow as the one that it is compared with.

--- a/backend/choose.go
+++ b/backend/choose.go
@@ -41,14 +41,17 @@
 
 // HasFreeSlot reports whether the server can take one more step of a rank.
 func (s Server) HasFreeSlot(rank int, p Permission, now time.Time) bool {
-	return rank <= s.LowestRank && s.InFlight < s.Limit(p) && !now.Before(s.backoffUntil) && !now.Before(s.PausedUntil)
+	return rank <= s.LowestRank && s.InFlight < s.Limit(p) && !now.Before(s.backoffUntil) && !now.Before(s.PausedUntil) && s.hasColdTurn(now)
 }
 
 // ExpectedTime estimates the duration of one more step on the server. The
 // smoothed service time already includes the effect of other steps at typical
 // load; the second term spreads steps over servers before one is full.
-func (s Server) ExpectedTime() time.Duration {
-	return s.ServiceTime + s.ServiceTime*time.Duration(s.InFlight)/time.Duration(max(1, s.CurrentLimit))
+func (s Server) ExpectedTime() time.Duration { return s.expectedTimeAt(s.ServiceTime) }
+
+// expectedTimeAt is ExpectedTime with another service time.
+func (s Server) expectedTimeAt(serviceTime time.Duration) time.Duration {
+	return serviceTime + serviceTime*time.Duration(s.InFlight)/time.Duration(max(1, s.CurrentLimit))
 }
 
 // maxServiceTimeAge is the age above which a measured service time is ignored when
@@ -82,7 +85,7 @@
 			continue
 		}
 		avoided := slices.Contains(avoid, s.Name)
-		if best < 0 || isBetter(s, &servers[best], avoided, bestAvoided) {
+		if best < 0 || isBetter(s, &servers[best], avoided, bestAvoided, now) {
 			best, bestAvoided = i, avoided
 		}
 	}
@@ -93,15 +96,26 @@
 }
 
 // isBetter reports whether s is preferred over best. It prefers, in this order, a
-// server that is not to be avoided, a shorter expected time, and fewer steps in
-// flight.
-func isBetter(s, best *Server, avoided, bestAvoided bool) bool {
+// server that is not to be avoided, a shorter expected time, one that isn't in cold
+// start, and fewer steps in flight. A server in cold start whose service time is unknown
+// is expected to be as slow as the other one: otherwise all instances would prefer it.
+func isBetter(s, best *Server, avoided, bestAvoided bool, now time.Time) bool {
 	if avoided != bestAvoided {
 		return bestAvoided
 	}
+	isCold, isBestCold := s.isInColdStart(now), best.isInColdStart(now)
 	a, b := s.ExpectedTime(), best.ExpectedTime()
-	if a != b {
+	switch {
+	case isCold && s.ServiceTime == 0:
+		a = s.expectedTimeAt(best.ServiceTime)
+	case isBestCold && best.ServiceTime == 0:
+		b = best.expectedTimeAt(s.ServiceTime)
+	}
+	switch {
+	case a != b:
 		return a < b
+	case isCold != isBestCold:
+		return isBestCold
 	}
 	return s.InFlight < best.InFlight
 }
--- a/backend/commands.go
+++ b/backend/commands.go
@@ -44,7 +44,7 @@
 	if !ok {
 		return Server{}, false
 	}
-	s = s.WithReserved()
+	s = s.WithReserved().withColdTurn(now)
 	t.setServer(s)
 	return s, true
 }
--- a/backend/observation.go
+++ b/backend/observation.go
@@ -53,6 +53,7 @@
 	case "":
 		return s.withSuccess(o, now)
 	case request.ReasonServerCold, request.ReasonServerUnreachable:
+		s.maybeColdUntil = now.Add(s.ColdTime)
 		return s.withFailure(now).WithCold(now)
 	case request.ReasonDeadlinePassed:
 		// The only symptom of a frozen server is that deadlines pass, so a response time
@@ -193,6 +194,7 @@
 		s.reportedWarmSince = time.Time{}
 		return s
 	}
+	s.maybeColdUntil = time.Time{}
 	if r.MeasuredAt.After(s.ColdSince) {
 		s.reportedWarm = true
 	}
--- a/backend/server.go
+++ b/backend/server.go
@@ -45,6 +45,12 @@
 	// ColdInFlight is the maximum number of steps in flight while the server is cold.
 	// It is at least 1.
 	ColdInFlight int
+	// ColdLimit limits the steps per second until ColdUntil, the end of the cold start that
+	// the server reports. ColdTime is how long a cold start takes; 0 if the servers of the
+	// pool have none.
+	ColdLimit ColdLimit
+	ColdUntil time.Time
+	ColdTime  time.Duration
 	// TakenOut is set if operators have taken the server out, so that it gets no
 	// new steps.
 	TakenOut bool
@@ -99,6 +105,11 @@
 	// caused by a restart. It is reset by a response or report of the same
 	// incarnation from after that time.
 	unconfirmedSince time.Time
+	// maybeColdUntil is the end of the time in which the server may be in cold start because
+	// it has restarted while it could not be reached. A report ends it.
+	maybeColdUntil time.Time
+	// lastTurn is the start of the last turn that a step has used (see ColdLimit).
+	lastTurn time.Time
 	// suspectedSince is when a warm server gave a slow response; zero if none, or if a
 	// step sent later took a normal time.
 	suspectedSince time.Time
--- a/delivery/plain.go
+++ b/delivery/plain.go
@@ -164,8 +164,9 @@
 }
 
 // reserve reserves a slot at a server. If no slot is free, it waits for a part of the
-// remaining time. The permission allows the whole limit of each server, also in cold
-// start, and all requests reserve with the best rank, 0.
+// remaining time. The permission allows the whole limit of each server, all requests
+// reserve with the best rank, 0, and servers in cold start accept only as many requests as
+// their backend.ColdLimit allows.
 func (r *Router) reserve(ctx context.Context, routed routedAttempt, avoid []string) (backend.Server, bool) {
 	limit := time.Now().Add(time.Until(routed.deadline) / reserveTimeDivisor)
 	permission := backend.Permission{AllowCold: true, WarmLimitDivisor: 1}
--- a/entry/apply.go
+++ b/entry/apply.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lycheecrank.example/backend"
 	"lycheecrank.example/batch"
 	"lycheecrank.example/engine"
@@ -130,7 +132,7 @@
 			i.coordinator.Batches.Commands().SetPool(batchSpec(p), batchPlaces(inCell(servers, layout, own)))
 		default:
 			for _, s := range servers {
-				plain = append(plain, plainSpec(s))
+				plain = append(plain, plainSpec(s, p, i.coldLimit(p, s.ID, now)))
 			}
 		}
 	}
@@ -177,8 +179,24 @@
 	queuedPerServer = 2
 )
 
-func plainSpec(server fleet.Server) backend.Spec {
+// coldLimit returns the share of this instance of the limit for a server in cold start. In
+// the settling time of the instance, the number of instances isn't known yet.
+func (i *Instance) coldLimit(pool route.Pool, server string, now time.Time) backend.ColdLimit {
+	limit := backend.ColdLimit{RequestsPerSecond: pool.ColdRequestsPerSecond}
+	if limit.RequestsPerSecond <= 0 || now.Sub(i.startedAt) < settlingTime {
+		return limit
+	}
+	view := i.view()
+	limit.Instances = view.Size()
+	// The order begins with another instance for each server: a cold start may be too short
+	// for a turn of each instance.
+	limit.Position = int((uint64(view.Position()) + xxhash.Sum64String(server)%uint64(limit.Instances)) % uint64(limit.Instances))
+	return limit
+}
+
+func plainSpec(server fleet.Server, pool route.Pool, limit backend.ColdLimit) backend.Spec {
 	return backend.Spec{
+		ColdLimit: limit, ColdUntil: server.ColdUntil, ColdTime: pool.ColdTime,
 		Name: server.ID, Pool: server.Pool, DataCentre: server.DataCentre, Address: server.Address,
 		LowestRank: lowestRank, MaxInFlight: server.Slots + queuedPerServer, ColdInFlight: server.Slots, PausedUntil: server.PausedUntil(),
 	}
--- a/membership/view.go
+++ b/membership/view.go
@@ -211,6 +211,18 @@
 // Size returns the number of known instances, including this one.
 func (v View) Size() int { return len(v.others) + 1 }
 
+// Position returns the position of this instance among the known ones, ordered by name,
+// from 0 on.
+func (v View) Position() int {
+	position := 0
+	for name := range v.others {
+		if name < v.self.Name {
+			position++
+		}
+	}
+	return position
+}
+
 // Reachable returns the other instances that are reachable, ordered by name.
 func (v View) Reachable(now time.Time) []Instance {
 	var instances []Instance
--- a/route/route.go
+++ b/route/route.go
@@ -126,6 +126,8 @@
 	// cold start, which lasts after a start for as long as the server reports; 0 if the
 	// pool's servers have no cold start.
 	ColdRequestsPerSecond float64
+	// ColdTime is how long a cold start takes, 0 if the pool's servers have none.
+	ColdTime time.Duration
 	// Engine and Batch are nil for pools of other kinds.
 	Engine *Engine
 	Batch  *Batch
