backend: copy fewer servers in Choose

Cause: the limit for cold start doubled the time of Choose, since each new check copied the whole view of a server.

Change: the checks take pointers, and servers are only compared by cold start where the service time is unknown or the expected times are equal.

--- a/backend/choose.go
+++ b/backend/choose.go
@@ -41,16 +41,17 @@
 
 // HasFreeSlot reports whether the server can take one more step of a rank.
 func (s Server) HasFreeSlot(rank int, p Permission, now time.Time) bool {
-	return rank <= s.LowestRank && s.InFlight < s.Limit(p) && !now.Before(s.backoffUntil) && !now.Before(s.PausedUntil) && s.hasColdTurn(now)
+	return rank <= s.LowestRank && s.InFlight < s.Limit(p) && !now.Before(s.backoffUntil) && !now.Before(s.PausedUntil) && hasColdTurn(&s, now)
 }
 
 // ExpectedTime estimates the duration of one more step on the server. The
 // smoothed service time already includes the effect of other steps at typical
 // load; the second term spreads steps over servers before one is full.
-func (s Server) ExpectedTime() time.Duration { return s.expectedTimeAt(s.ServiceTime) }
+func (s Server) ExpectedTime() time.Duration { return expectedTime(&s, s.ServiceTime) }
 
-// expectedTimeAt is ExpectedTime with another service time.
-func (s Server) expectedTimeAt(serviceTime time.Duration) time.Duration {
+// expectedTime is ExpectedTime with another service time. It takes a pointer because the
+// copies of servers took half of the time of Choose.
+func expectedTime(s *Server, serviceTime time.Duration) time.Duration {
 	return serviceTime + serviceTime*time.Duration(s.InFlight)/time.Duration(max(1, s.CurrentLimit))
 }
 
@@ -103,18 +104,17 @@
 	if avoided != bestAvoided {
 		return bestAvoided
 	}
-	isCold, isBestCold := s.isInColdStart(now), best.isInColdStart(now)
-	a, b := s.ExpectedTime(), best.ExpectedTime()
+	a, b := expectedTime(s, s.ServiceTime), expectedTime(best, best.ServiceTime)
 	switch {
-	case isCold && s.ServiceTime == 0:
-		a = s.expectedTimeAt(best.ServiceTime)
-	case isBestCold && best.ServiceTime == 0:
-		b = best.expectedTimeAt(s.ServiceTime)
+	case s.ServiceTime == 0 && isInColdStart(s, now):
+		a = expectedTime(s, best.ServiceTime)
+	case best.ServiceTime == 0 && isInColdStart(best, now):
+		b = expectedTime(best, s.ServiceTime)
 	}
-	switch {
-	case a != b:
+	if a != b {
 		return a < b
-	case isCold != isBestCold:
+	}
+	if isCold, isBestCold := isInColdStart(s, now), isInColdStart(best, now); isCold != isBestCold {
 		return isBestCold
 	}
 	return s.InFlight < best.InFlight
--- a/backend/cold.go
+++ b/backend/cold.go
@@ -65,15 +65,15 @@
 	return now.Add(-age), age >= 0
 }
 
-// isInColdStart reports whether the server is in cold start according to its entry, or may
+// isInColdStart reports whether a server is in cold start according to its entry, or may
 // be because it could not be reached and has not reported since.
-func (s Server) isInColdStart(now time.Time) bool {
+func isInColdStart(s *Server, now time.Time) bool {
 	return now.Before(s.ColdUntil) || now.Before(s.maybeColdUntil)
 }
 
-// hasColdTurn reports whether the limit for cold start allows one more step.
-func (s Server) hasColdTurn(now time.Time) bool {
-	if s.ColdLimit.RequestsPerSecond <= 0 || !s.isInColdStart(now) {
+// hasColdTurn reports whether the limit for cold start allows one more step on a server.
+func hasColdTurn(s *Server, now time.Time) bool {
+	if s.ColdLimit.RequestsPerSecond <= 0 || !isInColdStart(s, now) {
 		return true
 	}
 	_, ok := s.ColdLimit.Turn(s.lastTurn, now)
@@ -83,7 +83,7 @@
 // withColdTurn returns the server after a step has used a turn, if the server is in cold
 // start.
 func (s Server) withColdTurn(now time.Time) Server {
-	if s.ColdLimit.RequestsPerSecond <= 0 || !s.isInColdStart(now) {
+	if s.ColdLimit.RequestsPerSecond <= 0 || !isInColdStart(&s, now) {
 		return s
 	}
 	if turn, ok := s.ColdLimit.Turn(s.lastTurn, now); ok {
