--- a/backend/choose.go
+++ b/backend/choose.go
@@ -41,15 +41,17 @@
 
 // HasFreeSlot reports whether the server can take one more step of a rank.
 func (s Server) HasFreeSlot(rank int, p Permission, now time.Time) bool {
-	return rank <= s.LowestRank && s.InFlight < s.Limit(p) && !now.Before(s.backoffUntil) && !now.Before(s.PausedUntil)
+	return rank <= s.LowestRank && s.InFlight < s.Limit(p) && !now.Before(s.backoffUntil) && !now.Before(s.PausedUntil) && hasColdTurn(&s, now)
 }
 
 // expectedTime estimates the duration of one more step on the server. The
 // smoothed service time already includes the effect of other steps at typical
 // load; the second term spreads steps over servers before one is full. The ratio
-// adjusts it if the server reports another slowness now than while it was measured.
-func expectedTime(s *Server, now time.Time) time.Duration {
-	expected := s.ServiceTime + s.ServiceTime*time.Duration(s.InFlight)/time.Duration(max(1, s.CurrentLimit))
+// adjusts it if the server reports another slowness now than while it was measured. The
+// service time is that of the server, or an assumed one. It takes a pointer because the
+// copies of servers took half of the time of Choose.
+func expectedTime(s *Server, serviceTime time.Duration, now time.Time) time.Duration {
+	expected := serviceTime + serviceTime*time.Duration(s.InFlight)/time.Duration(max(1, s.CurrentLimit))
 	if ratio := s.speed.Ratio(now); ratio != 1 {
 		return time.Duration(float64(expected) * ratio)
 	}
@@ -79,7 +81,7 @@
 // Choose returns the available server with the shortest expected time. It returns
 // one of the servers to avoid only if no other is available.
 func Choose(servers []Server, rank int, avoid []string, p Permission, now time.Time) (Server, bool) {
-	best, bestAvoided, bestTime := -1, false, time.Duration(0)
+	best, bestAvoided := -1, false
 	for i := range servers {
 		s := &servers[i]
 		// The first comparison is cheap and skips most servers of a busy pool.
@@ -87,9 +89,8 @@
 			continue
 		}
 		avoided := slices.Contains(avoid, s.Name)
-		expected := expectedTime(s, now)
-		if best < 0 || isBetter(s, &servers[best], avoided, bestAvoided, expected, bestTime) {
-			best, bestAvoided, bestTime = i, avoided, expected
+		if best < 0 || isBetter(s, &servers[best], avoided, bestAvoided, now) {
+			best, bestAvoided = i, avoided
 		}
 	}
 	if best < 0 {
@@ -99,14 +100,25 @@
 }
 
 // isBetter reports whether s is preferred over best. It prefers, in this order, a
-// server that is not to be avoided, a shorter expected time, and fewer steps in
-// flight.
-func isBetter(s, best *Server, avoided, bestAvoided bool, expected, bestTime time.Duration) bool {
+// server that is not to be avoided, a shorter expected time, one that isn't in cold
+// start, and fewer steps in flight. A server in cold start whose service time is unknown
+// is expected to be as slow as the other one: otherwise all instances would prefer it.
+func isBetter(s, best *Server, avoided, bestAvoided bool, now time.Time) bool {
 	if avoided != bestAvoided {
 		return bestAvoided
 	}
-	if expected != bestTime {
-		return expected < bestTime
+	a, b := expectedTime(s, s.ServiceTime, now), expectedTime(best, best.ServiceTime, now)
+	switch {
+	case s.ServiceTime == 0 && isInColdStart(s, now):
+		a = expectedTime(s, best.ServiceTime, now)
+	case best.ServiceTime == 0 && isInColdStart(best, now):
+		b = expectedTime(best, s.ServiceTime, now)
+	}
+	if a != b {
+		return a < b
+	}
+	if isCold, isBestCold := isInColdStart(s, now), isInColdStart(best, now); isCold != isBestCold {
+		return isBestCold
 	}
 	return s.InFlight < best.InFlight
 }
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -142,7 +142,6 @@
 	answer, err := routed.attempt.Send(sendCtx, ForwardOptions{
 		Server: server, Workspace: routed.workspace, Deadline: routed.deadline, Inputs: placement.Inputs, Source: placement.PrefixSource, IsPrepared: len(routed.route.Stages) > 0,
 		Rank: routed.rank, LastEvent: s.lastEvent, IsRepeatable: routed.route.IsRepeatable(), IsModel: true,
-		IsResend: slices.Contains(s.reached, placement.Server),
 	})
 	switch {
 	case errors.Is(err, ErrNotReached):
@@ -253,6 +252,9 @@
 	if s.hasStarted {
 		return s.fail(request.Refuse(request.ReasonServerFailed, "engine answered with an error after the stream had started"))
 	}
+	if s.routed.hidesRefusal(answer) {
+		return s.fail(request.Refuse(request.ReasonOutcomeUnknown, errUnprovenRefusal.Error()))
+	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes))
 	if err != nil {
 		return s.fail(request.Refuse(request.ReasonResultInvalid, "answer of the engine truncated"))
