Order server entries by process and sequence number

The store may execute a write seconds after it was sent.

Copies of the server entries now order the values of a key by born, by draining after ready within a process, and by sequence. Offsets decide only where an entry lacks these fields. A removal keeps the removed entry, so that it is known at all copies after which an entry has to come.

Copies that get only changes from another instance lack the numbers of the heartbeats in between. A change is always sent with its number, so an unknown heartbeat says the same as the known entry. An instance that restarts asks another one once for all entries, including removed ones.

The workers of the test site count their writes, and are ready after draining only as another process: the test of the cells relied on a ready entry of a draining process.

--- a/entry/cells_test.go
+++ b/entry/cells_test.go
@@ -100,6 +100,7 @@
 	placement, err := s.instances[0].prepare(t.Context(), task)
 	is.NoErr(err)
 	is.Equal(placement.Server, "models-2")
+	s.restarts["rerank-1"]++
 	s.announce("rerank-1", "rerank", "ready")
 	s.waitFor("the cell has all servers", func() bool { return s.instances[0].division.Load().usable["rerank"]["a"] == 1 })
 	task.Try, task.RequiredEngine = 2, "models-2"
--- a/entry/feeds.go
+++ b/entry/feeds.go
@@ -146,9 +146,13 @@
 	state := i.feeds.Queries().State(stream)
 	sentAt := time.Now()
 	if state.End > 0 {
-		records, end, err := i.store.Read(ctx, stream, state.End, wait)
+		records, end, err := i.store.Read(ctx, stream, state.ReadStart(), wait)
 		if err == nil {
-			i.addRecords(stream, records, end, completeAt(sentAt, wait, len(records) > 0))
+			at := completeAt(sentAt, wait, len(records) > 0)
+			if len(records) > 0 && end < state.End {
+				at = time.Time{} // the response holds only a part of the overlap
+			}
+			i.addRead(stream, records, max(end, state.ReadStart()), at)
 			i.pushOperatorRecords(stream, records)
 			return nil
 		}
@@ -176,7 +180,16 @@
 	return sentAt
 }
 
-// addRecords adds records to the copy of a stream and applies the new ones.
+// addRead adds records that were read from the store to the copy of a stream and applies
+// the new ones.
+func (i *Instance) addRead(stream string, records []feed.Record, end uint64, at time.Time) {
+	i.startLapseGrace(stream)
+	i.feeds.Commands().ApplyRead(stream, records, end, at, func(fresh []feed.Record) { i.applyRecords(stream, fresh) })
+	i.confirmConfiguration(stream, at)
+}
+
+// addRecords adds records of another instance to the copy of a stream and applies the new
+// ones.
 func (i *Instance) addRecords(stream string, records []feed.Record, end uint64, at time.Time) {
 	i.startLapseGrace(stream)
 	i.feeds.Commands().ApplyRecords(stream, records, end, at, func(fresh []feed.Record) { i.applyRecords(stream, fresh) })
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -307,6 +307,10 @@
 	sentAt := time.Now()
 	message := i.newHeartbeat(includesKnown)
 	message.WantsRecords = to.wantsRecords
+	wantsAll := to.wantsRecords && !i.hasNeighbourEntries.Load() && sentAt.Sub(i.startedAt) < settlingTime
+	if wantsAll {
+		message.Positions = withoutServers(message.Positions)
+	}
 	message.IsCandidate = i.wasCandidate.Load()
 	message.Quarantine = i.quarantine.Queries().Fresh(sentAt)
 	reply, err := callPeer[heartbeat](ctx, i, to.address, heartbeatSubject, message)
@@ -321,7 +325,22 @@
 		i.recordContact(reply, time.Now())
 		i.mergeQuarantine(reply.Quarantine, time.Now())
 		i.applyReply(reply, sentAt)
+		if wantsAll {
+			i.hasNeighbourEntries.Store(true)
+		}
+	}
+}
+
+// withoutServers returns positions according to which the copy of the server entries is
+// empty.
+func withoutServers(positions []position) []position {
+	positions = slices.Clone(positions)
+	for n := range positions {
+		if positions[n].Stream == platform.ServerStream {
+			positions[n].End = 0
+		}
 	}
+	return positions
 }
 
 // recordUnreachable records a failed call to the instance at an address.
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -120,6 +120,10 @@
 	// isPushPending is true if the next heartbeats go to all reachable instances.
 	heartbeatTrigger chan struct{}
 	isPushPending    atomic.Bool
+	// hasNeighbourEntries is set once this instance has asked another one for all server
+	// entries, including removed ones. After a restart it can't know from the store alone
+	// that an entry was written late.
+	hasNeighbourEntries atomic.Bool
 	// isFetchingRecords is true while a heartbeat that asks for records is in progress.
 	isFetchingRecords atomic.Bool
 
@@ -168,7 +172,7 @@
 	i.division.Store(&division{})
 	i.seeds.Store(&settings.Seeds)
 	i.grace.Store(int64(settings.DrainGrace))
-	i.feeds.AddStream(platform.ServerStream, platform.IsSameServer)
+	i.feeds.AddStream(platform.ServerStream, platform.IsSameServer, platform.ServerVersion)
 	i.assemble()
 	return i
 }
--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -44,8 +45,9 @@
 	encodeTime time.Duration
 	// divide replaces the division of the site into cells; it may be nil.
 	divide func(current cell.Layout, instances int, pools map[string]map[string]int) cell.Layout
-	// restarts counts the announced restarts of workers.
+	// restarts counts the announced restarts of workers, sequence all announcements.
 	restarts map[string]int
+	sequence atomic.Int64
 	// modify changes each instance before it runs; it may be nil.
 	modify func(i *Instance)
 }
@@ -98,10 +100,11 @@
 	s.announce(id, pool, "ready")
 }
 
-// announce writes the entry of a worker.
+// announce writes the entry of a worker. A worker that was draining is ready again only as
+// another process.
 func (s *testSite) announce(id, pool, state string) {
 	s.store.PutJSON(platform.ServerStream, id, map[string]any{
-		"service": pool, "address": s.workers[id].Address(), "zone": s.dataCentreOf(id), "slots": 4, "state": state, "sequence": 1,
+		"service": pool, "address": s.workers[id].Address(), "zone": s.dataCentreOf(id), "slots": 4, "state": state, "sequence": s.sequence.Add(1),
 		"born": 1_000_000 + s.workers[id].Crashes() + s.restarts[id],
 	})
 }
--- a/feed/commands.go
+++ b/feed/commands.go
@@ -10,11 +10,23 @@
 	c.change(stream, confirmedAt, apply, func(s State) (State, []Record) { return s.WithRecords(records, end) })
 }
 
+// ApplyRead adds records that were read from the store, starting at State.ReadStart, in the
+// same way as ApplyRecords.
+func (c Commands) ApplyRead(stream string, records []Record, end uint64, confirmedAt time.Time, apply func([]Record)) {
+	c.change(stream, confirmedAt, apply, func(s State) (State, []Record) {
+		next, fresh := s.WithRecords(records, end)
+		return next.WithRead(end), fresh
+	})
+}
+
 // ApplySnapshot replaces the copy of a stream by a snapshot: the newest record of
 // each key before the offset end. Records of the copy that are newer than the snapshot
 // stay. It calls apply in the same way as ApplyRecords.
 func (c Commands) ApplySnapshot(stream string, records []Record, end uint64, confirmedAt time.Time, apply func([]Record)) {
-	c.change(stream, confirmedAt, apply, func(s State) (State, []Record) { return s.WithSnapshot(records, end) })
+	c.change(stream, confirmedAt, apply, func(s State) (State, []Record) {
+		next, fresh := s.WithSnapshot(records, end)
+		return next.WithRead(end), fresh
+	})
 }
 
 // Confirm records that the copy of a stream was complete at the given time, if the copy
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -21,6 +21,8 @@
 	// changedOffset is the offset of the record that last changed the value, apart from
 	// changes that State.IsEquivalent ignores.
 	changedOffset uint64
+	// version is the version of the value, or of the removed value if IsRemoved is set.
+	version Version
 }
 
 // State is a copy of a stream. It is an immutable value.
@@ -34,39 +36,98 @@
 	// renews its entry as a heartbeat writes an equivalent value. If nil, the bytes are
 	// compared.
 	IsEquivalent func(a, b []byte) bool
-	records      map[string]Record
+	// VersionOf returns the version of a value. With it, a record whose value is older
+	// than one that was seen before is ignored: the store may execute a write late. If
+	// nil, the record with the higher offset is the newer one. Removals then keep the
+	// removed value, so that copies which receive them from other instances know its
+	// version.
+	VersionOf func(value []byte) Version
+	records   map[string]Record
+	// readEnd is the end of the last read from the store, and marks are earlier ends; see
+	// ReadStart.
+	readEnd uint64
+	marks   []mark
 }
 
 // WithRecords returns the state with records added, with which it holds all records
-// before the offset end. It also returns those of the records that are newer than the
-// state's record of their key, in the order of their offsets.
+// before the offset end. It also returns those of the records that change the state's
+// record of their key, in the order of their offsets.
 func (s State) WithRecords(records []Record, end uint64) (State, []Record) {
+	sorted := slices.Clone(records)
+	slices.SortStableFunc(sorted, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
 	var fresh []Record
-	for _, r := range records {
-		old, ok := s.records[r.Key]
-		if ok && r.Offset <= old.Offset {
-			continue
+	changed := map[string]Record{}
+	for _, r := range sorted {
+		if s.VersionOf != nil && len(r.Value) > 0 {
+			r.version = s.VersionOf(r.Value)
 		}
 		r.changedOffset = r.Offset
-		if ok && old.IsRemoved == r.IsRemoved && s.isEquivalent(old.Value, r.Value) {
-			r.changedOffset = old.changedOffset
+		old, ok := changed[r.Key]
+		if !ok {
+			old, ok = s.records[r.Key]
+		}
+		if ok && !s.supersedes(r, old) {
+			if old.IsRemoved && r.version.isNewerThan(old.version) {
+				// The removal came after the value.
+				changed[r.Key] = old.withRemoved(r)
+			}
+			continue
+		}
+		if ok {
+			r = s.succeed(r, old)
 		}
+		changed[r.Key] = r
 		fresh = append(fresh, r)
 	}
-	slices.SortFunc(fresh, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
 	s.End = max(s.End, end)
-	if len(fresh) == 0 {
+	if len(changed) == 0 {
 		return s, nil
 	}
-	next := make(map[string]Record, len(s.records)+len(fresh))
+	next := make(map[string]Record, len(s.records)+len(changed))
 	maps.Copy(next, s.records)
-	for _, r := range fresh {
-		next[r.Key] = r
-	}
+	maps.Copy(next, changed)
 	s.records = next
 	return s, fresh
 }
 
+// supersedes reports whether a record replaces an older one of its key.
+func (s State) supersedes(r, old Record) bool {
+	isLater := r.Offset > old.Offset
+	if !r.version.isOrderedWith(old.version) {
+		return isLater
+	}
+	switch {
+	case r.IsRemoved:
+		// If the removal came first, only a newer value can have been written after it.
+		return isLater || !old.IsRemoved && !old.version.isNewerThan(r.version)
+	case old.IsRemoved:
+		return isLater && r.version.isNewerThan(old.version)
+	case r.version == old.version:
+		return isLater
+	}
+	return r.version.isNewerThan(old.version)
+}
+
+// succeed returns the record of a key after r has replaced old.
+func (s State) succeed(r, old Record) Record {
+	if r.IsRemoved && (r.version == Version{} || old.version.isNewerThan(r.version)) {
+		r = r.withRemoved(old)
+	}
+	r.changedOffset = max(r.Offset, old.Offset)
+	if old.IsRemoved == r.IsRemoved && s.isEquivalent(old.Value, r.Value) {
+		r.changedOffset = old.changedOffset
+	}
+	return r
+}
+
+// withRemoved returns a removal with the value that it removed.
+func (r Record) withRemoved(removed Record) Record {
+	if removed.version != (Version{}) {
+		r.Value, r.version = removed.Value, removed.version
+	}
+	return r
+}
+
 // WithSnapshot returns the state with a snapshot: the newest record of each key before
 // the offset end. A key of the state that is not in the snapshot was removed by a record
 // that the stream no longer holds.
@@ -88,6 +149,7 @@
 func (s State) WithConfirmation(at time.Time) State {
 	if at.After(s.ConfirmedAt) {
 		s.ConfirmedAt = at
+		s.marks = withMark(s.marks, mark{at: at, end: s.End})
 	}
 	return s
 }
--- a/feed/table.go
+++ b/feed/table.go
@@ -13,11 +13,12 @@
 	return &Table{mu: lock.New(lock.RankFeed, "feed"), states: map[string]State{}}
 }
 
-// AddStream adds a stream. isEquivalent compares its values; see State.IsEquivalent.
-func (t *Table) AddStream(name string, isEquivalent func(a, b []byte) bool) {
+// AddStream adds a stream. isEquivalent compares its values and versionOf orders them; see
+// State.IsEquivalent and State.VersionOf.
+func (t *Table) AddStream(name string, isEquivalent func(a, b []byte) bool, versionOf func(value []byte) Version) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.states[name] = State{IsEquivalent: isEquivalent}
+	t.states[name] = State{IsEquivalent: isEquivalent, VersionOf: versionOf}
 }
 
 // Commands returns the commands that change the table.
