Start a lapse only after evidence of an outage of the store

A copy of the server entries that was older than 1.5 s counted as proof that the store had been unavailable, so that removed servers got requests for 1.7 s more.

Removed entries now count as lapsed only if a read of this instance failed since the copy was confirmed, or if another instance reports such a read in a reply. A read that failed because its process was frozen or its machine suspended is no evidence. An instance that isn't the leader makes at most one such read a second. Records are asked from reachable instances first: a request to a frozen candidate kept an instance from asking another one for up to 1.5 s.

--- a/entry/feeds.go
+++ b/entry/feeds.go
@@ -23,6 +23,13 @@
 	// The leader's own copy is up to readWait old, and the instances of a large
 	// site exchange heartbeats with it every half second.
 	staleAge = 1500 * time.Millisecond
+	// serverStaleAge is staleAge for the server entries. A removed server may get requests
+	// for 2 s after its removal. That leaves 0.5 s for the check, the read and the way of a
+	// request. In a large site a copy is up to 0.95 s old, and 1.35 s after one late reply.
+	serverStaleAge = 1400 * time.Millisecond
+	// extraReadInterval is the least time between two reads of a stream by an instance
+	// that isn't the leader.
+	extraReadInterval = time.Second
 	// A candidate for leader reads the store if its copy is older than
 	// candidateReadAge plus candidateReadStep for each candidate that precedes it. The
 	// last candidate does so before the instances that aren't candidates.
@@ -36,9 +43,10 @@
 	// readCheckInterval is how often an instance checks whether to read the operators'
 	// stream.
 	readCheckInterval = 100 * time.Millisecond
-	// unavailableAge is the age of a copy above which the store counts as having been
-	// unavailable. lapseGrace is how long a removed server entry counts as lapsed once
-	// the store is available again: entries that expired may be missing for that long.
+	// unavailableAge is how long the store must have been unavailable, by the age of a
+	// copy, before entries may have expired for that reason. lapseGrace is how long a
+	// removed server entry counts as lapsed once the store is available again: entries
+	// that expired may be missing for that long.
 	unavailableAge = 1500 * time.Millisecond
 	lapseGrace     = 2 * time.Second
 )
@@ -58,18 +66,29 @@
 // heartbeats.
 func (i *Instance) follow(ctx context.Context, stream string, wait, interval time.Duration) error {
 	isDown := false
+	var readAt time.Time
 	for {
-		if i.isReader(stream) {
+		next := interval
+		isLeader := i.candidateIndex(time.Now()) == 0
+		if !isLeader {
+			next = readCheckInterval
+		}
+		if i.isReader(stream) && (isLeader || time.Since(readAt) >= extraReadInterval) {
+			sentAt, breaks := time.Now(), i.lastBreak().Count
 			err := i.readStore(ctx, stream, wait)
 			if isDown != (err != nil) {
 				isDown = err != nil
 				i.logStoreAvailability(stream, err)
 			}
-			if err == nil && wait > 0 && i.feeds.Queries().State(stream).End > 0 {
-				continue
+			if err != nil {
+				i.recordReadFailure(sentAt, breaks)
+			} else {
+				readAt = time.Now()
+				if wait > 0 && i.feeds.Queries().State(stream).End > 0 {
+					continue
+				}
 			}
 		}
-		next := interval
 		if isDown {
 			next = max(interval, failurePause(i.candidateIndex(time.Now())))
 		}
@@ -93,12 +112,19 @@
 	case 0:
 		return true
 	case notCandidate:
-		return age > staleAge
+		return age > staleAgeOf(stream)
 	default:
 		return age > candidateReadAge+time.Duration(index)*candidateReadStep
 	}
 }
 
+func staleAgeOf(stream string) time.Duration {
+	if stream == platform.ServerStream {
+		return serverStaleAge
+	}
+	return staleAge
+}
+
 // notCandidate is the index of an instance that isn't a candidate for leader.
 const notCandidate = -1
 
@@ -214,15 +240,6 @@
 	}
 }
 
-// startLapseGrace starts the period in which removed server entries count as lapsed, if
-// the copy of the server entries is updated after the store was unavailable.
-func (i *Instance) startLapseGrace(stream string) {
-	state := i.feeds.Queries().State(stream)
-	if stream == platform.ServerStream && !state.ConfirmedAt.IsZero() && time.Since(state.ConfirmedAt) > unavailableAge {
-		i.lapseGraceUntil.Store(time.Now().Add(lapseGrace).UnixNano())
-	}
-}
-
 // streams are the streams of the store that every instance copies.
 var streams = []string{platform.OperatorStream, platform.ServerStream}
 
@@ -253,6 +270,7 @@
 // which the heartbeat was sent, less the age in the reply. As the reply was written
 // after that, the confirmed time may be too early but never too late.
 func (i *Instance) applyReply(reply heartbeat, sentAt time.Time) {
+	i.recordReportedFailure(reply, sentAt)
 	for _, m := range reply.Missing {
 		if i.feeds.Queries().State(m.Stream).End >= m.From {
 			i.addRecords(m.Stream, m.Records, m.End, confirmedAt(reply, m.Stream, sentAt))
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -141,7 +141,7 @@
 
 func (i *Instance) newHeartbeat(includesKnown bool) heartbeat {
 	view := i.view()
-	message := heartbeat{Self: view.Self(), Positions: i.positions(), QuarantineDigest: i.quarantine.Queries().Digest()}
+	message := heartbeat{Self: view.Self(), Positions: i.positions(), QuarantineDigest: i.quarantine.Queries().Digest(), SinceReadFailureMs: i.sinceReadFailureMs()}
 	if includesKnown {
 		message.Known = view.Known()
 	}
@@ -233,8 +233,9 @@
 //   - in every seedRounds-th round the seeds, while candidates are unreachable, and in
 //     every round while no other instance is known.
 //
-// At most one recipient is asked for records: the first candidate for leader, or these
-// candidates in turn while a copy is older than rotationAge. If all were asked in each round, their
+// At most one recipient is asked for records: the first reachable candidate for leader, or
+// the reachable candidates in turn while a copy is older than rotationAge. A frozen instance
+// stays a candidate, and a request to it keeps the instance from asking another one. If all were asked in each round, their
 // replies would fill the link of a small machine, none would arrive within the timeout,
 // and all would be asked again.
 func (i *Instance) heartbeatTargets(round int, now time.Time) []target {
@@ -255,7 +256,12 @@
 		add(m.Address)
 	}
 	recordsTarget := 0
-	if leaders > 0 && i.isRotationDue(now) {
+	if responsive := responsiveTargets(view, targets[:leaders], now); len(responsive) > 0 {
+		recordsTarget = responsive[0]
+		if i.isRotationDue(now) {
+			recordsTarget = responsive[round%len(responsive)]
+		}
+	} else if leaders > 0 && i.isRotationDue(now) {
 		recordsTarget = round % leaders
 	}
 	if i.isPushPending.Swap(false) || i.isLeaving() {
@@ -279,6 +285,21 @@
 	return targets
 }
 
+// responsiveTargets returns the indices of the targets that are reachable.
+func responsiveTargets(view membership.View, targets []target, now time.Time) []int {
+	reachable := map[string]bool{}
+	for _, m := range view.Reachable(now) {
+		reachable[m.Address] = true
+	}
+	var indices []int
+	for n, t := range targets {
+		if reachable[t.address] {
+			indices = append(indices, n)
+		}
+	}
+	return indices
+}
+
 // rotationAge is the age of a copy above which the candidates are asked for records in
 // turn.
 const rotationAge = 800 * time.Millisecond
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -108,6 +108,11 @@
 	// still gets work for a short time. Any other removed entry means that the server
 	// has gone.
 	lapseGraceUntil atomic.Int64
+	// readFailedAt is when the last read of this instance failed because the store was
+	// unavailable, reportedFailureAt the same for other instances by their replies. Both
+	// are in nanoseconds since startedAt, 0 if no read has failed.
+	readFailedAt      atomic.Int64
+	reportedFailureAt atomic.Int64
 	// seeds and grace are values of the newest settings: the addresses of other
 	// instances that are called while too few instances are reachable, and the time in
 	// nanoseconds from the start of a shutdown until the process is killed.
--- /dev/null
+++ b/entry/lapse.go
@@ -0,0 +1,65 @@
+package entry
+
+import (
+	"time"
+
+	"lycheecrank.example/platform"
+)
+
+// maxFailureDelay is by how much a failed read may exceed readTimeout and still be evidence
+// against the store. The read of a process that was frozen ends later.
+const maxFailureDelay = 200 * time.Millisecond
+
+// uptime returns the time since the start of the instance by the monotonic clock, which
+// isn't stepped as the wall clock is.
+func (i *Instance) uptime() time.Duration { return time.Since(i.startedAt) }
+
+// recordReadFailure records that the store was unavailable, after a read failed that was
+// sent at a time and after a number of breaks. A read that took longer than its timeout, or
+// during which this instance had a break, failed because this instance didn't run.
+func (i *Instance) recordReadFailure(sentAt time.Time, breaks int64) {
+	if time.Since(sentAt) > readTimeout+maxFailureDelay || i.lastBreak().Count != breaks {
+		return
+	}
+	i.readFailedAt.Store(int64(i.uptime()))
+}
+
+// recordReportedFailure records that the store was unavailable for the instance that sent a
+// reply. As with confirmations, only a reply tells the time: a heartbeat may have been
+// delayed. The recorded time may be too early but never too late.
+func (i *Instance) recordReportedFailure(reply heartbeat, sentAt time.Time) {
+	if reply.SinceReadFailureMs <= 0 {
+		return
+	}
+	at := int64(sentAt.Sub(i.startedAt) - time.Duration(reply.SinceReadFailureMs)*time.Millisecond)
+	for {
+		old := i.reportedFailureAt.Load()
+		if at <= old || i.reportedFailureAt.CompareAndSwap(old, at) {
+			return
+		}
+	}
+}
+
+// sinceReadFailureMs returns the time since the last own read that failed because the store
+// was unavailable, in milliseconds and at least 1, or 0 if none has failed.
+func (i *Instance) sinceReadFailureMs() int64 {
+	at := i.readFailedAt.Load()
+	if at == 0 {
+		return 0
+	}
+	return max(1, (i.uptime() - time.Duration(at)).Milliseconds())
+}
+
+// startLapseGrace starts the period in which removed server entries count as lapsed, if
+// the copy of the server entries is updated after the store was unavailable. An old copy
+// alone is no evidence of that: the instance that reads the store for the others may have
+// been frozen or killed.
+func (i *Instance) startLapseGrace(stream string) {
+	confirmedAt := i.feeds.Queries().State(stream).ConfirmedAt
+	if stream != platform.ServerStream || confirmedAt.IsZero() || time.Since(confirmedAt) <= unavailableAge {
+		return
+	}
+	if max(i.readFailedAt.Load(), i.reportedFailureAt.Load()) > int64(confirmedAt.Sub(i.startedAt)) {
+		i.lapseGraceUntil.Store(time.Now().Add(lapseGrace).UnixNano())
+	}
+}
--- a/entry/message.go
+++ b/entry/message.go
@@ -37,6 +37,9 @@
 	// Missing is set in replies to heartbeats with WantsRecords. It holds the records
 	// that the receiver of the reply lacks.
 	Missing []streamRecords `msgpack:"missing,omitempty"`
+	// SinceReadFailureMs is the time since a read of the store by the sender failed last, 0
+	// if none has.
+	SinceReadFailureMs int64 `msgpack:"sinceReadFailureMs,omitempty"`
 	// QuarantineDigest identifies the quarantine entries of the sender, and IsCandidate
 	// is set if the sender is a candidate for coordinator, which needs all crashes.
 	QuarantineDigest uint64 `msgpack:"quarantineDigest,omitempty"`
