Keep the times of grace periods by the monotonic clock

The end of the lapse of removed entries, the start of a shutdown and the start as coordinator were kept as nanoseconds since the Unix epoch, so that a step of the wall clock extended or shortened the periods that are counted from them. They are now nanoseconds of the monotonic clock since the start of the instance.

Times that instances exchange stay wall-clock times.

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -91,7 +91,7 @@
 // was unavailable, the removal counts as a lapse (see Instance.lapseGraceUntil): the
 // entry may have expired although the server still runs.
 func (i *Instance) serverRemoval(id string, now time.Time) fleet.Change {
-	isLapse := now.UnixNano() < i.lapseGraceUntil.Load()
+	isLapse := i.instant(now) < i.lapseGraceUntil.Load()
 	i.Logger.Write(event.ServerUnlisted, id, isLapse)
 	change := fleet.Change{Server: fleet.Server{ID: id}, IsRemoved: !isLapse}
 	if isLapse {
--- a/entry/clock.go
+++ b/entry/clock.go
@@ -18,6 +18,11 @@
 	return time.Duration(t.Nano())
 }
 
+// instant returns a time as nanoseconds since the start of this instance by the monotonic
+// clock, at least 1. Steps of the wall clock neither extend nor shorten the time between
+// two instants.
+func (i *Instance) instant(at time.Time) int64 { return max(1, int64(at.Sub(i.startedAt))) }
+
 // discardLog discards the lines that net/http logs about broken connections. The log
 // line of each attempt covers them.
 func discardLog() *log.Logger { return log.New(io.Discard, "", 0) }
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -202,7 +202,7 @@
 		i.sendPlacements(coordinator)
 		return
 	}
-	i.coordinatorSince.Store(now.UnixNano())
+	i.coordinatorSince.Store(i.instant(now))
 	i.coordinator.Resume()
 	i.sendPlacements(coordinator)
 	group.Go(func() error { return i.coordinator.RefreshFreeMemory(ctx) })
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -91,26 +91,25 @@
 	// wasCandidate is set if this instance was a candidate for coordinator in the last
 	// round of heartbeats.
 	wasCandidate atomic.Bool
-	// coordinatorSince is the Unix time in nanoseconds at which this instance became the
-	// coordinator of its cell, 0 if it isn't.
+	// coordinatorSince is the instant (see Instance.instant) at which this instance became
+	// the coordinator of its cell, 0 if it isn't.
 	coordinatorSince atomic.Int64
 
 	startedAt time.Time
 	breaks    *breakMonitor
 	// isRegistered is true if the store has an entry of this instance.
 	isRegistered atomic.Bool
-	// leavingAt is when the instance began to shut down, in nanoseconds since the Unix
-	// epoch; 0 if it isn't shutting down.
+	// leavingAt is the instant at which the instance began to shut down, 0 if it isn't
+	// shutting down.
 	leavingAt atomic.Int64
 	// lapseGraceUntil is the end of the period in which a removed server entry counts
-	// as lapsed, in nanoseconds since the Unix epoch. An entry lapses if it expires
-	// because its server couldn't renew it while the store was unavailable; the server
-	// still gets work for a short time. Any other removed entry means that the server
-	// has gone.
+	// as lapsed, as an instant. An entry lapses if it expires because its server couldn't
+	// renew it while the store was unavailable; the server still gets work for a short
+	// time. Any other removed entry means that the server has gone.
 	lapseGraceUntil atomic.Int64
 	// readFailedAt is when the last read of this instance failed because the store was
 	// unavailable, reportedFailureAt the same for other instances by their replies. Both
-	// are in nanoseconds since startedAt, 0 if no read has failed.
+	// are instants, 0 if no read has failed.
 	readFailedAt      atomic.Int64
 	reportedFailureAt atomic.Int64
 	// seeds and grace are values of the newest settings: the addresses of other
@@ -270,7 +269,7 @@
 	if at == 0 {
 		return 0
 	}
-	return time.Since(time.Unix(0, at))
+	return time.Duration(i.instant(time.Now()) - at)
 }
 
 // isLeaving reports whether the instance shuts down.
--- a/entry/lapse.go
+++ b/entry/lapse.go
@@ -10,10 +10,6 @@
 // against the store. The read of a process that was frozen ends later.
 const maxFailureDelay = 200 * time.Millisecond
 
-// uptime returns the time since the start of the instance by the monotonic clock, which
-// isn't stepped as the wall clock is.
-func (i *Instance) uptime() time.Duration { return time.Since(i.startedAt) }
-
 // recordReadFailure records that the store was unavailable, after a read failed that was
 // sent at a time and after a number of breaks. A read that took longer than its timeout, or
 // during which this instance had a break, failed because this instance didn't run.
@@ -21,7 +17,7 @@
 	if time.Since(sentAt) > readTimeout+maxFailureDelay || i.lastBreak().Count != breaks {
 		return
 	}
-	i.readFailedAt.Store(int64(i.uptime()))
+	i.readFailedAt.Store(i.instant(time.Now()))
 }
 
 // recordReportedFailure records that the store was unavailable for the instance that sent a
@@ -31,7 +27,7 @@
 	if reply.SinceReadFailureMs <= 0 {
 		return
 	}
-	at := int64(sentAt.Sub(i.startedAt) - time.Duration(reply.SinceReadFailureMs)*time.Millisecond)
+	at := i.instant(sentAt.Add(-time.Duration(reply.SinceReadFailureMs) * time.Millisecond))
 	for {
 		old := i.reportedFailureAt.Load()
 		if at <= old || i.reportedFailureAt.CompareAndSwap(old, at) {
@@ -47,7 +43,7 @@
 	if at == 0 {
 		return 0
 	}
-	return max(1, (i.uptime() - time.Duration(at)).Milliseconds())
+	return max(1, time.Duration(i.instant(time.Now())-at).Milliseconds())
 }
 
 // startLapseGrace starts the period in which removed server entries count as lapsed, if
@@ -59,7 +55,7 @@
 	if stream != platform.ServerStream || confirmedAt.IsZero() || time.Since(confirmedAt) <= unavailableAge {
 		return
 	}
-	if max(i.readFailedAt.Load(), i.reportedFailureAt.Load()) > int64(confirmedAt.Sub(i.startedAt)) {
-		i.lapseGraceUntil.Store(time.Now().Add(lapseGrace).UnixNano())
+	if max(i.readFailedAt.Load(), i.reportedFailureAt.Load()) > i.instant(confirmedAt) {
+		i.lapseGraceUntil.Store(i.instant(time.Now().Add(lapseGrace)))
 	}
 }
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -63,7 +63,7 @@
 // cell and has been so for judgeDelay.
 func (i *Instance) judgeCrashes(now time.Time) {
 	since := i.coordinatorSince.Load()
-	if since == 0 || now.Sub(time.Unix(0, since)) < judgeDelay {
+	if since == 0 || i.instant(now)-since < int64(judgeDelay) {
 		return
 	}
 	layout, own := i.division.Load().layout, i.ownCell()
--- a/entry/run.go
+++ b/entry/run.go
@@ -161,7 +161,7 @@
 // drain waits for the requests in flight to end within the grace period. Requests that
 // arrive in the meantime are served, and their responses close the connection.
 func (i *Instance) drain(front *http.Server) {
-	i.leavingAt.Store(time.Now().UnixNano())
+	i.leavingAt.Store(i.instant(time.Now()))
 	i.Logger.Write(event.Leaving, "signal")
 	i.members.Commands().MarkLeaving()
 	i.triggerHeartbeats()
