--- a/entry/instance.go
+++ b/entry/instance.go
@@ -91,23 +91,27 @@
 	// wasCandidate is set if this instance was a candidate for coordinator in the last
 	// round of heartbeats.
 	wasCandidate atomic.Bool
-	// coordinatorSince is the Unix time in nanoseconds at which this instance became the
-	// coordinator of its cell, 0 if it isn't.
+	// coordinatorSince is the instant (see Instance.instant) at which this instance became
+	// the coordinator of its cell, 0 if it isn't.
 	coordinatorSince atomic.Int64
 
 	startedAt time.Time
 	breaks    *breakMonitor
 	// isRegistered is true if the store has an entry of this instance.
 	isRegistered atomic.Bool
-	// leavingAt is when the instance began to shut down, in nanoseconds since the Unix
-	// epoch; 0 if it isn't shutting down.
+	// leavingAt is the instant at which the instance began to shut down, 0 if it isn't
+	// shutting down.
 	leavingAt atomic.Int64
 	// lapseGraceUntil is the end of the period in which a removed server entry counts
-	// as lapsed, in nanoseconds since the Unix epoch. An entry lapses if it expires
-	// because its server couldn't renew it while the store was unavailable; the server
-	// still gets work for a short time. Any other removed entry means that the server
-	// has gone.
+	// as lapsed, as an instant. An entry lapses if it expires because its server couldn't
+	// renew it while the store was unavailable; the server still gets work for a short
+	// time. Any other removed entry means that the server has gone.
 	lapseGraceUntil atomic.Int64
+	// readFailedAt is when the last read of this instance failed because the store was
+	// unavailable, reportedFailureAt the same for other instances by their replies. Both
+	// are instants, 0 if no read has failed.
+	readFailedAt      atomic.Int64
+	reportedFailureAt atomic.Int64
 	// seeds and grace are values of the newest settings: the addresses of other
 	// instances that are called while too few instances are reachable, and the time in
 	// nanoseconds from the start of a shutdown until the process is killed.
@@ -120,6 +124,10 @@
 	// isPushPending is true if the next heartbeats go to all reachable instances.
 	heartbeatTrigger chan struct{}
 	isPushPending    atomic.Bool
+	// hasNeighbourEntries is set once this instance has asked another one for all server
+	// entries, including removed ones. After a restart it can't know from the store alone
+	// that an entry was written late.
+	hasNeighbourEntries atomic.Bool
 	// isFetchingRecords is true while a heartbeat that asks for records is in progress.
 	isFetchingRecords atomic.Bool
 
@@ -168,7 +176,7 @@
 	i.division.Store(&division{})
 	i.seeds.Store(&settings.Seeds)
 	i.grace.Store(int64(settings.DrainGrace))
-	i.feeds.AddStream(platform.ServerStream, platform.IsSameServer)
+	i.feeds.AddStream(platform.ServerStream, platform.IsSameServer, platform.ServerVersion)
 	i.assemble()
 	return i
 }
@@ -263,7 +271,7 @@
 	if at == 0 {
 		return 0
 	}
-	return time.Since(time.Unix(0, at))
+	return time.Duration(i.instant(time.Now()) - at)
 }
 
 // isLeaving reports whether the instance shuts down.
