--- a/cmd/lycheectl/report.go
+++ b/cmd/lycheectl/report.go
@@ -76,6 +76,10 @@
 	if err == nil {
 		return console.Done
 	}
+	var checked codeError
+	if errors.As(err, &checked) {
+		return checked.code
+	}
 	code := console.Usage
 	var failed actionError
 	if errors.As(err, &failed) {
