Log the findings on a configuration when an instance adopts it

An instance adopted a configuration with faults without a line about them. It now writes at most 20 findings a version, errors first (events 209 and 210), and goes on using the configuration. The check runs in the background, since a configuration is adopted under the lock of the feed table.

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -50,6 +50,7 @@
 	}
 	if i.routes.Commands().Apply(c) {
 		i.Logger.Write(event.ConfigurationApplied, c.Version, record.Offset, len(c.Pools()))
+		i.configurationLog.add(c.Version, record.Value)
 	}
 }
 
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -84,6 +84,8 @@
 	notices    *noticeSender
 	placements *placements
 	attemptLog *attemptLog
+	// configurationLog writes the findings on adopted configurations.
+	configurationLog *configurationLog
 	// quarantine holds the parts of prompts that crash engines.
 	quarantine *quarantine.Table
 	// quarantineWrites holds the parts whose entries have to be written to the store.
@@ -191,6 +193,7 @@
 	i.placements = newPlacements()
 	i.notices = newNoticeSender(i)
 	i.attemptLog = newAttemptLog(i.Logger)
+	i.configurationLog = newConfigurationLog(i.Logger)
 	i.delivery = &delivery.Router{
 		Routes:       i.routes.Queries(),
 		Fleet:        i.fleet.Queries(),
--- a/entry/run.go
+++ b/entry/run.go
@@ -58,7 +58,7 @@
 	for _, task := range []func(context.Context) error{
 		i.runHeartbeats, i.runFetches, i.runOperators, i.runServers, i.runRegistration, i.runReload, i.runServerSync, i.runDepthLog,
 		i.runJudging, i.runQuarantineReads, i.runQuarantineWrites,
-		i.coordinator.Run, i.notices.run, i.attemptLog.run, i.decisions.run,
+		i.coordinator.Run, i.notices.run, i.attemptLog.run, i.configurationLog.run, i.decisions.run,
 	} {
 		group.Go(func() error { return task(work) })
 	}
--- a/event/events.go
+++ b/event/events.go
@@ -29,6 +29,8 @@
 	LogAvailable              = Event{206, log.InfoLevel, "log available", []string{"stream"}, "The platform's log is available again after an outage."}
 	ConfigurationApplied      = Event{207, log.InfoLevel, "configuration adopted", []string{"version", "offset", "pools"}, "A newer configuration of the users' platform is in force on this instance."}
 	EvacuationChanged         = Event{208, log.InfoLevel, "evacuation", []string{"dataCentre", "isEvacuated", "offset"}, "An operator evacuated a data centre or ended its evacuation; its backend servers get no new work while it is evacuated."}
+	ConfigurationError        = Event{209, log.ErrorLevel, "configuration error", []string{"version", "key", "line", "value", "problem", "allowed", "findings"}, "A part of the adopted configuration can't be used as it is written or breaks a rule of the platform; the configuration is in force nevertheless. findings is the number of errors and warnings of the version, of which at most 20 are written, errors first; lycheectl check shows all of them."}
+	ConfigurationWarning      = Event{210, log.WarnLevel, "configuration warning", []string{"version", "key", "line", "value", "problem", "allowed", "findings"}, "A part of the adopted configuration has no effect or probably isn't what its author wanted; see 209."}
 	PeerConnected             = Event{301, log.InfoLevel, "peer connected", []string{"peer", "dataCentre"}, "A connection to another instance is open."}
 	PeerLost                  = Event{302, log.WarnLevel, "peer lost", []string{"peer", "error"}, "A connection to another instance has failed or could not be opened; peer is the name of the instance, or its address if the connection could not be opened."}
 	PeerFrameRefused          = Event{303, log.WarnLevel, "peer frame refused", []string{"remote", "error"}, "A connection was closed because a frame received on it is not a valid message; remote is the name of the other instance if this instance dialled and the handshake had succeeded, otherwise an address."}
@@ -71,7 +73,7 @@
 func All() []Event {
 	return []Event{
 		Started, Leaving, Stopped, InstanceListUnavailable, EntryStarted, ResumedAfterBreak, MetricsUnavailable, LogLinesDropped, SettingsApplied, SettingsRefused, SteppedDown,
-		CatalogueApplied, CatalogueEditRefused, LogUnavailable, LogRecordUnreadable, CatalogueSnapshotAppended, LogAvailable, ConfigurationApplied, EvacuationChanged,
+		CatalogueApplied, CatalogueEditRefused, LogUnavailable, LogRecordUnreadable, CatalogueSnapshotAppended, LogAvailable, ConfigurationApplied, EvacuationChanged, ConfigurationError, ConfigurationWarning,
 		PeerConnected, PeerLost, PeerFrameRefused, CoordinatorChosen, SiteDivided,
 		RequestRefused, RequestFinished, ResultDropped, AttemptServed, AttemptFailed, ResultsRebuilt, RequestPlaced, RequestRejected, AttemptRetried, AnswerBroken,
 		PromptQuarantined, QuarantineEnded, QuarantineProbed, EngineCrashed,
