Remember instances for as long as any instance is in contact with them

Cause: an instance of a large site is in contact with the candidates for coordinator only and knows the others from lists.

Change: lists of known instances carry the time since each was seen, and the latest sighting counts. A failed instance is still forgotten 30 s after the last contact of any instance. The test fails without either.

--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -143,7 +143,7 @@
 	view := i.view()
 	message := heartbeat{Self: view.Self(), Positions: i.positions(), QuarantineDigest: i.quarantine.Queries().Digest(), SinceReadFailureMs: i.sinceReadFailureMs()}
 	if includesKnown {
-		message.Known = view.Known()
+		message.Known = view.Sightings(time.Now())
 	}
 	return message
 }
--- a/membership/view.go
+++ b/membership/view.go
@@ -38,6 +38,9 @@
 	// IsPreferred is true if the machine has enough processor cores and link speed to
 	// coordinate a large site. A site is all instances of one installation.
 	IsPreferred bool `msgpack:"isStrong"`
+	// SeenAgoMs is set in lists of known instances: the time since the last contact of an
+	// instance with this one, in milliseconds.
+	SeenAgoMs int64 `msgpack:"seenAgo,omitempty"`
 }
 
 // WithEligibleSince returns the instance after a break that ended, or after it stepped
@@ -79,8 +82,8 @@
 	contactAt time.Time
 	// failedAt is when the last failed call to the instance failed.
 	failedAt time.Time
-	// addedAt is when the instance became known.
-	addedAt time.Time
+	// seenAt is when another instance had its last contact with this one, as far as known.
+	seenAt time.Time
 }
 
 // View holds the other instances as known to one instance, with the times of the last
@@ -193,11 +196,10 @@
 	return false
 }
 
-// lastSeenAt returns the time of the last contact, or the time at which the instance
-// became known if there was no contact.
+// lastSeenAt returns the time of the last contact with this or another instance.
 func (s contactState) lastSeenAt() time.Time {
-	if s.contactAt.IsZero() {
-		return s.addedAt
+	if s.seenAt.After(s.contactAt) {
+		return s.seenAt
 	}
 	return s.contactAt
 }
@@ -245,6 +247,16 @@
 	return instances
 }
 
+// Sightings returns all other known instances with the time since each was seen, ordered
+// by name.
+func (v View) Sightings(now time.Time) []Instance {
+	instances := v.Known()
+	for n, m := range instances {
+		instances[n].SeenAgoMs = now.Sub(v.others[m.Name].lastSeenAt()).Milliseconds()
+	}
+	return instances
+}
+
 // ReachableShare returns the fraction of the known instances of a scope that are
 // reachable, including this one. An instance that is cut off from others uses only this
 // fraction of the limits that all instances of the scope share.
@@ -277,25 +289,28 @@
 		return v
 	}
 	s := v.others[instance.Name]
-	if s.addedAt.IsZero() {
-		s.addedAt = at
-	}
 	s.instance, s.contactAt = instance, at
 	return v.withOther(instance.Name, s)
 }
 
 // WithKnown returns the view with instances that others know. Unknown instances that are
-// leaving are ignored, and so is what is older than the known description.
+// leaving or stale are ignored, and so is a description that is older than the known one.
+// An instance that this one isn't in contact with is remembered for as long as others are.
 func (v View) WithKnown(instances []Instance, at time.Time) View {
 	for _, m := range instances {
+		seenAt := at.Add(-time.Duration(m.SeenAgoMs) * time.Millisecond)
+		m.SeenAgoMs = 0
 		old, ok := v.others[m.Name]
-		if m.Name == v.self.Name || m.IsLeaving && !ok || ok && !m.isNewerThan(old.instance) {
+		isNew, isSeenLater := !ok || m.isNewerThan(old.instance), seenAt.After(old.lastSeenAt())
+		if m.Name == v.self.Name || !ok && (m.IsLeaving || at.Sub(seenAt) >= staleAfter) || !isNew && !isSeenLater {
 			continue
 		}
-		if !ok {
-			old.addedAt = at
+		if isNew {
+			old.instance = m
+		}
+		if isSeenLater {
+			old.seenAt = seenAt
 		}
-		old.instance = m
 		v = v.withOther(m.Name, old)
 	}
 	return v
--- a/membership/view_test.go
+++ b/membership/view_test.go
@@ -158,3 +158,22 @@
 	c.RecordFailure("n1", at.Add(5*time.Millisecond))
 	is.True(!table.Queries().View().HasRecentFailure(own, at.Add(6*time.Millisecond)))
 }
+
+// Guards against a site whose instances all forget those that they know from others at the
+// same moment, staleAfter after the start, and against a failed instance that lists keep
+// alive between others.
+func TestInstancesKnownFromOthers(t *testing.T) {
+	is := is.New(t)
+	at := time.Unix(1000, 0)
+	first, second := View{self: newInstance("n1", 10)}, View{self: newInstance("n2", 20)}
+	for round := range 40 {
+		now := at.Add(time.Duration(round) * time.Second)
+		if round < 10 {
+			first = first.WithContact(newInstance("n3", 30), now) // n3 fails after 9 s
+		}
+		first = first.WithContact(newInstance("n4", 40), now).WithContact(second.Self(), now).WithKnown(second.Sightings(now), now).WithoutStale(now)
+		second = second.WithContact(first.Self(), now).WithKnown(first.Sightings(now), now).WithoutStale(now)
+		is.Equal(second.Size(), len(first.Known())+1)
+		is.Equal(second.Size() == 4, now.Sub(at) < 9*time.Second+staleAfter)
+	}
+}
