Wait for the draining entry in the test of the cells

TestCells waited until the division had no usable server of a stage and the data centre wasn't evacuated. That is also met after the end of the evacuation was applied and before the site is divided again: the request was then prepared with the next division, in which the entry isn't draining yet, and ran in its own cell.

The test now waits for one division in which another stage has a server again and this one has none.

--- a/entry/cells_test.go
+++ b/entry/cells_test.go
@@ -85,7 +85,8 @@
 	s.store.Put(platform.OperatorStream, platform.EvacuationPrefix+"a", nil)
 	s.announce("rerank-1", "rerank", "draining")
 	s.waitFor("the cell has no server of a stage", func() bool {
-		return s.instances[0].division.Load().usable["rerank"]["a"] == 0 && !s.instances[0].fleet.Queries().IsEvacuated("a")
+		usable := s.instances[0].division.Load().usable
+		return usable["encode"]["a"] == 1 && usable["rerank"]["a"] == 0
 	})
 	status, _, _ := s.instances[0].send("POST", "/draft/7", "key-1")
 	is.Equal(status, 200)
