Synchronize the server tables by one call at a time

The tables from which servers are chosen are synchronized with the entries after each change, at intervals, and when a server says that it is leaving. A call that had read the entries before a change could set its servers after the call for the change, so that a draining server was chosen again, or the site divided by it, for up to 0.5 s. Sends check the entries themselves.

Found in the search for the cause of TestCells.

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -114,8 +114,12 @@
 
 // syncServers sets the usable servers in the engine, batch and plain server tables
 // according to the configuration, the server entries and the evacuated data centres.
-// The engine and batch tables get the servers of the cell of this instance.
+// The engine and batch tables get the servers of the cell of this instance. Only one call
+// runs at a time: otherwise one that has read the entries before a change could set its
+// servers after one that has seen the change.
 func (i *Instance) syncServers(now time.Time) {
+	i.serverSync.Lock()
+	defer i.serverSync.Unlock()
 	configuration := i.routes.Queries().Current()
 	usable := i.fleet.Queries().Usable(now)
 	layout := i.updateDivision(configuration.Pools(), usable).layout
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -32,6 +32,7 @@
 	"lycheecrank.example/event"
 	"lycheecrank.example/feed"
 	"lycheecrank.example/fleet"
+	"lycheecrank.example/lock"
 	"lycheecrank.example/membership"
 	"lycheecrank.example/peer"
 	"lycheecrank.example/pipeline"
@@ -69,6 +70,8 @@
 	routes        *route.Table
 	// fleet holds the entries of all backend servers.
 	fleet *fleet.Table
+	// serverSync is held while the server tables are synchronized with the entries.
+	serverSync *lock.Ranked
 	// members holds the known instances and chooses the coordinator.
 	members *membership.Table
 	// plainServers holds the state of the plain servers: those in pools that are
@@ -156,6 +159,7 @@
 		feeds:              feed.NewTable(),
 		routes:             route.NewTable(),
 		fleet:              fleet.NewTable(),
+		serverSync:         lock.New(lock.RankServerSync, "server sync"),
 		heartbeatTrigger:   make(chan struct{}, 1),
 		fetchAddress:       make(chan string, 1),
 		quarantine:         quarantine.NewTable(),
--- a/lock/lock.go
+++ b/lock/lock.go
@@ -9,6 +9,7 @@
 // The ranks of all tables, in the order in which a goroutine may lock them.
 const (
 	RankFeed        = 5
+	RankServerSync  = 7
 	RankCatalogue   = 10
 	RankOwnership   = 20
 	RankMember      = 30
