--- a/delivery/resend.go
+++ b/delivery/resend.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"slices"
+	"sync"
 
 	"lycheecrank.example/route"
 )
@@ -14,15 +14,20 @@
 // markResends returns a function that calls send and sets IsResend for each address that
 // has received the attempt before. On a kept connection, a late copy of the first answer
 // could arrive, which names the same attempt. The address counts, not the server: after a
-// 421, another server may be listed at the address. The sends of an attempt must not
-// overlap.
+// 421, another server may be listed at the address. Two sends of an attempt may overlap if
+// they go to different addresses.
 func markResends(send sendFunc) sendFunc {
-	var addresses []string
+	var mu sync.Mutex
+	addresses := map[string]bool{}
 	return func(ctx context.Context, options ForwardOptions) (Answer, error) {
-		options.IsResend = slices.Contains(addresses, options.Server.Address)
+		mu.Lock()
+		options.IsResend = addresses[options.Server.Address]
+		mu.Unlock()
 		answer, err := send(ctx, options)
-		if !errors.Is(err, ErrNotReached) && !options.IsResend {
-			addresses = append(addresses, options.Server.Address)
+		if !errors.Is(err, ErrNotReached) {
+			mu.Lock()
+			addresses[options.Server.Address] = true
+			mu.Unlock()
 		}
 		return answer, err
 	}
