--- a/pipeline/budget.go
+++ b/pipeline/budget.go
@@ -42,3 +42,18 @@
 	b.tokens--
 	return true
 }
+
+// reservedShare is the share of the maximum that WithdrawSpare leaves for retries after
+// failures. Without it, requests failed for want of retries that second sends had used.
+const reservedShare = 0.5
+
+// WithdrawSpare is Withdraw for a send that is not needed after a failure.
+func (b *Budget) WithdrawSpare() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.tokens < 1+reservedShare*b.burst {
+		return false
+	}
+	b.tokens--
+	return true
+}
