Send late idempotent requests of plain pools a second time

servePlain exchanges through exchangeHedged, which sends directly on the goroutine of the attempt unless Router.Hedges is set. Otherwise a request that is late goes to a second server, the first complete answer below 500 counts, and the other send is cancelled and its slot freed at once. A refusal or failure of one send doesn't end the other. A second send counts against MaxServers and the retry budget. Event 419 has both servers and the result.

--- a/delivery/plain.go
+++ b/delivery/plain.go
@@ -41,14 +41,14 @@
 		if !ok {
 			return result.withFailure(r.noServerFailure(ctx, routed.pool.Name, mayHaveRun))
 		}
-		sent := time.Now()
-		mayRetryElsewhere := routed.route.IsRepeatable() && reached+1 < routed.route.MaxServers
-		answer, body, err := r.exchange(ctx, routed, server, mayRetryElsewhere)
-		result.Tries++
-		result.Server = server.Name
+		exchanged := r.exchangeHedged(ctx, routed, server, priorSends{tries: result.Tries, reached: reached, servers: avoid})
+		answer, body, err := exchanged.answer, exchanged.body, exchanged.err
+		result.Tries += 1 + exchanged.other.tries
+		result.Server = exchanged.server.Name
 		reason := failureReason(answer, err)
-		r.PlainServers.Release(server.Name, backend.Observation{Reason: reason, SentAt: sent, ResponseTime: time.Since(sent), Incarnation: server.Incarnation}, time.Now())
-		avoid = append(avoid, server.Name)
+		avoid = append(append(avoid, exchanged.server.Name), exchanged.other.servers...)
+		reached += exchanged.other.reached
+		mayHaveRun = mayHaveRun || exchanged.other.mayHaveRun
 		if r.hadBreak(routed) && errors.Is(err, ErrNotReached) {
 			return result.withFailure(breakFailure().WithSent(mayHaveRun))
 		}
--- a/delivery/router.go
+++ b/delivery/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,6 +13,7 @@
 	"lycheecrank.example/engine"
 	"lycheecrank.example/event"
 	"lycheecrank.example/fleet"
+	"lycheecrank.example/hedge"
 	"lycheecrank.example/pipeline"
 	"lycheecrank.example/preparation"
 	"lycheecrank.example/quarantine"
@@ -59,6 +61,10 @@
 	// of the runtime doesn't count. It is called before each admission and each send; nil
 	// stands for a machine that is never suspended.
 	LastBreak func() Break
+	// Hedges decides about second sends of requests whose first one is late; nil turns them
+	// off. HedgeCounts counts them by result, and those that were not made by reason.
+	Hedges      *hedge.Table
+	HedgeCounts *counter.Set
 	// Retries counts sends beyond the first one by reason.
 	Retries *counter.Set
 	Logger  *event.Logger
@@ -95,6 +101,8 @@
 	// attempt isn't sent any more: its route, key, server and deadline may have run out
 	// meanwhile.
 	breaks int64
+	// sends are the sends that run concurrently, nil without second sends.
+	sends *sync.WaitGroup
 }
 
 // hadBreak reports whether the process had a break since the attempt was admitted.
@@ -118,6 +126,12 @@
 	ctx, cancel := context.WithDeadline(ctx, routed.deadline)
 	defer cancel()
 	r.Budget.Deposit()
+	if r.Hedges != nil {
+		// A cancelled send may still read the request, which is the caller's again after
+		// the return.
+		routed.sends = &sync.WaitGroup{}
+		defer routed.sends.Wait()
+	}
 	var result Result
 	if routed.pool.Engine != nil || len(routed.route.Stages) > 0 {
 		result = r.servePrepared(ctx, routed)
--- a/delivery/router_test.go
+++ b/delivery/router_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync"
 	"testing"
 	"testing/iotest"
 	"testing/synctest"
@@ -31,8 +32,10 @@
 	*Router
 	// script holds the answers to the sends, in order.
 	script []scriptedAnswer
-	sends  []string
-	tasks  []string
+	// mu guards sends: a request may be sent to two servers concurrently.
+	mu    sync.Mutex
+	sends []string
+	tasks []string
 	// notifications holds the notifications that the coordinator received, in order.
 	notifications  []string
 	written        strings.Builder
@@ -113,11 +116,14 @@
 }
 
 func (r *testRouter) send(ctx context.Context, options ForwardOptions) (Answer, error) {
+	r.mu.Lock()
 	r.sends = append(r.sends, fmt.Sprintf("%s for workspace %s after event %d", options.Server.ID, options.Workspace, options.LastEvent))
-	if len(r.sends) > len(r.script) {
+	n := len(r.sends)
+	r.mu.Unlock()
+	if n > len(r.script) {
 		return Answer{}, errors.New("more sends than scripted answers")
 	}
-	s := r.script[len(r.sends)-1]
+	s := r.script[n-1]
 	timer := time.NewTimer(s.delay)
 	defer timer.Stop()
 	select {
--- a/event/events.go
+++ b/event/events.go
@@ -48,6 +48,7 @@
 	QuarantineEnded           = Event{412, log.InfoLevel, "quarantine ended", []string{"parts", "succeeded", "generation"}, "Requests with all of these parts are served again, because requests with the parts in succeeded have succeeded, here or at another instance. If some parts are left, 411 follows for these. generation counts the ends for the same parts."}
 	QuarantineProbed          = Event{413, log.InfoLevel, "quarantine probed", []string{"request", "parts"}, "The coordinator admits one request with quarantined parts to find out whether it still crashes its engine."}
 	EngineCrashed             = Event{414, log.WarnLevel, "engine crashed", []string{"request", "backendServer", "dataCentre", "parts"}, "An engine broke off an answer that had just begun; parts are the parts of the prompt that other requests may share, of which one may be the cause. See 411."}
+	AttemptHedged             = Event{419, log.InfoLevel, "attempt hedged", []string{"request", "route", "backendServer", "second", "afterMs", "ms", "result"}, "The first send of a request, to backendServer, was late after afterMs, so the request was sent to a second server while the first send was outstanding. result is won if the answer of the second server counts, lost if that of the first does, and failed if neither answered the request; ms is the time since the first send."}
 	ServerCold                = Event{501, log.WarnLevel, "backend server cold", []string{"backendServer", "reason"}, "A backend server is treated as cold and gets no more than its cold limit."}
 	ServerWarm                = Event{502, log.InfoLevel, "backend server warm", []string{"backendServer"}, "A backend server has reached its full limit."}
 	ServerLeaving             = Event{503, log.InfoLevel, "backend server leaving", []string{"backendServer"}, "A backend server is leaving and gets no new work."}
@@ -74,7 +75,7 @@
 		CatalogueApplied, CatalogueEditRefused, LogUnavailable, LogRecordUnreadable, CatalogueSnapshotAppended, LogAvailable, ConfigurationApplied, EvacuationChanged,
 		PeerConnected, PeerLost, PeerFrameRefused, CoordinatorChosen, SiteDivided,
 		RequestRefused, RequestFinished, ResultDropped, AttemptServed, AttemptFailed, ResultsRebuilt, RequestPlaced, RequestRejected, AttemptRetried, AnswerBroken,
-		PromptQuarantined, QuarantineEnded, QuarantineProbed, EngineCrashed,
+		PromptQuarantined, QuarantineEnded, QuarantineProbed, EngineCrashed, AttemptHedged,
 		ServerCold, ServerWarm, ServerLeaving, StageCallFailed, ServerListed, ServerUnlisted, PoolDepth, ServerPaused, EnginePool,
 		OwnershipAcquired, OwnershipLost, OwnershipReleased, OwnershipLeaseExpired,
 		ClaimUndecided, PrecedenceRecordsLost, DecisionRecordsNotSealed, DecisionRecords,
