--- a/cmd/lycheecrank/main.go
+++ b/cmd/lycheecrank/main.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"lycheecrank.example/entry"
+	"lycheecrank.example/hedge"
 	"lycheecrank.example/instance"
 	"lycheecrank.example/platform"
 	"lycheecrank.example/settings"
@@ -41,6 +42,10 @@
 				Name: "entry", Usage: "run an instance on the users' platform until it gets SIGTERM or SIGINT",
 				Flags: []cli.Flag{
 					&cli.StringFlag{Name: "metrics", Value: ":9464", Usage: "address for counters, empty for none"},
+					&cli.FloatFlag{
+						Name: "hedge-share", Validator: hedge.CheckShare,
+						Usage: "share of the idempotent requests of a route that may be sent to a second server while the first is late, 0 to 0.1; 0 turns it off",
+					},
 				},
 				Action: runEntry,
 			},
@@ -93,6 +98,7 @@
 	defer signal.Stop(changed)
 	i.ReloadSignal = changed
 	i.MetricsAddress = c.String("metrics")
+	i.HedgeShare = c.Float("hedge-share")
 	return i.Run(ctx)
 }
 
--- a/cmd/lycheecrank/main_test.go
+++ b/cmd/lycheecrank/main_test.go
@@ -1,10 +1,17 @@
 package main
 
 import (
+	"errors"
+	"io"
 	"runtime/debug"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"lycheecrank.example/entry"
+	"lycheecrank.example/hedge"
+	"lycheecrank.example/platform"
 )
 
 // Guards against a collector that doesn't know the memory of the process: a
@@ -18,3 +25,22 @@
 	limitMemory(100 << 20)
 	is.Equal(debug.SetMemoryLimit(-1), int64(55<<20))
 }
+
+// Guards against a share of second sends out of range that is taken over, or refused
+// without saying what is allowed, by the program or by the instance.
+func TestHedgeShare(t *testing.T) {
+	for _, share := range []string{"0.11", "-0.01", "NaN", "+Inf", "a tenth"} {
+		t.Run(share, func(t *testing.T) {
+			is := is.New(t)
+			command := newCommand()
+			command.Writer, command.ErrWriter = io.Discard, io.Discard
+			err := command.Run(t.Context(), []string{"lycheecrank", "entry", "--hedge-share=" + share})
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), "hedge-share"))
+		})
+	}
+	is := is.New(t)
+	i := entry.New(platform.Settings{}, io.Discard)
+	i.HedgeShare = 0.11
+	is.True(errors.Is(i.Run(t.Context()), hedge.ErrShare))
+}
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -55,6 +55,9 @@
 	// MetricsAddress is the address at which the counters are served. If it is empty,
 	// they aren't served.
 	MetricsAddress string
+	// HedgeShare is the share of the requests of a route that may be sent a second time
+	// while the first send is late (see package hedge); 0 turns second sends off.
+	HedgeShare float64
 	// Divide returns the division of the site into cells, for the division so far, the
 	// number of known instances and the listed servers of each pool by data centre.
 	Divide func(current cell.Layout, instances int, pools map[string]map[string]int) cell.Layout
--- a/entry/run.go
+++ b/entry/run.go
@@ -42,6 +42,9 @@
 // Run serves until the context ends, waits for the requests in flight to end, and
 // returns.
 func (i *Instance) Run(ctx context.Context) error {
+	if err := i.startHedging(); err != nil {
+		return err
+	}
 	listeners, err := i.listen(ctx)
 	if err != nil {
 		return err
