Wait for cancelled sends after the context of the attempt has ended

The wait moves before the deadline of the attempt is set, so that the context of the attempt is cancelled first.

--- a/delivery/router.go
+++ b/delivery/router.go
@@ -123,15 +123,15 @@
 		RequestID: attempt.ID, Workspace: routed.workspace, Route: routed.route.Name, Pool: routed.pool.Name, Rank: routed.rank,
 		ArrivedAt: attempt.ArrivedAt, Deadline: routed.deadline, ConfigurationVersion: r.Routes.Current().Version,
 	})
-	ctx, cancel := context.WithDeadline(ctx, routed.deadline)
-	defer cancel()
-	r.Budget.Deposit()
 	if r.Hedges != nil {
 		// A cancelled send may still read the request, which is the caller's again after
 		// the return.
 		routed.sends = &sync.WaitGroup{}
 		defer routed.sends.Wait()
 	}
+	ctx, cancel := context.WithDeadline(ctx, routed.deadline)
+	defer cancel()
+	r.Budget.Deposit()
 	var result Result
 	if routed.pool.Engine != nil || len(routed.route.Stages) > 0 {
 		result = r.servePrepared(ctx, routed)
