Check that cancelled sends end before the answer and the attempt

The sends of an attempt are counted when the answer is forwarded and when the attempt returns. A request that may run only once, a stream and a route with one server are checked on their own, with two servers allowed for the first two.

--- a/delivery/hedge_test.go
+++ b/delivery/hedge_test.go
@@ -24,6 +24,7 @@
 	"lycheecrank.example/fleet"
 	"lycheecrank.example/hedge"
 	"lycheecrank.example/pipeline"
+	"lycheecrank.example/route"
 )
 
 // newHedgeRouter returns a router with eight warm servers in two data centres, s1 to s4 and
@@ -165,16 +166,35 @@
 	goldie.New(t).Assert(t, "hedge_tail", []byte(b.String()))
 }
 
-// Guards against a second send of a request that may run only once, or after the head of
-// the first answer, against an attempt that ends with the refusal or failure of one of two
+// train serves requests of which some take long, so that the response times of the route
+// and the state of the pool are known.
+func (r *testRouter) train(t *testing.T) {
+	t.Helper()
+	for n := range 300 {
+		r.script, r.sends = []scriptedAnswer{after(20*time.Millisecond, okAnswer("")), after(20*time.Millisecond, okAnswer(""))}, nil
+		// No two long times are equal, so that no answer arrives just when it is late.
+		switch long := time.Duration(n) * time.Microsecond; {
+		case n%50 == 0:
+			r.script[0].delay = 150*time.Millisecond + long
+		case n%20 == 1:
+			r.script[0].delay = 60*time.Millisecond + long
+		}
+		r.Deliver(t.Context(), r.attempt("/lookup/1"))
+		r.confirm(time.Now())
+	}
+	r.sends, r.HedgeCounts = nil, &counter.Set{}
+}
+
+func after(delay time.Duration, s scriptedAnswer) scriptedAnswer {
+	s.delay = delay
+	return s
+}
+
+// Guards against a second send after the head of the first answer, against an attempt that ends with the refusal or failure of one of two
 // sends, against answers put together from two sends, a wrong report of whether the request
 // may have run, and slots or sends that outlast their attempt.
 func TestHedgeOutcomes(t *testing.T) {
 	const ms = time.Millisecond
-	after := func(delay time.Duration, s scriptedAnswer) scriptedAnswer {
-		s.delay = delay
-		return s
-	}
 	rows := []struct {
 		name, path string
 		script     []scriptedAnswer
@@ -202,23 +222,34 @@
 	for _, row := range rows {
 		synctest.Test(t, func(t *testing.T) {
 			r, servers := newHedgeRouter(0.1, pipeline.NewBudget(1, 10))
-			for n := range 300 {
-				r.script = []scriptedAnswer{after(20*ms, okAnswer("")), after(20*ms, okAnswer(""))}
-				// No two long times are equal, so that no answer arrives just when it is late.
-				switch long := time.Duration(n) * time.Microsecond; {
-				case n%50 == 0:
-					r.script[0].delay = 150*ms + long
-				case n%20 == 1:
-					r.script[0].delay = 60*ms + long
+			r.train(t)
+			r.script = row.script
+			a := r.attempt(row.path)
+			var outstanding, open atomic.Int64
+			a.Send = func(ctx context.Context, options ForwardOptions) (Answer, error) {
+				outstanding.Add(1)
+				open.Add(1)
+				defer open.Add(-1)
+				answer, err := r.send(ctx, options)
+				outstanding.Add(-1)
+				if ctx.Err() != nil {
+					time.Sleep(time.Microsecond) // a cancelled send returns a little later
 				}
-				r.sends = nil
-				r.Deliver(t.Context(), r.attempt("/lookup/1"))
-				r.confirm(time.Now())
+				return answer, err
+			}
+			write := a.Write
+			a.Write = func(data []byte) error {
+				synctest.Wait()
+				if outstanding.Load() != 0 {
+					t.Errorf("%s: a send goes on while the answer is forwarded", row.name)
+				}
+				return write(data)
 			}
-			r.script, r.sends = row.script, nil
-			r.HedgeCounts = &counter.Set{}
 			began := time.Now()
-			result := r.Deliver(t.Context(), r.attempt(row.path))
+			result := r.Deliver(t.Context(), a)
+			if open.Load() != 0 {
+				t.Errorf("%s: a send outlasts its attempt", row.name)
+			}
 			outcome := "answered"
 			if result.Failure != nil {
 				outcome = fmt.Sprintf("%s, may have run %v", result.Failure.Reason, result.Failure.Sent)
@@ -237,6 +268,38 @@
 	goldie.New(t).Assert(t, "hedge_outcomes", []byte(b.String()))
 }
 
+// Guards against a second send of a request that may run only once, of a stream, or beyond
+// the servers that the route allows.
+func TestHedgeKinds(t *testing.T) {
+	rows := []struct {
+		name  string
+		route route.Route
+		want  int
+	}{
+		{"idempotent", route.Route{Kind: route.Idempotent, MaxServers: 2}, 2},
+		{"one server", route.Route{Kind: route.Idempotent, MaxServers: 1}, 1},
+		{"at most once", route.Route{Kind: route.Once, MaxServers: 2}, 1},
+		{"stream", route.Route{Kind: route.Stream, IsResumable: true, MaxServers: 2}, 1},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r, _ := newHedgeRouter(0.1, pipeline.NewBudget(1, 10))
+				r.train(t)
+				r.script = []scriptedAnswer{after(300*time.Millisecond, okAnswer("first")), okAnswer("second")}
+				row.route.Name = "lookup"
+				routed := routedAttempt{
+					attempt: r.attempt("/lookup/1"), route: row.route, pool: route.Pool{Name: "registry"},
+					deadline: time.Now().Add(time.Second), sends: &sync.WaitGroup{},
+				}
+				is.Equal(r.servePlain(t.Context(), routed).Failure, nil)
+				is.Equal(len(r.sends), row.want)
+			})
+		})
+	}
+}
+
 // Guards against sends on other goroutines and counts where second sends are off.
 func TestHedgeOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
