--- a/backend/choose.go
+++ b/backend/choose.go
@@ -44,13 +44,15 @@
 	return rank <= s.LowestRank && s.InFlight < s.Limit(p) && !now.Before(s.backoffUntil) && !now.Before(s.PausedUntil) && hasColdTurn(&s, now)
 }
 
-// expectedTime estimates the duration of one more step on the server. The
-// smoothed service time already includes the effect of other steps at typical
-// load; the second term spreads steps over servers before one is full. The ratio
-// adjusts it if the server reports another slowness now than while it was measured. The
-// service time is that of the server, or an assumed one. It takes a pointer because the
-// copies of servers took half of the time of Choose.
-func expectedTime(s *Server, serviceTime time.Duration, now time.Time) time.Duration {
+// expectedTime estimates the duration of one more step on the server. It takes a pointer
+// because the copies of servers took half of the time of Choose.
+func expectedTime(s *Server, now time.Time) time.Duration { return assumedTime(s, s.ServiceTime, now) }
+
+// assumedTime is expectedTime for an assumed service time. The smoothed service time
+// already includes the effect of other steps at typical load; the second term spreads
+// steps over servers before one is full. The ratio adjusts it if the server reports
+// another slowness now than while it was measured.
+func assumedTime(s *Server, serviceTime time.Duration, now time.Time) time.Duration {
 	expected := serviceTime + serviceTime*time.Duration(s.InFlight)/time.Duration(max(1, s.CurrentLimit))
 	if ratio := s.speed.Ratio(now); ratio != 1 {
 		return time.Duration(float64(expected) * ratio)
@@ -107,12 +109,12 @@
 	if avoided != bestAvoided {
 		return bestAvoided
 	}
-	a, b := expectedTime(s, s.ServiceTime, now), expectedTime(best, best.ServiceTime, now)
+	a, b := expectedTime(s, now), expectedTime(best, now)
 	switch {
 	case s.ServiceTime == 0 && isInColdStart(s, now):
-		a = expectedTime(s, best.ServiceTime, now)
+		a = assumedTime(s, best.ServiceTime, now)
 	case best.ServiceTime == 0 && isInColdStart(best, now):
-		b = expectedTime(best, s.ServiceTime, now)
+		b = assumedTime(best, s.ServiceTime, now)
 	}
 	if a != b {
 		return a < b
