Roll out versions of engine, stage and plain pools

Operators order a pool to be moved to another version (key rollout/POOL of keyed.op). Until now, servers of all versions got requests alike.

Package rollout decides from the evidence of all instances, and keeps the share of the new version under the bounds at each place that chooses servers. The leader writes phases to keyed.rollouts and their status to keyed.status; evidence and phases travel with the heartbeats while an order is active. Servers of a version without an order are held back for 2 s.

--- a/backend/commands.go
+++ b/backend/commands.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"slices"
 	"time"
 
 	"lycheecrank.example/event"
@@ -37,10 +38,19 @@
 
 // Reserve reserves a slot for a step on the best available server of a pool.
 func (c Commands) Reserve(pool string, rank int, avoid []string, p Permission, now time.Time) (Server, bool) {
+	return c.ReserveAmong(pool, rank, avoid, nil, p, now)
+}
+
+// ReserveAmong is like Reserve, for the servers that a function allows; nil allows all.
+func (c Commands) ReserveAmong(pool string, rank int, avoid []string, allows func(name string) bool, p Permission, now time.Time) (Server, bool) {
 	t := c.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s, ok := Choose(t.pools[pool], rank, avoid, p, now)
+	servers := t.pools[pool]
+	if allows != nil {
+		servers = slices.DeleteFunc(slices.Clone(servers), func(s Server) bool { return !allows(s.Name) })
+	}
+	s, ok := Choose(servers, rank, avoid, p, now)
 	if !ok {
 		return Server{}, false
 	}
--- a/batch/choose.go
+++ b/batch/choose.go
@@ -62,6 +62,11 @@
 // The waiting pieces are the most urgent ones of the queue, in order; queueLength is the
 // length of the whole queue.
 func chooseCall(spec Spec, servers []Server, waiting []Piece, queueLength int, now time.Time) (Call, bool) {
+	trial, others := splitTrial(servers)
+	if call, ok := chooseTrialCall(spec, trial, waiting, now); ok {
+		return call, true
+	}
+	servers = others
 	idle := 0
 	for _, s := range servers {
 		if s.Calls < spec.Slots && !s.isBlocked(now) {
--- a/batch/commands.go
+++ b/batch/commands.go
@@ -29,7 +29,7 @@
 		if !ok || s.Address != pl.Address {
 			s = newServer(pl)
 		}
-		s.isDraining = false
+		s.isDraining, s.IsTrial = false, pl.IsTrial
 		servers[pl.ID] = s
 	}
 	p.setServers(servers)
--- a/batch/piece.go
+++ b/batch/piece.go
@@ -57,7 +57,9 @@
 	InputSizes []InputSize
 	// AvoidServer is the ID of a server that failed or delayed the piece.
 	AvoidServer string
-	QueuedAt    time.Time
+	// IsTrial is set for a piece that a server of a version that is tried out may compute.
+	IsTrial  bool
+	QueuedAt time.Time
 }
 
 const (
--- a/batch/server.go
+++ b/batch/server.go
@@ -40,6 +40,9 @@
 	ID         string
 	Address    string
 	DataCentre string
+	// IsTrial is set for a server of a version that is tried out. It gets only the pieces
+	// with IsTrial.
+	IsTrial bool
 }
 
 const (
--- a/delivery/plain.go
+++ b/delivery/plain.go
@@ -36,8 +36,10 @@
 	var avoid []string
 	reached, unreached := 0, 0
 	mayHaveRun := false
+	isTrial := r.Rollouts.Commands().Admit(routed.pool.Name, time.Now())
 	for {
-		server, ok := r.reserve(ctx, routed, avoid)
+		server, ok := r.reserve(ctx, routed, avoid, isTrial)
+		isTrial = false
 		if !ok {
 			return result.withFailure(r.noServerFailure(ctx, routed.pool.Name, mayHaveRun))
 		}
@@ -48,6 +50,7 @@
 		result.Server = server.Name
 		reason := failureReason(answer, err)
 		r.PlainServers.Release(server.Name, backend.Observation{Reason: reason, SentAt: sent, ResponseTime: time.Since(sent), Incarnation: server.Incarnation}, time.Now())
+		r.recordPlain(routed, server.Name, sent, answer, err)
 		avoid = append(avoid, server.Name)
 		if r.hadBreak(routed) && errors.Is(err, ErrNotReached) {
 			return result.withFailure(breakFailure().WithSent(mayHaveRun))
@@ -86,7 +89,7 @@
 // request may be sent to another server. If the server is no longer listed, or
 // the machine was suspended since the admission, it returns ErrNotReached without a send.
 func (r *Router) exchange(ctx context.Context, routed routedAttempt, reserved backend.Server, mayRetryElsewhere bool) (Answer, []byte, error) {
-	server, ok := r.Fleet.Server(reserved.Name, time.Now())
+	server, ok := r.usable(routed.pool.Name, reserved.Name)
 	if !ok || r.hadBreak(routed) {
 		return Answer{}, nil, ErrNotReached
 	}
@@ -161,17 +164,24 @@
 
 // reserve reserves a slot at a server. If no slot is free, it waits for a part of the
 // remaining time. The permission allows the whole limit of each server, also in cold
-// start, and all requests reserve with the best rank, 0.
-func (r *Router) reserve(ctx context.Context, routed routedAttempt, avoid []string) (backend.Server, bool) {
+// start, and all requests reserve with the best rank, 0. isTrial is set for a request for
+// the new version of the pool; the old one gets it if no server of the new one is free.
+func (r *Router) reserve(ctx context.Context, routed routedAttempt, avoid []string, isTrial bool) (backend.Server, bool) {
 	limit := time.Now().Add(time.Until(routed.deadline) / reserveTimeDivisor)
 	permission := backend.Permission{AllowCold: true, WarmLimitDivisor: 1}
 	timer := time.NewTimer(reserveInterval)
 	defer timer.Stop()
 	for {
 		now := time.Now()
-		if server, ok := r.PlainServers.Reserve(routed.pool.Name, 0, avoid, permission, now); ok {
+		allows := r.Rollouts.Queries().Selection(routed.pool.Name, isTrial, now)
+		if server, ok := r.PlainServers.ReserveAmong(routed.pool.Name, 0, avoid, allows, permission, now); ok {
 			return server, true
 		}
+		if isTrial {
+			r.Rollouts.Commands().Refund(routed.pool.Name)
+			isTrial = false
+			continue
+		}
 		until, isPaused := r.Fleet.PausedUntil(routed.pool.Name, now)
 		if now.After(limit) || isPaused && until.After(limit) {
 			return backend.Server{}, false
--- a/delivery/router.go
+++ b/delivery/router.go
@@ -16,6 +16,7 @@
 	"lycheecrank.example/preparation"
 	"lycheecrank.example/quarantine"
 	"lycheecrank.example/request"
+	"lycheecrank.example/rollout"
 	"lycheecrank.example/route"
 )
 
@@ -26,6 +27,9 @@
 	Fleet  fleet.Queries
 	// PlainServers holds the servers of pools without engines.
 	PlainServers backend.Commands
+	// Rollouts decides which versions of servers may be used, and gets the evidence about
+	// them; nil allows all.
+	Rollouts *rollout.Table
 	// Budget limits sends beyond the first one of an attempt.
 	Budget *pipeline.Budget
 	// Prepare has a request prepared by the coordinator. Its error is a
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -30,6 +30,8 @@
 	answeredAt time.Time
 	// events is the number of complete events that the engine has sent.
 	events int64
+	// typicalFirstEvent is the time to the first event at an idle engine of usual speed.
+	typicalFirstEvent time.Duration
 }
 
 // hasJustBegun reports whether an answer broke off that the engine had begun and in which
@@ -118,7 +120,7 @@
 		return s.fail(request.AsFailure(err))
 	}
 	s.server = placement.Server
-	server, ok := router.Fleet.Server(placement.Server, time.Now())
+	server, ok := router.usable(routed.pool.Name, placement.Server)
 	if !ok || server.Address != placement.Address {
 		router.OnRunEnd(routed.pool.Name, placement.Server, routed.attempt.ID, preparation.RunEnded)
 		return s.retryNotRun(ctx, placement.Server, request.Refuse(request.ReasonNoServer, "reserved engine is no longer available at its address"))
@@ -137,7 +139,7 @@
 	sendCtx, cancel, silence := s.startSilenceTimer(ctx, placement)
 	defer cancel()
 	defer silence.stop()
-	current := &run{server: server, sentAt: time.Now()}
+	current := &run{server: server, sentAt: time.Now(), typicalFirstEvent: placement.TypicalFirstEvent}
 	s.sends++
 	answer, err := routed.attempt.Send(sendCtx, ForwardOptions{
 		Server: server, Workspace: routed.workspace, Deadline: routed.deadline, Inputs: placement.Inputs, Source: placement.PrefixSource, IsPrepared: len(routed.route.Stages) > 0,
@@ -177,6 +179,7 @@
 	case !answer.IsValid:
 		return s.retryBroken(ctx, current, ErrNoValidAnswer)
 	case !answer.isSuccess():
+		router.recordRun(routed, current, answer.Status >= 500)
 		return s.forwardFailure(answer, placement.Server)
 	}
 	return s.forwardEvents(ctx, sendCtx, answer, current, silence)
@@ -220,6 +223,7 @@
 	s.task.AvoidEngines = append(slices.Clone(s.task.AvoidEngines), broken.server.ID)
 	if ctx.Err() == nil {
 		s.logBroken(broken, err)
+		s.router.recordBroken(s.routed, broken, errors.Is(err, errSilent))
 		if broken.hasJustBegun() && !errors.Is(err, errSilent) {
 			s.router.OnCrash(broken.server, s.routed.attempt.ID, s.routed.attempt.Prompt)
 		}
@@ -284,6 +288,7 @@
 		}
 		if !hasEvent {
 			hasEvent = true
+			router.recordRun(routed, current, false)
 			router.OnFirstEvent(routed.pool.Name, server, routed.attempt.ID, s.task.Try, time.Since(current.sentAt))
 		}
 		if !s.hasStarted {
--- /dev/null
+++ b/delivery/version.go
@@ -0,0 +1,66 @@
+package delivery
+
+import (
+	"errors"
+	"time"
+
+	"lycheecrank.example/fleet"
+	"lycheecrank.example/rollout"
+)
+
+// usable returns a server and whether it may get a request of this instance right now: it is
+// in service, and its version may be used.
+func (r *Router) usable(pool, id string) (fleet.Server, bool) {
+	now := time.Now()
+	server, ok := r.Fleet.Server(id, now)
+	return server, ok && r.Rollouts.Queries().MaySend(pool, server.Version, now)
+}
+
+// typicalScale is the time that stands for the typical time to the first event of an engine
+// in evidence. Prompts differ in length and in what engines have cached of them.
+const typicalScale = 100 * time.Millisecond
+
+// evidenceTime returns the time since a request was sent, for evidence.
+func (r *run) evidenceTime(now time.Time) time.Duration {
+	took := now.Sub(r.sentAt)
+	if r.typicalFirstEvent <= 0 {
+		return took
+	}
+	return time.Duration(float64(took) / float64(r.typicalFirstEvent) * float64(typicalScale))
+}
+
+// recordRun adds the first event or the failure of an engine to the evidence about versions.
+func (r *Router) recordRun(routed routedAttempt, run *run, isBad bool) {
+	r.Rollouts.Commands().Record(rollout.Response{
+		Pool: routed.pool.Name, Route: routed.route.Name, Server: run.server.ID, Version: run.server.Version, IsBad: isBad, Took: run.evidenceTime(time.Now()),
+	})
+}
+
+// recordBroken adds an answer that broke off to the evidence about versions. An engine that
+// sent nothing in time counts as slow, and one that closed the connection without an answer
+// isn't evidence about its version.
+func (r *Router) recordBroken(routed routedAttempt, run *run, isSilent bool) {
+	response := rollout.Response{Pool: routed.pool.Name, Route: routed.route.Name, Server: run.server.ID, Version: run.server.Version}
+	switch {
+	case isSilent && run.events == 0:
+		response.Took = run.evidenceTime(time.Now())
+	case isSilent || run.answeredAt.IsZero():
+		return
+	default:
+		response.IsBad = true
+	}
+	r.Rollouts.Commands().Record(response)
+}
+
+// recordPlain adds the answer of a server of a pool without engines to the evidence.
+func (r *Router) recordPlain(routed routedAttempt, id string, sentAt time.Time, answer Answer, err error) {
+	server, ok := r.Fleet.Server(id, time.Now())
+	isSilent := errors.Is(err, errSilent)
+	if !ok || errors.Is(err, ErrNotReached) || answer.IsNotRun || err != nil && answer.Status == 0 && !isSilent {
+		return
+	}
+	r.Rollouts.Commands().Record(rollout.Response{
+		Pool: routed.pool.Name, Route: routed.route.Name, Server: server.ID, Version: server.Version,
+		IsBad: !isSilent && (err != nil || answer.Status >= 500), Took: time.Since(sentAt),
+	})
+}
--- a/engine/choose.go
+++ b/engine/choose.go
@@ -41,6 +41,8 @@
 	// ColdShare is the share of the request rate of cold engines that this coordinator
 	// may use, from 0 to 1.
 	ColdShare float64
+	// Allows reports whether an engine may be chosen; nil allows all.
+	Allows func(id string) bool
 }
 
 // prefillTime returns the time to prefill a number of prompt tokens.
@@ -102,7 +104,7 @@
 	}
 	best, bestCost := -1, time.Duration(0)
 	for i, s := range servers {
-		if n.RequiredEngine != "" && n.RequiredEngine != s.ID || now.Before(s.blockedUntil) || contains(n.AvoidEngines, s.ID) || !s.isWithinColdRate(spec, n.ColdShare, now) {
+		if n.RequiredEngine != "" && n.RequiredEngine != s.ID || now.Before(s.blockedUntil) || contains(n.AvoidEngines, s.ID) || !n.allows(s.ID) || !s.isWithinColdRate(spec, n.ColdShare, now) {
 			continue
 		}
 		cost := s.cost(spec, p, n, transferable, now)
--- a/engine/commands.go
+++ b/engine/commands.go
@@ -51,6 +51,8 @@
 	PrefixSource string
 	// ExpectedFirstEvent is the estimated time to the first event.
 	ExpectedFirstEvent time.Duration
+	// TypicalFirstEvent is the time to the first event at an idle engine of usual speed.
+	TypicalFirstEvent time.Duration
 }
 
 // Reserve chooses an engine for a request and adds the request to its load.
@@ -69,6 +71,7 @@
 		return Reservation{}, false
 	}
 	choice := Reservation{Endpoint: s.Endpoint, PrefixSource: transferSource(servers, &pl.remote, s, p, now), ExpectedFirstEvent: s.expectedFirstEvent(p, now)}
+	choice.TypicalFirstEvent = s.typicalFirstEvent(p, now)
 	pl.servers[s.ID] = s.WithRequest(request, p, now)
 	t.outages.RecordSent(s.DataCentre, now.Add(probeTimeout))
 	return choice, true
--- a/engine/queries.go
+++ b/engine/queries.go
@@ -23,8 +23,8 @@
 	return s.Endpoint, ok
 }
 
-// AreAllExcluded reports whether the requirements exclude each engine of a pool that has
-// engines.
+// AreAllExcluded reports whether the request is to avoid each engine that the requirements
+// allow. It reports false if they allow none: that doesn't last.
 func (q Queries) AreAllExcluded(poolName string, n Requirements) bool {
 	t := q.table
 	t.mu.Lock()
@@ -33,12 +33,17 @@
 	if pl == nil || len(pl.servers) == 0 {
 		return false
 	}
+	isAnyAllowed := false
 	for id := range pl.servers {
+		if !n.allows(id) {
+			continue
+		}
 		if !slices.Contains(n.AvoidEngines, id) {
 			return false
 		}
+		isAnyAllowed = true
 	}
-	return true
+	return isAnyAllowed
 }
 
 // Load is the number of requests at an engine and the number of their prompt tokens that
--- a/entry/apply.go
+++ b/entry/apply.go
@@ -40,6 +40,10 @@
 		i.Logger.Write(event.EvacuationChanged, dataCentre, !record.IsRemoved, record.Offset)
 		return
 	}
+	if strings.HasPrefix(record.Key, platform.RolloutPrefix) {
+		i.applyRolloutRecord(record)
+		return
+	}
 	if record.Key != platform.ConfigurationKey || record.IsRemoved {
 		return
 	}
@@ -118,6 +122,7 @@
 func (i *Instance) syncServers(now time.Time) {
 	configuration := i.routes.Queries().Current()
 	usable := i.fleet.Queries().Usable(now)
+	i.setVersions(configuration, usable, now)
 	layout := i.updateDivision(configuration.Pools(), usable).layout
 	own := layout.Of(i.Settings.DataCentre)
 	var plain []backend.Spec
@@ -127,7 +132,7 @@
 		case p.Engine != nil:
 			i.coordinator.Engines.Commands().SetPool(engineSpec(p), enginePlaces(inCell(servers, layout, own)))
 		case p.Batch != nil:
-			i.coordinator.Batches.Commands().SetPool(batchSpec(p), batchPlaces(inCell(servers, layout, own)))
+			i.coordinator.Batches.Commands().SetPool(batchSpec(p), i.batchPlaces(inCell(servers, layout, own), now))
 		default:
 			for _, s := range servers {
 				plain = append(plain, plainSpec(s))
@@ -159,10 +164,13 @@
 	}
 }
 
-func batchPlaces(servers []fleet.Server) []batch.Endpoint {
+func (i *Instance) batchPlaces(servers []fleet.Server, now time.Time) []batch.Endpoint {
 	places := make([]batch.Endpoint, 0, len(servers))
 	for _, s := range servers {
-		places = append(places, batch.Endpoint{ID: s.ID, Address: s.Address, DataCentre: s.DataCentre})
+		isTrial := i.rollouts.Queries().IsTrial(s.Pool, s.ID, now)
+		if isTrial || i.serves(s, now) {
+			places = append(places, batch.Endpoint{ID: s.ID, Address: s.Address, DataCentre: s.DataCentre, IsTrial: isTrial})
+		}
 	}
 	return places
 }
--- a/entry/cells.go
+++ b/entry/cells.go
@@ -37,7 +37,8 @@
 // updateDivision divides the site anew, according to the known instances and the listed
 // servers of the pools that coordinators use.
 func (i *Instance) updateDivision(pools []route.Pool, usable map[string][]fleet.Server) division {
-	listed := i.fleet.Queries().Listed()
+	now := time.Now()
+	listed := i.fleet.Queries().Listed(func(s fleet.Server) bool { return i.serves(s, now) })
 	divided := map[string]map[string]int{}
 	for _, p := range pools {
 		if p.Engine != nil || p.Batch != nil {
@@ -48,7 +49,9 @@
 	for name := range divided {
 		counts := map[string]int{}
 		for _, s := range usable[name] {
-			counts[next.layout.Of(s.DataCentre)]++
+			if i.serves(s, now) {
+				counts[next.layout.Of(s.DataCentre)]++
+			}
 		}
 		next.usable[name] = counts
 	}
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -90,7 +90,9 @@
 	now := time.Now()
 	i.recordContact(received, now)
 	i.mergeQuarantine(received.Quarantine, now)
+	i.mergeRollouts(received.Rollouts, time.Time{}, now)
 	reply := i.newHeartbeat(len(received.Known) > 0)
+	reply.Rollouts = i.newRolloutUpdate(len(received.Known) > 0, now)
 	reply.Quarantine = i.missingQuarantine(received, now)
 	if received.WantsRecords {
 		reply.Missing = i.missingRecords(received.Positions)
@@ -309,6 +311,7 @@
 	message.WantsRecords = to.wantsRecords
 	message.IsCandidate = i.wasCandidate.Load()
 	message.Quarantine = i.quarantine.Queries().Fresh(sentAt)
+	message.Rollouts = i.newRolloutUpdate(includesKnown, sentAt).withEvidence(i.rollouts.Queries().Evidence())
 	reply, err := callPeer[heartbeat](ctx, i, to.address, heartbeatSubject, message)
 	switch {
 	case errors.Is(err, request.ReasonPeerUnreachable):
@@ -320,6 +323,7 @@
 	default:
 		i.recordContact(reply, time.Now())
 		i.mergeQuarantine(reply.Quarantine, time.Now())
+		i.mergeRollouts(reply.Rollouts, sentAt, time.Now())
 		i.applyReply(reply, sentAt)
 	}
 }
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -22,6 +22,7 @@
 	"io"
 	"net"
 	"os"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -38,6 +39,7 @@
 	"lycheecrank.example/platform"
 	"lycheecrank.example/preparation"
 	"lycheecrank.example/quarantine"
+	"lycheecrank.example/rollout"
 	"lycheecrank.example/route"
 )
 
@@ -84,6 +86,12 @@
 	notices    *noticeSender
 	placements *placements
 	attemptLog *attemptLog
+	// rollouts holds the rollouts of new versions, rolloutTrigger makes runRollouts check
+	// them at once. badPushedAt is when bad responses last triggered heartbeats, in
+	// nanoseconds since startedAt.
+	rollouts       *rollout.Table
+	rolloutTrigger chan struct{}
+	badPushedAt    atomic.Int64
 	// quarantine holds the parts of prompts that crash engines.
 	quarantine *quarantine.Table
 	// quarantineWrites holds the parts whose entries have to be written to the store.
@@ -150,6 +158,8 @@
 		fleet:              fleet.NewTable(),
 		heartbeatTrigger:   make(chan struct{}, 1),
 		fetchAddress:       make(chan string, 1),
+		rollouts:           rollout.NewTable(rolloutBounds(settings), settings.Name+"/"+strconv.FormatInt(time.Now().UnixMilli(), 10)),
+		rolloutTrigger:     make(chan struct{}, 1),
 		quarantine:         quarantine.NewTable(),
 		quarantineWrites:   make(chan string, maxQuarantineWrites),
 		startedAt:          time.Now(),
@@ -185,6 +195,8 @@
 	i.coordinator.Call, i.coordinator.ReleaseResults, i.coordinator.FreeMemory = i.stageClient.Call, i.stageClient.ReleaseResults, i.stageClient.FreeMemory
 	i.coordinator.ColdShare = func() float64 { return coldShare * i.view().ReachableShare(i.ownScope(), time.Now()) }
 	i.coordinator.Admit, i.coordinator.OnFirstEvent = i.admitPrompt, i.recordSuccess
+	i.rollouts.OnBad = i.pushBadResponse
+	i.coordinator.Rollouts = i.rollouts
 	i.coordinator.Logger, i.coordinator.Counters = i.Logger, i.coordinationCounts
 	i.coordinator.OnPrepared, i.coordinator.OnCall = i.latencies.preparations.Record, i.latencies.stageCalls.Record
 	i.placements = newPlacements()
@@ -194,6 +206,7 @@
 		Routes:       i.routes.Queries(),
 		Fleet:        i.fleet.Queries(),
 		PlainServers: i.plainServers.Commands(),
+		Rollouts:     i.rollouts,
 		Budget:       pipeline.NewBudget(retryBudget(i.Settings)),
 		Prepare:      i.prepare,
 		Verdict:      i.verdict,
--- a/entry/message.go
+++ b/entry/message.go
@@ -8,6 +8,7 @@
 	"lycheecrank.example/membership"
 	"lycheecrank.example/preparation"
 	"lycheecrank.example/quarantine"
+	"lycheecrank.example/rollout"
 )
 
 // The subjects of messages between instances.
@@ -43,6 +44,17 @@
 	IsCandidate      bool   `msgpack:"isCandidate,omitempty"`
 	// Quarantine holds what the receiver may lack.
 	Quarantine quarantine.Update `msgpack:"quarantine,omitempty"`
+	// Rollouts holds what the sender knows of rollouts, nil if there is none in progress.
+	Rollouts *rolloutUpdate `msgpack:"rollouts,omitempty"`
+}
+
+// rolloutUpdate is what instances tell each other about rollouts.
+type rolloutUpdate struct {
+	States []rollout.State `msgpack:"states,omitempty"`
+	// AgeMs is the time since the last time for which the sender's states are confirmed.
+	AgeMs int64 `msgpack:"ageMs"`
+	// Evidence is what the sender itself has seen. Replies have none.
+	Evidence []rollout.Evidence `msgpack:"evidence,omitempty"`
 }
 
 // streamRecords holds the records of a stream with offsets from From up to, but not
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -8,6 +8,7 @@
 	"lycheecrank.example/membership"
 	"lycheecrank.example/platform"
 	"lycheecrank.example/quarantine"
+	"lycheecrank.example/rollout"
 )
 
 // histograms holds the latencies that are served with the counters.
@@ -54,6 +55,8 @@
 	InFlight      int64 `json:"inFlight"`
 	// Quarantine holds the quarantined parts of prompts.
 	Quarantine []quarantine.Status `json:"quarantine"`
+	// Rollouts holds the rollouts by pool.
+	Rollouts []rollout.Status `json:"rollouts"`
 }
 
 // queueStatus is the state of the queue of a stage pool on this instance.
@@ -86,6 +89,7 @@
 		InPreparation:        i.coordinator.Queries().JobCount(),
 		InFlight:             i.attemptLog.inFlight.Load(),
 		Quarantine:           i.quarantine.Queries().Statuses(now),
+		Rollouts:             i.rollouts.Queries().Statuses(now),
 	}
 	for _, p := range i.positions() {
 		if p.Stream == platform.ServerStream {
--- a/entry/run.go
+++ b/entry/run.go
@@ -57,7 +57,7 @@
 	i.startMetrics(work, &group)
 	for _, task := range []func(context.Context) error{
 		i.runHeartbeats, i.runFetches, i.runOperators, i.runServers, i.runRegistration, i.runReload, i.runServerSync, i.runDepthLog,
-		i.runJudging, i.runQuarantineReads, i.runQuarantineWrites,
+		i.runRollouts, i.runJudging, i.runQuarantineReads, i.runQuarantineWrites,
 		i.coordinator.Run, i.notices.run, i.attemptLog.run, i.decisions.run,
 	} {
 		group.Go(func() error { return task(work) })
--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -44,6 +44,8 @@
 	encodeTime time.Duration
 	// divide replaces the division of the site into cells; it may be nil.
 	divide func(current cell.Layout, instances int, pools map[string]map[string]int) cell.Layout
+	// rolloutBounds has the bounds of rollouts of the instances, zero for none.
+	rolloutBounds platform.Settings
 	// restarts counts the announced restarts of workers.
 	restarts map[string]int
 	// modify changes each instance before it runs; it may be nil.
@@ -146,6 +148,7 @@
 	i := New(platform.Settings{
 		Name: name, DataCentre: s.dataCentreOf(name), ClientAddress: link.NewAddress(), ReadinessAddress: link.NewAddress(), PeerAddress: link.NewAddress(),
 		StoreAddress: s.store.Address(), DrainGrace: 8 * time.Second, RetryRatio: 1, RetrySlack: 100,
+		ExposureShare: s.rolloutBounds.ExposureShare, ExposureSlack: s.rolloutBounds.ExposureSlack, RollbackTime: s.rolloutBounds.RollbackTime,
 	}, log)
 	if s.divide != nil {
 		i.Divide = s.divide
--- a/event/events.go
+++ b/event/events.go
@@ -29,6 +29,9 @@
 	LogAvailable              = Event{206, log.InfoLevel, "log available", []string{"stream"}, "The platform's log is available again after an outage."}
 	ConfigurationApplied      = Event{207, log.InfoLevel, "configuration adopted", []string{"version", "offset", "pools"}, "A newer configuration of the users' platform is in force on this instance."}
 	EvacuationChanged         = Event{208, log.InfoLevel, "evacuation", []string{"dataCentre", "isEvacuated", "offset"}, "An operator evacuated a data centre or ended its evacuation; its backend servers get no new work while it is evacuated."}
+	RolloutOrdered            = Event{215, log.InfoLevel, "rollout ordered", []string{"pool", "to", "durationMs", "offset", "isWithdrawn"}, "An operator ordered to move a pool to another version, or withdrew the order."}
+	RolloutDecided            = Event{216, log.InfoLevel, "rollout decided", []string{"pool", "to", "offset", "phase", "step", "spread", "elapsedMs", "responses", "bad", "oldResponses", "oldBad", "reason"}, "The leader decided about a rollout. phase is running, shifted (all requests go to the new version), succeeded or rolledBack; step is the number of increases of the share and spread the least number of servers in use. responses and bad count the responses of the new version, oldResponses and oldBad those of the old one, over all instances since the order."}
+	RolloutChanged            = Event{217, log.InfoLevel, "rollout changed", []string{"pool", "to", "offset", "phase", "reason"}, "This instance has learned of another phase of a rollout, from the leader or the store."}
 	PeerConnected             = Event{301, log.InfoLevel, "peer connected", []string{"peer", "dataCentre"}, "A connection to another instance is open."}
 	PeerLost                  = Event{302, log.WarnLevel, "peer lost", []string{"peer", "error"}, "A connection to another instance has failed or could not be opened; peer is the name of the instance, or its address if the connection could not be opened."}
 	PeerFrameRefused          = Event{303, log.WarnLevel, "peer frame refused", []string{"remote", "error"}, "A connection was closed because a frame received on it is not a valid message; remote is the name of the other instance if this instance dialled and the handshake had succeeded, otherwise an address."}
@@ -71,6 +74,7 @@
 	return []Event{
 		Started, Leaving, Stopped, InstanceListUnavailable, EntryStarted, ResumedAfterBreak, MetricsUnavailable, LogLinesDropped, SettingsApplied, SettingsRefused, SteppedDown,
 		CatalogueApplied, CatalogueEditRefused, LogUnavailable, LogRecordUnreadable, CatalogueSnapshotAppended, LogAvailable, ConfigurationApplied, EvacuationChanged,
+		RolloutOrdered, RolloutDecided, RolloutChanged,
 		PeerConnected, PeerLost, PeerFrameRefused, CoordinatorChosen, SiteDivided,
 		RequestRefused, RequestFinished, ResultDropped, AttemptServed, AttemptFailed, ResultsRebuilt, RequestPlaced, RequestRejected, AttemptRetried, AnswerBroken,
 		PromptQuarantined, QuarantineEnded, QuarantineProbed, EngineCrashed,
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -13,6 +13,9 @@
 	Pool       string
 	Address    string
 	DataCentre string
+	// Version is the version of the software that the server runs, empty if it reports
+	// none.
+	Version    string
 	Slots      int
 	IsDraining bool
 	// ColdUntil is the end of the cold start that the server reports: the time after its
--- a/fleet/queries.go
+++ b/fleet/queries.go
@@ -26,10 +26,14 @@
 
 // Listed returns the number of listed servers by pool and data centre. It includes those
 // that get no new work for the moment, so that the numbers change little when servers
-// drain or a data centre is evacuated.
-func (q Queries) Listed() map[string]map[string]int {
+// drain or a data centre is evacuated. Servers that don't serve their pool, such as those
+// of a version that is tried out, aren't counted.
+func (q Queries) Listed(serves func(Server) bool) map[string]map[string]int {
 	pools := map[string]map[string]int{}
 	for _, s := range q.table.current.Load().servers {
+		if !serves(s) {
+			continue
+		}
 		if pools[s.Pool] == nil {
 			pools[s.Pool] = map[string]int{}
 		}
--- a/lock/lock.go
+++ b/lock/lock.go
@@ -18,6 +18,7 @@
 	RankBackend     = 50
 	RankEngine      = 55
 	RankQuarantine  = 57
+	RankRollout     = 58
 	RankRequest     = 60
 	RankClaim       = 70
 	RankPrecedence  = 80
--- a/preparation/calls.go
+++ b/preparation/calls.go
@@ -29,6 +29,7 @@
 	isEnded.Store(true)
 	now := time.Now()
 	c.OnCall(call.Pool, now.Sub(call.SentAt))
+	c.recordEvidence(call, results, err, now)
 	if err == nil && c.isRepeated(call, results) {
 		err = ErrRepeatedAnswer
 	}
@@ -117,6 +118,7 @@
 		c.Counters.Add("inputGivenUp")
 		c.rebuild(piece, "", time.Now())
 	case retryPiece:
+		piece.IsTrial = false
 		c.Batches.Commands().Enqueue([]batch.Piece{piece})
 	}
 }
@@ -155,7 +157,7 @@
 		c.refuse(piece.RequestID, stagesFailed("piece of a stage failed and recompute budget exhausted"))
 		return
 	}
-	piece.AvoidServer = avoid
+	piece.AvoidServer, piece.IsTrial = avoid, false
 	c.Batches.Commands().Enqueue([]batch.Piece{piece})
 }
 
--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -13,6 +13,7 @@
 	"lycheecrank.example/event"
 	"lycheecrank.example/pipeline"
 	"lycheecrank.example/request"
+	"lycheecrank.example/rollout"
 	"lycheecrank.example/worker"
 )
 
@@ -23,6 +24,8 @@
 	// ErrWrongServer means that a server other than the expected one answered at the
 	// address.
 	ErrWrongServer = errors.New("unexpected stage server at the address")
+	// ErrBadAnswer means that the server failed the call or answered invalidly.
+	ErrBadAnswer = errors.New("bad answer of a stage server")
 	// ErrRepeatedAnswer means that the answer to a call contains results of an earlier
 	// call.
 	ErrRepeatedAnswer = errors.New("stage server repeated results of an earlier call")
@@ -112,6 +115,8 @@
 	Counters   *counter.Set
 	Batches    *batch.Table
 	Engines    *engine.Table
+	// Rollouts decides which versions of servers may be used; nil allows all.
+	Rollouts *rollout.Table
 	// RecomputeBudget limits the pieces that are recomputed. The coordinator prepares the
 	// requests of all instances, so this limit covers the requests of all of them.
 	RecomputeBudget *pipeline.Budget
@@ -305,7 +310,7 @@
 		if s.Pieces == 0 || s.Bytes < largeResultBytes {
 			continue
 		}
-		best, _ := c.Engines.Queries().BestEngine(task.Pool, task.Prompt, engine.Requirements{AvoidEngines: task.AvoidEngines, ColdShare: 1}, now)
+		best, _ := c.Engines.Queries().BestEngine(task.Pool, task.Prompt, engine.Requirements{AvoidEngines: task.AvoidEngines, ColdShare: 1, Allows: c.Rollouts.Queries().Selection(task.Pool, false, now)}, now)
 		return best.DataCentre
 	}
 	return ""
@@ -323,6 +328,10 @@
 func (c *Coordinator) reserveEngine(ctx context.Context, task Task, isProbe bool) (Placement, error) {
 	timer := time.NewTimer(engineRetryInterval)
 	defer timer.Stop()
+	isTrial := task.RequiredEngine != "" && c.Rollouts.Queries().IsTrial(task.Pool, task.RequiredEngine, time.Now())
+	if task.Try <= 1 {
+		isTrial = c.Rollouts.Commands().Admit(task.Pool, time.Now())
+	}
 	for {
 		if !isProbe {
 			// The prompt may have been quarantined while the stages were computed.
@@ -336,10 +345,19 @@
 			return Placement{}, request.Refuse(request.ReasonCancelled, "preparation cancelled while waiting for an engine")
 		}
 		inputs := j.engineInputs()
-		requirements := engine.Requirements{InputBytes: c.inputBytes(j), AvoidEngines: task.AvoidEngines, RequiredEngine: task.RequiredEngine, ColdShare: c.ColdShare()}
-		reservation, ok := c.Engines.Commands().Reserve(task.Pool, task.RequestID, task.Prompt, requirements, time.Now())
+		now := time.Now()
+		requirements := engine.Requirements{
+			InputBytes: c.inputBytes(j), AvoidEngines: task.AvoidEngines, RequiredEngine: task.RequiredEngine, ColdShare: c.ColdShare(),
+			Allows: c.Rollouts.Queries().Selection(task.Pool, isTrial, now),
+		}
+		reservation, ok := c.Engines.Commands().Reserve(task.Pool, task.RequestID, task.Prompt, requirements, now)
+		if !ok && isTrial && task.RequiredEngine == "" {
+			c.Rollouts.Commands().Refund(task.Pool)
+			isTrial = false
+			continue
+		}
 		if ok {
-			return Placement{Server: reservation.ID, Address: reservation.Address, DataCentre: reservation.DataCentre, PrefixSource: reservation.PrefixSource, Inputs: inputs, ExpectedFirstEvent: reservation.ExpectedFirstEvent, IsProbe: isProbe}, nil
+			return Placement{Server: reservation.ID, Address: reservation.Address, DataCentre: reservation.DataCentre, PrefixSource: reservation.PrefixSource, Inputs: inputs, ExpectedFirstEvent: reservation.ExpectedFirstEvent, TypicalFirstEvent: reservation.TypicalFirstEvent, IsProbe: isProbe}, nil
 		}
 		c.Counters.Add("noEngine")
 		if c.Engines.Queries().AreAllExcluded(task.Pool, requirements) {
@@ -403,6 +421,9 @@
 // applyEffects queues pieces and releases results.
 func (c *Coordinator) applyEffects(followUp effects) {
 	if len(followUp.enqueue) > 0 {
+		for n, p := range followUp.enqueue {
+			followUp.enqueue[n].IsTrial = c.Rollouts.Commands().Admit(p.Pool, time.Now())
+		}
 		c.Batches.Commands().Enqueue(followUp.enqueue)
 	}
 	c.release(followUp.release)
--- a/preparation/task.go
+++ b/preparation/task.go
@@ -129,6 +129,8 @@
 	Inputs []string `msgpack:"inputs"`
 	// ExpectedFirstEvent is the estimated time to the first event.
 	ExpectedFirstEvent time.Duration `msgpack:"expected,omitempty"`
+	// TypicalFirstEvent is the time to the first event at an idle engine of usual speed.
+	TypicalFirstEvent time.Duration `msgpack:"typical,omitempty"`
 	// IsProbe is set if the request may be sent although its prompt is quarantined.
 	IsProbe bool `msgpack:"isProbe,omitempty"`
 	// WaitedMs is the time from the arrival of the task at the coordinator to the
--- /dev/null
+++ b/rollout/queries.go
@@ -0,0 +1,190 @@
+package rollout
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Queries reads a table. Concurrent calls are safe. Those about servers allow all servers
+// without a table.
+type Queries struct{ table *Table }
+
+// IsEnabled reports whether rollouts are expected.
+func (q Queries) IsEnabled() bool { return q.table.bounds.IsEnabled() }
+
+// Selection returns a function that reports whether a server may get a request, or nil if
+// all servers of the pool may. isTrial is set for a request that Admit has given to the new
+// version.
+func (q Queries) Selection(name string, isTrial bool, now time.Time) func(id string) bool {
+	t := q.table
+	p, ok := t.restricted(name, now)
+	if !ok {
+		return nil
+	}
+	isConfirmed := t.isConfirmed(now)
+	isTrial = isTrial && p.phase() == Running && isConfirmed
+	uses := make(map[string]use, len(p.firstSeen))
+	for version := range p.firstSeen {
+		uses[version] = p.useOf(version, isConfirmed, now)
+	}
+	return func(id string) bool {
+		version, isKnown := p.versions[id]
+		switch {
+		case !isKnown:
+			return false
+		case isTrial:
+			return p.trial[id]
+		}
+		return uses[version] == allRequests
+	}
+}
+
+// MaySend reports whether a server of a version may get any request now. Callers check this
+// right before a send, because the phase may have changed since the server was chosen.
+func (q Queries) MaySend(name, version string, now time.Time) bool {
+	t := q.table
+	p, ok := t.restricted(name, now)
+	if !ok {
+		return true
+	}
+	return p.useOf(version, t.isConfirmed(now), now) != noRequests
+}
+
+// Serves reports whether the servers of a version get the bulk of the requests.
+func (q Queries) Serves(name, version string, now time.Time) bool {
+	t := q.table
+	p, ok := t.restricted(name, now)
+	if !ok {
+		return true
+	}
+	return p.useOf(version, t.isConfirmed(now), now) == allRequests
+}
+
+// IsTrial reports whether a server of the new version gets the share.
+func (q Queries) IsTrial(name, id string, now time.Time) bool {
+	p, ok := q.table.restricted(name, now)
+	return ok && p.phase() == Running && q.table.isConfirmed(now) && p.trial[id]
+}
+
+// InProgress returns the pools with a rollout in progress, sorted.
+func (q Queries) InProgress() []string {
+	var names []string
+	for name, p := range *q.table.pools.Load() {
+		if p.isInProgress() || p.isCurrent() && p.isWithdrawn && !p.state.Phase.IsFinal() {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// HasOrders reports whether any order or state is known.
+func (q Queries) HasOrders() bool {
+	for _, p := range *q.table.pools.Load() {
+		if p.hasOrder || p.state.To != "" {
+			return true
+		}
+	}
+	return false
+}
+
+// States returns the states by pool, those of finished rollouts only if all is set.
+func (q Queries) States(all bool, now time.Time) []State {
+	var states []State
+	for _, p := range *q.table.pools.Load() {
+		if p.state.To == "" || !all && p.state.Phase.IsFinal() && now.Sub(p.steppedAt) > announceTime {
+			continue
+		}
+		s := p.state
+		if p.isCurrent() && !s.Phase.IsFinal() {
+			s.ElapsedMs = now.Sub(p.knownAt).Milliseconds()
+		}
+		states = append(states, s)
+	}
+	slices.SortFunc(states, func(a, b State) int { return cmp.Compare(a.Pool, b.Pool) })
+	return states
+}
+
+// announceTime is how long a final state is sent with each message.
+const announceTime = 3 * time.Second
+
+// State returns the state of a pool.
+func (q Queries) State(name string) State { return q.table.pool(name).state }
+
+// Order returns the order of a pool, or false if there is none.
+func (q Queries) Order(name string) (Order, bool) {
+	p := q.table.pool(name)
+	return p.order, p.hasOrder && !p.isWithdrawn
+}
+
+// Evidence returns the evidence of this process for the rollouts in progress.
+func (q Queries) Evidence() []Evidence {
+	t := q.table
+	if len(q.InProgress()) == 0 {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var evidence []Evidence
+	for _, name := range slices.Sorted(maps.Keys(*t.pools.Load())) {
+		p := t.pool(name)
+		if e, ok := t.ownEvidence(name, p); ok && p.isInProgress() {
+			evidence = append(evidence, e)
+		}
+	}
+	return evidence
+}
+
+// ConfirmedAge returns the time since the phases were last confirmed.
+func (q Queries) ConfirmedAge(now time.Time) time.Duration { return now.Sub(*q.table.confirmed.Load()) }
+
+// Status is the state of a rollout for operators.
+type Status struct {
+	Pool      string  `json:"pool"`
+	To        string  `json:"to"`
+	Phase     string  `json:"phase"`
+	Share     float64 `json:"share"`
+	ElapsedMs int64   `json:"elapsedMs"`
+	Listed    int     `json:"listed"`
+	Trial     int     `json:"trial"`
+	Reason    string  `json:"reason"`
+	// Responses and Bad count the responses of the new version that this instance knows
+	// of, OldResponses and OldBad those of the old one.
+	Responses    int64 `json:"responses"`
+	Bad          int64 `json:"bad"`
+	OldResponses int64 `json:"oldResponses"`
+	OldBad       int64 `json:"oldBad"`
+}
+
+// Statuses returns the rollouts by pool.
+func (q Queries) Statuses(now time.Time) []Status {
+	t := q.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	statuses := []Status{}
+	for _, name := range slices.Sorted(maps.Keys(*t.pools.Load())) {
+		p := t.pool(name)
+		if !p.hasOrder {
+			continue
+		}
+		totals := t.totals(name, p, nil)
+		fresh, old := sum(totals.fresh("")), totals.old("")
+		status := Status{
+			Pool: name, To: p.order.To, Phase: p.phase().String(), Share: t.share(p, now), ElapsedMs: now.Sub(p.knownAt).Milliseconds(),
+			Listed: p.listed, Trial: len(p.trial), Responses: fresh.Count, Bad: fresh.Bad, OldResponses: old.Count, OldBad: old.Bad,
+		}
+		if p.isCurrent() {
+			status.Reason = p.state.Reason
+		}
+		statuses = append(statuses, status)
+	}
+	return statuses
+}
+
+// Counts returns the responses and bad responses of the new and the old version.
+func (i Input) Counts() (responses, bad, oldResponses, oldBad int64) {
+	fresh, old := sum(i.Totals.fresh("")), i.Totals.old("")
+	return fresh.Count, fresh.Bad, old.Count, old.Bad
+}
--- a/route/route.go
+++ b/route/route.go
@@ -198,6 +198,16 @@
 	return Route{}, false
 }
 
+// HasRoute reports whether there is a route with a name.
+func (c Configuration) HasRoute(name string) bool {
+	for _, rs := range c.routes {
+		if slices.ContainsFunc(rs, func(r Route) bool { return r.Name == name }) {
+			return true
+		}
+	}
+	return false
+}
+
 // Pool returns a pool by its name.
 func (c Configuration) Pool(name string) (Pool, bool) {
 	p, ok := c.pools[name]
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -155,6 +155,10 @@
 	defer s.mu.Unlock()
 	topic := r.URL.Query().Get("topic")
 	offset := len(s.stream(topic).records)
+	if at := r.URL.Query().Get("at"); at != "" && at != strconv.Itoa(offset) {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		return
+	}
 	for len(data) >= 4 {
 		size := binary.BigEndian.Uint32(data)
 		s.add(topic, slices.Clone(data[4:4+size]))
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -296,6 +296,10 @@
 		return
 	}
 	w.calls++
+	if w.fault.Status != 0 {
+		rw.WriteHeader(w.fault.Status)
+		return
+	}
 	var answer stageItems
 	for range call.Items {
 		w.made++
