Show rollouts to operators, and resume streams of replaced engines

Streams at the old version break off when a rollout succeeds. Instances save up to 200 of the retries that their requests add while a rollout is in progress; replaced engines no longer count as crashed by a prompt or as a sign that their data centre is unreachable. Requests placed before the shift are still sent. An instance that missed the end of a rollout gets it with the next reply, where a reply without states could confirm its old phase before. A version that answers nothing isn't shifted to.

--- a/cmd/lycheectl/main.go
+++ b/cmd/lycheectl/main.go
@@ -47,6 +47,7 @@
 			precedenceCommand(),
 			explainCommand(),
 			quarantineCommand(),
+			rolloutsCommand(),
 		},
 	}
 	quiet(root)
--- a/console/quarantine.go
+++ b/console/quarantine.go
@@ -13,6 +13,7 @@
 
 	"lycheecrank.example/operator"
 	"lycheecrank.example/quarantine"
+	"lycheecrank.example/rollout"
 )
 
 // InstanceQuarantine is what one instance has quarantined, or why that isn't known.
@@ -32,8 +33,8 @@
 	var all []InstanceQuarantine
 	var failed []string
 	for _, url := range urls {
-		found, err := readQuarantine(ctx, client, url)
-		status := InstanceQuarantine{Metrics: url, Quarantine: found}
+		found, err := readBeliefs(ctx, client, url)
+		status := InstanceQuarantine{Metrics: url, Quarantine: found.Quarantine}
 		if err != nil {
 			status.Error = err.Error()
 			failed = append(failed, url)
@@ -46,25 +47,29 @@
 	return all, nil
 }
 
-func readQuarantine(ctx context.Context, client *http.Client, url string) ([]quarantine.Status, error) {
+// beliefs is the part of the state of an instance that is shown.
+type beliefs struct {
+	Quarantine []quarantine.Status `json:"quarantine"`
+	Rollouts   []rollout.Status    `json:"rollouts"`
+}
+
+func readBeliefs(ctx context.Context, client *http.Client, url string) (beliefs, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
-		return nil, eris.Wrap(err, "create request")
+		return beliefs{}, eris.Wrap(err, "create request")
 	}
 	res, err := client.Do(req)
 	if err != nil {
-		return nil, eris.Wrap(err, "read counters")
+		return beliefs{}, eris.Wrap(err, "read counters")
 	}
 	defer func() { _ = res.Body.Close() }()
 	var counters struct {
-		Beliefs struct {
-			Quarantine []quarantine.Status `json:"quarantine"`
-		} `json:"beliefs"`
+		Beliefs beliefs `json:"beliefs"`
 	}
 	if err := json.NewDecoder(io.LimitReader(res.Body, maxMetricsBytes)).Decode(&counters); err != nil {
-		return nil, eris.Wrap(err, "decode counters")
+		return beliefs{}, eris.Wrap(err, "decode counters")
 	}
-	return counters.Beliefs.Quarantine, nil
+	return counters.Beliefs, nil
 }
 
 // QuarantineTable returns what instances have quarantined as a text.
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -149,6 +149,7 @@
 	switch {
 	case errors.Is(err, ErrNotReached):
 		router.OnRunEnd(routed.pool.Name, placement.Server, routed.attempt.ID, brokenRunStatus(ctx))
+		router.recordLost(routed, server)
 		return s.retryNotRun(ctx, placement.Server, request.Refuse(request.ReasonServerUnreachable, "engine not reached").WithRetryAfter(unreachedRetryAfter))
 	case err != nil:
 		s.addReached(placement.Server)
@@ -224,7 +225,8 @@
 	if ctx.Err() == nil {
 		s.logBroken(broken, err)
 		s.router.recordBroken(s.routed, broken, errors.Is(err, errSilent))
-		if broken.hasJustBegun() && !errors.Is(err, errSilent) {
+		isReplaced := s.router.Rollouts.Queries().IsReplaced(s.routed.pool.Name, broken.server.Version)
+		if broken.hasJustBegun() && !errors.Is(err, errSilent) && !isReplaced {
 			s.router.OnCrash(broken.server, s.routed.attempt.ID, s.routed.attempt.Prompt)
 		}
 	}
--- a/delivery/version.go
+++ b/delivery/version.go
@@ -44,19 +44,30 @@
 	switch {
 	case isSilent && run.events == 0:
 		response.Took = run.evidenceTime(time.Now())
-	case isSilent || run.answeredAt.IsZero():
+	case isSilent:
 		return
+	case run.answeredAt.IsZero():
+		response.IsLost = true
 	default:
 		response.IsBad = true
 	}
 	r.Rollouts.Commands().Record(response)
 }
 
+// recordLost adds a request that didn't reach its server to the evidence.
+func (r *Router) recordLost(routed routedAttempt, server fleet.Server) {
+	r.Rollouts.Commands().Record(rollout.Response{Pool: routed.pool.Name, Route: routed.route.Name, Server: server.ID, Version: server.Version, IsLost: true})
+}
+
 // recordPlain adds the answer of a server of a pool without engines to the evidence.
 func (r *Router) recordPlain(routed routedAttempt, id string, sentAt time.Time, answer Answer, err error) {
 	server, ok := r.Fleet.Server(id, time.Now())
 	isSilent := errors.Is(err, errSilent)
-	if !ok || errors.Is(err, ErrNotReached) || answer.IsNotRun || err != nil && answer.Status == 0 && !isSilent {
+	switch {
+	case !ok || answer.IsNotRun:
+		return
+	case errors.Is(err, ErrNotReached) || err != nil && answer.Status == 0 && !isSilent:
+		r.recordLost(routed, server)
 		return
 	}
 	r.Rollouts.Commands().Record(rollout.Response{
--- a/entry/apply.go
+++ b/entry/apply.go
@@ -130,7 +130,7 @@
 		servers := usable[p.Name]
 		switch {
 		case p.Engine != nil:
-			i.coordinator.Engines.Commands().SetPool(engineSpec(p), enginePlaces(inCell(servers, layout, own)))
+			i.coordinator.Engines.Commands().SetPool(engineSpec(p), enginePlaces(i.withoutReplaced(inCell(servers, layout, own))))
 		case p.Batch != nil:
 			i.coordinator.Batches.Commands().SetPool(batchSpec(p), i.batchPlaces(inCell(servers, layout, own), now))
 		default:
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -92,7 +92,8 @@
 	i.mergeQuarantine(received.Quarantine, now)
 	i.mergeRollouts(received.Rollouts, time.Time{}, now)
 	reply := i.newHeartbeat(len(received.Known) > 0)
-	reply.Rollouts = i.newRolloutUpdate(len(received.Known) > 0, now)
+	// A sender with a rollout in progress may have missed its end.
+	reply.Rollouts = i.newRolloutUpdate(len(received.Known) > 0 || received.Rollouts != nil, now)
 	reply.Quarantine = i.missingQuarantine(received, now)
 	if received.WantsRecords {
 		reply.Missing = i.missingRecords(received.Positions)
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -140,6 +140,8 @@
 	// coordinationCounts counts events of preparations, and the heartbeats and notices
 	// that were late or lost.
 	coordinationCounts *counter.Set
+	// rolloutCounts counts the phases of rollouts that this instance has learned of.
+	rolloutCounts *counter.Set
 }
 
 // New returns an instance with the given settings that logs to out.
@@ -169,6 +171,7 @@
 		retries:            counter.NewSet("retries"),
 		storeCalls:         counter.NewSet("storeCalls"),
 		coordinationCounts: counter.NewSet("preparation"),
+		rolloutCounts:      counter.NewSet("rollouts"),
 	}
 	i.members = membership.NewTable(membership.Instance{
 		Name: settings.Name, Address: settings.PeerAddress, DataCentre: settings.DataCentre, EligibleSince: time.Now().UnixMilli(),
--- a/entry/rollout.go
+++ b/entry/rollout.go
@@ -19,7 +19,7 @@
 	// rolloutInterval is how often the leader checks the rollouts in progress, and
 	// rolloutMinInterval the least time between two checks.
 	rolloutInterval    = 200 * time.Millisecond
-	rolloutMinInterval = 50 * time.Millisecond
+	rolloutMinInterval = 100 * time.Millisecond
 	// rolloutReadInterval is how often the leader reads the stream of the rollouts while
 	// one is in progress: another leader may have decided.
 	rolloutReadInterval = 500 * time.Millisecond
@@ -33,6 +33,11 @@
 	// majority is the part of the known instances that a leader without the store must
 	// reach to confirm phases: there is no other leader that could have decided then.
 	majority = 0.5
+	// rolloutRetries is the number of retries that an instance may save up while a rollout
+	// is in progress and for resumeTime after it: all streams of the old version break off
+	// when the rollout succeeds, and resume at the new one.
+	rolloutRetries = 200
+	resumeTime     = 5 * time.Second
 )
 
 // rolloutLeader is what the leader knows of the streams of the rollouts in the store.
@@ -57,6 +62,7 @@
 		return nil
 	}
 	leader := &rolloutLeader{instance: i}
+	var lastInProgress time.Time
 	timer := time.NewTimer(rolloutInterval)
 	defer timer.Stop()
 	for {
@@ -68,6 +74,14 @@
 			return nil
 		}
 		now := time.Now()
+		if len(i.rollouts.Queries().InProgress()) > 0 {
+			lastInProgress = now
+		}
+		if !lastInProgress.IsZero() && now.Sub(lastInProgress) < resumeTime {
+			i.delivery.Budget.SetReserve(rolloutRetries)
+		} else {
+			i.delivery.Budget.SetReserve(0)
+		}
 		if i.isStarting(now) || i.view().Coordinator(membership.Scope{}, now).Name != i.Settings.Name {
 			*leader = rolloutLeader{instance: i}
 			continue
@@ -80,9 +94,6 @@
 // lead makes the due decisions, and brings the store up to date.
 func (l *rolloutLeader) lead(ctx context.Context, now time.Time) {
 	i := l.instance
-	if i.view().ReachableShare(membership.Scope{}, now) > majority {
-		i.rollouts.Commands().Confirm(now)
-	}
 	// A rollback must not wait for the store.
 	names := i.rollouts.Queries().InProgress()
 	var decisions []rolloutDecision
@@ -102,7 +113,6 @@
 			l.failedAt = time.Now()
 		}
 		if errors.Is(err, platform.ErrMoved) {
-			l.hasRead = false
 			return
 		}
 		if l.isDown != (err != nil) {
@@ -110,6 +120,9 @@
 			i.logStoreAvailability(platform.RolloutStream, err)
 		}
 	}
+	if i.view().ReachableShare(membership.Scope{}, now) > majority {
+		i.rollouts.Commands().Confirm(now)
+	}
 }
 
 func (l *rolloutLeader) leadWithStore(ctx context.Context, names []string, decisions []rolloutDecision, now time.Time) error {
--- a/entry/versions.go
+++ b/entry/versions.go
@@ -107,12 +107,12 @@
 	if update == nil {
 		return
 	}
-	i.rollouts.Commands().AddEvidence(update.Evidence)
+	hasNewBad := i.rollouts.Commands().AddEvidence(update.Evidence)
 	i.applyRolloutStates(update.States, now)
 	if !sentAt.IsZero() {
 		i.rollouts.Commands().Confirm(sentAt.Add(-time.Duration(update.AgeMs) * time.Millisecond))
 	}
-	if len(update.Evidence) > 0 {
+	if hasNewBad {
 		i.triggerRollouts()
 	}
 }
@@ -128,6 +128,7 @@
 	for _, s := range i.rollouts.Commands().Merge(states, now) {
 		if old := before[s.Pool]; old.Offset != s.Offset || old.Phase != s.Phase {
 			isChanged = true
+			i.rolloutCounts.Add(s.Phase.String())
 			i.Logger.Write(event.RolloutChanged, s.Pool, s.To, s.Offset, s.Phase.String(), s.Reason)
 		}
 	}
@@ -156,3 +157,9 @@
 	default:
 	}
 }
+
+// withoutReplaced returns the servers without those of a version that was replaced. These
+// end at once, which doesn't show that their data centre is unreachable.
+func (i *Instance) withoutReplaced(servers []fleet.Server) []fleet.Server {
+	return slices.DeleteFunc(slices.Clone(servers), func(s fleet.Server) bool { return i.rollouts.Queries().IsReplaced(s.Pool, s.Version) })
+}
--- a/pipeline/budget.go
+++ b/pipeline/budget.go
@@ -7,8 +7,10 @@
 type Budget struct {
 	perRequest float64
 	burst      float64
-	mu         *lock.Ranked
-	tokens     float64
+	// reserve is added to the maximum.
+	reserve float64
+	mu      *lock.Ranked
+	tokens  float64
 }
 
 // NewBudget returns a full budget. Each request adds perRequest retries to it, up
@@ -22,14 +24,23 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.perRequest, b.burst = perRequest, burst
-	b.tokens = min(b.tokens, burst)
+	b.tokens = min(b.tokens, b.burst+b.reserve)
+}
+
+// SetReserve raises the maximum above the burst, so that retries which requests add are kept
+// for a time in which many are needed at once. Their total stays the same.
+func (b *Budget) SetReserve(reserve float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reserve = reserve
+	b.tokens = min(b.tokens, b.burst+b.reserve)
 }
 
 // Deposit adds perRequest retries for one admitted request.
 func (b *Budget) Deposit() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(b.burst, b.tokens+b.perRequest)
+	b.tokens = min(b.burst+b.reserve, b.tokens+b.perRequest)
 }
 
 // Withdraw removes one retry and reports whether one was available.
--- a/rollout/commands.go
+++ b/rollout/commands.go
@@ -181,11 +181,13 @@
 	return key.server != "" && response.IsBad
 }
 
-// AddEvidence adds the evidence of other instances.
-func (c Commands) AddEvidence(evidence []Evidence) {
+// AddEvidence adds the evidence of other instances. It reports whether they have more bad
+// responses of a new version than before.
+func (c Commands) AddEvidence(evidence []Evidence) bool {
 	if len(evidence) == 0 || !c.table.bounds.IsEnabled() {
-		return
+		return false
 	}
+	hasNewBad := false
 	t := c.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -198,9 +200,11 @@
 		old := bySource[e.Source]
 		// Messages may arrive out of order; counts only grow.
 		if e.Offset > old.Offset || e.Offset == old.Offset && e.count() > old.count() {
+			hasNewBad = hasNewBad || e.bad() > 0 && (e.Offset != old.Offset || e.bad() > old.bad())
 			bySource[e.Source] = e
 		}
 	}
+	return hasNewBad
 }
 
 // Start starts the order of a pool, and returns its first state without applying it.
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -17,6 +17,9 @@
 	// singleSpread is the number of servers of the new version that get requests once one
 	// of them seems to be faulty.
 	singleSpread = 3
+	// maxLost is the number of requests without a response from which a pool isn't shifted
+	// to a version that has given no response at all.
+	maxLost = 3
 )
 
 // Input is what a decision depends on. It is an immutable value.
@@ -50,13 +53,14 @@
 	if verdict.IsBad {
 		return state.WithPhase(RolledBack, verdict.Reason)
 	}
-	responses := sum(input.Totals.fresh("")).Count
+	fresh := sum(input.Totals.fresh(""))
+	responses := fresh.Count
 	switch {
 	case input.Elapsed >= schedule.Deadline && (responses == 0 || input.Listed == 0):
 		return state.WithPhase(RolledBack, "no server or no response of the new version until the deadline")
 	case state.Phase == Shifted && input.Elapsed >= schedule.SucceedAt && responses > 0:
 		return state.WithPhase(Succeeded, fmt.Sprintf("%d responses without a finding", responses))
-	case state.Phase == Running && isLast && input.Listed > 0:
+	case state.Phase == Running && isLast && input.Listed > 0 && (responses > 0 || fresh.Lost < maxLost):
 		return state.WithPhase(Shifted, fmt.Sprintf("%d responses without a finding", responses))
 	case verdict.IsSingle && state.Spread < singleSpread:
 		return state.WithSpread(singleSpread, verdict.Reason)
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -20,6 +20,8 @@
 	IsBad bool
 	// Took is the time to the first byte or event, 0 if there was none.
 	Took time.Duration
+	// IsLost is set if there was no response at all.
+	IsLost bool
 }
 
 // Row counts the responses on a route. It is an immutable value.
@@ -29,6 +31,8 @@
 	Server string `msgpack:"s,omitempty"`
 	Count  int64  `msgpack:"n"`
 	Bad    int64  `msgpack:"b,omitempty"`
+	// Lost counts the requests without a response, which Count doesn't.
+	Lost int64 `msgpack:"l,omitempty"`
 	// Times counts the responses by the logarithm of their time (see bucketOf).
 	Times map[int]int64 `msgpack:"t,omitempty"`
 }
@@ -57,6 +61,10 @@
 
 // withResponse returns the row with one more response.
 func (r Row) withResponse(response Response) Row {
+	if response.IsLost {
+		r.Lost++
+		return r
+	}
 	r.Count++
 	if response.IsBad {
 		r.Bad++
@@ -75,6 +83,7 @@
 func (r Row) plus(other Row, sign int64) Row {
 	r.Count += sign * other.Count
 	r.Bad += sign * other.Bad
+	r.Lost += sign * other.Lost
 	times := make(map[int]int64, len(r.Times)+len(other.Times))
 	maps.Copy(times, r.Times)
 	for bucket, n := range other.Times {
@@ -134,7 +143,18 @@
 func (e Evidence) count() int64 {
 	total := int64(0)
 	for _, r := range e.Rows {
-		total += r.Count
+		total += r.Count + r.Lost
+	}
+	return total
+}
+
+// bad returns the number of bad responses of the new version.
+func (e Evidence) bad() int64 {
+	total := int64(0)
+	for _, r := range e.Rows {
+		if r.Server != "" {
+			total += r.Bad
+		}
 	}
 	return total
 }
@@ -165,7 +185,7 @@
 		if before, ok := earlier[key]; ok {
 			r = r.plus(before, -1)
 		}
-		if r.Count > 0 {
+		if r.Count > 0 || r.Lost > 0 {
 			next[key] = r
 		}
 	}
--- a/rollout/queries.go
+++ b/rollout/queries.go
@@ -49,9 +49,22 @@
 	if !ok {
 		return true
 	}
+	if p.phase() == Shifted && version != p.order.To {
+		// Requests that were placed before the shift go on.
+		return !p.isHeld(version, now) && !slices.Contains(p.rejected(), version)
+	}
 	return p.useOf(version, t.isConfirmed(now), now) != noRequests
 }
 
+// IsReplaced reports whether a version was replaced by a rollout that has succeeded.
+func (q Queries) IsReplaced(name, version string) bool {
+	if q.table == nil {
+		return false
+	}
+	p := q.table.pool(name)
+	return p.phase() == Succeeded && version != p.order.To && p.listed > 0
+}
+
 // Serves reports whether the servers of a version get the bulk of the requests.
 func (q Queries) Serves(name, version string, now time.Time) bool {
 	t := q.table
