Repeat at the old version what failed at a new one, and find bad versions sooner

A request that an engine of a new version answered with an error status was forwarded as failed, and in the shift a repeated request went to the new version again.

Requests that failed at the new version now go to the old one, within the retry budget and maxAttempts.

go test -race -tags lockcheck passes for rollout, delivery, preparation and entry (77 s). One run of entry before failed in TestLeavingAnswerEndsNewWork (models, the broken variant got no second request) at a load average of 28; four runs of it alone passed.

--- a/delivery/plain.go
+++ b/delivery/plain.go
@@ -8,6 +8,7 @@
 
 	"lycheecrank.example/backend"
 	"lycheecrank.example/request"
+	"lycheecrank.example/rollout"
 )
 
 const (
@@ -36,10 +37,12 @@
 	var avoid []string
 	reached, unreached := 0, 0
 	mayHaveRun := false
-	isTrial := r.Rollouts.Commands().Admit(routed.pool.Name, time.Now())
+	lane := rollout.Usual
+	if r.Rollouts.Commands().Admit(routed.pool.Name, time.Now()) {
+		lane = rollout.Trial
+	}
 	for {
-		server, ok := r.reserve(ctx, routed, avoid, isTrial)
-		isTrial = false
+		server, ok := r.reserve(ctx, routed, avoid, lane)
 		if !ok {
 			return result.withFailure(r.noServerFailure(ctx, routed.pool.Name, mayHaveRun))
 		}
@@ -52,6 +55,7 @@
 		r.PlainServers.Release(server.Name, backend.Observation{Reason: reason, SentAt: sent, ResponseTime: time.Since(sent), Incarnation: server.Incarnation}, time.Now())
 		r.recordPlain(routed, server.Name, sent, answer, err)
 		avoid = append(avoid, server.Name)
+		lane = r.Rollouts.Queries().LaneAfter(routed.pool.Name, avoid, time.Now())
 		if r.hadBreak(routed) && errors.Is(err, ErrNotReached) {
 			return result.withFailure(breakFailure().WithSent(mayHaveRun))
 		}
@@ -164,22 +168,22 @@
 
 // reserve reserves a slot at a server. If no slot is free, it waits for a part of the
 // remaining time. The permission allows the whole limit of each server, also in cold
-// start, and all requests reserve with the best rank, 0. isTrial is set for a request for
-// the new version of the pool; the old one gets it if no server of the new one is free.
-func (r *Router) reserve(ctx context.Context, routed routedAttempt, avoid []string, isTrial bool) (backend.Server, bool) {
+// start, and all requests reserve with the best rank, 0. A request on trial goes
+// to the old version of the pool if no server of the new one is free.
+func (r *Router) reserve(ctx context.Context, routed routedAttempt, avoid []string, lane rollout.Lane) (backend.Server, bool) {
 	limit := time.Now().Add(time.Until(routed.deadline) / reserveTimeDivisor)
 	permission := backend.Permission{AllowCold: true, WarmLimitDivisor: 1}
 	timer := time.NewTimer(reserveInterval)
 	defer timer.Stop()
 	for {
 		now := time.Now()
-		allows := r.Rollouts.Queries().Selection(routed.pool.Name, isTrial, now)
+		allows := r.Rollouts.Queries().Selection(routed.pool.Name, lane, now)
 		if server, ok := r.PlainServers.ReserveAmong(routed.pool.Name, 0, avoid, allows, permission, now); ok {
 			return server, true
 		}
-		if isTrial {
+		if lane == rollout.Trial {
 			r.Rollouts.Commands().Refund(routed.pool.Name)
-			isTrial = false
+			lane = rollout.Usual
 			continue
 		}
 		until, isPaused := r.Fleet.PausedUntil(routed.pool.Name, now)
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -181,6 +181,12 @@
 		return s.retryBroken(ctx, current, ErrNoValidAnswer)
 	case !answer.isSuccess():
 		router.recordRun(routed, current, answer.Status >= 500)
+		if answer.Status >= 500 && s.mayRetryOldVersion(ctx, server) {
+			s.runs++
+			router.OnRunEnd(routed.pool.Name, placement.Server, routed.attempt.ID, preparation.RunEnded)
+			s.task.AvoidEngines = append(slices.Clone(s.task.AvoidEngines), placement.Server)
+			return Result{}, true
+		}
 		return s.forwardFailure(answer, placement.Server)
 	}
 	return s.forwardEvents(ctx, sendCtx, answer, current, silence)
--- a/delivery/version.go
+++ b/delivery/version.go
@@ -1,6 +1,7 @@
 package delivery
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -75,3 +76,10 @@
 		IsBad: !isSilent && (err != nil || answer.Status >= 500), Took: time.Since(sentAt),
 	})
 }
+
+// mayRetryOldVersion reports whether a request that failed at an engine of a version which is
+// tried out is sent to an engine of the old version. It takes a retry from the budget.
+func (s *preparedAttempt) mayRetryOldVersion(ctx context.Context, server fleet.Server) bool {
+	return s.router.Rollouts.Queries().IsTried(s.routed.pool.Name, server.Version) && s.routed.route.IsRepeatable() &&
+		len(s.reached) < s.routed.route.MaxServers && ctx.Err() == nil && s.router.allowRetry(s.routed.attempt.ID, "newVersionFailed", s.sends)
+}
--- a/entry/rollout.go
+++ b/entry/rollout.go
@@ -66,7 +66,7 @@
 	timer := time.NewTimer(rolloutInterval)
 	defer timer.Stop()
 	for {
-		timer.Reset(rolloutInterval)
+		timer.Reset(i.rollouts.Queries().UntilDue(rolloutInterval, time.Now()))
 		select {
 		case <-timer.C:
 		case <-i.rolloutTrigger:
@@ -87,7 +87,7 @@
 			continue
 		}
 		leader.lead(ctx, now)
-		pause(ctx, rolloutMinInterval)
+		pause(ctx, i.rollouts.Queries().UntilDue(rolloutMinInterval, time.Now()))
 	}
 }
 
--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -310,7 +310,7 @@
 		if s.Pieces == 0 || s.Bytes < largeResultBytes {
 			continue
 		}
-		best, _ := c.Engines.Queries().BestEngine(task.Pool, task.Prompt, engine.Requirements{AvoidEngines: task.AvoidEngines, ColdShare: 1, Allows: c.Rollouts.Queries().Selection(task.Pool, false, now)}, now)
+		best, _ := c.Engines.Queries().BestEngine(task.Pool, task.Prompt, engine.Requirements{AvoidEngines: task.AvoidEngines, ColdShare: 1, Allows: c.Rollouts.Queries().Selection(task.Pool, rollout.Usual, now)}, now)
 		return best.DataCentre
 	}
 	return ""
@@ -323,15 +323,26 @@
 	return request.Refuse(request.ReasonCancelled, ctx.Err().Error())
 }
 
+// lane returns the version of engines that a request is for.
+func (c *Coordinator) lane(task Task, now time.Time) rollout.Lane {
+	switch {
+	case task.RequiredEngine != "" && c.Rollouts.Queries().IsTrial(task.Pool, task.RequiredEngine, now):
+		return rollout.Trial
+	case task.Try <= 1 && c.Rollouts.Commands().Admit(task.Pool, now):
+		return rollout.Trial
+	case task.Try <= 1:
+		// The engines to avoid are those that want no requests for a time.
+		return rollout.Usual
+	}
+	return c.Rollouts.Queries().LaneAfter(task.Pool, task.AvoidEngines, now)
+}
+
 // reserveEngine reserves an engine and waits while no engine has capacity for the
 // request. The parameter isProbe reports whether the request was admitted as a probe.
 func (c *Coordinator) reserveEngine(ctx context.Context, task Task, isProbe bool) (Placement, error) {
 	timer := time.NewTimer(engineRetryInterval)
 	defer timer.Stop()
-	isTrial := task.RequiredEngine != "" && c.Rollouts.Queries().IsTrial(task.Pool, task.RequiredEngine, time.Now())
-	if task.Try <= 1 {
-		isTrial = c.Rollouts.Commands().Admit(task.Pool, time.Now())
-	}
+	lane := c.lane(task, time.Now())
 	for {
 		if !isProbe {
 			// The prompt may have been quarantined while the stages were computed.
@@ -348,12 +359,12 @@
 		now := time.Now()
 		requirements := engine.Requirements{
 			InputBytes: c.inputBytes(j), AvoidEngines: task.AvoidEngines, RequiredEngine: task.RequiredEngine, ColdShare: c.ColdShare(),
-			Allows: c.Rollouts.Queries().Selection(task.Pool, isTrial, now),
+			Allows: c.Rollouts.Queries().Selection(task.Pool, lane, now),
 		}
 		reservation, ok := c.Engines.Commands().Reserve(task.Pool, task.RequestID, task.Prompt, requirements, now)
-		if !ok && isTrial && task.RequiredEngine == "" {
+		if !ok && lane == rollout.Trial && task.RequiredEngine == "" {
 			c.Rollouts.Commands().Refund(task.Pool)
-			isTrial = false
+			lane = rollout.Usual
 			continue
 		}
 		if ok {
--- a/rollout/queries.go
+++ b/rollout/queries.go
@@ -14,17 +14,39 @@
 // IsEnabled reports whether rollouts are expected.
 func (q Queries) IsEnabled() bool { return q.table.bounds.IsEnabled() }
 
-// Selection returns a function that reports whether a server may get a request, or nil if
-// all servers of the pool may. isTrial is set for a request that Admit has given to the new
-// version.
-func (q Queries) Selection(name string, isTrial bool, now time.Time) func(id string) bool {
+// Lane tells which version a request is for, as far as the phase leaves a choice.
+type Lane int
+
+// Lanes of a request.
+const (
+	// Usual: the version that gets the bulk of the requests.
+	Usual Lane = iota
+	// Trial: the new version. Admit gives requests to it.
+	Trial
+	// Repeated: the old version, because the request has failed at the new one.
+	Repeated
+)
+
+// LaneAfter returns the lane of a request that has failed at some servers.
+func (q Queries) LaneAfter(name string, failed []string, now time.Time) Lane {
+	p, ok := q.table.restricted(name, now)
+	if ok && p.hasOrder && slices.ContainsFunc(failed, func(id string) bool { return p.versions[id] == p.order.To }) {
+		return Repeated
+	}
+	return Usual
+}
+
+// Selection returns a function that reports whether a server may get a request of a lane, or
+// nil if all servers of the pool may.
+func (q Queries) Selection(name string, lane Lane, now time.Time) func(id string) bool {
 	t := q.table
 	p, ok := t.restricted(name, now)
 	if !ok {
 		return nil
 	}
 	isConfirmed := t.isConfirmed(now)
-	isTrial = isTrial && p.phase() == Running && isConfirmed
+	isTrial := lane == Trial && p.phase() == Running && isConfirmed
+	isRepeated := lane == Repeated && p.phase() == Shifted
 	uses := make(map[string]use, len(p.firstSeen))
 	for version := range p.firstSeen {
 		uses[version] = p.useOf(version, isConfirmed, now)
@@ -36,6 +58,8 @@
 			return false
 		case isTrial:
 			return p.trial[id]
+		case isRepeated:
+			return p.isStillUsed(version, now)
 		}
 		return uses[version] == allRequests
 	}
@@ -51,7 +75,7 @@
 	}
 	if p.phase() == Shifted && version != p.order.To {
 		// Requests that were placed before the shift go on.
-		return !p.isHeld(version, now) && !slices.Contains(p.rejected(), version)
+		return p.isStillUsed(version, now)
 	}
 	return p.useOf(version, t.isConfirmed(now), now) != noRequests
 }
@@ -93,14 +117,28 @@
 	return names
 }
 
-// HasOrders reports whether any order or state is known.
-func (q Queries) HasOrders() bool {
-	for _, p := range *q.table.pools.Load() {
-		if p.hasOrder || p.state.To != "" {
-			return true
+// UntilDue returns the time until the next time of the schedule of a rollout in progress, or
+// the given time if there is none before.
+func (q Queries) UntilDue(limit time.Duration, now time.Time) time.Duration {
+	for _, name := range q.InProgress() {
+		p := q.table.pool(name)
+		schedule, elapsed := q.table.bounds.Schedule(p.order.Duration), now.Sub(p.knownAt)
+		for _, at := range []time.Duration{schedule.ShiftAt, schedule.SucceedAt, schedule.Deadline} {
+			if at > elapsed {
+				limit = min(limit, at-elapsed)
+			}
 		}
 	}
-	return false
+	return limit
+}
+
+// IsTried reports whether a version was ordered and hasn't succeeded.
+func (q Queries) IsTried(name, version string) bool {
+	if q.table == nil {
+		return false
+	}
+	p := q.table.pool(name)
+	return p.hasOrder && version == p.order.To && p.phase() != Succeeded
 }
 
 // States returns the states by pool, those of finished rollouts only if all is set.
--- a/rollout/view.go
+++ b/rollout/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -99,9 +98,9 @@
 			return allRequests
 		case phase == Running && isConfirmed:
 			return shareOnly
-		case phase == Pending && !p.isOtherListed && now.Sub(p.knownAt) > confirmationAge:
-			// All instances have started anew while the store is unavailable, long after
-			// the order.
+		case phase == Pending && !p.isOtherListed && (p.initial == version || now.Sub(p.knownAt) > confirmationAge):
+			// This instance has started long after the order, and hasn't learned how the
+			// rollout has ended.
 			return allRequests
 		}
 		return noRequests
@@ -115,6 +114,11 @@
 	return allRequests
 }
 
+// isStillUsed reports whether servers of a version are in use until the rollout succeeds.
+func (p pool) isStillUsed(version string, now time.Time) bool {
+	return version != p.order.To && !p.isHeld(version, now) && !slices.Contains(p.rejected(), version)
+}
+
 // isHeld reports whether a version is held back because no order is known for it.
 func (p pool) isHeld(version string, now time.Time) bool {
 	seen, ok := p.firstSeen[version]
@@ -164,6 +168,10 @@
 	return p.withTrial(servers, share)
 }
 
+// trialRounding is added to the number of servers that the share needs. It is below a half,
+// so that each server gets at least about the load of an old one.
+const trialRounding = 0.2
+
 // withTrial returns the pool with the servers that get the share: as many as are needed for
 // each to have the load of an old server, so that a version that is bad only under load
 // shows it. All places that choose among the same servers take the same ones.
@@ -181,7 +189,7 @@
 	}
 	rank := func(s Server) uint64 { return xxhash.Sum64String(s.ID) ^ p.order.Offset*0x9e3779b97f4a7c15 }
 	slices.SortFunc(fresh, func(a, b Server) int { return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.ID, b.ID)) })
-	count := max(1, p.state.Spread, int(math.Round(share*float64(old))))
+	count := max(1, p.state.Spread, int(share*float64(old)+trialRounding))
 	p.trial = map[string]bool{}
 	for _, s := range fresh[:min(count, len(fresh))] {
 		p.trial[s.ID] = true
