--- a/cmd/lycheectl/main.go
+++ b/cmd/lycheectl/main.go
@@ -48,6 +48,7 @@
 			explainCommand(),
 			quarantineCommand(),
 			checkCommand(),
+			rolloutsCommand(),
 		},
 	}
 	quiet(root)
--- a/delivery/hedge.go
+++ b/delivery/hedge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -10,6 +11,7 @@
 	"lycheecrank.example/event"
 	"lycheecrank.example/hedge"
 	"lycheecrank.example/request"
+	"lycheecrank.example/rollout"
 	"lycheecrank.example/route"
 )
 
@@ -64,7 +66,9 @@
 func (r *Router) exchangeHedged(ctx context.Context, routed routedAttempt, first backend.Server, prior priorSends) exchanged {
 	sent := time.Now()
 	mayRetryElsewhere := routed.route.IsRepeatable() && prior.reached+1 < routed.route.MaxServers
-	if r.Hedges == nil || routed.route.Kind != route.Idempotent || !mayRetryElsewhere {
+	// While a pool is moved to another version, the share of each version counts.
+	mayHedge := r.Hedges != nil && routed.route.Kind == route.Idempotent && mayRetryElsewhere && r.Rollouts.Queries().Selection(routed.pool.Name, rollout.Usual, sent) == nil
+	if !mayHedge {
 		e := r.exchangeOnce(ctx, routed, first, mayRetryElsewhere)
 		r.release(e, sent)
 		return e
@@ -88,7 +92,11 @@
 
 // exchangeOnce is exchange with its results in one value.
 func (r *Router) exchangeOnce(ctx context.Context, routed routedAttempt, server backend.Server, mayRetryElsewhere bool) exchanged {
+	sent := time.Now()
 	answer, body, err := r.exchange(ctx, routed, server, mayRetryElsewhere)
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		r.recordPlain(routed, server.Name, sent, answer, err)
+	}
 	return exchanged{server: server, answer: answer, body: body, err: err}
 }
 
--- a/delivery/plain.go
+++ b/delivery/plain.go
@@ -8,6 +8,7 @@
 
 	"lycheecrank.example/backend"
 	"lycheecrank.example/request"
+	"lycheecrank.example/rollout"
 )
 
 const (
@@ -36,8 +37,12 @@
 	var avoid []string
 	reached, unreached := 0, 0
 	mayHaveRun := false
+	lane := rollout.Usual
+	if r.Rollouts.Commands().Admit(routed.pool.Name, time.Now()) {
+		lane = rollout.Trial
+	}
 	for {
-		server, ok := r.reserve(ctx, routed, avoid)
+		server, ok := r.reserve(ctx, routed, avoid, lane)
 		if !ok {
 			return result.withFailure(r.noServerFailure(ctx, routed.pool.Name, mayHaveRun))
 		}
@@ -49,6 +54,7 @@
 		avoid = append(append(avoid, exchanged.server.Name), exchanged.other.servers...)
 		reached += exchanged.other.reached
 		mayHaveRun = mayHaveRun || exchanged.other.mayHaveRun
+		lane = r.Rollouts.Queries().LaneAfter(routed.pool.Name, avoid, time.Now())
 		if r.hadBreak(routed) && errors.Is(err, ErrNotReached) {
 			return result.withFailure(breakFailure().WithSent(mayHaveRun))
 		}
@@ -90,7 +96,7 @@
 // request may be sent to another server. If the server is no longer listed, or
 // the machine was suspended since the admission, it returns ErrNotReached without a send.
 func (r *Router) exchange(ctx context.Context, routed routedAttempt, reserved backend.Server, mayRetryElsewhere bool) (Answer, []byte, error) {
-	server, ok := r.Fleet.Server(reserved.Name, time.Now())
+	server, ok := r.usable(routed.pool.Name, reserved.Name)
 	if !ok || r.hadBreak(routed) {
 		return Answer{}, nil, ErrNotReached
 	}
@@ -166,17 +172,24 @@
 // reserve reserves a slot at a server. If no slot is free, it waits for a part of the
 // remaining time. The permission allows the whole limit of each server, all requests
 // reserve with the best rank, 0, and servers in cold start accept only as many requests as
-// their backend.ColdLimit allows.
-func (r *Router) reserve(ctx context.Context, routed routedAttempt, avoid []string) (backend.Server, bool) {
+// their backend.ColdLimit allows. A request on trial goes to the old version of the pool if
+// no server of the new one is free.
+func (r *Router) reserve(ctx context.Context, routed routedAttempt, avoid []string, lane rollout.Lane) (backend.Server, bool) {
 	limit := time.Now().Add(time.Until(routed.deadline) / reserveTimeDivisor)
 	permission := backend.Permission{AllowCold: true, WarmLimitDivisor: 1}
 	timer := time.NewTimer(reserveInterval)
 	defer timer.Stop()
 	for {
 		now := time.Now()
-		if server, ok := r.PlainServers.Reserve(routed.pool.Name, 0, avoid, permission, now); ok {
+		allows := r.Rollouts.Queries().Selection(routed.pool.Name, lane, now)
+		if server, ok := r.PlainServers.ReserveAmong(routed.pool.Name, 0, avoid, allows, permission, now); ok {
 			return server, true
 		}
+		if lane == rollout.Trial {
+			r.Rollouts.Commands().Refund(routed.pool.Name)
+			lane = rollout.Usual
+			continue
+		}
 		until, isPaused := r.Fleet.PausedUntil(routed.pool.Name, now)
 		if now.After(limit) || isPaused && until.After(limit) {
 			return backend.Server{}, false
--- a/engine/choose.go
+++ b/engine/choose.go
@@ -44,6 +44,8 @@
 	// ColdShare is the share of the request rate of cold engines that this coordinator
 	// may use, from 0 to 1.
 	ColdShare float64
+	// Allows reports whether an engine may be chosen; nil allows all.
+	Allows func(id string) bool
 }
 
 // cost estimates the time to the first event and adds the other costs of choosing the
@@ -95,7 +97,7 @@
 
 // isAllowed reports whether an engine may get a request, apart from its memory.
 func (s Server) isAllowed(spec Spec, n Requirements, now time.Time) bool {
-	isExcluded := n.RequiredEngine != "" && n.RequiredEngine != s.ID || slices.Contains(n.AvoidEngines, s.ID)
+	isExcluded := n.RequiredEngine != "" && n.RequiredEngine != s.ID || slices.Contains(n.AvoidEngines, s.ID) || !n.allows(s.ID)
 	return !isExcluded && !now.Before(s.blockedUntil) && s.isWithinColdRate(spec, n.ColdShare, now)
 }
 
--- a/engine/commands.go
+++ b/engine/commands.go
@@ -58,6 +58,8 @@
 	PrefixSource string
 	// ExpectedFirstEvent is the estimated time to the first event.
 	ExpectedFirstEvent time.Duration
+	// TypicalFirstEvent is the time to the first event at an idle engine of usual speed.
+	TypicalFirstEvent time.Duration
 	// LacksMemory is set if no engine was reserved because those that may get the request
 	// lack the memory for it.
 	LacksMemory bool
@@ -99,6 +101,7 @@
 		return Reservation{LacksMemory: lacksMemory}, false
 	}
 	choice := Reservation{Endpoint: s.Endpoint, PrefixSource: transferSource(servers, &pl.remote, s, p, now), ExpectedFirstEvent: s.expectedFirstEvent(p, n, ofPool, now)}
+	choice.TypicalFirstEvent = s.typicalFirstEvent(p, ofPool, now)
 	pl.servers[s.ID] = s.WithRequest(request, p, n, choice.PrefixSource != "", now)
 	pl.expect(s.ID, request, n.Until, now)
 	t.outages.RecordSent(s.DataCentre, now.Add(probeTimeout))
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -22,6 +22,7 @@
 	"io"
 	"net"
 	"os"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -39,6 +40,7 @@
 	"lycheecrank.example/platform"
 	"lycheecrank.example/preparation"
 	"lycheecrank.example/quarantine"
+	"lycheecrank.example/rollout"
 	"lycheecrank.example/route"
 )
 
@@ -92,6 +94,12 @@
 	attemptLog *attemptLog
 	// configurationLog writes the findings on adopted configurations.
 	configurationLog *configurationLog
+	// rollouts holds the rollouts of new versions, rolloutTrigger makes runRollouts check
+	// them at once. badPushedAt is when bad responses last triggered heartbeats, in
+	// nanoseconds since startedAt.
+	rollouts       *rollout.Table
+	rolloutTrigger chan struct{}
+	badPushedAt    atomic.Int64
 	// quarantine holds the parts of prompts that crash engines.
 	quarantine *quarantine.Table
 	// quarantineWrites holds the parts whose entries have to be written to the store.
@@ -148,6 +156,8 @@
 	// coordinationCounts counts events of preparations, and the heartbeats and notices
 	// that were late or lost.
 	coordinationCounts *counter.Set
+	// rolloutCounts counts the phases of rollouts that this instance has learned of.
+	rolloutCounts *counter.Set
 }
 
 // New returns an instance with the given settings that logs to out.
@@ -167,6 +177,8 @@
 		serverSync:         lock.New(lock.RankServerSync, "server sync"),
 		heartbeatTrigger:   make(chan struct{}, 1),
 		fetchAddress:       make(chan string, 1),
+		rollouts:           rollout.NewTable(rolloutBounds(settings), settings.Name+"/"+strconv.FormatInt(time.Now().UnixMilli(), 10)),
+		rolloutTrigger:     make(chan struct{}, 1),
 		quarantine:         quarantine.NewTable(),
 		quarantineWrites:   make(chan string, maxQuarantineWrites),
 		startedAt:          time.Now(),
@@ -176,6 +188,7 @@
 		retries:            counter.NewSet("retries"),
 		storeCalls:         counter.NewSet("storeCalls"),
 		coordinationCounts: counter.NewSet("preparation"),
+		rolloutCounts:      counter.NewSet("rollouts"),
 	}
 	i.members = membership.NewTable(membership.Instance{
 		Name: settings.Name, Address: settings.PeerAddress, DataCentre: settings.DataCentre, EligibleSince: time.Now().UnixMilli(),
@@ -203,6 +216,8 @@
 	i.coordinator.Call, i.coordinator.ReleaseResults, i.coordinator.FreeMemory = i.stageClient.Call, i.stageClient.ReleaseResults, i.stageClient.FreeMemory
 	i.coordinator.ColdShare = func() float64 { return coldShare * i.view().ReachableShare(i.ownScope(), time.Now()) }
 	i.coordinator.Admit, i.coordinator.OnFirstEvent = i.admitPrompt, i.recordSuccess
+	i.rollouts.OnBad = i.pushBadResponse
+	i.coordinator.Rollouts = i.rollouts
 	i.coordinator.Logger, i.coordinator.Counters = i.Logger, i.coordinationCounts
 	i.coordinator.OnPrepared, i.coordinator.OnCall = i.latencies.preparations.Record, i.latencies.stageCalls.Record
 	i.placements = newPlacements()
@@ -213,6 +228,7 @@
 		Routes:       i.routes.Queries(),
 		Fleet:        i.fleet.Queries(),
 		PlainServers: i.plainServers.Commands(),
+		Rollouts:     i.rollouts,
 		Budget:       pipeline.NewBudget(retryBudget(i.Settings)),
 		Prepare:      i.prepare,
 		Verdict:      i.verdict,
--- a/preparation/calls.go
+++ b/preparation/calls.go
@@ -30,6 +30,7 @@
 	isEnded.Store(true)
 	now := time.Now()
 	c.OnCall(call.Pool, now.Sub(call.SentAt))
+	c.recordEvidence(call, results, err, now)
 	if err == nil && c.isRepeated(call, results) {
 		err = ErrRepeatedAnswer
 	}
@@ -126,6 +127,7 @@
 		c.rebuild(piece, avoid, time.Now())
 	case retryPiece:
 		piece.AvoidServer = cmp.Or(avoid, piece.AvoidServer)
+		piece.IsTrial = false
 		c.Batches.Commands().Enqueue([]batch.Piece{piece})
 	}
 }
@@ -164,7 +166,7 @@
 		c.refuse(piece.RequestID, stagesFailed("piece of a stage failed and recompute budget exhausted"))
 		return
 	}
-	piece.AvoidServer = avoid
+	piece.AvoidServer, piece.IsTrial = avoid, false
 	c.Batches.Commands().Enqueue([]batch.Piece{piece})
 }
 
--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -15,6 +15,7 @@
 	"lycheecrank.example/event"
 	"lycheecrank.example/pipeline"
 	"lycheecrank.example/request"
+	"lycheecrank.example/rollout"
 	"lycheecrank.example/worker"
 )
 
@@ -27,6 +28,8 @@
 	// ErrWrongServer means that a server other than the expected one answered at the
 	// address.
 	ErrWrongServer = errors.New("unexpected stage server at the address")
+	// ErrBadAnswer means that the server failed the call or answered invalidly.
+	ErrBadAnswer = errors.New("bad answer of a stage server")
 	// ErrRepeatedAnswer means that the answer to a call contains results of an earlier
 	// call.
 	ErrRepeatedAnswer = errors.New("stage server repeated results of an earlier call")
@@ -121,6 +124,8 @@
 	Counters   *counter.Set
 	Batches    *batch.Table
 	Engines    *engine.Table
+	// Rollouts decides which versions of servers may be used; nil allows all.
+	Rollouts *rollout.Table
 	// RecomputeBudget limits the pieces that are recomputed. The coordinator prepares the
 	// requests of all instances, so this limit covers the requests of all of them.
 	RecomputeBudget *pipeline.Budget
@@ -330,7 +335,7 @@
 		if s.Pieces == 0 || s.Bytes < largeResultBytes {
 			continue
 		}
-		best, _ := c.Engines.Queries().BestEngine(task.Pool, task.Prompt, engine.Requirements{AvoidEngines: task.AvoidEngines, ColdShare: 1}, now)
+		best, _ := c.Engines.Queries().BestEngine(task.Pool, task.Prompt, engine.Requirements{AvoidEngines: task.AvoidEngines, ColdShare: 1, Allows: c.Rollouts.Queries().Selection(task.Pool, rollout.Usual, now)}, now)
 		return best.DataCentre
 	}
 	return ""
@@ -343,6 +348,20 @@
 	return request.Refuse(request.ReasonCancelled, ctx.Err().Error())
 }
 
+// lane returns the version of engines that a request is for.
+func (c *Coordinator) lane(task Task, now time.Time) rollout.Lane {
+	switch {
+	case task.RequiredEngine != "" && c.Rollouts.Queries().IsTrial(task.Pool, task.RequiredEngine, now):
+		return rollout.Trial
+	case task.Try <= 1 && c.Rollouts.Commands().Admit(task.Pool, now):
+		return rollout.Trial
+	case task.Try <= 1:
+		// The engines to avoid are those that want no requests for a time.
+		return rollout.Usual
+	}
+	return c.Rollouts.Queries().LaneAfter(task.Pool, task.AvoidEngines, now)
+}
+
 // reserveEngine reserves an engine and waits while no engine has capacity for the
 // request; for memory, it waits until the objective. The objective of a request that was
 // sent before may be over, as when its stream goes on at another engine. The parameter
@@ -351,6 +370,7 @@
 	until := time.Now().Add(max(task.RetryWindow, task.Deadline) + endSlack)
 	timer := time.NewTimer(engineRetryInterval)
 	defer timer.Stop()
+	lane := c.lane(task, time.Now())
 	for {
 		if !isProbe {
 			// The prompt may have been quarantined while the stages were computed.
@@ -364,10 +384,19 @@
 			return Placement{}, request.Refuse(request.ReasonCancelled, "preparation cancelled while waiting for an engine")
 		}
 		inputs := j.engineInputs()
-		requirements := engine.Requirements{InputBytes: c.inputBytes(j), AvoidEngines: task.AvoidEngines, RequiredEngine: task.RequiredEngine, Until: until, ColdShare: c.ColdShare()}
-		reservation, ok := c.Engines.Commands().Reserve(task.Pool, task.RequestID, task.Prompt, requirements, time.Now())
+		now := time.Now()
+		requirements := engine.Requirements{
+			InputBytes: c.inputBytes(j), AvoidEngines: task.AvoidEngines, RequiredEngine: task.RequiredEngine, Until: until, ColdShare: c.ColdShare(),
+			Allows: c.Rollouts.Queries().Selection(task.Pool, lane, now),
+		}
+		reservation, ok := c.Engines.Commands().Reserve(task.Pool, task.RequestID, task.Prompt, requirements, now)
+		if !ok && lane == rollout.Trial && task.RequiredEngine == "" {
+			c.Rollouts.Commands().Refund(task.Pool)
+			lane = rollout.Usual
+			continue
+		}
 		if ok {
-			return Placement{Server: reservation.ID, Address: reservation.Address, DataCentre: reservation.DataCentre, PrefixSource: reservation.PrefixSource, Inputs: inputs, ExpectedFirstEvent: reservation.ExpectedFirstEvent, IsProbe: isProbe}, nil
+			return Placement{Server: reservation.ID, Address: reservation.Address, DataCentre: reservation.DataCentre, PrefixSource: reservation.PrefixSource, Inputs: inputs, ExpectedFirstEvent: reservation.ExpectedFirstEvent, TypicalFirstEvent: reservation.TypicalFirstEvent, IsProbe: isProbe}, nil
 		}
 		c.Counters.Add("noEngine")
 		if reservation.LacksMemory {
@@ -437,6 +466,9 @@
 // applyEffects queues pieces and releases results.
 func (c *Coordinator) applyEffects(followUp effects) {
 	if len(followUp.enqueue) > 0 {
+		for n, p := range followUp.enqueue {
+			followUp.enqueue[n].IsTrial = c.Rollouts.Commands().Admit(p.Pool, time.Now())
+		}
 		c.Batches.Commands().Enqueue(followUp.enqueue)
 	}
 	c.release(followUp.release)
