rollout: decide without a copy for each row

Without a rollout in progress, the leader repeats a failed read of the streams after 1 s instead of 0.25 s.

--- a/entry/rollout.go
+++ b/entry/rollout.go
@@ -24,9 +24,11 @@
 	// one is in progress: another leader may have decided.
 	rolloutReadInterval = 500 * time.Millisecond
 	// rolloutTimeout bounds a call to the store, rolloutRetryDelay is the pause after a
-	// failed one. The decisions of the leader wait for its calls.
+	// failed one, idleRetryDelay that without a rollout in progress. The decisions of the
+	// leader wait for its calls.
 	rolloutTimeout    = 600 * time.Millisecond
 	rolloutRetryDelay = 250 * time.Millisecond
+	idleRetryDelay    = time.Second
 	// startWindow is how long after its start an instance may learn of orders that were
 	// given long before.
 	startWindow = 3 * time.Second
@@ -106,7 +108,11 @@
 			decisions = append(decisions, rolloutDecision{next, input})
 		}
 	}
-	if l.failedAt.IsZero() || now.Sub(l.failedAt) >= rolloutRetryDelay {
+	retryDelay := rolloutRetryDelay
+	if len(names) == 0 {
+		retryDelay = idleRetryDelay
+	}
+	if l.failedAt.IsZero() || now.Sub(l.failedAt) >= retryDelay {
 		err := l.leadWithStore(ctx, names, decisions, now)
 		l.failedAt = time.Time{}
 		if err != nil {
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -79,16 +79,29 @@
 	return r
 }
 
-// plus returns the sum of two rows, with the other one weighed by a sign.
-func (r Row) plus(other Row, sign int64) Row {
-	r.Count += sign * other.Count
-	r.Bad += sign * other.Bad
-	r.Lost += sign * other.Lost
-	times := make(map[int]int64, len(r.Times)+len(other.Times))
-	maps.Copy(times, r.Times)
+// add adds another row to one that shares its times with no other. Copies for each addition
+// took most of the time of a decision of the leader of 91 instances.
+func (r *Row) add(other Row) {
+	r.Count += other.Count
+	r.Bad += other.Bad
+	r.Lost += other.Lost
+	if r.Times == nil {
+		r.Times = make(map[int]int64, len(other.Times))
+	}
 	for bucket, n := range other.Times {
-		if times[bucket] += sign * n; times[bucket] <= 0 {
-			delete(times, bucket)
+		r.Times[bucket] += n
+	}
+}
+
+// minus returns what was added to the row after an earlier one.
+func (r Row) minus(earlier Row) Row {
+	r.Count -= earlier.Count
+	r.Bad -= earlier.Bad
+	r.Lost -= earlier.Lost
+	times := make(map[int]int64, len(r.Times))
+	for bucket, n := range r.Times {
+		if n > earlier.Times[bucket] {
+			times[bucket] = n - earlier.Times[bucket]
 		}
 	}
 	r.Times = times
@@ -171,7 +184,8 @@
 			if isRoute == nil || isRoute(r.Route) {
 				sum := totals[r.key()]
 				sum.Route, sum.Server = r.Route, r.Server
-				totals[r.key()] = sum.plus(r, 1)
+				sum.add(r)
+				totals[r.key()] = sum
 			}
 		}
 	}
@@ -183,7 +197,7 @@
 	next := make(Totals, len(t))
 	for key, r := range t {
 		if before, ok := earlier[key]; ok {
-			r = r.plus(before, -1)
+			r = r.minus(before)
 		}
 		if r.Count > 0 || r.Lost > 0 {
 			next[key] = r
@@ -206,7 +220,7 @@
 	sum := Row{Route: route}
 	for key, r := range t {
 		if key.server == "" && (route == "" || key.route == route) {
-			sum = sum.plus(r, 1)
+			sum.add(r)
 		}
 	}
 	return sum
@@ -218,7 +232,8 @@
 	byServer := map[string]Row{}
 	for key, r := range t {
 		if key.server != "" && (route == "" || key.route == route) {
-			sum := byServer[key.server].plus(r, 1)
+			sum := byServer[key.server]
+			sum.add(r)
 			sum.Route, sum.Server = route, key.server
 			byServer[key.server] = sum
 		}
@@ -229,7 +244,7 @@
 func sum(rows []Row) Row {
 	var result Row
 	for _, r := range rows {
-		result = result.plus(r, 1)
+		result.add(r)
 	}
 	return result
 }
