Name the process in a notice that a server is leaving

The notice named the server only. A late one took the next process of the server out of service at the coordinator, until the process after that. It now carries the start time of the process, and is ignored if another process is listed.

TestLateLeavingNotice fails without the comparison.

--- a/entry/late_entry_test.go
+++ b/entry/late_entry_test.go
@@ -99,3 +99,20 @@
 	restarted.applyReply(reply, time.Now())
 	is.True(!isUsable())
 }
+
+// Guards against a restarted server that gets no work, because a late notice says that its
+// earlier process is leaving.
+func TestLateLeavingNotice(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	i := newIdleInstance(1)
+	i.addRead(platform.ServerStream, []feed.Record{{Key: "s1", Offset: 1, Value: []byte(serverEntry("ready", `,"sequence":1,"born":9`))}}, 2, time.Now())
+	isUsableAfter := func(started int64) bool {
+		_, err := i.applyNotices([]notice{{Kind: leavingNotice, Server: "s1", StartedUnixMilli: started}})
+		is.NoErr(err)
+		_, isUsable := i.fleet.Queries().Server("s1", time.Now())
+		return isUsable
+	}
+	is.True(isUsableAfter(5))
+	is.True(!isUsableAfter(9))
+}
--- a/entry/message.go
+++ b/entry/message.go
@@ -97,4 +97,7 @@
 	// HasBegun is set in a running or prompt read notice if the engine has begun its
 	// answer.
 	HasBegun bool `msgpack:"hasBegun,omitempty"`
+	// StartedUnixMilli is set in a leaving notice: the start time of the process that is
+	// leaving (see fleet.Server).
+	StartedUnixMilli int64 `msgpack:"started,omitempty"`
 }
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -47,8 +47,9 @@
 // the coordinator: the entry of the server in the store may show it later.
 func (i *Instance) markLeaving(server string) {
 	if i.recordLeaving(server) {
+		listed, _ := i.fleet.Queries().Server(server, time.Now())
 		if coordinator := i.view().Coordinator(i.ownScope(), time.Now()); coordinator.Name != i.Settings.Name {
-			i.notices.add(coordinator, notice{Kind: leavingNotice, Server: server})
+			i.notices.add(coordinator, notice{Kind: leavingNotice, Server: server, StartedUnixMilli: listed.StartedUnixMilli})
 		}
 	}
 }
@@ -101,7 +102,10 @@
 				Pool: n.Pool, EngineID: n.Server, RequestID: n.RequestID, Prompt: n.Prompt, IsRunning: n.Kind == runningNotice,
 			})
 		case leavingNotice:
-			i.recordLeaving(n.Server)
+			// A notice may be late: the server may be listed as another process by now.
+			if listed, _ := i.fleet.Queries().Server(n.Server, now); listed.StartedUnixMilli == n.StartedUnixMilli {
+				i.recordLeaving(n.Server)
+			}
 		case remoteReadNotice:
 			if server, ok := i.fleet.Queries().Server(n.Server, now); ok {
 				reads = append(reads, engine.RemoteRead{Pool: n.Pool, Address: server.Address, Prompt: n.Prompt})
