--- a/caller/handler.go
+++ b/caller/handler.go
@@ -10,10 +10,12 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	callerv1 "lycheecrank.example/api/caller/v1"
 	"lycheecrank.example/api/caller/v1/callerv1connect"
 	"lycheecrank.example/counter"
+	"lycheecrank.example/frontend"
 	"lycheecrank.example/request"
 )
 
@@ -38,6 +40,8 @@
 	MaxMessageBytes int
 	// Refusals counts messages that could not be read.
 	Refusals *counter.Set
+	// Frontend counts the memory of messages; nil doesn't.
+	Frontend *frontend.Frontend
 }
 
 // compressMinBytes is the size from which answers are compressed. Below it the bytes
@@ -50,7 +54,7 @@
 	path, handler := callerv1connect.NewPipelineServiceHandler(
 		service{h}, connect.WithReadMaxBytes(h.MaxMessageBytes), connect.WithCompressMinBytes(compressMinBytes),
 	)
-	return path, countMalformed(handler, h.Refusals)
+	return path, countMalformed(h.Frontend.Handler(handler, int64(h.MaxMessageBytes)), h.Refusals)
 }
 
 // service implements the generated interface.
@@ -60,12 +64,14 @@
 
 // Run implements the unary call.
 func (s service) Run(ctx context.Context, req *connect.Request[callerv1.RunRequest]) (*connect.Response[callerv1.RunResponse], error) {
+	frontend.SetDecodedSize(ctx, proto.Size(req.Msg))
 	a := s.handler.Run(ctx, asRequest(req.Msg, time.Now(), false), nil)
 	return connect.NewResponse(asResponse(a)), nil
 }
 
 // RunStream implements the streamed call.
 func (s service) RunStream(ctx context.Context, req *connect.Request[callerv1.RunRequest], stream *connect.ServerStream[callerv1.RunEvent]) error {
+	frontend.SetDecodedSize(ctx, proto.Size(req.Msg))
 	w := &eventWriter{stream: stream, digest: sha256.New()}
 	a := s.handler.Run(ctx, asRequest(req.Msg, time.Now(), true), w.piece)
 	return w.end(a)
--- a/caller/malformed.go
+++ b/caller/malformed.go
@@ -39,6 +39,9 @@
 		return request.ReasonMalformed
 	case http.StatusTooManyRequests, http.StatusRequestEntityTooLarge:
 		return request.ReasonInputTooLarge
+	case http.StatusServiceUnavailable:
+		// Memory was short while the message was read (see package frontend).
+		return request.ReasonQueueFull
 	}
 	return ""
 }
--- a/cmd/lycheecrank/main.go
+++ b/cmd/lycheecrank/main.go
@@ -62,6 +62,7 @@
 	if err != nil {
 		return err
 	}
+	limitMemory(i.MemoryBytes())
 	i.OnReady = func(callers, peers string) {
 		fmt.Fprintln(c.Root().Writer, "ready", callers, peers)
 	}
--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -22,6 +22,9 @@
 	// ErrNoValidAnswer means that the request was sent, completely or in part, but no
 	// complete and valid answer was received. The request may have run.
 	ErrNoValidAnswer = errors.New("no valid answer from the backend server")
+	// ErrBufferFull is returned once by the body of an answer of a plain server if memory is
+	// short: what was read is forwarded before more is read. The body can be read on.
+	ErrBufferFull = errors.New("no memory to buffer more of the answer")
 )
 
 // Attempt is one attempt of a client. Its functions convert between this package's
@@ -100,6 +103,8 @@
 	Body    io.ReadCloser
 	// WriteHeader forwards the status and headers to the client.
 	WriteHeader func() error
+	// hasRest is set if the body has bytes after those that were buffered.
+	hasRest bool
 }
 
 // isSuccess reports whether the server answered with a 2xx status.
--- a/delivery/plain.go
+++ b/delivery/plain.go
@@ -113,7 +113,7 @@
 		_ = answer.Body.Close()
 		return answer, nil, ErrNoValidAnswer
 	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes))
+	body, err := answer.buffer()
 	if err != nil {
 		_ = answer.Body.Close()
 		return answer, nil, withSilence(sendCtx, ErrNoValidAnswer)
@@ -121,6 +121,17 @@
 	return answer, body, nil
 }
 
+// buffer reads up to maxBufferedBytes of an answer, less if memory is short.
+func (a *Answer) buffer() ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBytes))
+	isShort := errors.Is(err, ErrBufferFull)
+	a.hasRest = isShort || len(body) == maxBufferedBytes
+	if isShort {
+		return body, nil
+	}
+	return body, err
+}
+
 // sendBody is the body of an answer. Closing it cancels the send's context.
 type sendBody struct {
 	io.ReadCloser
@@ -141,7 +152,7 @@
 	if answer.WriteHeader() != nil || routed.attempt.Write(body) != nil {
 		return result.withFailure(request.Refuse(request.ReasonCancelled, "client disconnected").WithSent(true))
 	}
-	if len(body) < maxBufferedBytes {
+	if !answer.hasRest {
 		return result
 	}
 	buffer := make([]byte, 32<<10)
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -253,7 +253,7 @@
 	if s.hasStarted {
 		return s.fail(request.Refuse(request.ReasonServerFailed, "engine answered with an error after the stream had started"))
 	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes))
+	body, err := answer.buffer()
 	if err != nil {
 		return s.fail(request.Refuse(request.ReasonResultInvalid, "answer of the engine truncated"))
 	}
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -32,6 +32,8 @@
 	"lycheecrank.example/event"
 	"lycheecrank.example/feed"
 	"lycheecrank.example/fleet"
+	"lycheecrank.example/frontend"
+	"lycheecrank.example/intake"
 	"lycheecrank.example/membership"
 	"lycheecrank.example/peer"
 	"lycheecrank.example/pipeline"
@@ -125,6 +127,9 @@
 
 	latencies histograms
 	decisions *decisions
+	// intake accounts for the memory and the connections of clients, frontend counts them.
+	intake   *intake.Table
+	frontend *frontend.Frontend
 
 	refusals   *counter.Set
 	retries    *counter.Set
@@ -160,6 +165,9 @@
 		storeCalls:         counter.NewSet("storeCalls"),
 		coordinationCounts: counter.NewSet("preparation"),
 	}
+	i.intake = intake.NewTable(intake.BoundsFor(intake.ProcessMemory(settings.MemoryBytes), intake.Descriptors()))
+	i.intake.Logger, i.intake.Counters = i.Logger, counter.NewSet("intake")
+	i.frontend = frontend.New(i.intake.Commands(), settings.Cores)
 	i.members = membership.NewTable(membership.Instance{
 		Name: settings.Name, Address: settings.PeerAddress, DataCentre: settings.DataCentre, EligibleSince: time.Now().UnixMilli(),
 		IsPreferred: settings.Cores >= preferredCores && settings.LinkMbps >= preferredLinkMbps,
@@ -179,7 +187,7 @@
 	hello := peer.Hello{Instance: i.Settings.Name, Incarnation: i.Settings.PeerAddress, DataCentre: i.Settings.DataCentre}
 	i.client = peer.NewClient(hello)
 	i.client.PeerTimeout, i.client.Logger = peerReplyTimeout, i.Logger
-	i.server = &peer.Server{Self: hello, PeerTimeout: peerReplyTimeout, Logger: i.Logger, Ask: i.handleCall}
+	i.server = &peer.Server{Self: hello, PeerTimeout: peerReplyTimeout, Logger: i.Logger, Ask: i.handleCall, Track: frontend.Track}
 	i.stageClient.OnLeaving, i.stageClient.OnPause = i.markLeaving, i.pauseServer
 	i.coordinator = preparation.NewCoordinator()
 	i.coordinator.Call, i.coordinator.ReleaseResults, i.coordinator.FreeMemory = i.stageClient.Call, i.stageClient.ReleaseResults, i.stageClient.FreeMemory
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -5,6 +5,7 @@
 
 	"lycheecrank.example/counter"
 	"lycheecrank.example/fleet"
+	"lycheecrank.example/intake"
 	"lycheecrank.example/membership"
 	"lycheecrank.example/platform"
 	"lycheecrank.example/quarantine"
@@ -54,6 +55,8 @@
 	InFlight      int64 `json:"inFlight"`
 	// Quarantine holds the quarantined parts of prompts.
 	Quarantine []quarantine.Status `json:"quarantine"`
+	// Intake is the account of memory and connections.
+	Intake intake.Status `json:"intake"`
 }
 
 // queueStatus is the state of the queue of a stage pool on this instance.
@@ -86,6 +89,7 @@
 		InPreparation:        i.coordinator.Queries().JobCount(),
 		InFlight:             i.attemptLog.inFlight.Load(),
 		Quarantine:           i.quarantine.Queries().Statuses(now),
+		Intake:               i.intake.Queries().Status(),
 	}
 	for _, p := range i.positions() {
 		if p.Stream == platform.ServerStream {
--- a/entry/run.go
+++ b/entry/run.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lycheecrank.example/event"
+	"lycheecrank.example/intake"
 	"lycheecrank.example/platform"
 )
 
@@ -58,7 +59,7 @@
 	for _, task := range []func(context.Context) error{
 		i.runHeartbeats, i.runFetches, i.runOperators, i.runServers, i.runRegistration, i.runReload, i.runServerSync, i.runDepthLog,
 		i.runJudging, i.runQuarantineReads, i.runQuarantineWrites,
-		i.coordinator.Run, i.notices.run, i.attemptLog.run, i.decisions.run,
+		i.coordinator.Run, i.notices.run, i.attemptLog.run, i.decisions.run, i.intake.Run,
 	} {
 		group.Go(func() error { return task(work) })
 	}
@@ -97,14 +98,20 @@
 
 func (i *Instance) listen(ctx context.Context) (listeners, error) {
 	var l listeners
-	var err error
 	for _, target := range []struct {
 		listener *net.Listener
 		address  string
-	}{{&l.front, i.Settings.ClientAddress}, {&l.ready, i.Settings.ReadinessAddress}, {&l.peers, i.Settings.PeerAddress}} {
-		if *target.listener, err = listen(ctx, target.address); err != nil {
+		class    intake.Class
+	}{
+		{&l.front, i.Settings.ClientAddress, intake.Clients},
+		{&l.ready, i.Settings.ReadinessAddress, intake.Operators},
+		{&l.peers, i.Settings.PeerAddress, intake.Peers},
+	} {
+		listener, err := listen(ctx, target.address)
+		if err != nil {
 			return l, eris.Wrapf(err, "listen at %s", target.address)
 		}
+		*target.listener = i.frontend.Listen(listener, target.class)
 	}
 	return l, nil
 }
@@ -117,21 +124,21 @@
 }
 
 func (i *Instance) frontServer() *http.Server {
-	return &http.Server{
+	return i.frontend.Attach(&http.Server{
 		Handler: i.attemptLog.countInFlight(&platform.ClientHandler{
 			Router: i.delivery, Backends: i.backendClient, Routes: i.routes.Queries(),
-			IsLeaving: i.isLeaving, OnResult: i.reportAttempt,
+			IsLeaving: i.isLeaving, OnResult: i.reportAttempt, Frontend: i.frontend,
 		}),
 		ReadHeaderTimeout: headerReadTimeout,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          discardLog(),
-	}
+	})
 }
 
 // readyServer serves the readiness check: it responds with status 503 while the
 // instance can't serve clients.
 func (i *Instance) readyServer() *http.Server {
-	return &http.Server{
+	return i.frontend.Attach(&http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			if !i.isReady() {
 				w.WriteHeader(http.StatusServiceUnavailable)
@@ -139,7 +146,7 @@
 		}),
 		ReadHeaderTimeout: headerReadTimeout,
 		ErrorLog:          discardLog(),
-	}
+	})
 }
 
 // startMetrics serves the counters. If it can't listen at the address, it logs the
@@ -153,9 +160,9 @@
 		i.Logger.Write(event.MetricsUnavailable, i.MetricsAddress, err)
 		return
 	}
-	server := &http.Server{Handler: expvar.Handler(), ReadHeaderTimeout: headerReadTimeout, ErrorLog: discardLog()}
+	server := i.frontend.Attach(&http.Server{Handler: i.frontend.Handler(expvar.Handler(), 0), ReadHeaderTimeout: headerReadTimeout, ErrorLog: discardLog()})
 	context.AfterFunc(ctx, func() { _ = server.Close() })
-	group.Go(func() error { return serve(server, listener) })
+	group.Go(func() error { return serve(server, i.frontend.Listen(listener, intake.Operators)) })
 }
 
 // drain waits for the requests in flight to end within the grace period. Requests that
--- a/event/events.go
+++ b/event/events.go
@@ -20,6 +20,9 @@
 	SettingsApplied           = Event{109, log.InfoLevel, "settings adopted", []string{"seeds", "graceMs", "retryRatio", "retrySlack"}, "The settings have changed; those that can change without a restart are in force."}
 	SettingsRefused           = Event{110, log.WarnLevel, "settings refused", []string{"error"}, "The settings were reloaded after a signal and are invalid; the previous settings stay in force."}
 	SteppedDown               = Event{111, log.WarnLevel, "stepped down", []string{"lagMs"}, "This coordinator runs too slowly and hands its role over to the next candidate; lagMs is the delay of its heartbeats behind their schedule."}
+	IntakeShort               = Event{112, log.WarnLevel, "memory for requests short", []string{"usedBytes", "memoryBytes"}, "The memory for bodies and answers is in use, and requests wait for it; logged once per shortage. memoryBytes is the part of the memory of the process that requests get, see docs/design/intake.md."}
+	IntakeRecovered           = Event{113, log.InfoLevel, "memory for requests available", []string{"ms", "waited", "refused", "shed"}, "No request waits for memory any more; ms is the length of the shortage, waited, refused and shed are numbers of requests in it."}
+	RequestShed               = Event{114, log.WarnLevel, "request shed", []string{"client", "class", "phase", "heldBytes", "bytesPerS"}, "A request held memory that others waited for, and its client made no progress: it was refused while its body was received (503), or its connection was closed while its answer was sent. At most five in 50 ms are logged; the counter has all."}
 	InstanceListUnavailable   = Event{104, log.WarnLevel, "instance list unavailable", []string{"error"}, "The platform's list of instances could not be read; the last list stays in use."}
 	CatalogueApplied          = Event{201, log.InfoLevel, "catalogue adopted", []string{"revision", "entries", "source"}, "A newer revision of the catalogue is in force on this instance."}
 	CatalogueEditRefused      = Event{202, log.InfoLevel, "catalogue edit refused", []string{"offset", "author", "verdict", "detail"}, "An edit in the log was refused; every instance comes to the same verdict."}
@@ -69,7 +72,7 @@
 // All returns every event by number.
 func All() []Event {
 	return []Event{
-		Started, Leaving, Stopped, InstanceListUnavailable, EntryStarted, ResumedAfterBreak, MetricsUnavailable, LogLinesDropped, SettingsApplied, SettingsRefused, SteppedDown,
+		Started, Leaving, Stopped, InstanceListUnavailable, EntryStarted, ResumedAfterBreak, MetricsUnavailable, LogLinesDropped, SettingsApplied, SettingsRefused, SteppedDown, IntakeShort, IntakeRecovered, RequestShed,
 		CatalogueApplied, CatalogueEditRefused, LogUnavailable, LogRecordUnreadable, CatalogueSnapshotAppended, LogAvailable, ConfigurationApplied, EvacuationChanged,
 		PeerConnected, PeerLost, PeerFrameRefused, CoordinatorChosen, SiteDivided,
 		RequestRefused, RequestFinished, ResultDropped, AttemptServed, AttemptFailed, ResultsRebuilt, RequestPlaced, RequestRejected, AttemptRetried, AnswerBroken,
--- /dev/null
+++ b/frontend/frontend.go
@@ -0,0 +1,187 @@
+// Package frontend connects HTTP servers to the account of memory and connections of
+// package intake. It counts connections when they are accepted, bodies while they are read
+// and answers until they are written, and makes no decisions.
+package frontend
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"runtime"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"lycheecrank.example/intake"
+)
+
+const (
+	// maxHeaderBytes is the documented limit of the request line and the headers. net/http
+	// allows 4 KB more.
+	maxHeaderBytes = 16 << 10
+	// maxStreams and receiveBufferBytes bound what a connection of HTTP/2 takes up before a
+	// handler reads it. The buffer is the smallest that the protocol has.
+	maxStreams         = 100
+	receiveBufferBytes = 64 << 10
+	// RefusedRetryAfter is the delay before a client retries after its request was refused
+	// because memory was short. Shortages end within the time that a request may wait.
+	RefusedRetryAfter = intake.Patience
+	// smallReadsPerCore is the number of small reads of bodies per second and core that the
+	// process admits. One of a full buffer in chunks of a byte takes about 40 µs of
+	// processor time, so that they take a fifth of the processor at most.
+	smallReadsPerCore = 5000
+	// smallReadBurst is the number of small reads that may follow each other at once.
+	smallReadBurst = 64
+)
+
+// past is a deadline that ends a read at once.
+var past = time.Unix(1, 0)
+
+// Frontend connects servers to an account. Create it with New.
+type Frontend struct {
+	account    intake.Commands
+	smallReads *rate.Limiter
+}
+
+// New returns a front end for an account, in a process that may use a number of processor
+// cores; 0 stands for all of the machine.
+func New(account intake.Commands, cores float64) *Frontend {
+	if cores <= 0 {
+		cores = float64(runtime.NumCPU())
+	}
+	return &Frontend{account: account, smallReads: rate.NewLimiter(rate.Limit(cores*smallReadsPerCore), smallReadBurst)}
+}
+
+// Attach makes a server count the connections that it accepts from listeners of Listen.
+func (f *Frontend) Attach(server *http.Server) *http.Server {
+	server.MaxHeaderBytes = maxHeaderBytes
+	server.HTTP2 = &http.HTTP2Config{
+		MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerConnection: receiveBufferBytes, MaxReceiveBufferPerStream: receiveBufferBytes,
+	}
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if counted, ok := c.(*conn); ok {
+			return context.WithValue(ctx, connectionKey{}, counted.Connection)
+		}
+		return ctx
+	}
+	return server
+}
+
+// connectionKey is the key of the connection in the context of a request.
+type connectionKey struct{}
+
+// Listen returns a listener whose connections are counted in a class.
+func (f *Frontend) Listen(l net.Listener, class intake.Class) net.Listener {
+	return &listener{Listener: l, account: f.account, class: class}
+}
+
+// Begin adds a request to the account. The request must be ended.
+func (f *Frontend) Begin(r *http.Request) (*intake.Request, error) {
+	if f == nil {
+		return nil, nil
+	}
+	connection, _ := r.Context().Value(connectionKey{}).(*intake.Connection)
+	return connection.Begin(r.Context(), time.Now())
+}
+
+// Track adds a request in a phase without memory to a connection of a listener of Listen.
+// Requests of other connections aren't accounted for.
+func Track(n net.Conn, phase intake.Phase) *intake.Request {
+	c, ok := n.(*conn)
+	if !ok {
+		return nil
+	}
+	return c.Connection.Track(phase, time.Now())
+}
+
+// Abandon keeps the server from reading the rest of the body of a request that is refused,
+// and from using its connection again.
+func Abandon(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	// A writer without deadlines, as in tests, has no connection to wait for.
+	_ = http.NewResponseController(w).SetReadDeadline(past)
+}
+
+type listener struct {
+	net.Listener
+	account intake.Commands
+	class   intake.Class
+}
+
+// Accept returns the next connection that the account admits; it closes others.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		n, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tcp, ok := n.(*net.TCPConn)
+		if !ok {
+			return n, nil
+		}
+		c := &conn{TCPConn: tcp, account: l.account}
+		if c.Connection, ok = l.account.Connect(l.class, n.RemoteAddr().String(), c.interrupt, time.Now()); ok {
+			return c, nil
+		}
+		_ = n.Close()
+	}
+}
+
+// conn is a counted connection. It embeds the TCP connection, so that net/http finds its
+// optional methods.
+type conn struct {
+	*net.TCPConn
+	*intake.Connection
+	account intake.Commands
+}
+
+// interrupt ends what the connection does. While a body is received, the read fails, so
+// that the handler can refuse the request.
+func (c *conn) interrupt(phase intake.Phase) {
+	if phase == intake.Receiving {
+		_ = c.SetReadDeadline(past)
+		return
+	}
+	_ = c.TCPConn.Close()
+}
+
+// Read counts the bytes read as progress.
+func (c *conn) Read(data []byte) (int, error) {
+	n, err := c.TCPConn.Read(data)
+	c.AddMoved(n)
+	return n, err
+}
+
+// maxWriteBytes is the size of a write after which its progress is counted.
+const maxWriteBytes = 64 << 10
+
+// Write counts the bytes written as progress.
+func (c *conn) Write(data []byte) (int, error) {
+	c.SetWriting(true)
+	defer c.SetWriting(false)
+	written := 0
+	for {
+		n, err := c.TCPConn.Write(data[written:min(len(data), written+maxWriteBytes)])
+		c.AddMoved(n)
+		written += n
+		if err != nil || written >= len(data) {
+			return written, err
+		}
+	}
+}
+
+// Close closes the connection and removes it from the account.
+func (c *conn) Close() error {
+	c.account.Disconnect(c.Connection)
+	return c.TCPConn.Close()
+}
+
+// IsRefused reports whether the read of a body failed because memory is short.
+func IsRefused(r *intake.Request, err error) bool {
+	return errors.Is(err, intake.ErrShort) || errors.Is(err, intake.ErrShed) || r.IsShed()
+}
+
+// IsOverdue reports whether the read of a body failed because its time was over.
+func IsOverdue(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -19,6 +19,8 @@
 	"lycheecrank.example/counter"
 	"lycheecrank.example/dispatch"
 	"lycheecrank.example/event"
+	"lycheecrank.example/frontend"
+	"lycheecrank.example/intake"
 	"lycheecrank.example/member"
 	"lycheecrank.example/ownership"
 	"lycheecrank.example/peer"
@@ -88,6 +90,10 @@
 	gossip           *peer.Gossip
 	recentOwnership  *recentRecords
 	counters         counters
+	// intake accounts for the memory and the connections of callers and peers, frontend
+	// counts them.
+	intake   *intake.Table
+	frontend *frontend.Frontend
 
 	addresses addresses
 }
@@ -124,6 +130,10 @@
 			peers: counter.NewSet("peers"),
 		},
 	}
+	i.intake = intake.NewTable(intake.BoundsFor(i.MemoryBytes(), intake.Descriptors()))
+	i.intake.Logger, i.intake.Counters = i.Logger, counter.NewSet("intake")
+	counter.Publish("intakeState", func() any { return i.intake.Queries().Status() })
+	i.frontend = frontend.New(i.intake.Commands(), 0)
 	i.logContact = newLogContact(i.Logger)
 	i.buildPlatform()
 	i.buildTables()
@@ -137,6 +147,11 @@
 	return i, nil
 }
 
+// MemoryBytes returns the memory of the process.
+func (i *Instance) MemoryBytes() int64 {
+	return intake.ProcessMemory(int64(i.Settings.Limits.MemoryMb) * 1e6)
+}
+
 func (i *Instance) buildPlatform() {
 	client := newPlatformClient()
 	i.platformLog = i.withTimeouts(provider.NewLog(client, i.Settings.Platform.Log))
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lycheecrank.example/catalogue"
+	"lycheecrank.example/frontend"
 	"lycheecrank.example/lock"
 	"lycheecrank.example/member"
 	"lycheecrank.example/peer"
@@ -35,7 +36,7 @@
 	i.peerServer = &peer.Server{
 		Self: i.self, Execute: i.execute, Digest: i.digest, ApplyDigest: i.applyReceivedDigest,
 		Records: i.records, ApplyRecords: i.applyPeerRecords, CancelRequest: i.requestCommands.Cancel,
-		Logger: i.Logger, Counters: i.counters.peers,
+		Logger: i.Logger, Counters: i.counters.peers, Track: frontend.Track,
 	}
 	i.gossip = &peer.Gossip{
 		Targets: i.gossipTargets, Digest: i.digest, ApplyDigest: i.applyReturnedDigest,
--- a/instance/run.go
+++ b/instance/run.go
@@ -12,6 +12,7 @@
 
 	"lycheecrank.example/claim"
 	"lycheecrank.example/event"
+	"lycheecrank.example/intake"
 )
 
 // ErrDrainIncomplete is returned by Run if requests or connections of callers were
@@ -40,8 +41,8 @@
 	defer stopBackground()
 	server := i.httpServer()
 	var group errgroup.Group
-	group.Go(func() error { return ignoreClosed(server.Serve(callers)) })
-	group.Go(func() error { return i.peerServer.Serve(backgroundCtx, peers) })
+	group.Go(func() error { return ignoreClosed(server.Serve(i.frontend.Listen(callers, intake.Clients))) })
+	group.Go(func() error { return i.peerServer.Serve(backgroundCtx, i.frontend.Listen(peers, intake.Peers)) })
 	i.startBackground(backgroundCtx, &group)
 	group.Go(func() error { return i.workers.Run(backgroundCtx, backgroundCtx) })
 	managerCtx, stopManager := context.WithCancel(backgroundCtx)
@@ -108,7 +109,7 @@
 	tasks := []func(context.Context) error{
 		i.catalogueFollower().run, i.ownershipFollower().run, i.claimer.Run,
 		i.runSnapshots, i.runInstanceList, i.runLoadReports, i.runLogProbe, i.gossip.Run,
-		i.dispatchCommands.RunSweeps,
+		i.dispatchCommands.RunSweeps, i.intake.Run,
 	}
 	for n := range claim.StreamCount {
 		tasks = append(tasks, i.claimFollower(n).run)
--- a/instance/settings_test.go
+++ b/instance/settings_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -37,6 +38,7 @@
 	"workers":                   checkLimits,
 	"limits.maxMessageBytes":    checkLimits,
 	"limits.maxInFlight":        checkLimits,
+	"limits.memoryMb":           checkMemory,
 	"drain.balancerLag":         checkDrain,
 	"drain.limit":               checkDrain,
 	"log.level":                 checkLogLevel,
@@ -74,6 +76,14 @@
 	}
 }
 
+func checkMemory(t *testing.T) {
+	is := is.New(t)
+	i, err := New(bareSettings(t, "limits: {memoryMb: 200}"), io.Discard)
+	is.NoErr(err)
+	is.Equal(i.MemoryBytes(), int64(200e6))
+	is.Equal(i.intake.Queries().Status().MemoryBytes, int64(40e6))
+}
+
 // bareSettings returns the settings of an instance whose platform is unreachable.
 func bareSettings(t *testing.T, more string) settings.Settings {
 	t.Helper()
--- a/intaketest/crowd_test.go
+++ b/intaketest/crowd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"lycheecrank.example/peer"
 )
 
 const (
@@ -45,7 +48,7 @@
 
 // dial connects as a client. Clients that read slowly have a small receive buffer, so that
 // the rest of an answer stays at the process.
-func (d *daemon) dial(hasSmallBuffer bool) (net.Conn, error) {
+func (d *daemon) dial(address string, hasSmallBuffer bool) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: time.Second}
 	if hasSmallBuffer {
 		dialer.Control = func(_, _ string, raw syscall.RawConn) error {
@@ -59,7 +62,7 @@
 			return failure
 		}
 	}
-	return dialer.Dial("tcp", d.address)
+	return dialer.Dial("tcp", address)
 }
 
 // head returns the request line and the headers of a client.
@@ -76,13 +79,19 @@
 // crowd runs clients that each send one request and stay connected, and checks the process
 // while they are. A client that is refused or closed counts as done.
 func (d *daemon) crowd(clients int, hasSmallBuffer bool, send func(w io.Writer) error) {
+	d.t.Helper()
+	d.crowdAt(d.address, clients, hasSmallBuffer, send)
+}
+
+// crowdAt is crowd at an address of the process.
+func (d *daemon) crowdAt(address string, clients int, hasSmallBuffer bool, send func(w io.Writer) error) {
 	d.t.Helper()
 	limit := time.Now().Add(crowdTime)
 	conns := make(chan net.Conn, clients)
 	var group errgroup.Group
 	for range clients {
 		group.Go(func() error {
-			conn, err := d.dial(hasSmallBuffer)
+			conn, err := d.dial(address, hasSmallBuffer)
 			if err != nil {
 				return nil
 			}
@@ -177,3 +186,33 @@
 		return err
 	})
 }
+
+// Guards against a process that runs out of memory because many clients that are no
+// instances send large messages to the port for instances, which stop short of their end.
+func TestMessagesAtPeerPort(t *testing.T) {
+	inFrontEnds(t, func(d *daemon) {
+		message := append(binary.BigEndian.AppendUint32(nil, peer.MaxFrame), make([]byte, peer.MaxFrame-missingBytes)...)
+		d.crowdAt(d.peers, 120, false, func(w io.Writer) error {
+			_, err := w.Write(message)
+			return err
+		})
+	})
+}
+
+// Guards against limits that refuse the largest body on an idle machine of the smallest
+// size.
+func TestLargestBody(t *testing.T) {
+	inFrontEnds(t, func(d *daemon) {
+		if d.path != "/registry" {
+			d.header["Content-Type"] = "application/json"
+			d.path = strings.Replace(d.path, "Run", "Cancel", 1)
+		}
+		body := strings.Repeat(" ", bodyBytes-2) + "{}"
+		for n := range 5 {
+			if status := d.post(d.path, strings.NewReader(body)); status != http.StatusOK {
+				d.t.Errorf("request %d with the largest body got status %d; the log ends with\n%s", n, status, d.logTail())
+			}
+		}
+		d.check()
+	})
+}
--- a/intaketest/process_test.go
+++ b/intaketest/process_test.go
@@ -63,9 +63,11 @@
 	command *exec.Cmd
 	exited  chan struct{}
 	log     string
-	// address is where clients connect, path what the crowd sends to.
+	// address is where clients connect, path what the crowd sends to, and peers where other
+	// instances connect.
 	address string
 	path    string
+	peers   string
 	header  map[string]string
 	// ask sends an ordinary request and returns the status, 0 if there was no answer.
 	ask func() int
@@ -100,7 +102,7 @@
 		t.Fatal(err)
 	}
 	d := &daemon{
-		t: t, address: front, path: "/registry",
+		t: t, address: front, path: "/registry", peers: peers,
 		header: map[string]string{"Host": "shop.example", "Attempt-Id": "a-1", "Authorization": "Token key-1"},
 	}
 	d.ask = func() int { return d.post("/registry", strings.NewReader("helmet")) }
@@ -120,7 +122,7 @@
 		t.Fatal(err)
 	}
 	const service = "/lycheecrank.caller.v1.PipelineService/"
-	d := &daemon{t: t, address: callers, path: service + "Run", header: map[string]string{"Host": callers, "Content-Type": "application/proto"}}
+	d := &daemon{t: t, address: callers, peers: peers, path: service + "Run", header: map[string]string{"Host": callers, "Content-Type": "application/proto"}}
 	d.ask = func() int {
 		d.header["Content-Type"] = "application/json"
 		return d.post(service+"Cancel", strings.NewReader(`{"workspace":"parents","requestId":"r-1"}`))
--- a/lock/lock.go
+++ b/lock/lock.go
@@ -22,6 +22,7 @@
 	RankClaim       = 70
 	RankPrecedence  = 80
 	RankPeer        = 85
+	RankIntake      = 87
 	RankCounter     = 90
 	RankEvent       = 95
 )
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -58,10 +58,13 @@
 	Hold func(ctx context.Context, dataCentre, by string, d time.Duration) (time.Time, error)
 }
 
+// MaxMessageBytes bounds the requests of operators, which hold a few names.
+const MaxMessageBytes = 64 << 10
+
 // Routes returns the handlers of the services by path.
 func (h *Handler) Routes() map[string]http.Handler {
-	queryPath, query := operatorv1connect.NewQueryServiceHandler(queries{h})
-	commandPath, command := operatorv1connect.NewCommandServiceHandler(commands{h})
+	queryPath, query := operatorv1connect.NewQueryServiceHandler(queries{h}, connect.WithReadMaxBytes(MaxMessageBytes))
+	commandPath, command := operatorv1connect.NewCommandServiceHandler(commands{h}, connect.WithReadMaxBytes(MaxMessageBytes))
 	return map[string]http.Handler{queryPath: query, commandPath: command}
 }
 
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -68,7 +68,13 @@
 type FrameReader struct {
 	// Reader is the source. Set it before the first call of Next.
 	Reader io.Reader
-	buffer []byte
+	// Limit is the largest message if it is not 0; it is at most MaxFrame.
+	Limit int64
+	// Reserve is called with the growth of the buffer before it grows beyond
+	// maxRetainedBuffer, and with the negative size when such a buffer is released. Its
+	// error ends the reading. It may be nil.
+	Reserve func(bytes int64) error
+	buffer  []byte
 }
 
 // Next returns the bytes of the next frame, which are valid until the next call.
@@ -85,7 +91,7 @@
 	switch {
 	case size == 0:
 		return nil, ErrFrameEmpty
-	case size > MaxFrame:
+	case size > MaxFrame, f.Limit > 0 && size > f.Limit:
 		return nil, eris.Wrapf(ErrFrameTooLarge, "%d bytes", size)
 	}
 	return f.readBody(int(size))
@@ -93,13 +99,20 @@
 
 func (f *FrameReader) readBody(size int) ([]byte, error) {
 	if cap(f.buffer) > maxRetainedBuffer || cap(f.buffer) < initialBuffer {
+		if err := f.reserve(len(f.buffer), 0); err != nil {
+			return nil, err
+		}
 		f.buffer = make([]byte, initialBuffer)
 	}
 	f.buffer = f.buffer[:cap(f.buffer)]
 	read := 0
 	for read < size {
 		if read == len(f.buffer) {
-			grown := make([]byte, min(size, 2*len(f.buffer)))
+			next := min(size, 2*len(f.buffer))
+			if err := f.reserve(len(f.buffer), next); err != nil {
+				return nil, err
+			}
+			grown := make([]byte, next)
 			copy(grown, f.buffer)
 			f.buffer = grown
 		}
@@ -115,6 +128,18 @@
 	return f.buffer[:size], nil
 }
 
+// reserve accounts for a buffer that replaces another one.
+func (f *FrameReader) reserve(from, to int) error {
+	if f.Reserve == nil {
+		return nil
+	}
+	counted := func(size int) int64 { return int64(max(0, size-maxRetainedBuffer)) }
+	if change := counted(to) - counted(from); change != 0 {
+		return f.Reserve(change)
+	}
+	return nil
+}
+
 func asTruncated(err error) error {
 	if errors.Is(err, io.ErrUnexpectedEOF) {
 		return ErrFrameTruncated
--- a/peer/frame_test.go
+++ b/peer/frame_test.go
@@ -90,3 +90,43 @@
 	}
 	return decodeMessage(data)
 }
+
+// Guards against a buffer that is allocated before its memory is counted, or that stays
+// counted after its release.
+func TestBuffersAreReserved(t *testing.T) {
+	is := is.New(t)
+	var wire bytes.Buffer
+	w := FrameWriter{Writer: &wire}
+	for _, size := range []int{maxRetainedBuffer, 1 << 20, 5, 4 << 20, 2 << 20, 1} {
+		is.NoErr(w.Write(make([]byte, size)))
+	}
+	short := errors.New("memory is short")
+	reserved, largest := int64(0), int64(0)
+	r := FrameReader{Reader: &wire, Reserve: func(n int64) error {
+		reserved += n
+		largest = max(largest, reserved)
+		return nil
+	}}
+	for range 6 {
+		_, err := r.Next()
+		is.NoErr(err)
+	}
+	is.Equal(reserved, int64(0))
+	is.Equal(largest, int64(4<<20-maxRetainedBuffer))
+	is.NoErr(w.Write(make([]byte, 1<<20)))
+	r.Reserve = func(int64) error { return short }
+	_, err := r.Next()
+	is.True(errors.Is(err, short))
+	is.True(wire.Len() > 1<<19) // the rest is not read
+}
+
+// Guards against a sender that isn't known yet and sends a large message.
+func TestFirstMessageIsSmall(t *testing.T) {
+	is := is.New(t)
+	var wire bytes.Buffer
+	w := FrameWriter{Writer: &wire}
+	is.NoErr(w.Write(make([]byte, maxHelloBytes+1)))
+	r := FrameReader{Reader: &wire, Limit: maxHelloBytes}
+	_, err := r.Next()
+	is.True(errors.Is(err, ErrFrameTooLarge))
+}
--- a/peer/inbound.go
+++ b/peer/inbound.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"lycheecrank.example/intake"
 	"lycheecrank.example/lock"
 	"lycheecrank.example/request"
 )
@@ -16,6 +17,9 @@
 const (
 	maxExchanges  = 1024
 	maxInputBytes = 64 << 20
+	// freeInputBytes is the size up to which an input is not counted against the memory of
+	// the process. Heartbeats and notices between instances are smaller, and never refused.
+	freeInputBytes = 64 << 10
 )
 
 // acceptedConn is a connection that this instance accepted. It answers the exchanges
@@ -24,6 +28,8 @@
 	*connection
 	server *Server
 	peer   Hello
+	// inputs accounts for the inputs of the open exchanges; nil doesn't.
+	inputs *intake.Request
 	// ctx ends with the connection.
 	ctx     context.Context
 	running sync.WaitGroup
@@ -134,14 +140,19 @@
 	if len(a.exchanges) >= maxExchanges || a.inputBytes > maxInputBytes {
 		return nil, nil
 	}
-	ctx, cancel := context.WithCancel(a.ctx)
-	x := &inboundExchange{id: m.Exchange, ctx: ctx, cancel: cancel, creditAdded: make(chan struct{}, 1), credit: window, isAwaited: true}
+	inputBytes := 0
 	if m.Execute != nil {
-		x.inputBytes = len(m.Execute.Input)
+		inputBytes = len(m.Execute.Input)
 	}
 	if m.Ask != nil {
-		x.inputBytes = len(m.Ask.Data)
+		inputBytes = len(m.Ask.Data)
+	}
+	if inputBytes > freeInputBytes && !a.inputs.TryGrow(int64(inputBytes)) {
+		return nil, nil
 	}
+	ctx, cancel := context.WithCancel(a.ctx)
+	x := &inboundExchange{id: m.Exchange, ctx: ctx, cancel: cancel, creditAdded: make(chan struct{}, 1), credit: window, isAwaited: true}
+	x.inputBytes = inputBytes
 	a.exchanges[x.id] = x
 	a.awaited++
 	a.inputBytes += x.inputBytes
@@ -154,6 +165,9 @@
 	defer a.mu.Unlock()
 	delete(a.exchanges, x.id)
 	a.inputBytes -= x.inputBytes
+	if x.inputBytes > freeInputBytes {
+		a.inputs.Shrink(int64(x.inputBytes))
+	}
 	a.stopAwaiting(x)
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -11,6 +11,7 @@
 
 	"lycheecrank.example/counter"
 	"lycheecrank.example/event"
+	"lycheecrank.example/intake"
 	"lycheecrank.example/provider"
 	"lycheecrank.example/request"
 )
@@ -19,6 +20,10 @@
 // descriptors run out.
 const acceptBackoff = 50 * time.Millisecond
 
+// maxHelloBytes bounds the first message of a connection, whose sender is not yet known.
+// The three names in it have a few hundred characters at most.
+const maxHelloBytes = 4 << 10
+
 // Server answers the exchanges of other instances. Set the exported fields before
 // Serve. The functions are called concurrently.
 type Server struct {
@@ -51,6 +56,9 @@
 	Logger *event.Logger
 	// Counters counts rejected frames by reason; it may be nil.
 	Counters *counter.Set
+	// Track adds the messages (intake.Receiving) or the inputs (intake.Serving) of a
+	// connection to the account of memory; nil doesn't account for them.
+	Track func(n net.Conn, phase intake.Phase) *intake.Request
 
 	logger   *event.Logger
 	counters *counter.Set
@@ -103,6 +111,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c := newConnection(n, s.PeerTimeout)
+	c.frames.Limit = maxHelloBytes
 	// The peer sees the close of its connection only after its frame was counted.
 	c.onFailure = s.countFrameError
 	stop := context.AfterFunc(ctx, func() { c.fail(ErrClosed) })
@@ -115,12 +124,30 @@
 	}
 	s.logger.Write(event.PeerConnected, peer.Instance, peer.DataCentre)
 	a := newAcceptedConn(ctx, c, s, peer)
+	if s.Track != nil {
+		messages := s.Track(n, intake.Receiving)
+		a.inputs = s.Track(n, intake.Serving)
+		defer func() { messages.End(time.Now()) }()
+		defer func() { a.inputs.End(time.Now()) }()
+		c.frames.Reserve = func(bytes int64) error { return reserveMessage(ctx, messages, bytes, c.peerTimeout) }
+	}
+	c.frames.Limit = 0
 	err = a.run()
 	cancel()
 	a.running.Wait()
 	s.report(n, peer.Instance, err)
 }
 
+// reserveMessage accounts for the buffer of a message. It waits for less than the timeout
+// after which the peer takes a connection for broken.
+func reserveMessage(ctx context.Context, messages *intake.Request, bytes int64, timeout time.Duration) error {
+	if bytes < 0 {
+		messages.Shrink(-bytes)
+		return nil
+	}
+	return messages.Grow(ctx, bytes, timeout/2)
+}
+
 // countFrameError counts a rejected frame by its reason. It ignores other errors.
 func (s *Server) countFrameError(err error) {
 	if reason, ok := frameErrorCounter(err); ok {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -47,6 +47,9 @@
 	MaxMessageBytes int
 	// MaxInFlight is the largest number of requests in flight.
 	MaxInFlight int
+	// MemoryMb is the memory of the process in megabytes; 0 for the limit of the process or
+	// the memory of the machine.
+	MemoryMb int
 }
 
 // Drain sets the times of a graceful shutdown.
--- a/settings/table.go
+++ b/settings/table.go
@@ -51,6 +51,10 @@
 		Path: "limits.maxInFlight", Default: "4096", Meaning: "Requests in flight; further ones are refused.",
 		value: func(s *Settings) value { return integer(&s.Limits.MaxInFlight, 1, 1000000, "requests") },
 	},
+	{
+		Path: "limits.memoryMb", Default: "0", Meaning: "Memory of the process in megabytes, from which the bounds for bodies, answers and connections of callers follow (docs/design/intake.md); 0 takes the limit in GOMEMLIMIT, or else the memory of the machine. A fifth of it is for messages and answers, which no callers within the limits fill in normal operation.",
+		value: func(s *Settings) value { return integer(&s.Limits.MemoryMb, 0, 1<<20, "megabytes") },
+	},
 	{
 		Path: "drain.balancerLag", Default: "3s", Meaning: "Time from leaving until new requests are refused; the balancer must have noticed by then.",
 		value: func(s *Settings) value { return duration(&s.Drain.BalancerLag, 0, time.Minute) },
