--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -26,6 +26,9 @@
 	// errUnprovenRefusal means that the server answered with the status of a refusal, but
 	// did not guarantee that it has not run the request.
 	errUnprovenRefusal = errors.New("backend server refused the request without the guarantee that it has not run")
+	// ErrBufferFull is returned once by the body of an answer of a plain server if memory is
+	// short: what was read is forwarded before more is read. The body can be read on.
+	ErrBufferFull = errors.New("no memory to buffer more of the answer")
 )
 
 // Attempt is one attempt of a client. Its functions convert between this package's
@@ -110,6 +113,8 @@
 	Body    io.ReadCloser
 	// WriteHeader forwards the status and headers to the client.
 	WriteHeader func() error
+	// hasRest is set if the body has bytes after those that were buffered.
+	hasRest bool
 }
 
 // isSuccess reports whether the server answered with a 2xx status.
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -267,7 +267,7 @@
 	if s.routed.hidesRefusal(answer) {
 		return s.fail(request.Refuse(request.ReasonOutcomeUnknown, errUnprovenRefusal.Error()))
 	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes))
+	body, err := answer.buffer()
 	if err != nil {
 		return s.fail(request.Refuse(request.ReasonResultInvalid, "answer of the engine truncated"))
 	}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -7,6 +7,7 @@
 
 	"lycheecrank.example/counter"
 	"lycheecrank.example/fleet"
+	"lycheecrank.example/intake"
 	"lycheecrank.example/membership"
 	"lycheecrank.example/platform"
 	"lycheecrank.example/quarantine"
@@ -60,6 +61,8 @@
 	Quarantine []quarantine.Status `json:"quarantine"`
 	// Rollouts holds the rollouts by pool.
 	Rollouts []rollout.Status `json:"rollouts"`
+	// Intake is the account of memory and connections.
+	Intake intake.Status `json:"intake"`
 }
 
 // queueStatus is the state of the queue of a stage pool on this instance.
@@ -134,6 +137,7 @@
 		Engines:              i.engineStatuses(now),
 		Quarantine:           i.quarantine.Queries().Statuses(now),
 		Rollouts:             i.rollouts.Queries().Statuses(now),
+		Intake:               i.intake.Queries().Status(),
 	}
 	for _, p := range i.positions() {
 		if p.Stream == platform.ServerStream {
