Test a rollout in two cells whose old servers end at the success

The division of the site stays the same with twice the servers, each cell uses its own servers of the new version, and streams that are running at the old engines when these end resume at the new ones: no request fails.

--- a/entry/cells_test.go
+++ b/entry/cells_test.go
@@ -17,8 +17,8 @@
 const objective = 15 * time.Second
 
 // newDividedSite returns a site of the cells "a" and "b". Each cell has one instance and
-// one worker of each pool.
-func newDividedSite(t *testing.T, encodeTime time.Duration) *testSite {
+// one worker of each pool. It calls the given functions before the instances start.
+func newDividedSite(t *testing.T, encodeTime time.Duration, prepare ...func(*testSite)) *testSite {
 	s := newTestSite(t)
 	s.encodeTime = encodeTime
 	s.workers["encode-1"].Pause, s.workers["encode-2"].Pause = encodeTime, encodeTime
@@ -41,6 +41,9 @@
 		}
 		return cell.Divide(current, instancesOfLargeSite, enlarged)
 	}
+	for _, p := range prepare {
+		p(s)
+	}
 	s.start("n1", "n2")
 	for _, n := range s.instances {
 		s.waitFor(n.Settings.Name+" sees two cells", func() bool { return len(n.division.Load().layout.Cells()) == 2 })
--- a/entry/rollout_test.go
+++ b/entry/rollout_test.go
@@ -27,8 +27,12 @@
 	clients  errgroup.Group
 }
 
-func newRolloutSite(t *testing.T) *rolloutSite {
-	s := &rolloutSite{testSite: newTestSite(t), versions: map[string]string{}}
+func newRolloutSite(t *testing.T) *rolloutSite { return newRolloutSiteOf(newTestSite(t)) }
+
+// newRolloutSiteOf sets the bounds of rollouts and the versions of a site whose instances
+// haven't started.
+func newRolloutSiteOf(base *testSite) *rolloutSite {
+	s := &rolloutSite{testSite: base, versions: map[string]string{}}
 	s.rolloutBounds = platform.Settings{ExposureShare: 0.1, ExposureSlack: 50, RollbackTime: 5 * time.Second}
 	for id := range s.workers {
 		s.versions[id] = "v1"
@@ -237,3 +241,35 @@
 	}
 	is.Equal(runsOf(s.workers["registry-1"], s.workers["registry-2"]), old)
 }
+
+// Guards against streams that are lost when the old servers end at the success: they resume
+// at the new version. The site has two cells, each with a server of either version.
+func TestRolloutOfCells(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	var s *rolloutSite
+	newDividedSite(t, 10*time.Millisecond, func(base *testSite) { s = newRolloutSiteOf(base) })
+	const eventPause = 120 * time.Millisecond // a stream takes longer than the shift
+	for _, id := range []string{"models-1", "models-2"} {
+		s.workers[id].Pause = eventPause
+	}
+	s.dataCentres["models-4"] = "b"
+	fresh := s.addVersion("models", "v2")
+	s.startClients("/draft/1", 8)
+	defer s.stopClients()
+	s.order("models", "v2", 6)
+	s.waitFor("the new version gets requests", func() bool { return runsOf(fresh...) > 0 })
+	for _, n := range s.instances {
+		is.Equal(len(n.division.Load().layout.Cells()), 2) // more servers don't change the division
+	}
+	s.waitFor("the rollout has succeeded", func() bool { return s.status("models") == `{"state":"succeeded","to":"v2"}` })
+	for _, id := range []string{"models-1", "models-2"} {
+		s.workers[id].CloseClientConnections()
+		s.store.Put(platform.ServerStream, id, nil)
+	}
+	before := runsOf(fresh...)
+	s.waitFor("the new version gets all requests", func() bool { return runsOf(fresh...) >= before+20 })
+	s.stopClients()
+	is.Equal(s.failures.Load(), int64(0))
+	is.True(len(fresh[0].Runs()) > 0 && len(fresh[1].Runs()) > 0)
+}
