Let ordinary messages of callers use the reserve, and test many connections

Cause: a message at serve was counted in blocks of 32 KB times two, so that each ordinary one counted as large (80 KB) and waited behind large ones; of 1200 small bodies that stopped short most were refused for memory.

Change: the first 4 KB of a message are covered by what each request counts, as at entry, and further ones are counted in blocks of 16 KB.

--- a/frontend/handler.go
+++ b/frontend/handler.go
@@ -17,7 +17,7 @@
 	// reads and decodes it: the buffer, which grows by doubling, and the decoded message.
 	messageFactor = 2
 	// messageBlockBytes is the size in which the memory of a message is counted.
-	messageBlockBytes = 32 << 10
+	messageBlockBytes = 16 << 10
 )
 
 // Handler returns a handler that counts the requests of another one, whose messages have a
@@ -100,7 +100,11 @@
 // grow counts the memory for the next bytes of the body.
 func (b *countedBody) grow() error {
 	size := int64(messageBlockBytes)
-	if b.counted == 0 && b.expanded > 0 {
+	if b.counted == 0 {
+		if b.expanded == 0 {
+			b.counted = intake.FreeBytes
+			return nil
+		}
 		size += b.expanded
 	}
 	if err := b.writer.request.Grow(b.writer.ctx, messageFactor*size, intake.Patience); err != nil {
--- a/intaketest/crowd_test.go
+++ b/intaketest/crowd_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -216,3 +217,19 @@
 		d.check()
 	})
 }
+
+// Guards against a process that runs out of descriptors, or locks ordinary clients out,
+// because many clients connect and send nothing, or stop in the middle of a small body.
+func TestManyConnections(t *testing.T) {
+	inFrontEnds(t, func(d *daemon) {
+		request := append(d.head(d.path, "Content-Length: 1000"), make([]byte, 100)...)
+		var number atomic.Int32
+		d.crowd(4*maxClients, false, func(w io.Writer) error {
+			if number.Add(1)%2 == 0 {
+				return nil
+			}
+			_, err := w.Write(request)
+			return err
+		})
+	})
+}
