entry: wait until a restarted engine is listed before the next crash in a test

TestQuarantineOutlastsInstances failed beside load because two of its three crashes counted as one. Crashes count once per process of an engine, and the process is known from the list of servers. The stand-in restarts at once, and the coordinator chose the same engine again, since the pause between crashes is as long as the first block of a failed engine. If the instance that saw the crash hadn't yet read the entry of the restarted engine, which took longer than about 260 ms beside load, the second crash was recorded as one of the old process, and the third one was too few.

The counting is left as it is: without a new entry, a connection that breaks again may as well be one fault of one process. The test now waits until all instances list the present processes before each crash, and also checks that each request crashes one engine. Its other checks are unchanged.

--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -90,6 +90,16 @@
 	}
 }
 
+// listsProcesses reports whether an instance lists the present process of each engine.
+func (s *testSite) listsProcesses(n *testInstance) bool {
+	for id, w := range s.workers {
+		if listed, ok := n.fleet.Queries().Server(id, time.Now()); !ok || listed.StartedUnixMilli != s.bornAt(w) {
+			return false
+		}
+	}
+	return true
+}
+
 // stopInstance stops an instance and waits for its end.
 func (s *testSite) stopInstance(n *testInstance) {
 	n.stop()
@@ -118,11 +128,17 @@
 	s.start("n1", "n2", "n3")
 	sendCrashing := func(count int) {
 		for range count {
+			// The coordinator may choose the same engine again, whose next crash counts
+			// only if the instance knows that it is another process.
+			for _, n := range s.instances {
+				s.waitFor(n.Settings.Name+" lists the restarted engine", func() bool { return s.listsProcesses(n) })
+			}
 			before := s.crashes()
 			s.waitFor("an engine crashes", func() bool {
 				s.instances[0].sendPrompt("POST", "/chat/1", "key-1", crashingPrompt())
 				return s.crashes() > before
 			})
+			is.Equal(s.crashes(), before+1)
 			pause(t.Context(), 250*time.Millisecond) // crashes at the same moment count as one
 		}
 	}
--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -107,10 +107,15 @@
 func (s *testSite) announce(id, pool, state string) {
 	s.store.PutJSON(platform.ServerStream, id, map[string]any{
 		"service": pool, "address": s.workers[id].Address(), "zone": s.dataCentreOf(id), "slots": 4, "state": state, "sequence": s.sequence.Add(1),
-		"born": 1_000_000 + s.workers[id].Crashes() + s.restarts[id],
+		"born": s.bornAt(s.workers[id]),
 	})
 }
 
+// bornAt returns the start time of the present process of a worker, in Unix milliseconds.
+func (s *testSite) bornAt(w *site.Worker) int64 {
+	return int64(1_000_000 + w.Crashes() + s.restarts[w.ID])
+}
+
 // dataCentreOf returns the data centre of a worker or an instance.
 func (s *testSite) dataCentreOf(id string) string { return cmp.Or(s.dataCentres[id], "a") }
 
