entry: pass on crashes before an instance exits

An instance reports a crash with its next heartbeats, and the heartbeat loop ends when the drain has ended. If one of the last requests in flight ends with a crash while the loop runs late, as on a busy machine, the crash was known to no other instance. At the end of the drain an instance that has learned of crashes or entries within the last 3 s now sends them to the other instances and waits for the replies, at most the time limit of a heartbeat and within the grace period.

--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/errgroup"
 
 	"lycheecrank.example/codec"
 	"lycheecrank.example/engine"
@@ -124,6 +125,25 @@
 	}
 }
 
+// passOnQuarantine sends what this instance has learned shortly before it exits to the
+// other instances, and waits for their replies. The last requests in flight may end with
+// a crash, and the heartbeat loop stops before it has reported that.
+func (i *Instance) passOnQuarantine(ctx context.Context) {
+	now := time.Now()
+	if i.quarantine.Queries().Fresh(now).IsEmpty() {
+		return
+	}
+	var group errgroup.Group
+	for _, t := range i.heartbeatTargets(1, now) {
+		t.wantsRecords = false
+		group.Go(func() error {
+			i.sendHeartbeat(ctx, t, false)
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
 // missingQuarantine returns what the sender of a heartbeat may lack: all entries if its
 // digest differs, and the recent crashes if it is a candidate for coordinator.
 func (i *Instance) missingQuarantine(received heartbeat, now time.Time) quarantine.Update {
--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"lycheecrank.example/engine"
+	"lycheecrank.example/fleet"
 	"lycheecrank.example/platform"
 	"lycheecrank.example/standin/site"
 )
@@ -163,3 +165,43 @@
 	is.True(header.Get("Retry-After") != "")
 	is.Equal(s.crashes(), 3)
 }
+
+// Guards against a crash that is forgotten because the instance that saw it exits before
+// its next heartbeats: the heartbeats are late on a busy machine.
+func TestCrashAtEndOfDrainIsPassedOn(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newTestSite(t)
+	var isFrozen atomic.Bool
+	frozen, release := make(chan struct{}, 1), make(chan struct{})
+	s.modify = func(i *Instance) {
+		if i.Settings.Name != "n1" {
+			return
+		}
+		// The heartbeat loop and the handlers of other instances' calls read this clock.
+		i.SinceBoot = func() time.Duration {
+			if isFrozen.Load() {
+				select {
+				case frozen <- struct{}{}:
+				default:
+				}
+				<-release
+			}
+			return sinceBoot()
+		}
+	}
+	s.start("n1", "n2")
+	leaving, other := s.instances[0], s.instances[1]
+	leaving.stop()
+	s.waitFor("the drain nears its end", func() bool { return leaving.leavingFor() > acceptPeriod-time.Second })
+	isFrozen.Store(true)
+	<-frozen
+	pause(t.Context(), 2*heartbeatInterval)
+	leaving.recordCrash(fleet.Server{ID: "models-1", DataCentre: "a"}, "crashing", engine.Prompt{Parts: []engine.Part{{ID: crashPart}, {ID: "own"}}})
+	is.NoErr(<-leaving.done)
+	crashes := other.quarantine.Queries().Fresh(time.Now()).Crashes
+	isFrozen.Store(false)
+	close(release)
+	is.Equal(len(crashes), 1)
+	is.Equal(crashes[0].RequestID, "crashing")
+}
--- a/entry/run.go
+++ b/entry/run.go
@@ -168,8 +168,9 @@
 	group.Go(func() error { return serve(server, i.frontend.Listen(listener, intake.Operators)) })
 }
 
-// drain waits for the requests in flight to end within the grace period. Requests that
-// arrive in the meantime are served, and their responses close the connection.
+// drain waits for the requests in flight to end within the grace period, and passes on
+// what they have shown of crashes. Requests that arrive in the meantime are served, and
+// their responses close the connection.
 func (i *Instance) drain(front *http.Server) {
 	i.leavingAt.Store(i.instant(time.Now()))
 	i.Logger.Write(event.Leaving, "signal")
@@ -189,6 +190,7 @@
 		remaining = i.attemptLog.inFlight.Load()
 		_ = front.Close()
 	}
+	i.passOnQuarantine(ctx)
 	i.Logger.Write(event.Stopped, remaining)
 }
 
