instance: wait for the claim streams in the setup of TestOutcomeOfKey

Two trials give the failure of TestOutcomeOfKey, each with "not_run claimLogUnavailable" in the first case, which is a correct refusal. With reads of the claims held back for 10 s the instance serves requests without a key, and so ends the setup, before it has begun to read the claims. With appends of claims 2.5 s late the claim takes longer than its limit of 2 s.

--- a/instance/claim_test.go
+++ b/instance/claim_test.go
@@ -15,6 +15,7 @@
 
 	callerv1 "lycheecrank.example/api/caller/v1"
 	"lycheecrank.example/catalogue"
+	"lycheecrank.example/claim"
 	"lycheecrank.example/pipeline"
 	"lycheecrank.example/provider"
 	"lycheecrank.example/request"
@@ -126,6 +127,22 @@
 	return a
 }
 
+// awaitClaims waits until instances have begun to read all streams of claims. Before that
+// they refuse each key, also if they serve requests without one.
+func (s *site) awaitClaims(bound time.Duration, nodes ...*node) {
+	s.t.Helper()
+	for _, n := range nodes {
+		s.await(bound, n.self.Instance+" reads the claims", func() bool {
+			for number := range claim.StreamCount {
+				if _, ok := n.claimQueries.CompleteSince(claim.StreamName(number)); !ok {
+					return false
+				}
+			}
+			return true
+		})
+	}
+}
+
 // outcomeOf queries the outcome of a key at an instance.
 func (n *node) outcomeOf(workspace, key string) (verdict, output string) {
 	res, err := n.client.GetOutcome(n.site.ctx, connect.NewRequest(&callerv1.GetOutcomeRequest{Workspace: workspace, Key: key}))
@@ -144,6 +161,7 @@
 	s.startInstances(nil, "a1", "b1")
 	a1, b1 := s.nodes["a1"], s.nodes["b1"]
 	s.awaitServing(setupBound, "status", a1, b1)
+	s.awaitClaims(setupBound, a1, b1)
 	var table strings.Builder
 	for _, c := range []struct {
 		name      string
