rollout: know the current version after a rollback

After a success of v2 and a rollback of v3, the version that the leader saw first (v1) counted as the current one. An order for v1 succeeded at once, without a trial, and one for v2 restricted the only version in use to the share. A pending order for the current version also took all requests from it until the leader had written the first state.

States carry the version that the pool had before their order (from), and a pending order for the version of the last success restricts nothing.

TestCurrentVersionAfterRollback fails before the change (succeeded in place of running) and passes after it.

--- a/rollout/commands.go
+++ b/rollout/commands.go
@@ -213,14 +213,11 @@
 	if !p.hasOrder || p.isCurrent() {
 		return State{}, false
 	}
-	state := start(p.order, p.state, now)
+	current := p.current()
+	state := start(p.order, p.state, current, now)
 	if p.isWithdrawn {
 		return state.WithPhase(RolledBack, "order withdrawn"), true
 	}
-	current := p.initial
-	if p.state.Phase == Succeeded {
-		current = p.state.To
-	}
 	if current == p.order.To {
 		state = state.WithPhase(Succeeded, "the pool already has this version")
 	}
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -80,7 +80,9 @@
 	// Offset is the offset of the order.
 	Offset uint64 `msgpack:"offset"`
 	To     string `msgpack:"to"`
-	Phase  Phase  `msgpack:"phase"`
+	// From is the version that the pool had before the order, empty if that isn't known.
+	From  string `msgpack:"from,omitempty"`
+	Phase Phase  `msgpack:"phase"`
 	// Step is the index of the share in shareSteps.
 	Step int `msgpack:"step,omitempty"`
 	// Spread is the least number of servers of the new version that get requests.
@@ -130,10 +132,11 @@
 	return s
 }
 
-// start returns the first state of an order that replaces an earlier state of its pool.
-func start(order Order, earlier State, now time.Time) State {
+// start returns the first state of an order that replaces an earlier state of its pool, which
+// has a current version.
+func start(order Order, earlier State, current string, now time.Time) State {
 	state := State{
-		Pool: order.Pool, Offset: order.Offset, To: order.To, Phase: Running, DurationMs: order.Duration.Milliseconds(),
+		Pool: order.Pool, Offset: order.Offset, To: order.To, From: current, Phase: Running, DurationMs: order.Duration.Milliseconds(),
 		StartedUnixMilli: now.UnixMilli(), Reason: "ordered",
 	}
 	rejected := slices.Clone(earlier.Rejected)
--- a/rollout/table_test.go
+++ b/rollout/table_test.go
@@ -186,6 +186,32 @@
 	is.Equal(f.start().Phase, Succeeded)
 }
 
+// Guards against a return to a replaced version that counts as the current one after a
+// rollback, and against a current version that gets nothing until its new order starts.
+func TestCurrentVersionAfterRollback(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(simulated)
+	f.setServers("v1", "v2")
+	f.order("v2", 1)
+	f.apply(f.start().WithPhase(Succeeded, ""))
+	f.setServers("v1", "v2", "v3")
+	f.order("v3", 2)
+	rolledBack := f.start().WithPhase(RolledBack, "")
+	f.apply(rolledBack)
+	f.order("v1", 3)
+	is.Equal(f.start().Phase, Running) // v2 is the current version, not v1
+	f.order("v2", 4)
+	is.Equal(f.allowed(false), "b")
+	is.Equal(f.start().Phase, Succeeded)
+
+	late := &fixture{Table: NewTable(simulated, "n2"), now: f.now}
+	late.setServers("v2", "v3")
+	late.apply(rolledBack)
+	late.order("v2", 4)
+	is.Equal(late.allowed(false), "a")
+	is.Equal(late.start().Phase, Succeeded)
+}
+
 // Guards against a version without a server or without traffic that succeeds or runs for
 // ever.
 func TestNoServerOrTraffic(t *testing.T) {
--- a/rollout/view.go
+++ b/rollout/view.go
@@ -80,6 +80,18 @@
 // isInProgress reports whether the order has neither succeeded nor been rolled back.
 func (p pool) isInProgress() bool { return p.hasOrder && !p.phase().IsFinal() }
 
+// current returns the version that the pool has while its order isn't started, empty if that
+// isn't known.
+func (p pool) current() string {
+	switch {
+	case p.state.Phase == Succeeded:
+		return p.state.To
+	case p.state.From != "":
+		return p.state.From
+	}
+	return p.initial
+}
+
 // rejected returns the versions that earlier orders named and that have not succeeded.
 func (p pool) rejected() []string {
 	versions := p.state.Rejected
@@ -98,6 +110,8 @@
 			return allRequests
 		case phase == Running && isConfirmed:
 			return shareOnly
+		case phase == Pending && p.state.To != "" && p.current() == version:
+			return allRequests
 		case phase == Pending && !p.isOtherListed && (p.initial == version || now.Sub(p.knownAt) > confirmationAge):
 			// This instance has started long after the order, and hasn't learned how the
 			// rollout has ended.
