rollout: don't restart an order that a newer one has replaced

Heartbeats and the store may bring the state of a newer order before its record.

While the known order is outdated, it isn't started, isn't in progress and restricts nothing by itself; rejected versions still get nothing.

TestStateBeforeOrder fails before the change (the older order starts) and passes after it.

--- a/rollout/commands.go
+++ b/rollout/commands.go
@@ -210,7 +210,7 @@
 // Start starts the order of a pool, and returns its first state without applying it.
 func (c Commands) Start(name string, now time.Time) (State, bool) {
 	p := c.table.pool(name)
-	if !p.hasOrder || p.isCurrent() {
+	if !p.hasOrder || p.isCurrent() || p.isOutdated() {
 		return State{}, false
 	}
 	current := p.current()
--- a/rollout/queries.go
+++ b/rollout/queries.go
@@ -138,7 +138,7 @@
 		return false
 	}
 	p := q.table.pool(name)
-	return p.hasOrder && version == p.order.To && p.phase() != Succeeded
+	return p.hasOrder && !p.isOutdated() && version == p.order.To && p.phase() != Succeeded
 }
 
 // States returns the states by pool, those of finished rollouts only if all is set.
--- a/rollout/table_test.go
+++ b/rollout/table_test.go
@@ -212,6 +212,30 @@
 	is.Equal(late.start().Phase, Succeeded)
 }
 
+// Guards against an instance that learns the state of a newer order before its record, and
+// then refuses all requests or starts the older order again.
+func TestStateBeforeOrder(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(simulated)
+	f.setServers("v1", "v2")
+	f.order("v2", 1)
+	succeeded := f.start().WithPhase(Succeeded, "")
+	f.apply(succeeded)
+	f.setServers("v2", "v3")
+	f.now = f.now.Add(time.Minute)
+	newer := start(Order{Pool: "p", To: "v3", Duration: 10 * time.Second, Offset: 2}, succeeded, "v2", f.now)
+	f.apply(newer)
+	is.Equal(f.allowed(false), "a")
+	is.True(f.Queries().MaySend("p", "v2", f.now))
+	is.True(!f.Queries().MaySend("p", "v3", f.now)) // its order isn't known
+	_, ok := f.Commands().Start("p", f.now)
+	is.True(!ok)
+	is.Equal(len(f.Queries().InProgress()), 0)
+	f.order("v3", 2)
+	is.Equal(f.allowed(false), "a")
+	is.Equal(f.allowed(true), "b")
+}
+
 // Guards against a version without a server or without traffic that succeeds or runs for
 // ever.
 func TestNoServerOrTraffic(t *testing.T) {
--- a/rollout/view.go
+++ b/rollout/view.go
@@ -66,6 +66,11 @@
 // isCurrent reports whether the state belongs to the order.
 func (p pool) isCurrent() bool { return p.hasOrder && p.state.Offset == p.order.Offset }
 
+// isOutdated reports whether there is a state of a newer order than the known one. The record
+// of the newer order is still on its way, and the outcome of the known one isn't known any
+// more, except that it is among the rejected versions if it hasn't succeeded.
+func (p pool) isOutdated() bool { return p.hasOrder && p.state.Offset > p.order.Offset }
+
 // phase returns the phase of the order.
 func (p pool) phase() Phase {
 	switch {
@@ -78,7 +83,7 @@
 }
 
 // isInProgress reports whether the order has neither succeeded nor been rolled back.
-func (p pool) isInProgress() bool { return p.hasOrder && !p.phase().IsFinal() }
+func (p pool) isInProgress() bool { return p.hasOrder && !p.isOutdated() && !p.phase().IsFinal() }
 
 // current returns the version that the pool has while its order isn't started, empty if that
 // isn't known.
@@ -104,7 +109,7 @@
 // useOf returns what the servers of a version get.
 func (p pool) useOf(version string, isConfirmed bool, now time.Time) use {
 	phase := p.phase()
-	if p.hasOrder && version == p.order.To {
+	if p.hasOrder && version == p.order.To && !p.isOutdated() {
 		switch {
 		case phase == Succeeded, phase == Shifted && isConfirmed:
 			return allRequests
