rollout: no success and no shift without servers of the new version

A rollout that was shifted succeeded at its time also if no server of the new version was listed any more. The old servers end at the success, so that the pool was left without any. Until then, no server got the requests.

A success needs a listed server; without one the rollout is rolled back at its deadline, and the old servers get the requests of a shifted pool.

TestServersEndAfterShift fails before each of the two changes.

--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -58,7 +58,7 @@
 	switch {
 	case input.Elapsed >= schedule.Deadline && (responses == 0 || input.Listed == 0):
 		return state.WithPhase(RolledBack, "no server or no response of the new version until the deadline")
-	case state.Phase == Shifted && input.Elapsed >= schedule.SucceedAt && responses > 0:
+	case state.Phase == Shifted && input.Elapsed >= schedule.SucceedAt && responses > 0 && input.Listed > 0:
 		return state.WithPhase(Succeeded, fmt.Sprintf("%d responses without a finding", responses))
 	case state.Phase == Running && isLast && input.Listed > 0 && (responses > 0 || fresh.Lost < maxLost):
 		return state.WithPhase(Shifted, fmt.Sprintf("%d responses without a finding", responses))
--- a/rollout/table_test.go
+++ b/rollout/table_test.go
@@ -236,6 +236,28 @@
 	is.Equal(f.allowed(true), "b")
 }
 
+// Guards against a success of a version whose servers have ended since the shift, at which
+// the old servers would end too, and against requests that get no server until then.
+func TestServersEndAfterShift(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(simulated)
+	f.setServers("v1", "v1", "v2")
+	f.order("v2", 1)
+	state := f.start()
+	f.Commands().Record(Response{Pool: "p", Route: "r", Server: "c", Version: "v2"})
+	f.apply(state.WithPhase(Shifted, ""))
+	is.Equal(f.allowed(false), "c")
+	f.setServers("v1", "v1")
+	f.now = f.now.Add(simulated.Schedule(10 * time.Second).SucceedAt)
+	_, _, ok := f.Commands().Decide("p", nil, f.now)
+	is.True(!ok)
+	f.Commands().Confirm(f.now)
+	is.Equal(f.allowed(false), "ab")
+	f.now = f.now.Add(succeedLead)
+	next, _, _ := f.Commands().Decide("p", nil, f.now)
+	is.Equal(next.Phase, RolledBack)
+}
+
 // Guards against a version without a server or without traffic that succeeds or runs for
 // ever.
 func TestNoServerOrTraffic(t *testing.T) {
--- a/rollout/view.go
+++ b/rollout/view.go
@@ -127,7 +127,7 @@
 	switch {
 	case slices.Contains(p.rejected(), version), p.isHeld(version, now):
 		return noRequests
-	case phase == Succeeded && p.listed > 0, phase == Shifted && isConfirmed:
+	case p.listed > 0 && (phase == Succeeded || phase == Shifted && isConfirmed):
 		return noRequests
 	}
 	return allRequests
