peer: release a large buffer before the wait for the next frame

The buffer of a message above 64 KB was released when the next frame had begun. Until then an idle connection to another instance held memory of the account without progress, and could be shed for clients that wait for memory.

Next releases the buffer before it reads the header of the next frame. TestNoLargeBufferBetweenFrames fails before the change and passes after it.

--- a/peer/frame.go
+++ b/peer/frame.go
@@ -83,6 +83,13 @@
 // further. The buffer grows only as bytes arrive, so a declared length alone
 // allocates no memory.
 func (f *FrameReader) Next() ([]byte, error) {
+	if cap(f.buffer) > maxRetainedBuffer {
+		// The connection may be idle for a long time before the next frame.
+		if err := f.reserve(len(f.buffer), 0); err != nil {
+			return nil, err
+		}
+		f.buffer = nil
+	}
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(f.Reader, header[:]); err != nil {
 		return nil, asTruncated(err)
@@ -98,10 +105,7 @@
 }
 
 func (f *FrameReader) readBody(size int) ([]byte, error) {
-	if cap(f.buffer) > maxRetainedBuffer || cap(f.buffer) < initialBuffer {
-		if err := f.reserve(len(f.buffer), 0); err != nil {
-			return nil, err
-		}
+	if cap(f.buffer) < initialBuffer {
 		f.buffer = make([]byte, initialBuffer)
 	}
 	f.buffer = f.buffer[:cap(f.buffer)]
--- a/peer/frame_test.go
+++ b/peer/frame_test.go
@@ -120,6 +120,25 @@
 	is.True(wire.Len() > 1<<19) // the rest is not read
 }
 
+// Guards against a connection that stays counted with the buffer of its last message while it
+// waits for the next one, and is then shed for clients that wait for memory.
+func TestNoLargeBufferBetweenFrames(t *testing.T) {
+	is := is.New(t)
+	var wire bytes.Buffer
+	is.NoErr((&FrameWriter{Writer: &wire}).Write(make([]byte, 1<<20)))
+	reserved := int64(0)
+	r := FrameReader{Reader: &wire, Reserve: func(n int64) error {
+		reserved += n
+		return nil
+	}}
+	_, err := r.Next()
+	is.NoErr(err)
+	is.True(reserved > 0) // the message is valid until the next call
+	_, err = r.Next()
+	is.Equal(err, io.EOF)
+	is.Equal(reserved, int64(0))
+}
+
 // Guards against a sender that isn't known yet and sends a large message.
 func TestFirstMessageIsSmall(t *testing.T) {
 	is := is.New(t)
