intake: grant memory to those behind a request that has given up

Requests that wait for memory are granted it in the order of their arrival, when memory is released. When the first one was refused or its client had gone, those behind it were not considered until the next release, and were refused although they fitted.

Each review grants what fits. TestNextFitsAfterRefusal fails before the change (memory is short) and passes after it.

--- a/intake/review.go
+++ b/intake/review.go
@@ -93,6 +93,7 @@
 	if !isAnyShed && AreDeadlocked(holders) {
 		t.refuseLastLarge()
 	}
+	t.grant()
 	isCalm := len(t.waiting) == 0
 	t.mu.Unlock()
 	for n, r := range victims {
--- a/intake/table_test.go
+++ b/intake/table_test.go
@@ -119,6 +119,37 @@
 	})
 }
 
+// Guards against requests that fit, but wait until they are refused because nothing else
+// was released after the one before them had given up or was refused.
+func TestNextFitsAfterRefusal(t *testing.T) {
+	for _, patience := range []time.Duration{200 * time.Millisecond, time.Hour} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			m := newMachine()
+			m.run(t)
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer cancel()
+			var served, waiting []*intake.Request
+			for _, name := range []string{"a", "b"} {
+				r := begin(t, m.connect(t, name))
+				is.NoErr(r.Grow(ctx, 5<<19, intake.Patience))
+				is.NoErr(r.Advance(intake.Serving, time.Now()))
+				served = append(served, r)
+				waiting = append(waiting, begin(t, m.connect(t, name)))
+			}
+			var group sync.WaitGroup
+			group.Go(func() { is.True(waiting[0].Grow(ctx, 5<<20, patience) != nil) })
+			synctest.Wait()
+			var err error
+			group.Go(func() { err = waiting[1].Grow(t.Context(), 2<<20, intake.Patience) })
+			synctest.Wait()
+			served[0].End(time.Now())
+			group.Wait()
+			is.NoErr(err)
+		})
+	}
+}
+
 // Guards against a request that is shed right after its wait, because its client could send
 // nothing while it waited.
 func TestWaitIsNoStall(t *testing.T) {
