intake: log a shortage of memory once

A request that began to wait during a shortage left a signal for the review, which began another shortage right after the end of the first one: its begin and end were logged twice.

Each review takes the signal. TestOneShortageIsLoggedOnce fails before the change (2 lines in place of 1) and passes after it.

--- a/intake/review.go
+++ b/intake/review.go
@@ -50,6 +50,11 @@
 	for time.Since(calmSince) < calmTime {
 		select {
 		case <-tick:
+			// The review covers the requests that have begun to wait until now.
+			select {
+			case <-t.wake:
+			default:
+			}
 			if !t.Review(time.Now()) {
 				calmSince = time.Now()
 			}
--- a/intake/table_test.go
+++ b/intake/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -11,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"lycheecrank.example/event"
 	"lycheecrank.example/intake"
 )
 
@@ -150,6 +152,29 @@
 	}
 }
 
+// Guards against a shortage that is logged again although no request has waited since.
+func TestOneShortageIsLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := newMachine()
+		var out strings.Builder
+		m.table.Logger = event.NewLogger(&out, "info", "")
+		ctx, stop := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { _ = m.table.Run(ctx) })
+		served, waiting := begin(t, m.connect(t, "served")), begin(t, m.connect(t, "waiting"))
+		is.NoErr(served.Grow(t.Context(), 5<<20, intake.Patience))
+		is.NoErr(served.Advance(intake.Serving, time.Now()))
+		for range 2 {
+			is.True(errors.Is(waiting.Grow(t.Context(), 2<<20, 100*time.Millisecond), intake.ErrShort))
+		}
+		time.Sleep(10 * time.Second)
+		stop()
+		running.Wait()
+		is.Equal(strings.Count(out.String(), event.IntakeShort.Name), 1)
+	})
+}
+
 // Guards against a request that is shed right after its wait, because its client could send
 // nothing while it waited.
 func TestWaitIsNoStall(t *testing.T) {
