frontend: release the memory of a discarded answer

The answer of a server that was incomplete, or that lost against a second send, stayed counted until the end of the request: up to 1 MB for each send, also while the final answer was sent to a slow reader.

What was read and not written is deducted when the last open body of the request is closed. TestDiscardedAnswerIsReleased fails before the change and passes after it.

--- a/frontend/answer.go
+++ b/frontend/answer.go
@@ -19,6 +19,8 @@
 	// that is counted for them beside intake.FreeBytes.
 	pending  atomic.Int64
 	reserved atomic.Int64
+	// open is the number of bodies that aren't closed.
+	open atomic.Int64
 }
 
 // NewAnswer returns the answer to a request of the account.
@@ -31,6 +33,7 @@
 	if a.request == nil {
 		return body
 	}
+	a.open.Add(1)
 	return &answerBody{ReadCloser: body, answer: a, full: full}
 }
 
@@ -65,7 +68,17 @@
 	io.ReadCloser
 	answer *Answer
 	// full is the error for a reader that should write first, nil if it was returned.
-	full error
+	full     error
+	isClosed atomic.Bool
+}
+
+// Close closes the body. Once no body is open, what was read and not written isn't needed any
+// more: its answer was incomplete, or that of another server counts.
+func (b *answerBody) Close() error {
+	if !b.isClosed.Swap(true) && b.answer.open.Add(-1) == 0 {
+		b.answer.AddWritten(int(b.answer.pending.Load()))
+	}
+	return b.ReadCloser.Close()
 }
 
 // Read reads at most one block, which is counted before the next one is read.
--- a/frontend/frontend_test.go
+++ b/frontend/frontend_test.go
@@ -157,6 +157,27 @@
 	return fmt.Sprintf("%x\r\n%s\r\n", size, strings.Repeat("b", size))
 }
 
+// Guards against an answer that stays counted after it was discarded, while the request is
+// sent again.
+func TestDiscardedAnswerIsReleased(t *testing.T) {
+	is := is.New(t)
+	table := intake.NewTable(intake.Bounds{Memory: 6 << 20, Reserve: 1 << 20, Connections: [3]int{1, 1, 1}})
+	connection, _ := table.Commands().Connect(intake.Clients, "a", func(intake.Phase) {}, time.Now())
+	counted, err := connection.Begin(t.Context(), time.Now())
+	is.NoErr(err)
+	answer := frontend.NewAnswer(counted)
+	for range 2 {
+		body := answer.Body(io.NopCloser(strings.NewReader(strings.Repeat("b", 1<<20))), nil)
+		_, err := io.ReadAll(body)
+		is.NoErr(err)
+		used := table.Queries().Status().UsedBytes
+		is.True(used >= 1<<20 && used < 5<<18)
+		is.NoErr(body.Close())
+		is.NoErr(body.Close())
+		is.Equal(table.Queries().Status().UsedBytes, int64(intake.BaseBytes))
+	}
+}
+
 // Guards against a handler of a protocol library that reads without a limit, or executes a
 // request that was refused.
 func TestHandlerRefuses(t *testing.T) {
