rollout: correct comments

They named a field that doesn't exist, and left out when the responses of one server count. No change in behaviour; the tests of the package pass.

--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -95,7 +95,8 @@
 }
 
 // attributed returns the verdict on a version whose responses are bad, unless the servers
-// with the highest weight explain it: those are faults of servers. In the last checks, no response of another server means that nothing speaks for the version.
+// with the highest weight explain it: those are faults of servers. If all responses come from
+// one server, other servers are needed first, except in the last checks.
 func attributed(reason string, fresh []Row, listed, excluded int, isLast bool, weight func(Row) float64, isBadWithout func(others []Row) bool) Verdict {
 	if len(fresh) <= 1 {
 		if listed <= 1 || isLast {
--- a/rollout/view.go
+++ b/rollout/view.go
@@ -38,7 +38,7 @@
 	holdBack = 2 * time.Second
 )
 
-// pool is what a place knows of the versions of a pool. It is an immutable value.
+// pool is what this process knows of the versions of a pool. It is an immutable value.
 type pool struct {
 	order Order
 	// hasOrder is set if there is an order, isWithdrawn if its record was removed.
@@ -53,8 +53,8 @@
 	firstSeen map[string]time.Time
 	initial   string
 	versions  map[string]string
-	// trial holds the servers of the new version that get the share, isToListed and
-	// isOtherListed tell whether the versions have servers.
+	// trial holds the servers of the new version that get the share. listed is the number of
+	// listed servers of the new version, and isOtherListed is set if there are others.
 	trial         map[string]bool
 	listed        int
 	isOtherListed bool
