entry: don't confirm older phases of rollouts with a newer time

A reply to a heartbeat took the states first and the age of their confirmation afterwards. If a rollback was merged and confirmed in between, the reply confirmed the phase before it for up to 2 s.

The age is taken first. The race is too short for a test without a seam in the table; the tests of rollouts, heartbeats and the hold-back in entry pass with the race detector.

--- a/entry/versions.go
+++ b/entry/versions.go
@@ -87,11 +87,14 @@
 // newRolloutUpdate returns what this instance knows of the rollouts, nil if there is nothing
 // to tell. includesAll is set for an instance that may have joined late.
 func (i *Instance) newRolloutUpdate(includesAll bool, now time.Time) *rolloutUpdate {
+	// Taken before the states, which may be replaced and confirmed anew in between: a newer
+	// confirmation must not go with older states.
+	age := i.rollouts.Queries().ConfirmedAge(now)
 	states := i.rollouts.Queries().States(includesAll, now)
 	if len(states) == 0 && len(i.rollouts.Queries().InProgress()) == 0 {
 		return nil
 	}
-	return &rolloutUpdate{States: states, AgeMs: i.rollouts.Queries().ConfirmedAge(now).Milliseconds()}
+	return &rolloutUpdate{States: states, AgeMs: age.Milliseconds()}
 }
 
 func (u *rolloutUpdate) withEvidence(evidence []rollout.Evidence) *rolloutUpdate {
