--- a/intake/table_test.go
+++ b/intake/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -11,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"lycheecrank.example/event"
 	"lycheecrank.example/intake"
 )
 
@@ -119,6 +121,60 @@
 	})
 }
 
+// Guards against requests that fit, but wait until they are refused because nothing else
+// was released after the one before them had given up or was refused.
+func TestNextFitsAfterRefusal(t *testing.T) {
+	for _, patience := range []time.Duration{200 * time.Millisecond, time.Hour} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			m := newMachine()
+			m.run(t)
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer cancel()
+			var served, waiting []*intake.Request
+			for _, name := range []string{"a", "b"} {
+				r := begin(t, m.connect(t, name))
+				is.NoErr(r.Grow(ctx, 5<<19, intake.Patience))
+				is.NoErr(r.Advance(intake.Serving, time.Now()))
+				served = append(served, r)
+				waiting = append(waiting, begin(t, m.connect(t, name)))
+			}
+			var group sync.WaitGroup
+			group.Go(func() { is.True(waiting[0].Grow(ctx, 5<<20, patience) != nil) })
+			synctest.Wait()
+			var err error
+			group.Go(func() { err = waiting[1].Grow(t.Context(), 2<<20, intake.Patience) })
+			synctest.Wait()
+			served[0].End(time.Now())
+			group.Wait()
+			is.NoErr(err)
+		})
+	}
+}
+
+// Guards against a shortage that is logged again although no request has waited since.
+func TestOneShortageIsLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := newMachine()
+		var out strings.Builder
+		m.table.Logger = event.NewLogger(&out, "info", "")
+		ctx, stop := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { _ = m.table.Run(ctx) })
+		served, waiting := begin(t, m.connect(t, "served")), begin(t, m.connect(t, "waiting"))
+		is.NoErr(served.Grow(t.Context(), 5<<20, intake.Patience))
+		is.NoErr(served.Advance(intake.Serving, time.Now()))
+		for range 2 {
+			is.True(errors.Is(waiting.Grow(t.Context(), 2<<20, 100*time.Millisecond), intake.ErrShort))
+		}
+		time.Sleep(10 * time.Second)
+		stop()
+		running.Wait()
+		is.Equal(strings.Count(out.String(), event.IntakeShort.Name), 1)
+	})
+}
+
 // Guards against a request that is shed right after its wait, because its client could send
 // nothing while it waited.
 func TestWaitIsNoStall(t *testing.T) {
--- a/rollout/commands.go
+++ b/rollout/commands.go
@@ -210,17 +210,14 @@
 // Start starts the order of a pool, and returns its first state without applying it.
 func (c Commands) Start(name string, now time.Time) (State, bool) {
 	p := c.table.pool(name)
-	if !p.hasOrder || p.isCurrent() {
+	if !p.hasOrder || p.isCurrent() || p.isOutdated() {
 		return State{}, false
 	}
-	state := start(p.order, p.state, now)
+	current := p.current()
+	state := start(p.order, p.state, current, now)
 	if p.isWithdrawn {
 		return state.WithPhase(RolledBack, "order withdrawn"), true
 	}
-	current := p.initial
-	if p.state.Phase == Succeeded {
-		current = p.state.To
-	}
 	if current == p.order.To {
 		state = state.WithPhase(Succeeded, "the pool already has this version")
 	}
--- a/rollout/table_test.go
+++ b/rollout/table_test.go
@@ -186,6 +186,78 @@
 	is.Equal(f.start().Phase, Succeeded)
 }
 
+// Guards against a return to a replaced version that counts as the current one after a
+// rollback, and against a current version that gets nothing until its new order starts.
+func TestCurrentVersionAfterRollback(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(simulated)
+	f.setServers("v1", "v2")
+	f.order("v2", 1)
+	f.apply(f.start().WithPhase(Succeeded, ""))
+	f.setServers("v1", "v2", "v3")
+	f.order("v3", 2)
+	rolledBack := f.start().WithPhase(RolledBack, "")
+	f.apply(rolledBack)
+	f.order("v1", 3)
+	is.Equal(f.start().Phase, Running) // v2 is the current version, not v1
+	f.order("v2", 4)
+	is.Equal(f.allowed(false), "b")
+	is.Equal(f.start().Phase, Succeeded)
+
+	late := &fixture{Table: NewTable(simulated, "n2"), now: f.now}
+	late.setServers("v2", "v3")
+	late.apply(rolledBack)
+	late.order("v2", 4)
+	is.Equal(late.allowed(false), "a")
+	is.Equal(late.start().Phase, Succeeded)
+}
+
+// Guards against an instance that learns the state of a newer order before its record, and
+// then refuses all requests or starts the older order again.
+func TestStateBeforeOrder(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(simulated)
+	f.setServers("v1", "v2")
+	f.order("v2", 1)
+	succeeded := f.start().WithPhase(Succeeded, "")
+	f.apply(succeeded)
+	f.setServers("v2", "v3")
+	f.now = f.now.Add(time.Minute)
+	newer := start(Order{Pool: "p", To: "v3", Duration: 10 * time.Second, Offset: 2}, succeeded, "v2", f.now)
+	f.apply(newer)
+	is.Equal(f.allowed(false), "a")
+	is.True(f.Queries().MaySend("p", "v2", f.now))
+	is.True(!f.Queries().MaySend("p", "v3", f.now)) // its order isn't known
+	_, ok := f.Commands().Start("p", f.now)
+	is.True(!ok)
+	is.Equal(len(f.Queries().InProgress()), 0)
+	f.order("v3", 2)
+	is.Equal(f.allowed(false), "a")
+	is.Equal(f.allowed(true), "b")
+}
+
+// Guards against a success of a version whose servers have ended since the shift, at which
+// the old servers would end too, and against requests that get no server until then.
+func TestServersEndAfterShift(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(simulated)
+	f.setServers("v1", "v1", "v2")
+	f.order("v2", 1)
+	state := f.start()
+	f.Commands().Record(Response{Pool: "p", Route: "r", Server: "c", Version: "v2"})
+	f.apply(state.WithPhase(Shifted, ""))
+	is.Equal(f.allowed(false), "c")
+	f.setServers("v1", "v1")
+	f.now = f.now.Add(simulated.Schedule(10 * time.Second).SucceedAt)
+	_, _, ok := f.Commands().Decide("p", nil, f.now)
+	is.True(!ok)
+	f.Commands().Confirm(f.now)
+	is.Equal(f.allowed(false), "ab")
+	f.now = f.now.Add(succeedLead)
+	next, _, _ := f.Commands().Decide("p", nil, f.now)
+	is.Equal(next.Phase, RolledBack)
+}
+
 // Guards against a version without a server or without traffic that succeeds or runs for
 // ever.
 func TestNoServerOrTraffic(t *testing.T) {
--- a/rollout/view.go
+++ b/rollout/view.go
@@ -38,7 +38,7 @@
 	holdBack = 2 * time.Second
 )
 
-// pool is what a place knows of the versions of a pool. It is an immutable value.
+// pool is what this process knows of the versions of a pool. It is an immutable value.
 type pool struct {
 	order Order
 	// hasOrder is set if there is an order, isWithdrawn if its record was removed.
@@ -53,8 +53,8 @@
 	firstSeen map[string]time.Time
 	initial   string
 	versions  map[string]string
-	// trial holds the servers of the new version that get the share, isToListed and
-	// isOtherListed tell whether the versions have servers.
+	// trial holds the servers of the new version that get the share. listed is the number of
+	// listed servers of the new version, and isOtherListed is set if there are others.
 	trial         map[string]bool
 	listed        int
 	isOtherListed bool
@@ -66,6 +66,11 @@
 // isCurrent reports whether the state belongs to the order.
 func (p pool) isCurrent() bool { return p.hasOrder && p.state.Offset == p.order.Offset }
 
+// isOutdated reports whether there is a state of a newer order than the known one. The record
+// of the newer order is still on its way, and the outcome of the known one isn't known any
+// more, except that it is among the rejected versions if it hasn't succeeded.
+func (p pool) isOutdated() bool { return p.hasOrder && p.state.Offset > p.order.Offset }
+
 // phase returns the phase of the order.
 func (p pool) phase() Phase {
 	switch {
@@ -78,7 +83,19 @@
 }
 
 // isInProgress reports whether the order has neither succeeded nor been rolled back.
-func (p pool) isInProgress() bool { return p.hasOrder && !p.phase().IsFinal() }
+func (p pool) isInProgress() bool { return p.hasOrder && !p.isOutdated() && !p.phase().IsFinal() }
+
+// current returns the version that the pool has while its order isn't started, empty if that
+// isn't known.
+func (p pool) current() string {
+	switch {
+	case p.state.Phase == Succeeded:
+		return p.state.To
+	case p.state.From != "":
+		return p.state.From
+	}
+	return p.initial
+}
 
 // rejected returns the versions that earlier orders named and that have not succeeded.
 func (p pool) rejected() []string {
@@ -92,12 +109,14 @@
 // useOf returns what the servers of a version get.
 func (p pool) useOf(version string, isConfirmed bool, now time.Time) use {
 	phase := p.phase()
-	if p.hasOrder && version == p.order.To {
+	if p.hasOrder && version == p.order.To && !p.isOutdated() {
 		switch {
 		case phase == Succeeded, phase == Shifted && isConfirmed:
 			return allRequests
 		case phase == Running && isConfirmed:
 			return shareOnly
+		case phase == Pending && p.state.To != "" && p.current() == version:
+			return allRequests
 		case phase == Pending && !p.isOtherListed && (p.initial == version || now.Sub(p.knownAt) > confirmationAge):
 			// This instance has started long after the order, and hasn't learned how the
 			// rollout has ended.
@@ -108,7 +127,7 @@
 	switch {
 	case slices.Contains(p.rejected(), version), p.isHeld(version, now):
 		return noRequests
-	case phase == Succeeded && p.listed > 0, phase == Shifted && isConfirmed:
+	case p.listed > 0 && (phase == Succeeded || phase == Shifted && isConfirmed):
 		return noRequests
 	}
 	return allRequests
