preparation: don't add up the times of stages that are computed at the same time

Cause: the estimate on arrival summed the call times of all stages. A request with a large result beside its chain of stages counted one call too many, and one with many independent stages was refused although nothing delayed it.

Change: the estimate is the longest chain of stages, with the deferral of large results. The test fails before: refused with an expected time of 2 s for stages that end within 1 s.

Measured: go test -race -tags lockcheck ./preparation passes.

--- a/preparation/backlog.go
+++ b/preparation/backlog.go
@@ -1,6 +1,7 @@
 package preparation
 
 import (
+	"slices"
 	"time"
 
 	"lycheecrank.example/batch"
@@ -57,3 +58,44 @@
 	}
 	return total
 }
+
+// expectedTime returns how long the stages of a new job are expected to take. Stages that
+// don't depend on each other are computed at the same time.
+func (j job) expectedTime(wait func(stage int) time.Duration, callTime func(pool string, pieces int) time.Duration) time.Duration {
+	ends := make([]time.Duration, len(j.task.Stages))
+	isKnown := make([]bool, len(j.task.Stages))
+	var end func(stage int) time.Duration
+	end = func(stage int) time.Duration {
+		s := j.task.Stages[stage]
+		if isKnown[stage] || s.Pieces == 0 {
+			return ends[stage]
+		}
+		before := s.After
+		if j.isDeferred(stage) {
+			before = slices.Concat(before, j.beforeLastStages(stage))
+		}
+		start := wait(stage)
+		for _, b := range before {
+			start = max(start, end(b))
+		}
+		ends[stage], isKnown[stage] = start+callTime(s.Pool, typicalCallPieces), true
+		return ends[stage]
+	}
+	longest := time.Duration(0)
+	for i := range j.task.Stages {
+		longest = max(longest, end(i))
+	}
+	return longest
+}
+
+// beforeLastStages returns the stages before the last ones of all chains other than that
+// of a stage.
+func (j job) beforeLastStages(stage int) []int {
+	var before []int
+	for i, s := range j.task.Stages {
+		if i != stage && s.Pieces > 0 && len(j.dependents(i)) == 0 {
+			before = append(before, s.After...)
+		}
+	}
+	return before
+}
--- a/preparation/backlog_test.go
+++ b/preparation/backlog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -42,3 +43,41 @@
 	table.Commands().recordResult(batch.Piece{Identity: batch.Identity{RequestID: "r1"}}, "h1", info, now)
 	is.Equal(ahead(1, false), 0) // its pieces are in the queue now
 }
+
+// Guards against a request that is refused because the times of stages that are computed
+// at the same time were added up.
+func TestExpectedTimeOfParallelStages(t *testing.T) {
+	is := is.New(t)
+	callTime := func(string, int) time.Duration { return 200 * time.Millisecond }
+	expected := func(task Task, waits ...time.Duration) time.Duration {
+		wait := func(stage int) time.Duration { return waits[stage] }
+		return newJob(task, time.Unix(1000, 0)).expectedTime(wait, callTime)
+	}
+	const ms = time.Millisecond
+	is.Equal(expected(chainTask("r"), 0, 0, 0), 600*ms)
+	is.Equal(expected(chainTask("r"), 100*ms, 350*ms, 500*ms), 750*ms)
+	parallel := withLargeResult(chainTask("r"))
+	is.Equal(expected(parallel, 0, 0, 0, 0), 600*ms)
+	is.Equal(expected(parallel, 0, 0, 0, 500*ms), 700*ms)
+	is.Equal(expected(parallel, 0, 300*ms, 0, 0), 700*ms) // the large result is deferred
+	parallel.Stages[1].Pieces = 0
+	is.Equal(expected(parallel, 0, 0, 0, 0), 200*ms)
+}
+
+// Guards against a first try that is refused on arrival although its stages are computed
+// at the same time and meet its objective.
+func TestParallelStagesAreAdmitted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newFixture(t, 3)
+		task := chainTask("r")
+		task.Try, task.Objective, task.Deadline = 1, time.Second, 1900*time.Millisecond
+		task.Stages = nil
+		for range 8 {
+			task.Stages = append(task.Stages, Stage{Pool: pools[len(task.Stages)%len(pools)], Pieces: 1, Bytes: 8000})
+		}
+		_, err := r.Prepare(t.Context(), task)
+		is.NoErr(err)
+		is.True(time.Since(r.startedAt) < task.Objective)
+	})
+}
--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -288,24 +288,20 @@
 
 // estimate returns how long the stages of a new request are expected to take.
 func (c *Coordinator) estimate(task Task, now time.Time) admission.Estimate {
-	late := task
-	late.isLate = true
-	return admission.Estimate{OnTime: c.expectedPreparation(task, now), Late: c.expectedPreparation(late, now), Engine: task.engineTime()}
+	onTime, late := newJob(task, now), newJob(task, now)
+	late.task.isLate = true
+	expected := func(j job) time.Duration {
+		return j.expectedTime(func(stage int) time.Duration { return c.expectedWait(j, stage, now) }, c.callTime)
+	}
+	return admission.Estimate{OnTime: expected(onTime), Late: expected(late), Engine: task.engineTime()}
 }
 
-// expectedPreparation returns the time that the stages of a new request are expected to
-// take.
-func (c *Coordinator) expectedPreparation(task Task, now time.Time) time.Duration {
-	planned := newJob(task, now)
-	expected := time.Duration(0)
-	for i, s := range task.Stages {
-		if s.Pieces > 0 {
-			upstream := c.table.Commands().backlog(s.Pool, task.class(), task.isLate, now)
-			wait := c.Batches.Queries().EstimateWait(s.Pool, upstream, latestStart(planned, i, c.callTime), task.class(), now)
-			expected = max(expected, wait) + c.callTime(s.Pool, typicalCallPieces)
-		}
-	}
-	return expected
+// expectedWait returns how long the pieces of a stage of a new request are expected to
+// wait behind the pieces that are served before them.
+func (c *Coordinator) expectedWait(j job, stage int, now time.Time) time.Duration {
+	pool, class := j.task.Stages[stage].Pool, j.task.class()
+	upstream := c.table.Commands().backlog(pool, class, j.task.isLate, now)
+	return c.Batches.Queries().EstimateWait(pool, upstream, latestStart(j, stage, c.callTime), class, now)
 }
 
 // refuseEarly returns the refusal of a request whose stages are not expected to be
