preparation: hand over a request before its wait is estimated

Cause: an instance that has handed over its requests estimated the wait of a new request first, by queues and calls that belong to another coordinator by then. It refused or declined the request where it should have named the coordinator.

Change: the request is handed over before the estimate. The test fails before: refused with an expected time of 4.7 s.

--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -209,6 +209,10 @@
 	reserve := min(refusalReserve, task.Deadline/10)
 	ctx, cancel := context.WithTimeout(ctx, task.Deadline-reserve)
 	defer cancel()
+	if !task.IsForced && c.table.Queries().isHandedOver() {
+		// The estimate would be that of the queue of another coordinator.
+		return Placement{IsHandedOver: true, Results: task.Results}, nil
+	}
 	if task.isNew() {
 		outcome, expected := admission.Decide(c.estimate(task, openedAt), admission.Terms{Objective: task.Objective, Deadline: task.Deadline, OnTimeOnly: task.OnTimeOnly})
 		switch outcome {
--- a/preparation/coordinator_test.go
+++ b/preparation/coordinator_test.go
@@ -231,6 +231,37 @@
 	}
 }
 
+// Guards against a request that an instance refuses by the queue that it has handed over,
+// in place of naming the coordinator.
+func TestNoRefusalAfterHandOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newFixture(t, 1)
+		var group errgroup.Group
+		for n := range 40 {
+			group.Go(func() error {
+				task := withMoreTime(chainTask(fmt.Sprint("r", n)))
+				task.Try = 2
+				_, err := r.Prepare(t.Context(), task)
+				return err
+			})
+		}
+		synctest.Wait()
+		_, err := r.Prepare(t.Context(), chainTask("before"))
+		is.True(errors.Is(err, request.ReasonDeadlineUnattainable))
+		r.HandOver()
+		p, err := r.Prepare(t.Context(), chainTask("after"))
+		is.NoErr(err)
+		is.True(p.IsHandedOver)
+		onTimeOnly := chainTask("other")
+		onTimeOnly.OnTimeOnly = true
+		p, err = r.Prepare(t.Context(), onTimeOnly)
+		is.NoErr(err)
+		is.True(p.IsHandedOver && !p.IsDeclined)
+		is.NoErr(group.Wait())
+	})
+}
+
 // Guards against queued requests that wait until their deadline although they can't meet
 // it, and against a late notification of an earlier try that cancels a later try.
 func TestShedding(t *testing.T) {
--- a/preparation/table.go
+++ b/preparation/table.go
@@ -57,6 +57,13 @@
 	return len(q.table.jobs)
 }
 
+// isHandedOver reports whether the requests belong to another coordinator.
+func (q Queries) isHandedOver() bool {
+	q.table.mu.Lock()
+	defer q.table.mu.Unlock()
+	return q.table.isHandedOver
+}
+
 // waiting returns the number of requests of the given or a better rank (a lower number)
 // whose results are not complete yet.
 func (q Queries) waiting(rank int) int {
