batch, preparation: don't count late pieces of lower classes as ahead of a request

Cause: the expected wait of a request that will be late counted all waiting and announced pieces. Late pieces are served by class, so a flood of a low class that had become late made requests of higher classes be refused on arrival, although they are served before it.

Change: of the late pieces, only those of equal and higher classes count. The new test fails before: 75 pieces ahead in place of 3.

--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -273,6 +273,29 @@
 	})
 }
 
+// Guards against a request that is refused for the wait behind late pieces of lower
+// classes, which are served after its own.
+func TestEstimatedWaitByClass(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable()
+		c, now := table.Commands(), time.Now()
+		c.SetPool(spec(), []Endpoint{{ID: "s1", Address: "10.0.0.1:1"}})
+		c.Enqueue(pieces("onTime", 3, 2, now.Add(time.Minute)))
+		c.Enqueue(pieces("late", 12, 1, time.Time{}))
+		c.Enqueue(pieces("flood", 60, 2, time.Time{}))
+		each := table.Queries().PoolStatus(spec().Pool, now).ExpectedWait / 75
+		piecesAhead := func(start time.Time, rank int) int {
+			wait := table.Queries().EstimateWait(spec().Pool, 0, start, Class{Rank: rank}, now)
+			return int((wait + each/2) / each)
+		}
+		is.Equal(piecesAhead(time.Time{}, 0), 3)
+		is.Equal(piecesAhead(time.Time{}, 1), 15)
+		is.Equal(piecesAhead(time.Time{}, 2), 75)
+		is.Equal(piecesAhead(now.Add(time.Second), 2), 0)
+	})
+}
+
 // Guards against results for which a server has no memory, and memory that is never
 // freed.
 func TestRoom(t *testing.T) {
--- a/batch/queue.go
+++ b/batch/queue.go
@@ -146,14 +146,25 @@
 	probe := Piece{Identity: Identity{RequestID: "\uffff"}, LatestStart: start, Class: c}
 	switch {
 	case probe.isLate(now):
-		return float64(q.size())
+		return float64(len(q.onTime) + q.lateOfClass(c))
 	case q.displaced.covers(c, now):
-		return lateWaitFactor * float64(q.size())
+		return lateWaitFactor * float64(len(q.onTime)+q.lateOfClass(c))
 	}
 	position, _ := slices.BinarySearchFunc(q.onTime, probe, compareOnTime)
 	return float64(position)
 }
 
+// lateOfClass returns the number of late pieces of a class and of the higher ones.
+func (q *queue) lateOfClass(c Class) int {
+	position, _ := slices.BinarySearchFunc(q.late, c, func(p Piece, c Class) int {
+		if p.Compare(c) <= 0 {
+			return -1
+		}
+		return 1
+	})
+	return position
+}
+
 // mostUrgent returns the most urgent pieces in order.
 func (q *queue) mostUrgent(limit int) []Piece {
 	pieces := slices.Clone(q.onTime[:min(limit, len(q.onTime))])
--- a/preparation/backlog.go
+++ b/preparation/backlog.go
@@ -41,7 +41,7 @@
 
 // backlog returns the number of pieces that jobs will queue in a pool before those of a
 // request that arrives now: the pieces of equal and better classes, and for a late
-// request those of all classes.
+// request also those of all other requests that can still be on time.
 func (c Commands) backlog(pool string, class batch.Class, isLate bool, now time.Time) int {
 	table := c.table
 	table.mu.Lock()
@@ -51,7 +51,7 @@
 	}
 	total := 0
 	for key, n := range table.counted.pieces {
-		isAhead := isLate || !key.isLate && key.class.Compare(class) <= 0
+		isAhead := isLate && !key.isLate || isLate == key.isLate && key.class.Compare(class) <= 0
 		if key.pool == pool && isAhead {
 			total += n
 		}
