membership: forget a failed instance 30 s after its last contact

Cause: the time at which an instance was seen was renewed by what is no sighting. (1) Entries in the store carry no time, and counted as seen now at each read. An entry of a killed instance stays, and the entries are read every 15 s while a candidate is unreachable, which the killed instance is at a small site: it was never forgotten, and limits that are shared by the number of known instances stayed too low. (2) The age in a list of known instances was counted from the arrival of the list, so that each hop added its transit time.

Change: an entry counts as a sighting only if it is new or of a later process. The age is counted from the time at which the list was asked for, and for an incoming heartbeat from the earliest time at which it can have been sent. The tests fail before: 2 known instances in place of 1, and 3 in place of 2 after 42 s.

--- a/entry/feeds_test.go
+++ b/entry/feeds_test.go
@@ -44,11 +44,11 @@
 		i := newInstance("n2", "n1:1", "n2:1")
 		is.True(!i.isReader(platform.ServerStream)) // no contact yet
 		leader := membership.Instance{Name: "n1", Address: "n1:1", DataCentre: "a", EligibleSince: time.Now().UnixMilli()}
-		i.members.Commands().RecordContact(leader, nil, time.Now())
+		i.members.Commands().RecordContact(leader, time.Now())
 		is.True(!i.isReader(platform.ServerStream)) // the leader reads
 		follower := membership.Instance{Name: "n3", Address: "n3:1", DataCentre: "a", EligibleSince: time.Now().UnixMilli()}
-		i.members.Commands().RecordContact(leader.WithLeaving(), nil, time.Now())
-		i.members.Commands().RecordContact(follower, nil, time.Now())
+		i.members.Commands().RecordContact(leader.WithLeaving(), time.Now())
+		i.members.Commands().RecordContact(follower, time.Now())
 		is.True(i.isReader(platform.ServerStream)) // this instance leads
 		alone := newInstance("n1", "n1:1")
 		is.True(alone.isReader(platform.ServerStream))
@@ -56,7 +56,7 @@
 		restarted.Settings.IsFirstStart = false
 		is.True(restarted.isReader(platform.ServerStream)) // it serves again at once
 		is.True(restarted.awaitsContact(time.Now()))
-		restarted.members.Commands().RecordContact(leader, nil, time.Now())
+		restarted.members.Commands().RecordContact(leader, time.Now())
 		is.True(!restarted.awaitsContact(time.Now()))
 		lonely := newInstance("n2", "n1:1")
 		time.Sleep(contactGrace)
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -88,7 +88,8 @@
 	// Positions in a received heartbeat can't confirm a copy of this instance: the
 	// heartbeat may have been delayed, so the time that they describe is unknown.
 	now := time.Now()
-	i.recordContact(received, now)
+	// A heartbeat arrives within its timeout, or its sender has given it up.
+	i.recordContact(received, now.Add(-recordsTimeout), now)
 	i.mergeQuarantine(received.Quarantine, now)
 	i.mergeRollouts(received.Rollouts, time.Time{}, now)
 	reply := i.newHeartbeat(len(received.Known) > 0)
@@ -135,10 +136,11 @@
 	}
 }
 
-// recordContact records a message from an instance, and ends the backoff before the
-// next connection to it.
-func (i *Instance) recordContact(message heartbeat, now time.Time) {
-	i.members.Commands().RecordContact(message.Self, message.Known, now)
+// recordContact records a message from an instance that was made at or after a time, and
+// ends the backoff before the next connection to it.
+func (i *Instance) recordContact(message heartbeat, madeAt, now time.Time) {
+	i.members.Commands().RecordContact(message.Self, now)
+	i.members.Commands().RecordSightings(message.Known, madeAt)
 	i.client.ResetBackoff(message.Self.Address)
 }
 
@@ -347,7 +349,7 @@
 		// stays reachable until its last contact is too old.
 		i.coordinationCounts.Add("heartbeatLate")
 	default:
-		i.recordContact(reply, time.Now())
+		i.recordContact(reply, sentAt, time.Now())
 		i.mergeQuarantine(reply.Quarantine, time.Now())
 		i.mergeRollouts(reply.Rollouts, sentAt, time.Now())
 		i.applyReply(reply, sentAt)
--- a/entry/heartbeat_test.go
+++ b/entry/heartbeat_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -82,7 +83,7 @@
 
 	now := time.Now()
 	for _, name := range []string{"n2", "n3", "n4", "n5", "n6"} {
-		i.members.Commands().RecordContact(membership.Instance{Name: name, Address: name + ":1", EligibleSince: 1}, nil, now)
+		i.members.Commands().RecordContact(membership.Instance{Name: name, Address: name + ":1", EligibleSince: 1}, now)
 	}
 	asked := map[string]int{}
 	for round := range 10 {
@@ -121,7 +122,7 @@
 	i := newIdleInstance(5)
 	is.True(i.isReader(platform.OperatorStream)) // the only instance
 	now := time.Now()
-	i.members.Commands().RecordContact(membership.Instance{Name: "n0", Address: "n0:1", EligibleSince: 1}, nil, now)
+	i.members.Commands().RecordContact(membership.Instance{Name: "n0", Address: "n0:1", EligibleSince: 1}, now)
 	is.Equal(i.candidateIndex(now), 1)
 	is.True(!i.isReader(platform.OperatorStream))
 	confirm := func(age time.Duration) {
@@ -131,7 +132,7 @@
 	confirm(candidateReadAge + 2*candidateReadStep)
 	is.True(i.isReader(platform.OperatorStream)) // the first candidate after the coordinator
 	for _, name := range []string{"a1", "a2", "a3", "a4", "a5"} {
-		i.members.Commands().RecordContact(membership.Instance{Name: name, Address: name + ":1", EligibleSince: 2}, nil, now)
+		i.members.Commands().RecordContact(membership.Instance{Name: name, Address: name + ":1", EligibleSince: 2}, now)
 	}
 	is.Equal(i.candidateIndex(now), notCandidate)
 	confirm(candidateReadAge + 4*candidateReadStep)
@@ -185,7 +186,7 @@
 		_ = group.Wait()
 	})
 	address := l.Addr().String()
-	i.members.Commands().RecordContact(membership.Instance{Name: "n0", Address: address, EligibleSince: 1}, nil, time.Now())
+	i.members.Commands().RecordContact(membership.Instance{Name: "n0", Address: address, EligibleSince: 1}, time.Now())
 	i.sendHeartbeat(t.Context(), target{address: address}, false)
 	is.Equal(i.coordinationCounts.Values()["heartbeatLate"], int64(1))
 	is.True(i.view().IsReachable("n0", time.Now()))
@@ -195,3 +196,30 @@
 	i.sendHeartbeat(t.Context(), target{address: address}, false)
 	is.True(!i.view().IsReachable("n0", time.Now())) // an instance that refuses connections is unreachable
 }
+
+// Guards against a failed instance that is never forgotten because lists of known
+// instances travel for a time and are passed on.
+func TestSlowLists(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const transit = 300 * time.Millisecond
+		first := New(platform.Settings{Name: "n1", DataCentre: "a", PeerAddress: "n1:1"}, io.Discard)
+		second := New(platform.Settings{Name: "n2", DataCentre: "a", PeerAddress: "n2:1"}, io.Discard)
+		defer func() { is.NoErr(first.Logger.Close()) }()
+		defer func() { is.NoErr(second.Logger.Close()) }()
+		first.members.Commands().RecordContact(membership.Instance{Name: "n3", Address: "n3:1"}, time.Now())
+		for range 70 {
+			sentAt, message := time.Now(), first.newHeartbeat(true)
+			time.Sleep(transit)
+			reply, err := second.handleHeartbeat(message)
+			is.NoErr(err)
+			time.Sleep(transit)
+			first.recordContact(reply, sentAt, time.Now())
+			for _, i := range []*Instance{first, second} {
+				i.members.Commands().RemoveStale(time.Now())
+			}
+		}
+		is.Equal(first.view().Size(), 2)
+		is.Equal(second.view().Size(), 2)
+	})
+}
--- a/entry/lapse_test.go
+++ b/entry/lapse_test.go
@@ -115,7 +115,7 @@
 	i := newIdleInstance(5)
 	now := time.Now()
 	for _, name := range []string{"a0", "a1", "a2", "a3", "a4", "a5"} {
-		i.members.Commands().RecordContact(membership.Instance{Name: name, Address: name + ":1", EligibleSince: 1}, nil, now)
+		i.members.Commands().RecordContact(membership.Instance{Name: name, Address: name + ":1", EligibleSince: 1}, now)
 	}
 	is.Equal(i.candidateIndex(now), notCandidate)
 	isReaderAt := func(age time.Duration) bool {
@@ -131,7 +131,7 @@
 
 	later := now.Add(3 * time.Second) // a0 is frozen, and has become a candidate again
 	for _, name := range []string{"a1", "a2"} {
-		i.members.Commands().RecordContact(membership.Instance{Name: name, Address: name + ":1", EligibleSince: 1}, nil, later)
+		i.members.Commands().RecordContact(membership.Instance{Name: name, Address: name + ":1", EligibleSince: 1}, later)
 	}
 	for round := range 8 {
 		for _, to := range i.heartbeatTargets(round, later) {
@@ -168,7 +168,7 @@
 			group.Go(func() error { return i.runServers(ctx) })
 			for ctx.Err() == nil {
 				for _, name := range names { // frozen: they send no records, but stay reachable
-					i.members.Commands().RecordContact(membership.Instance{Name: name, Address: name + ":1", EligibleSince: 1}, nil, time.Now())
+					i.members.Commands().RecordContact(membership.Instance{Name: name, Address: name + ":1", EligibleSince: 1}, time.Now())
 				}
 				is.True(time.Since(i.feeds.Queries().State(platform.ServerStream).ConfirmedAt) <= serverStaleAge+readCheckInterval)
 				time.Sleep(50 * time.Millisecond)
--- a/entry/reload_test.go
+++ b/entry/reload_test.go
@@ -90,13 +90,13 @@
 		defer func() { is.NoErr(i.Logger.Close()) }()
 		boot := time.Duration(0)
 		i.SinceBoot = func() time.Duration { return boot }
-		i.members.Commands().RecordContact(membership.Instance{Name: "n2", EligibleSince: 1 << 60}, nil, time.Now())
+		i.members.Commands().RecordContact(membership.Instance{Name: "n2", EligibleSince: 1 << 60}, time.Now())
 		first := i.view().Self().EligibleSince
 		c := heartbeatClock{sentAt: time.Now(), interval: 2 * heartbeatInterval}
 		advance := func(duration time.Duration) {
 			time.Sleep(duration)
 			boot += duration
-			i.members.Commands().RecordContact(membership.Instance{Name: "n2", EligibleSince: 1 << 60}, nil, time.Now())
+			i.members.Commands().RecordContact(membership.Instance{Name: "n2", EligibleSince: 1 << 60}, time.Now())
 			i.checkEligibility(&c, time.Now(), true)
 		}
 		advance(2 * heartbeatInterval)
--- a/entry/scale_test.go
+++ b/entry/scale_test.go
@@ -26,7 +26,7 @@
 		}
 		for n := range size.instances - 1 {
 			m := membership.Instance{Name: fmt.Sprint("n", n+1), Address: fmt.Sprintf("10.0.%d.%d:1", n/256, n%256), EligibleSince: int64(n)}
-			i.members.Commands().RecordContact(m, nil, now)
+			i.members.Commands().RecordContact(m, now)
 		}
 		name := func(what string) string { return fmt.Sprintf("%s/%d_instances", what, size.instances) }
 		b.Run(name("start"), func(b *testing.B) {
@@ -51,7 +51,7 @@
 		})
 		b.Run(name("contact"), func(b *testing.B) {
 			for b.Loop() {
-				i.members.Commands().RecordContact(membership.Instance{Name: "n1"}, nil, now)
+				i.members.Commands().RecordContact(membership.Instance{Name: "n1"}, now)
 			}
 		})
 		b.Run(name("targets"), func(b *testing.B) {
--- a/membership/table.go
+++ b/membership/table.go
@@ -43,10 +43,18 @@
 	t.current.Store(&next)
 }
 
-// RecordContact records a message from an instance, and the instances known to the
-// sender.
-func (c Commands) RecordContact(instance Instance, known []Instance, at time.Time) {
-	c.change(func(v View) View { return v.WithContact(instance, at).WithKnown(known, at) })
+// RecordContact records a message from an instance.
+func (c Commands) RecordContact(instance Instance, at time.Time) {
+	c.change(func(v View) View { return v.WithContact(instance, at) })
+}
+
+// RecordSightings records the instances that the sender of a message knows, and when they
+// were seen (see View.Sightings). The list was made at or after the given time: a later
+// time would make each instance that passes the list on extend the life of a failed one.
+func (c Commands) RecordSightings(known []Instance, madeAt time.Time) {
+	if len(known) > 0 {
+		c.change(func(v View) View { return v.WithKnown(known, madeAt) })
+	}
 }
 
 // RecordReply records a reply of an instance that doesn't describe it.
@@ -54,9 +62,10 @@
 	c.change(func(v View) View { return v.WithReply(instance, at) })
 }
 
-// AddKnown adds instances that are known from other sources than their own messages.
+// AddKnown adds instances that are known from their entries in the store. An entry doesn't
+// tell whether its instance still runs, and counts as a sighting only if it is new.
 func (c Commands) AddKnown(known []Instance, at time.Time) {
-	c.change(func(v View) View { return v.WithKnown(known, at) })
+	c.change(func(v View) View { return v.WithEntries(known, at) })
 }
 
 // RecordFailure records a failed call to an instance.
--- a/membership/view.go
+++ b/membership/view.go
@@ -316,6 +316,17 @@
 	return v
 }
 
+// WithEntries returns the view with instances that are known from their entries in the
+// store. An entry remains after its instance has failed, so that it doesn't keep a known
+// instance from being forgotten.
+func (v View) WithEntries(entries []Instance, at time.Time) View {
+	isNew := func(m Instance) bool {
+		old, ok := v.others[m.Name]
+		return !ok || m.isNewerThan(old.instance)
+	}
+	return v.WithKnown(slices.DeleteFunc(slices.Clone(entries), func(m Instance) bool { return !isNew(m) }), at)
+}
+
 // WithFailure returns the view after a failed call to an instance.
 func (v View) WithFailure(name string, at time.Time) View {
 	other, ok := v.others[name]
--- a/membership/view_test.go
+++ b/membership/view_test.go
@@ -30,18 +30,19 @@
 	show("alone", at)
 	c.AddKnown([]Instance{newInstance("n1", 10), newInstance("n2", 20)}, at)
 	show("an older one is known without contact", at)
-	c.RecordContact(newInstance("n1", 10), []Instance{newInstance("n3", 30)}, at)
+	c.RecordContact(newInstance("n1", 10), at)
+	c.RecordSightings([]Instance{newInstance("n3", 30)}, at)
 	show("contact with the older one", at)
 	c.RecordFailure("n1", at.Add(time.Millisecond))
 	show("a call to it failed", at.Add(time.Millisecond))
-	c.RecordContact(newInstance("n1", 10), nil, at.Add(2*time.Millisecond))
+	c.RecordContact(newInstance("n1", 10), at.Add(2*time.Millisecond))
 	show("another contact with it", at.Add(2*time.Millisecond))
 	show("its last contact is too old", at.Add(2*time.Millisecond+contactTimeout))
-	c.RecordContact(newInstance("n1", 40), nil, at.Add(2*time.Second))
+	c.RecordContact(newInstance("n1", 40), at.Add(2*time.Second))
 	show("contact with it after a restart", at.Add(2*time.Second))
 	c.ResetEligibility(time.UnixMilli(50))
 	show("this instance had a break", at.Add(2*time.Second))
-	c.RecordContact(newInstance("n1", 40).WithLeaving(), nil, at.Add(2*time.Second))
+	c.RecordContact(newInstance("n1", 40).WithLeaving(), at.Add(2*time.Second))
 	show("the other instance is leaving", at.Add(2*time.Second))
 	c.MarkLeaving()
 	show("both instances are leaving", at.Add(2*time.Second))
@@ -66,7 +67,7 @@
 			table := NewTable(self)
 			table.Commands().AddKnown(rapid.Permutation(instances).Draw(t, "known"), at.Add(-time.Minute))
 			for _, m := range rapid.Permutation(instances).Draw(t, "contacts") {
-				table.Commands().RecordContact(m, nil, at)
+				table.Commands().RecordContact(m, at)
 			}
 			c := table.Queries().View().Coordinator(Scope{}, at).Name
 			if chosen == "" {
@@ -125,7 +126,7 @@
 	at := time.Unix(1000, 0)
 	table := NewTable(newInstance("n2", 20))
 	c := table.Commands()
-	c.RecordContact(newInstance("n1", 10).WithLeaving(), nil, at)
+	c.RecordContact(newInstance("n1", 10).WithLeaving(), at)
 	c.RecordReply(newInstance("n1", 10), at.Add(time.Second))
 	is.Equal(table.Queries().View().Coordinator(Scope{}, at.Add(time.Second)).Name, "n2")
 	c.RecordReply(newInstance("n0", 5), at.Add(time.Second))
@@ -147,12 +148,12 @@
 	table := NewTable(newInstance("n2", 20))
 	c := table.Commands()
 	hasFailed := func(after time.Duration) bool { return table.Queries().View().HasRecentFailure(other, at.Add(after)) }
-	c.RecordContact(distant, nil, at)
+	c.RecordContact(distant, at)
 	is.True(!hasFailed(0))
 	c.RecordFailure("n1", at.Add(time.Millisecond))
 	is.True(hasFailed(2 * time.Millisecond))
 	is.True(!hasFailed(time.Millisecond + failureBackoff))
-	c.RecordContact(distant, nil, at.Add(3*time.Millisecond))
+	c.RecordContact(distant, at.Add(3*time.Millisecond))
 	is.True(!hasFailed(4 * time.Millisecond))
 	own := Scope{Contains: func(dataCentre string) bool { return dataCentre == "a" }}
 	c.RecordFailure("n1", at.Add(5*time.Millisecond))
@@ -177,3 +178,23 @@
 		is.Equal(second.Size() == 4, now.Sub(at) < 9*time.Second+staleAfter)
 	}
 }
+
+// Guards against a failed instance that is never forgotten because its entry in the store
+// is read again and again while it can't be reached.
+func TestEntryIsNoSighting(t *testing.T) {
+	is := is.New(t)
+	at := time.Unix(1000, 0)
+	entries := []Instance{newInstance("n1", 10), newInstance("n2", 20)}
+	table := NewTable(entries[0])
+	c := table.Commands()
+	c.AddKnown(entries, at)
+	c.RecordContact(entries[1], at.Add(10*time.Second))
+	c.AddKnown(entries, at.Add(15*time.Second))
+	c.AddKnown(entries, at.Add(30*time.Second))
+	c.RemoveStale(at.Add(10*time.Second + staleAfter))
+	is.Equal(table.Queries().View().Size(), 1)
+	c.RecordContact(entries[1], at)
+	c.AddKnown([]Instance{newInstance("n2", 21)}, at.Add(15*time.Second)) // it restarted
+	c.RemoveStale(at.Add(staleAfter))
+	is.Equal(table.Queries().View().Size(), 2)
+}
