preparation: keep a rebuild when a request is passed on

Cause: an instance that isn't the coordinator passes a request on without results. Its sender then dropped the mark that all results are to be computed anew, and the coordinator used the lost results of its job again: the engine found them missing again, which costs one more try.

Change: the mark is dropped only if the instance returned new results. The test fails before: no stage is computed again.

--- a/entry/prepare.go
+++ b/entry/prepare.go
@@ -107,10 +107,7 @@
 			i.placements.add(task, reply.Placement, coordinator, now)
 			return reply.Placement, nil
 		case err == nil:
-			// The called instance returned the results that exist so far. The next one
-			// ignores them if IsRebuilt is set.
-			task.Results = reply.Placement.Results
-			task.IsRebuilt = false
+			task = task.WithHandOver(reply.Placement.Results)
 			if reply.Coordinator.Name != coordinator.Name {
 				named = reply.Coordinator
 			}
--- a/preparation/coordinator_test.go
+++ b/preparation/coordinator_test.go
@@ -231,6 +231,29 @@
 	}
 }
 
+// Guards against a coordinator that uses lost results again after another instance passed
+// the request on to it.
+func TestRebuildAfterRedirect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r, other := newFixture(t, 1), newFixture(t, 1)
+		other.HandOver()
+		_, err := r.Prepare(t.Context(), chainTask("r"))
+		is.NoErr(err)
+		is.Equal(len(r.callLog()), 3)
+		task := withMoreTime(chainTask("r"))
+		task.Try, task.IsRebuilt = 2, true // the engine found results missing
+		p, err := other.Prepare(t.Context(), task)
+		is.NoErr(err)
+		is.True(p.IsHandedOver)
+		p, err = r.Prepare(t.Context(), task.WithHandOver(p.Results))
+		is.NoErr(err)
+		is.Equal(len(r.callLog()), 6)
+		is.True(!task.WithHandOver([][]string{{"h"}}).IsRebuilt) // they are new ones
+		is.Equal(len(p.Inputs), 2)
+	})
+}
+
 // Guards against a request that an instance refuses by the queue that it has handed over,
 // in place of naming the coordinator.
 func TestNoRefusalAfterHandOver(t *testing.T) {
--- a/preparation/task.go
+++ b/preparation/task.go
@@ -81,6 +81,14 @@
 	return t
 }
 
+// WithHandOver returns the task for the next coordinator after an instance handed it over
+// with the results that exist so far. They are computed anew unless that instance did so.
+func (t Task) WithHandOver(results [][]string) Task {
+	t.Results = results
+	t.IsRebuilt = t.IsRebuilt && len(results) == 0
+	return t
+}
+
 // engineTime estimates the time from the end of the preparation to the first event.
 func (t Task) engineTime() time.Duration {
 	return engineOverhead + time.Duration(t.Prompt.InputTokens)*time.Millisecond/prefillTokensPerMs
