admission: don't refuse all requests whose stages take longer than their objective

Cause: a request is refused if it is expected to be late by more than 1.8 s. Where the stages alone take that long, each request was refused, also at idle servers and with time until the deadline.

Change: for such requests the limit counts from the time that the stages take without a queue. Others are decided as before. The tests fail before: refused with nothing waiting.

Measured: go test -race -tags lockcheck ./admission ./preparation passes.

--- a/admission/decide.go
+++ b/admission/decide.go
@@ -28,7 +28,8 @@
 )
 
 // lateLimit is how far past its objective a request is still accepted. Short bursts of
-// requests cause shorter delays.
+// requests cause shorter delays. For stages that take longer than the objective without any
+// delay, the limit counts from their end: a refusal would leave the servers idle.
 const lateLimit = 1800 * time.Millisecond
 
 // Estimate holds what is expected of a request.
@@ -38,6 +39,8 @@
 	// nothing is expected to delay the request.
 	OnTime time.Duration
 	Late   time.Duration
+	// Alone is the time of its stages if no other request waits.
+	Alone time.Duration
 	// Engine is the expected time from the end of the stages to the first event.
 	Engine time.Duration
 }
@@ -59,7 +62,7 @@
 		return OnTime, e.OnTime
 	case t.OnTimeOnly:
 		return Decline, e.OnTime
-	case e.Late > min(t.Objective+lateLimit, t.Deadline):
+	case e.Late > min(max(t.Objective, e.Alone)+lateLimit, t.Deadline):
 		return Refuse, e.Late
 	}
 	return Late, e.Late
--- a/admission/decide_test.go
+++ b/admission/decide_test.go
@@ -120,6 +120,8 @@
 		{"a queue that is too long", admission.Estimate{OnTime: 900 * time.Millisecond, Late: 2 * time.Second, Engine: 200 * time.Millisecond}, terms},
 		{"the same with other cells", admission.Estimate{OnTime: 900 * time.Millisecond, Late: 2 * time.Second, Engine: 200 * time.Millisecond}, elsewhere},
 		{"late by more than the limit", admission.Estimate{OnTime: 900 * time.Millisecond, Late: 2900 * time.Millisecond, Engine: 200 * time.Millisecond}, terms},
+		{"slow stages without a queue", admission.Estimate{OnTime: 3 * time.Second, Late: 3 * time.Second, Alone: 3 * time.Second}, terms},
+		{"slow stages, long queue", admission.Estimate{OnTime: 5 * time.Second, Late: 5 * time.Second, Alone: 3 * time.Second}, admission.Terms{Objective: time.Second, Deadline: 9 * time.Second}},
 		{"past the deadline", admission.Estimate{OnTime: 5 * time.Second, Late: 5 * time.Second}, admission.Terms{Objective: 4 * time.Second, Deadline: 4 * time.Second}},
 	} {
 		outcome, expected := admission.Decide(c.estimate, c.terms)
--- a/preparation/backlog_test.go
+++ b/preparation/backlog_test.go
@@ -82,3 +82,20 @@
 		is.True(time.Since(r.startedAt) < task.Objective)
 	})
 }
+
+// Guards against requests of a short objective that are all refused although no other
+// request waits and there is time until their deadline.
+func TestShortObjectiveAtIdleServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newFixture(t, 1)
+		task := chainTask("r")
+		task.Try, task.Objective, task.Deadline = 1, 50*time.Millisecond, 10*time.Second
+		task.Stages = nil
+		for n := range 9 {
+			task.Stages = append(task.Stages, Stage{Pool: "encode", Pieces: 1, Bytes: 8000, After: []int{max(0, n-1)}[:min(1, n)]})
+		}
+		_, err := r.Prepare(t.Context(), task)
+		is.NoErr(err)
+	})
+}
--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -297,7 +297,8 @@
 	expected := func(j job) time.Duration {
 		return j.expectedTime(func(stage int) time.Duration { return c.expectedWait(j, stage, now) }, c.callTime)
 	}
-	return admission.Estimate{OnTime: expected(onTime), Late: expected(late), Engine: task.engineTime()}
+	alone := onTime.expectedTime(func(int) time.Duration { return 0 }, c.callTime)
+	return admission.Estimate{OnTime: expected(onTime), Late: expected(late), Alone: alone, Engine: task.engineTime()}
 }
 
 // expectedWait returns how long the pieces of a stage of a new request are expected to
