Wrap long comments, and say what a division's proposal and a wait of 0 mean

No change of behaviour. go test -race -tags lockcheck of the packages touched passes; ./entry and ./delivery have comments changed only and were built.

--- a/batch/queries.go
+++ b/batch/queries.go
@@ -53,7 +53,8 @@
 
 // EstimateWait estimates how long a piece with a latest start and a class would wait if
 // it were queued now, behind the pieces in the queue and those upstream: pieces that will
-// be queued before it.
+// be queued before it. It is 0 if no server of the pool can get calls at the moment, because
+// the end of that is unknown.
 func (q Queries) EstimateWait(name string, upstream int, start time.Time, c Class, now time.Time) time.Duration {
 	t := q.table
 	t.mu.Lock()
--- a/batch/queue.go
+++ b/batch/queue.go
@@ -27,7 +27,7 @@
 }
 
 // displacementLife is how long an overload is assumed to last after the last displaced
-// piece: about the time of one call, after which the queue is evaluated again.
+// piece: about the time of one call, after which the order of the queue is computed anew.
 const displacementLife = 500 * time.Millisecond
 
 // covers reports whether a new piece of a class would be displaced.
--- a/cell/layout.go
+++ b/cell/layout.go
@@ -5,8 +5,9 @@
 //
 // The division is a pure function of the division so far and of values that all
 // instances know and that change rarely, so that instances agree on it without messages.
-// Instances that disagree, such as one that has started while a pool is reduced, send a server more calls than it has slots, as two coordinators at a time
-// do; no guarantee depends on the division.
+// Instances that disagree, such as one that has started while a pool is reduced, send a
+// server more calls than it has slots, as two coordinators at a time do; no guarantee
+// depends on the division.
 package cell
 
 import (
--- a/cell/transition.go
+++ b/cell/transition.go
@@ -17,8 +17,8 @@
 type Transition struct {
 	// Layout is the layout in force.
 	Layout Layout
-	// proposed is a division that has been computed since proposedAt without
-	// interruption, undivided for none.
+	// proposed is the division that was computed last. Each layout since proposedAt was
+	// divided. It is the zero value if the last one was not, or is in force.
 	proposed   Layout
 	proposedAt time.Time
 }
--- a/delivery/hedge_test.go
+++ b/delivery/hedge_test.go
@@ -190,9 +190,10 @@
 	return s
 }
 
-// Guards against a second send after the head of the first answer, against an attempt that ends with the refusal or failure of one of two
-// sends, against answers put together from two sends, a wrong report of whether the request
-// may have run, and slots or sends that outlast their attempt.
+// Guards against a second send after the head of the first answer, against an attempt that
+// ends with the refusal or failure of one of two sends, against answers put together from
+// two sends, a wrong report of whether the request may have run, and slots or sends that
+// outlast their attempt.
 func TestHedgeOutcomes(t *testing.T) {
 	const ms = time.Millisecond
 	rows := []struct {
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -240,9 +240,9 @@
 //
 // At most one recipient is asked for records: the first reachable candidate for leader, or
 // the reachable candidates in turn while a copy is older than rotationAge. A frozen instance
-// stays a candidate, and a request to it keeps the instance from asking another one. If all were asked in each round, their
-// replies would fill the link of a small machine, none would arrive within the timeout,
-// and all would be asked again.
+// stays a candidate, and a request to it keeps the instance from asking another one. If all
+// were asked in each round, their replies would fill the link of a small machine, none would
+// arrive within the timeout, and all would be asked again.
 func (i *Instance) heartbeatTargets(round int, now time.Time) []target {
 	view := i.view()
 	var targets []target
--- a/feed/commands.go
+++ b/feed/commands.go
@@ -4,8 +4,9 @@
 
 // ApplyRecords adds records to the copy of a stream. The caller guarantees that the copy
 // then holds all records before the offset end, and that it was complete at the time
-// confirmedAt. ApplyRecords calls apply with the records that are new to the copy, in the order of their offsets. The
-// table stays locked until apply returns, so that changes are applied in order.
+// confirmedAt. ApplyRecords calls apply with the records that are new to the copy, in the
+// order of their offsets. The table stays locked until apply returns, so that changes are
+// applied in order.
 func (c Commands) ApplyRecords(stream string, records []Record, end uint64, confirmedAt time.Time, apply func([]Record)) {
 	c.change(stream, confirmedAt, apply, func(s State) (State, []Record) { return s.WithRecords(records, end) })
 }
