engine: don't apply the memory shortage of some engines to all

Cause: the finding that no engine has memory for a request holds for 25 ms for all requests of that size. It was also recorded for a request that may only get the engines of a version on trial, or only those of the usual one. Others were then told for 25 ms that no engine has memory for them, and refused at their objective, beside engines with free memory.

Change: the finding is recorded only if the request may get any engine. While a version is on trial, each try in a shortage looks at the engines, as before that finding existed. The test fails before.

--- a/engine/commands.go
+++ b/engine/commands.go
@@ -95,7 +95,8 @@
 	s, ok := chooseEngine(pl.spec, servers, p, n, remote, ofPool, now)
 	if !ok {
 		lacksMemory := isShortOfMemory(pl.spec, servers, p, n, now)
-		if lacksMemory && n.RequiredEngine == "" && len(n.AvoidEngines) == 0 {
+		// With requirements that exclude engines, the finding holds for these requests only.
+		if lacksMemory && n.RequiredEngine == "" && len(n.AvoidEngines) == 0 && n.Allows == nil {
 			pl.shortage = memoryShortage{tokens: p.MaxTokens(), until: now.Add(memoryCheckInterval)}
 		}
 		return Reservation{LacksMemory: lacksMemory}, false
--- a/engine/memory_test.go
+++ b/engine/memory_test.go
@@ -152,3 +152,26 @@
 	c.SetPool(spec, endpoints(1))
 	is.True(reserve("r4"))
 }
+
+// Guards against a request that gets no engine because the engines of another version, on
+// trial beside free ones, had no memory a moment ago.
+func TestShortageOfTrialEngines(t *testing.T) {
+	is := is.New(t)
+	at := time.Unix(1000, 0)
+	table := NewTable()
+	c := table.Commands()
+	c.SetPool(Spec{Pool: "models", Slots: 9, MemoryTokens: 10_000}, endpoints(2))
+	reserve := func(request string, allows func(string) bool) (Reservation, bool) {
+		return c.Reserve("models", request, prompt(8000, request), Requirements{ColdShare: 1, Allows: allows}, at)
+	}
+	isTrial := func(id string) bool { return id == "e1" }
+	isUsual := func(id string) bool { return id != "e1" }
+	_, ok := reserve("r1", isTrial)
+	is.True(ok)
+	r, ok := reserve("r2", isTrial)
+	is.True(!ok && r.LacksMemory)
+	_, ok = reserve("r2", isUsual)
+	is.True(ok)
+	r, ok = reserve("r3", nil)
+	is.True(!ok && r.LacksMemory)
+}
