preparation: make the job of an estimate once

Change: the estimates of a request that is on time and of one that is late share a job.

go test -race -tags lockcheck ./preparation passes.

--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -292,7 +292,8 @@
 
 // estimate returns how long the stages of a new request are expected to take.
 func (c *Coordinator) estimate(task Task, now time.Time) admission.Estimate {
-	onTime, late := newJob(task, now), newJob(task, now)
+	onTime := newJob(task, now)
+	late := onTime
 	late.task.isLate = true
 	expected := func(j job) time.Duration {
 		return j.expectedTime(func(stage int) time.Duration { return c.expectedWait(j, stage, now) }, c.callTime)
