--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -292,47 +292,6 @@
 // Resume accepts requests again after HandOver.
 func (c *Coordinator) Resume() { c.table.Commands().resume() }
 
-// decideAdmission decides about a new request and counts it for its workspace.
-func (c *Coordinator) decideAdmission(task Task, now time.Time) (admission.Outcome, time.Duration) {
-	terms := admission.Terms{Objective: task.Objective, Deadline: task.Deadline, OnTimeOnly: task.OnTimeOnly}
-	if task.Workspace == "" {
-		return admission.Decide(c.estimate(task, now), terms)
-	}
-	if terms.ExceedsShare = c.Shares.Queries().ExceedsShare(task.Workspace, now); terms.ExceedsShare {
-		c.Counters.Add("aboveShare")
-	}
-	outcome, expected := admission.Decide(c.estimate(task, now), terms)
-	c.Shares.Commands().Record(task.Workspace, outcome, now)
-	return outcome, expected
-}
-
-// estimate returns how long the stages of a new request are expected to take.
-func (c *Coordinator) estimate(task Task, now time.Time) admission.Estimate {
-	onTime := newJob(task, now)
-	late := onTime
-	late.task.isLate = true
-	expected := func(j job) time.Duration {
-		return j.expectedTime(func(stage int) time.Duration { return c.expectedWait(j, stage, now) }, c.callTime)
-	}
-	alone := onTime.expectedTime(func(int) time.Duration { return 0 }, c.callTime)
-	return admission.Estimate{OnTime: expected(onTime), Late: expected(late), Alone: alone, Engine: task.engineTime()}
-}
-
-// expectedWait returns how long the pieces of a stage of a new request are expected to
-// wait behind the pieces that are served before them.
-func (c *Coordinator) expectedWait(j job, stage int, now time.Time) time.Duration {
-	pool, class := j.task.Stages[stage].Pool, j.task.class()
-	upstream := c.table.Commands().backlog(pool, class, j.task.isLate, now)
-	return c.Batches.Queries().EstimateWait(pool, upstream, latestStart(j, stage, c.callTime), class, now)
-}
-
-// refuseEarly returns the refusal of a request whose stages are not expected to be
-// computed in time, so that the client gets it on arrival and not at the end of the try.
-func refuseEarly(task Task, expected time.Duration) request.Failure {
-	refusal := request.Refuse(request.ReasonDeadlineUnattainable, "expected preparation time too long for the objective or the deadline: "+expected.String())
-	return refusal.WithRetryAfter(task.retryAfter(expected - task.Objective))
-}
-
 func (c *Coordinator) callTime(pool string, pieces int) time.Duration {
 	return c.Batches.Queries().TypicalCallTime(pool, pieces)
 }
@@ -345,20 +304,6 @@
 	return poolInfo{callTime: c.callTime, dataCentre: c.Batches.Queries().DataCentre, hasMemoryPressure: hasMemoryPressure}
 }
 
-// preferredDataCentre returns the data centre in which the results of a request should
-// be computed: that of the engine that would be reserved at this time. It is empty if
-// the request has no large results.
-func (c *Coordinator) preferredDataCentre(task Task, now time.Time) string {
-	for _, s := range task.Stages {
-		if s.Pieces == 0 || s.Bytes < largeResultBytes {
-			continue
-		}
-		best, _ := c.Engines.Queries().BestEngine(task.Pool, task.Prompt, engine.Requirements{AvoidEngines: task.AvoidEngines, ColdShare: 1, Allows: c.Rollouts.Queries().Selection(task.Pool, rollout.Usual, now)}, now)
-		return best.DataCentre
-	}
-	return ""
-}
-
 func (c *Coordinator) contextFailure(ctx context.Context, awaited string) request.Failure {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return request.Refuse(request.ReasonDeadlineUnattainable, "preparation timed out waiting for "+awaited)
@@ -366,91 +311,6 @@
 	return request.Refuse(request.ReasonCancelled, ctx.Err().Error())
 }
 
-// lane returns the version of engines that a request is for.
-func (c *Coordinator) lane(task Task, now time.Time) rollout.Lane {
-	switch {
-	case task.RequiredEngine != "" && c.Rollouts.Queries().IsTrial(task.Pool, task.RequiredEngine, now):
-		return rollout.Trial
-	case task.Try <= 1 && c.Rollouts.Commands().Admit(task.Pool, now):
-		return rollout.Trial
-	case task.Try <= 1:
-		// The engines to avoid are those that want no requests for a time.
-		return rollout.Usual
-	}
-	return c.Rollouts.Queries().LaneAfter(task.Pool, task.AvoidEngines, now)
-}
-
-// reserveEngine reserves an engine and waits while no engine has capacity for the
-// request; for memory, it waits until the objective. The objective of a request that was
-// sent before may be over, as when its stream goes on at another engine. The parameter
-// isProbe reports whether the request was admitted as a probe.
-func (c *Coordinator) reserveEngine(ctx context.Context, task Task, isProbe bool, objective time.Time) (Placement, error) {
-	until := time.Now().Add(max(task.RetryWindow, task.Deadline) + endSlack)
-	timer := time.NewTimer(engineRetryInterval)
-	defer timer.Stop()
-	lane := c.lane(task, time.Now())
-	for {
-		if !isProbe {
-			// The prompt may have been quarantined while the stages were computed.
-			var failure *request.Failure
-			if isProbe, failure = c.Admit(task); failure != nil {
-				return Placement{}, *failure
-			}
-		}
-		j, ok := c.table.Commands().job(task.RequestID)
-		if !ok {
-			return Placement{}, request.Refuse(request.ReasonCancelled, "preparation cancelled while waiting for an engine")
-		}
-		inputs := j.engineInputs()
-		now := time.Now()
-		requirements := engine.Requirements{
-			InputBytes: c.inputBytes(j), AvoidEngines: task.AvoidEngines, RequiredEngine: task.RequiredEngine, Until: until, ColdShare: c.ColdShare(),
-			Allows: c.Rollouts.Queries().Selection(task.Pool, lane, now),
-		}
-		reservation, ok := c.Engines.Commands().Reserve(task.Pool, task.RequestID, task.Prompt, requirements, now)
-		if !ok && lane == rollout.Trial && task.RequiredEngine == "" {
-			c.Rollouts.Commands().Refund(task.Pool)
-			lane = rollout.Usual
-			continue
-		}
-		if ok {
-			return Placement{Server: reservation.ID, Address: reservation.Address, DataCentre: reservation.DataCentre, PrefixSource: reservation.PrefixSource, Inputs: inputs, ExpectedFirstEvent: reservation.ExpectedFirstEvent, TypicalFirstEvent: reservation.TypicalFirstEvent, IsProbe: isProbe}, nil
-		}
-		c.Counters.Add("noEngine")
-		if reservation.LacksMemory {
-			c.Counters.Add("noEngineMemory")
-			if task.Try <= 1 && !time.Now().Before(objective) {
-				return Placement{}, request.Refuse(request.ReasonQueueFull, "no engine has memory for the request within its objective").WithRetryAfter(task.retryAfter(memoryRetryAfter))
-			}
-		}
-		if c.Engines.Queries().AreAllExcluded(task.Pool, requirements) {
-			return Placement{}, request.Refuse(request.ReasonNoServer, "all engines have refused or failed the request").WithRetryAfter(task.retryAfter(0))
-		}
-		timer.Reset(engineRetryInterval)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			return Placement{}, c.contextFailure(ctx, "engines")
-		}
-	}
-}
-
-// inputBytes returns the size of the results that the engine fetches, by data centre.
-func (c *Coordinator) inputBytes(j job) map[string]int64 {
-	sizes := map[string]int64{}
-	for i, s := range j.task.Stages {
-		if len(j.dependents(i)) > 0 {
-			continue
-		}
-		for _, h := range j.handles[i] {
-			if dc := c.Batches.Queries().DataCentre(h); dc != "" {
-				sizes[dc] += s.Bytes
-			}
-		}
-	}
-	return sizes
-}
-
 // RecordFirstEvent records the first event of a request and releases the results of its
 // stages, which the engine fetches before the first event.
 func (c *Coordinator) RecordFirstEvent(pool, server, id string, try int, took time.Duration) {
