Refuse a request as too large only for its prompt

A request whose prompt and declared largest output exceed the memory of an engine was refused with 413, which clients don't retry. Many clients declare more output than their answers ever have, and engines served such requests before.

The declared output now counts up to the rest of an engine's memory; only a prompt that is larger than the memory is refused.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -33,6 +33,13 @@
 
 func clampCount(tokens int64) int64 { return min(maxCount, max(0, tokens)) }
 
+// WithinMemory returns the prompt with the largest number of output tokens that fits in a
+// memory. Clients may declare more than their answers ever have.
+func (p Prompt) WithinMemory(tokens int64) Prompt {
+	p.MaxOutputTokens = min(p.MaxOutputTokens, max(0, tokens-clampCount(p.InputTokens)))
+	return p
+}
+
 // MaxTokens returns the memory that the request may use, in tokens.
 func (p Prompt) MaxTokens() int64 { return clampCount(p.InputTokens) + clampCount(p.MaxOutputTokens) }
 
--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -206,8 +206,11 @@
 	if failure != nil {
 		return Placement{}, *failure
 	}
-	if limit := c.Engines.Queries().MemoryTokens(task.Pool); task.Try <= 1 && limit > 0 && task.Prompt.MaxTokens() > limit {
-		return Placement{}, request.Refuse(request.ReasonInputTooLarge, fmt.Sprintf("the prompt and the largest output have %d tokens, the memory of an engine holds %d", task.Prompt.MaxTokens(), limit))
+	if limit := c.Engines.Queries().MemoryTokens(task.Pool); limit > 0 {
+		if task.Try <= 1 && task.Prompt.InputTokens > limit {
+			return Placement{}, request.Refuse(request.ReasonInputTooLarge, fmt.Sprintf("the prompt has %d tokens, the memory of an engine holds %d", task.Prompt.InputTokens, limit))
+		}
+		task.Prompt = task.Prompt.WithinMemory(limit)
 	}
 	reserve := min(refusalReserve, task.Deadline/10)
 	ctx, cancel := context.WithTimeout(ctx, task.Deadline-reserve)
