drain: answer each request of a planned stop

What callers saw: in a planned stop of one instance, in calm, requests on connections that were opened before, and requests whose body ended late, were passed on to servers, and cut off with no answer at the end of the grace period, orders among them. Requests that arrived after 2.8 s on a new connection were read and closed without an answer.

Cause: a leaving instance refused late streams only, whatever the deadline of other requests. At the end of the grace it closed all connections. In between, http.Server.Shutdown closes a connection after it has read a request.

Change: package drain has the schedule of a stop.

--- a/delivery/plain.go
+++ b/delivery/plain.go
@@ -46,6 +46,10 @@
 		if !ok {
 			return result.withFailure(r.noServerFailure(ctx, routed.pool.Name, mayHaveRun))
 		}
+		if now := time.Now(); !r.StopSchedule().AllowsSend(now, server.ServiceTimeBound(now)) {
+			r.PlainServers.CancelReservation(server.Name)
+			return result.withFailure(LeavingFailure().WithSent(mayHaveRun))
+		}
 		exchanged := r.exchangeHedged(ctx, routed, server, priorSends{tries: result.Tries, reached: reached, servers: avoid})
 		answer, body, err := exchanged.answer, exchanged.body, exchanged.err
 		result.Tries += 1 + exchanged.other.tries
--- a/delivery/router.go
+++ b/delivery/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -10,6 +11,7 @@
 
 	"lycheecrank.example/backend"
 	"lycheecrank.example/counter"
+	"lycheecrank.example/drain"
 	"lycheecrank.example/engine"
 	"lycheecrank.example/event"
 	"lycheecrank.example/fleet"
@@ -58,9 +60,9 @@
 	// OnCrash is called when an engine breaks off an answer that has just begun: the head
 	// has arrived and no event.
 	OnCrash func(server fleet.Server, id string, prompt engine.Prompt)
-	// IsLeaving reports whether this instance shuts down so soon that streams should
-	// go to another one.
-	IsLeaving func() bool
+	// StopSchedule returns the schedule of the shutdown of this instance, the zero value
+	// while it isn't shutting down.
+	StopSchedule func() drain.Schedule
 	// LastBreak detects breaks: times in which the machine was suspended, which the clock
 	// of the runtime doesn't count. It is called before each admission and each send; nil
 	// stands for a machine that is never suspended.
@@ -143,6 +145,9 @@
 	} else {
 		result = r.servePlain(ctx, routed)
 	}
+	if result.Failure != nil && errors.Is(context.Cause(ctx), ErrStopping) {
+		result = result.withFailure(LeavingFailure().WithSent(result.Failure.Sent))
+	}
 	result.Route, result.Pool = routed.route.Name, routed.pool.Name
 	return result
 }
@@ -190,8 +195,8 @@
 		return routed, refuse(request.ReasonMalformed, "number of pieces of a stage is negative or above the limit")
 	case !now.Before(routed.deadline):
 		return routed, refuse(request.ReasonDeadlinePassedOnArrival, "the deadline of the request passed before its admission")
-	case r.IsLeaving() && matched.Kind == route.Stream:
-		f := request.Refuse(request.ReasonLeaving, "the instance is shutting down").WithRetryAfter(leavingRetryAfter)
+	case !r.StopSchedule().Admits(now, routed.deadline):
+		f := LeavingFailure()
 		return routed, &f
 	}
 	// While a probe is due, the coordinator decides which request is the probe.
@@ -226,6 +231,16 @@
 // leavingRetryAfter is the delay before a client retries at another instance.
 const leavingRetryAfter = 50 * time.Millisecond
 
+// ErrStopping is the cause with which the context of an attempt is cancelled that is still
+// unanswered when this instance must exit. The client gets a failure as the answer.
+var ErrStopping = errors.New("the instance exits")
+
+// LeavingFailure returns the failure of an attempt that this instance doesn't serve because
+// it is shutting down.
+func LeavingFailure() request.Failure {
+	return request.Refuse(request.ReasonLeaving, "the instance is shutting down").WithRetryAfter(leavingRetryAfter)
+}
+
 func deadlines(attempt Attempt, matched route.Route) (deadline, objective time.Time) {
 	limit := attempt.Timeout
 	if limit == 0 {
--- a/delivery/router_test.go
+++ b/delivery/router_test.go
@@ -17,6 +17,7 @@
 
 	"lycheecrank.example/backend"
 	"lycheecrank.example/counter"
+	"lycheecrank.example/drain"
 	"lycheecrank.example/engine"
 	"lycheecrank.example/event"
 	"lycheecrank.example/fleet"
@@ -89,7 +90,7 @@
 	plain.Commands().Sync(specs, time.Now())
 	r.Router = &Router{
 		Routes: routes.Queries(), Fleet: servers.Queries(), PlainServers: plain.Commands(), Budget: pipeline.NewBudget(1, 10),
-		Prepare: r.prepare, Retries: &counter.Set{}, Logger: event.Discard(), IsLeaving: func() bool { return false },
+		Prepare: r.prepare, Retries: &counter.Set{}, Logger: event.Discard(), StopSchedule: func() drain.Schedule { return drain.Schedule{} },
 		OnFirstEvent: func(_, server, _ string, _ int, _ time.Duration) {
 			r.notifications = append(r.notifications, "first event "+server)
 		},
@@ -402,9 +403,9 @@
 		show("too many pieces", invalidPieces)
 		invalidPieces.Pieces = []int{-1}
 		show("a negative number of pieces", invalidPieces)
-		r.IsLeaving = func() bool { return true }
+		r.StopSchedule = func() drain.Schedule { return drain.NewSchedule(time.Now().Add(-drain.BalancerLag), 4*time.Second) }
 		show("stream while the instance leaves", r.attempt("/chat/1"))
-		r.IsLeaving = func() bool { return false }
+		r.StopSchedule = func() drain.Schedule { return drain.Schedule{} }
 		time.Sleep(time.Minute)
 		wrongKey.ArrivedAt = time.Now()
 		show("no route, outdated configuration", r.attempt("/nothing/"))
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -125,15 +125,10 @@
 		router.OnRunEnd(routed.pool.Name, placement.Server, routed.attempt.ID, preparation.RunEnded)
 		return s.retryNotRun(ctx, placement.Server, request.Refuse(request.ReasonNoServer, "reserved engine is no longer available at its address"))
 	}
-	if verdict, ok := router.Verdict(routed.attempt.Prompt); ok && !placement.IsProbe {
+	if failure := s.sendFailure(placement); failure != nil {
 		router.OnRunEnd(routed.pool.Name, placement.Server, routed.attempt.ID, preparation.RunEnded)
 		router.Abandon(routed.attempt.ID, s.task.Try)
-		return s.fail(verdict.Failure())
-	}
-	if router.hadBreak(routed) {
-		router.OnRunEnd(routed.pool.Name, placement.Server, routed.attempt.ID, preparation.RunEnded)
-		router.Abandon(routed.attempt.ID, s.task.Try)
-		return s.fail(breakFailure())
+		return s.fail(*failure)
 	}
 	// Cancelling the context makes the engine stop a stream that is no longer read.
 	sendCtx, cancel, silence := s.startSilenceTimer(ctx, placement)
@@ -191,6 +186,25 @@
 	return s.forwardEvents(ctx, sendCtx, answer, current, silence)
 }
 
+// sendFailure returns the failure of a request that must not be sent to the reserved engine
+// any more, nil for none.
+func (s *preparedAttempt) sendFailure(placement preparation.Placement) *request.Failure {
+	router, routed := s.router, s.routed
+	var failure request.Failure
+	verdict, isQuarantined := router.Verdict(routed.attempt.Prompt)
+	switch {
+	case isQuarantined && !placement.IsProbe:
+		failure = verdict.Failure()
+	case router.hadBreak(routed):
+		failure = breakFailure()
+	case !router.StopSchedule().AllowsSend(time.Now(), placement.ExpectedFirstEvent):
+		failure = LeavingFailure()
+	default:
+		return nil
+	}
+	return &failure
+}
+
 // brokenRunStatus returns the status of a run whose send failed or whose stream ended
 // early. It is RunFailed, unless the client disconnected or the deadline passed, which are
 // not faults of the engine.
--- /dev/null
+++ b/entry/drain_test.go
@@ -0,0 +1,153 @@
+package entry
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sebdah/goldie/v2"
+	"golang.org/x/sync/errgroup"
+
+	"lycheecrank.example/drain"
+	"lycheecrank.example/standin/site"
+)
+
+// stopGrace is the grace period of the instances that TestStopAnswersAllRequests stops.
+const stopGrace = 4500 * time.Millisecond
+
+// heldConnection is a connection of a client that sends its request later.
+type heldConnection struct {
+	net.Conn
+	id string
+}
+
+func (n *testInstance) hold(t *testing.T) heldConnection {
+	conn, err := net.Dial("tcp", n.Settings.ClientAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return heldConnection{Conn: conn, id: fmt.Sprintf("attempt%d", attempts.Add(1))}
+}
+
+// write sends the head of a request and a part of its body of 6 bytes.
+func (h heldConnection) write(path, deadlineMs, part string) {
+	_, _ = fmt.Fprintf(h, "POST %s HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: %s\r\nAuthorization: Token key-1\r\nDeadline-Ms: %s\r\n"+
+		"Pieces: 1,2\r\nPiece-Key: k\r\nToken-Usage: 100,50\r\nPrompt-Prefix: aa:60,bb:40\r\nContent-Length: 6\r\n\r\n%s", path, h.id, deadlineMs, part)
+}
+
+// errCutOff is the error of a connection that ends without a complete answer.
+var errCutOff = errors.New("connection ended without a complete answer")
+
+// status reads the answer and returns its status.
+func (h heldConnection) status() (int, error) {
+	res, err := http.ReadResponse(bufio.NewReader(h), nil)
+	if err != nil {
+		return 0, errors.Join(errCutOff, err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		return 0, errors.Join(errCutOff, err)
+	}
+	return res.StatusCode, nil
+}
+
+// hasRun reports whether a worker of a pool has begun to run an attempt.
+func (s *testSite) hasRun(pool, id string) bool {
+	return slices.ContainsFunc(s.runs(pool), func(r site.Run) bool { return r.Attempt == id })
+}
+
+// playStop stops an instance in calm while requests are in flight and arrive on connections
+// that were opened before. It describes what became of each request.
+func playStop(t *testing.T, modify func(*Instance)) string {
+	s := newTestSite(t)
+	s.modify = func(i *Instance) {
+		i.grace.Store(int64(stopGrace))
+		if modify != nil {
+			modify(i)
+		}
+	}
+	s.start("n1")
+	n := s.instances[0]
+	outcomes := make([]string, 7)
+	var group errgroup.Group
+	await := func(row int, name, pool string, h heldConnection) {
+		group.Go(func() error {
+			status, err := h.status()
+			outcomes[row] = fmt.Sprintf("%s: status %d, cut off %v", name, status, errors.Is(err, errCutOff))
+			if s.hasRun(pool, h.id) {
+				outcomes[row] += ", has run"
+			}
+			return nil
+		})
+	}
+	s.setFault("registry", site.Fault{Freezes: true})
+	s.setFault("models", site.Fault{Freezes: true})
+	order, draft := n.hold(t), n.hold(t)
+	order.write("/order/1", "20000", "helmet")
+	draft.write("/draft/1", "20000", "helmet")
+	await(0, "order in flight", "registry", order)
+	await(1, "stream in flight", "models", draft)
+	s.waitFor("the order runs", func() bool { return s.hasRun("registry", order.id) })
+	s.waitFor("the stream runs", func() bool { return s.hasRun("models", draft.id) })
+
+	n.stop()
+	s.waitFor("the instance leaves", n.isLeaving)
+	slowBody, openBody, lateOrder, lateStream, lateLookup := n.hold(t), n.hold(t), n.hold(t), n.hold(t), n.hold(t)
+	slowBody.write("/order/2", "20000", "hel")
+	openBody.write("/order/3", "20000", "hel")
+	await(2, "order whose body ends late", "registry", slowBody)
+	await(3, "order whose body doesn't end", "registry", openBody)
+	s.waitFor("the listener is closed", func() bool {
+		conn, err := net.Dial("tcp", n.Settings.ClientAddress)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err != nil
+	})
+	_, _ = io.WriteString(slowBody, "met")
+	lateOrder.write("/order/4", "20000", "helmet")
+	lateStream.write("/draft/2", "20000", "helmet")
+	await(4, "late order", "registry", lateOrder)
+	await(5, "late stream", "models", lateStream)
+	pause(t.Context(), 200*time.Millisecond)
+	s.setFault("registry", site.Fault{})
+	lateLookup.write("/lookup/1", "200", "helmet")
+	await(6, "late lookup with a short deadline", "registry", lateLookup)
+	_ = group.Wait()
+	if err := <-n.done; err != nil {
+		t.Fatal(err)
+	}
+	return strings.Join(outcomes, "\n") + "\n"
+}
+
+// Guards against a planned stop in calm that takes requests late in its grace period and
+// cuts them off at its end, among them requests that may not be repeated.
+func TestStopAnswersAllRequests(t *testing.T) {
+	t.Parallel()
+	goldie.New(t).Assert(t, "stop", []byte(playStop(t, nil)))
+}
+
+// Guards against a check of TestStopAnswersAllRequests that can't fail: an instance that
+// admits requests until its end and gives no final answers cuts them off.
+func TestStopAnswersAllRequestsVariant(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	outcomes := playStop(t, func(i *Instance) {
+		i.PlanStop = func(at time.Time, grace time.Duration) drain.Schedule {
+			schedule := drain.NewSchedule(at, grace)
+			schedule.AnswerBy = at.Add(time.Hour)
+			return schedule
+		}
+	})
+	is.True(strings.Contains(outcomes, "late order: status 0, cut off true, has run"))
+	is.True(strings.Contains(outcomes, "order in flight: status 0, cut off true, has run"))
+}
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -30,6 +30,7 @@
 	"lycheecrank.example/cell"
 	"lycheecrank.example/counter"
 	"lycheecrank.example/delivery"
+	"lycheecrank.example/drain"
 	"lycheecrank.example/event"
 	"lycheecrank.example/feed"
 	"lycheecrank.example/fleet"
@@ -66,7 +67,9 @@
 	// Divide returns the division of the site into cells, for the division so far, the
 	// number of known instances and the listed servers of each pool by data centre.
 	Divide func(current cell.Layout, instances int, pools map[string]map[string]int) cell.Layout
-	Logger *event.Logger
+	// PlanStop returns the schedule of a shutdown that begins at a time.
+	PlanStop func(at time.Time, grace time.Duration) drain.Schedule
+	Logger   *event.Logger
 
 	store *platform.Store
 	// backendClient sends client requests to backend servers, stageClient sends stage
@@ -120,6 +123,10 @@
 	// leavingAt is the instant at which the instance began to shut down, 0 if it isn't
 	// shutting down.
 	leavingAt atomic.Int64
+	// stopSchedule is the zero value until the instance begins to shut down.
+	stopSchedule atomic.Pointer[drain.Schedule]
+	// openConnections is the number of connections of clients.
+	openConnections atomic.Int64
 	// lapseGraceUntil is the end of the period in which a removed server entry counts
 	// as lapsed, as an instant. An entry lapses if it expires because its server couldn't
 	// renew it while the store was unavailable; the server still gets work for a short
@@ -171,6 +178,7 @@
 		Settings:           settings,
 		Reload:             platform.ReadSettings,
 		SinceBoot:          sinceBoot,
+		PlanStop:           drain.NewSchedule,
 		Divide:             cell.Divide,
 		Logger:             event.NewBufferedLogger(out, "info", settings.Name),
 		store:              platform.NewStore(settings.StoreAddress),
@@ -206,6 +214,7 @@
 	i.division.Store(&division{})
 	i.seeds.Store(&settings.Seeds)
 	i.grace.Store(int64(settings.DrainGrace))
+	i.stopSchedule.Store(&drain.Schedule{})
 	i.feeds.AddStream(platform.ServerStream, platform.IsSameServer, platform.ServerVersion)
 	i.assemble()
 	return i
@@ -247,7 +256,7 @@
 		OnFirstEvent: i.sendStart,
 		OnRunEnd:     i.sendEnd,
 		Abandon:      i.sendAbandon,
-		IsLeaving:    func() bool { return i.leavingFor() > refuseStreamsAfter },
+		StopSchedule: func() drain.Schedule { return *i.stopSchedule.Load() },
 		LastBreak:    i.lastBreak,
 		Retries:      i.retries,
 		Logger:       i.Logger,
--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"lycheecrank.example/drain"
 	"lycheecrank.example/engine"
 	"lycheecrank.example/fleet"
 	"lycheecrank.example/platform"
@@ -193,7 +194,7 @@
 	s.start("n1", "n2")
 	leaving, other := s.instances[0], s.instances[1]
 	leaving.stop()
-	s.waitFor("the drain nears its end", func() bool { return leaving.leavingFor() > acceptPeriod-time.Second })
+	s.waitFor("the drain nears its end", func() bool { return leaving.leavingFor() > drain.BalancerLag-time.Second })
 	isFrozen.Store(true)
 	<-frozen
 	pause(t.Context(), 2*heartbeatInterval)
--- a/entry/run.go
+++ b/entry/run.go
@@ -18,21 +18,10 @@
 )
 
 const (
-	// refuseStreamsAfter is how long a leaving instance accepts new streams. Later
-	// streams might not end within the grace period.
-	refuseStreamsAfter = 3500 * time.Millisecond
-	// acceptPeriod is how long a leaving instance accepts connections: the balancer
-	// checks readiness once a second and stops sending clients after two failed checks.
-	acceptPeriod = 2800 * time.Millisecond
-	// exitReserve is the part of the grace period that is reserved for the exit of the
-	// process.
-	exitReserve = 400 * time.Millisecond
 	// exitTimeout bounds the wait for the tasks of the instance to end. On a slow
 	// machine, processes were killed at the end of the grace period while a task still
 	// waited for a reply.
 	exitTimeout = 300 * time.Millisecond
-	// defaultGrace is the grace period if the settings have none.
-	defaultGrace = 8 * time.Second
 	// idleTimeout is how long an idle client connection stays open. It is longer than
 	// any idle time that operators may set.
 	idleTimeout = 2 * time.Minute
@@ -54,7 +43,9 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var group errgroup.Group
-	front, ready := i.frontServer(), i.readyServer()
+	attempts, stopAttempts := context.WithCancelCause(work)
+	defer stopAttempts(nil)
+	front, ready := i.frontServer(attempts), i.readyServer()
 	group.Go(func() error { return serve(front, listeners.front) })
 	group.Go(func() error { return serve(ready, listeners.ready) })
 	group.Go(func() error { return i.server.Serve(work, listeners.peers) })
@@ -68,7 +59,7 @@
 	}
 	i.Logger.Write(event.EntryStarted, Version, i.Settings.ClientAddress, i.Settings.PeerAddress, i.Settings.DataCentre)
 	<-ctx.Done()
-	i.drain(front)
+	i.drain(front, listeners.front, stopAttempts)
 	_ = ready.Close()
 	stop()
 	i.client.Close()
@@ -120,18 +111,21 @@
 }
 
 func serve(server *http.Server, listener net.Listener) error {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return eris.Wrap(err, "serve HTTP")
 	}
 	return nil
 }
 
-func (i *Instance) frontServer() *http.Server {
+// frontServer serves clients. The contexts of their requests derive from attempts.
+func (i *Instance) frontServer(attempts context.Context) *http.Server {
 	return i.frontend.Attach(&http.Server{
 		Handler: i.attemptLog.countInFlight(&platform.ClientHandler{
 			Router: i.delivery, Backends: i.backendClient, Routes: i.routes.Queries(),
 			IsLeaving: i.isLeaving, OnResult: i.reportAttempt, Frontend: i.frontend,
 		}),
+		BaseContext:       func(net.Listener) context.Context { return attempts },
+		ConnState:         i.countConnections,
 		ReadHeaderTimeout: headerReadTimeout,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          discardLog(),
@@ -168,30 +162,4 @@
 	group.Go(func() error { return serve(server, i.frontend.Listen(listener, intake.Operators)) })
 }
 
-// drain waits for the requests in flight to end within the grace period, and passes on
-// what they have shown of crashes. Requests that arrive in the meantime are served, and
-// their responses close the connection.
-func (i *Instance) drain(front *http.Server) {
-	i.leavingAt.Store(i.instant(time.Now()))
-	i.Logger.Write(event.Leaving, "signal")
-	i.members.Commands().MarkLeaving()
-	i.triggerHeartbeats()
-	grace := time.Duration(i.grace.Load())
-	if grace <= 0 {
-		grace = defaultGrace
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), grace-exitReserve)
-	defer cancel()
-	i.unregister(ctx)
-	pause(ctx, acceptPeriod-i.leavingFor())
-	err := front.Shutdown(ctx)
-	remaining := int64(0)
-	if err != nil {
-		remaining = i.attemptLog.inFlight.Load()
-		_ = front.Close()
-	}
-	i.passOnQuarantine(ctx)
-	i.Logger.Write(event.Stopped, remaining)
-}
-
 func formatStatus(status int) string { return strconv.Itoa(status) }
--- a/frontend/body.go
+++ b/frontend/body.go
@@ -22,7 +22,7 @@
 	smallRead = 1024
 )
 
-// ReadBody reads the whole body of a request until a time. Its buffer grows as bytes
+// ReadBody reads the whole body of a request until a time or until its context ends. Its buffer grows as bytes
 // arrive, and each size is counted before it is allocated. An error leaves the request in
 // the account.
 func (f *Frontend) ReadBody(w http.ResponseWriter, r *http.Request, counted *intake.Request, limit int64, until time.Time) ([]byte, error) {
@@ -37,6 +37,8 @@
 	control := http.NewResponseController(w)
 	// A writer without deadlines, as in tests, waits without a limit.
 	_ = control.SetReadDeadline(until)
+	stopWatch := context.AfterFunc(r.Context(), func() { _ = control.SetReadDeadline(past) })
+	defer stopWatch()
 	body, err := f.read(r.Context(), http.MaxBytesReader(w, r.Body, limit), counted, r.ContentLength, limit)
 	if err == nil {
 		err = counted.Advance(intake.Serving, time.Now())
@@ -50,7 +52,9 @@
 		w.Header().Set("Connection", "close")
 		return nil, err
 	}
-	_ = control.SetReadDeadline(time.Time{})
+	if stopWatch() {
+		_ = control.SetReadDeadline(time.Time{})
+	}
 	return body, nil
 }
 
