--- a/entry/drain.go
+++ b/entry/drain.go
@@ -43,7 +43,10 @@
 	_ = listener.Close()
 	// Closes idle connections, and the others after their next answer.
 	front.SetKeepAlivesEnabled(false)
-	for i.openConnections.Load() > 0 && pause(answering, connectionCheckInterval) {
+	for i.openConnections.Load() > 0 {
+		if !pause(answering, connectionCheckInterval) {
+			break
+		}
 	}
 	stopAttempts(delivery.ErrStopping)
 	remaining := int64(0)
