stage: bound the answers of backend servers

Here, in serve, a backend server that sent bytes without end made the instance keep them until the deadline of the step, so that it could run out of memory with the requests of all callers.

Cause: the connect clients had no limit on messages, the assembler of an engine's pieces none on the output and on pieces that wait for a missing one, and heads could have 10 MB, the default of net/http. The same default applied to the store.

Change: messages have at most 8 MB, as between instances, and a few fields beside them; the output and the buffered pieces together 8 MB; heads 32 KB. The limit of connect alone bounds the memory, but connect reads on until the server ends, so that the body is bounded as well, for streams at 32 MB.

Evidence: TestAnswerWithoutEnd failed for a body, a message of a stream, pieces in order and not, TestReportWithoutEnd for reports; both pass now. In entry, bodies and heads of backend servers were bounded already.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -283,5 +283,7 @@
 		MaxIdleConnsPerHost: perServer,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: stage.MaxHeadBytes,
 	}}
 }
--- a/stage/engine.go
+++ b/stage/engine.go
@@ -81,7 +81,7 @@
 
 // NewEngine returns a client for the engine at a base URL.
 func NewEngine(client *http.Client, baseURL string) Engine {
-	c := engineClient{enginev1connect.NewEngineServiceClient(client, baseURL)}
+	c := engineClient{enginev1connect.NewEngineServiceClient(boundedClient(client), baseURL, readLimit)}
 	return Engine{
 		Execute: c.execute, Resume: c.resume, Cancel: c.cancel, Order: c.order,
 		CacheEvents: c.cacheEvents, Load: c.load, ExportCache: c.exportCache, ImportCache: c.importCache,
--- a/stage/generate.go
+++ b/stage/generate.go
@@ -16,6 +16,10 @@
 // maxResumes limits how often the stream of an attempt is resumed.
 const maxResumes = 2
 
+// pieceOverheadBytes is the memory of a buffered piece beside its data, so that pieces
+// without data count as well.
+const pieceOverheadBytes = 48
+
 // assembler reassembles the output of an attempt from its pieces. Pieces that
 // arrive out of order are buffered until the pieces before them have arrived;
 // duplicates are dropped.
@@ -24,7 +28,9 @@
 	output     Output
 	nextNumber uint32
 	pending    map[uint32][]byte
-	end        *EngineMessage
+	// pendingBytes is the memory of the buffered pieces.
+	pendingBytes int
+	end          *EngineMessage
 }
 
 // generate runs a step at an engine. A broken stream is resumed at the same
@@ -88,6 +94,10 @@
 		return nil
 	}
 	a.pending[m.Number] = m.Data
+	a.pendingBytes += len(m.Data) + pieceOverheadBytes
+	if len(a.output.Data)+a.pendingBytes > MaxOutputBytes+pieceOverheadBytes {
+		return a.call.dropResult("tooLarge")
+	}
 	return a.deliver()
 }
 
@@ -99,6 +109,7 @@
 			return nil
 		}
 		delete(a.pending, a.nextNumber)
+		a.pendingBytes -= len(data) + pieceOverheadBytes
 		if a.nextNumber == 0 {
 			a.call.firstPiece = time.Now()
 		}
--- a/stage/unary.go
+++ b/stage/unary.go
@@ -44,7 +44,7 @@
 
 // NewEncoder returns a client for the encoder at a base URL.
 func NewEncoder(client *http.Client, baseURL string) UnaryClient {
-	c := encoderv1connect.NewEncoderServiceClient(client, baseURL)
+	c := encoderv1connect.NewEncoderServiceClient(boundedClient(client), baseURL, readLimit)
 	return newUnaryClient(c.Encode, c.Load, &encoderv1.LoadRequest{}, func(s request.Step) *encoderv1.EncodeRequest {
 		return &encoderv1.EncodeRequest{
 			RequestId: s.RequestID, Stage: s.Stage, Attempt: s.Attempt, Input: s.Input,
@@ -55,7 +55,7 @@
 
 // NewRetriever returns a client for the retriever at a base URL.
 func NewRetriever(client *http.Client, baseURL string) UnaryClient {
-	c := retrieverv1connect.NewRetrieverServiceClient(client, baseURL)
+	c := retrieverv1connect.NewRetrieverServiceClient(boundedClient(client), baseURL, readLimit)
 	return newUnaryClient(c.Retrieve, c.Load, &retrieverv1.LoadRequest{}, func(s request.Step) *retrieverv1.RetrieveRequest {
 		return &retrieverv1.RetrieveRequest{
 			RequestId: s.RequestID, Stage: s.Stage, Attempt: s.Attempt, Input: s.Input,
@@ -66,7 +66,7 @@
 
 // NewReranker returns a client for the reranker at a base URL.
 func NewReranker(client *http.Client, baseURL string) UnaryClient {
-	c := rerankerv1connect.NewRerankerServiceClient(client, baseURL)
+	c := rerankerv1connect.NewRerankerServiceClient(boundedClient(client), baseURL, readLimit)
 	return newUnaryClient(c.Rerank, c.Load, &rerankerv1.LoadRequest{}, func(s request.Step) *rerankerv1.RerankRequest {
 		return &rerankerv1.RerankRequest{
 			RequestId: s.RequestID, Stage: s.Stage, Attempt: s.Attempt, Input: s.Input,
@@ -77,7 +77,7 @@
 
 // NewService returns a client for the plain service at a base URL.
 func NewService(client *http.Client, baseURL string) UnaryClient {
-	c := servicev1connect.NewPlainServiceClient(client, baseURL)
+	c := servicev1connect.NewPlainServiceClient(boundedClient(client), baseURL, readLimit)
 	return newUnaryClient(c.Call, c.Load, &servicev1.LoadRequest{}, func(s request.Step) *servicev1.CallRequest {
 		return &servicev1.CallRequest{
 			RequestId: s.RequestID, Stage: s.Stage, Attempt: s.Attempt, Input: s.Input,
