--- a/intaketest/process_test.go
+++ b/intaketest/process_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -73,26 +74,41 @@
 	ask func() int
 }
 
-// startEntry starts an instance for the users' platform, with one plain server.
+// startEntry starts an instance for the users' platform, with one plain server and one
+// engine.
 func startEntry(t *testing.T) *daemon {
 	store := site.NewStore()
-	server := httptest.NewServer(http.HandlerFunc(serveLong))
+	mux := http.NewServeMux()
+	mux.HandleFunc("/", serveLong)
+	mux.HandleFunc("/endless/", serveEndless)
+	mux.HandleFunc("/report", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "{}") })
+	server, engine := httptest.NewServer(mux), httptest.NewServer(mux)
 	t.Cleanup(func() {
-		server.CloseClientConnections()
-		server.Close()
+		for _, s := range []*httptest.Server{server, engine} {
+			s.CloseClientConnections()
+			s.Close()
+		}
 		store.CloseClientConnections()
 		store.Close()
 	})
 	store.PutJSON(platform.ServerStream, "registry-1", map[string]any{
 		"service": "registry", "address": server.Listener.Addr().String(), "zone": "a", "slots": 4 * maxClients, "state": "ready", "sequence": 1, "born": 1,
 	})
+	store.PutJSON(platform.ServerStream, "models-1", map[string]any{
+		"service": "models", "address": engine.Listener.Addr().String(), "zone": "a", "slots": 4 * maxClients, "state": "ready", "sequence": 1, "born": 1,
+	})
 	store.PutJSON(platform.OperatorStream, platform.ConfigurationKey, map[string]any{
 		"version": 1,
 		"routes": []map[string]any{
 			{"name": "lookup", "host": "shop.example", "pathPrefix": "/", "kind": "safe", "service": "registry", "maxAttempts": 2, "timeoutMs": 20000},
+			{"name": "order", "host": "shop.example", "pathPrefix": "/endless/order/", "kind": "unsafe", "service": "registry", "maxAttempts": 1, "timeoutMs": 20000},
+			{"name": "chat", "host": "shop.example", "pathPrefix": "/endless/chat/", "kind": "streaming", "service": "models", "maxAttempts": 1, "timeoutMs": 20000, "targetLatencyMs": 5000},
 		},
 		"tenants":  []map[string]any{{"name": "parents", "apiKeys": []string{"key-1"}}},
-		"services": []map[string]any{{"name": "registry"}},
+		"services": []map[string]any{
+			{"name": "registry"},
+			{"name": "models", "engine": map[string]any{"slots": 4 * maxClients, "kvCapacity": 1 << 30, "kvTokenBytes": 100}},
+		},
 	})
 	front, ready, peers := link.NewAddress(), link.NewAddress(), link.NewAddress()
 	file := filepath.Join(t.TempDir(), "settings.toml")
