entry: let no late write replace a newer anchor or quarantine in the store

The store may execute a write that got no response seconds later. An older anchor then replaced a newer one, so that the loss of the decision records after it goes unnoticed until the next anchor 16 s later, and for good after the last one. A quarantine that had ended was in the store again: after a stop of all instances, they would refuse its prompts until a probe.

Cause: both were written without a condition; the newest record of a key wins.

Change: an anchor is written with an epoch that counts its writes, and the store refuses lower ones; a quarantine is written only at the end of the stream that was read before. Not changed: the entries of instances (a late one names an instance that isn't reached, and is forgotten after 30 s), the states of rollouts (already conditional), operators' records (their order is the store's).

--- a/entry/decisions.go
+++ b/entry/decisions.go
@@ -43,11 +43,14 @@
 	// seal encodes and compresses a signed batch for the log.
 	seal   func(precedence.Batch) ([]byte, error)
 	logger *event.Logger
-	// putAnchor writes the anchor of this incarnation to the store.
-	putAnchor func(ctx context.Context, key string, value []byte) error
+	// putAnchor writes the anchor of this incarnation to the store. An epoch is higher than
+	// those of earlier writes.
+	putAnchor func(ctx context.Context, key string, value []byte, epoch uint64) error
 
 	anchor     precedence.Anchor
 	isAnchored bool
+	// epoch is that of the last write of the anchor.
+	epoch uint64
 }
 
 // newDecisions returns a chain with a new signing key. Machines keep no state, so the
@@ -63,8 +66,8 @@
 	return &decisions{
 		commands: precedence.NewTable(instance.Settings.Name, incarnation, maxBufferedRecords).Commands(),
 		key:      key, seal: sealer.Seal, logger: instance.Logger,
-		putAnchor: func(ctx context.Context, key string, value []byte) error {
-			return instance.store.Put(ctx, platform.DecisionStream, key, value)
+		putAnchor: func(ctx context.Context, key string, value []byte, epoch uint64) error {
+			return instance.store.PutFenced(ctx, platform.DecisionStream, key, value, epoch)
 		},
 		isAnchored: true,
 	}
@@ -115,7 +118,8 @@
 	defer cancel()
 	value, err := codec.Marshal(d.anchor)
 	if err == nil {
-		err = d.putAnchor(ctx, d.anchor.Instance+"@"+d.anchor.Incarnation, value)
+		d.epoch++
+		err = d.putAnchor(ctx, d.anchor.Instance+"@"+d.anchor.Incarnation, value, d.epoch)
 	}
 	if err != nil {
 		d.logger.Write(event.LogUnavailable, platform.DecisionStream, err)
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -198,6 +198,8 @@
 }
 
 // writeQuarantine writes the entry with a key, or removes it if the quarantine has ended.
+// The store may execute a write late; the condition on the end of the stream keeps an old
+// one from taking effect after a newer one.
 func (i *Instance) writeQuarantine(ctx context.Context, key string) error {
 	ctx, cancel := context.WithTimeout(ctx, quarantineTimeout)
 	defer cancel()
@@ -209,7 +211,10 @@
 			return err
 		}
 	}
-	err := i.store.Put(ctx, platform.QuarantineStream, key, data)
+	_, end, err := i.store.Newest(ctx, platform.QuarantineStream)
+	if err == nil {
+		err = i.store.PutAt(ctx, platform.QuarantineStream, key, data, end)
+	}
 	if err != nil {
 		i.Logger.Write(event.LogUnavailable, platform.QuarantineStream, err)
 	}
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -11,6 +11,7 @@
 	"maps"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"slices"
 	"strconv"
 	"sync"
@@ -27,6 +28,15 @@
 	changed chan struct{}
 	isDown  bool
 	calls   map[string]int
+	// holds is set for the topics whose appends are held, in the order of arrival.
+	holds map[string]bool
+	held  []heldAppend
+}
+
+// heldAppend is an append that gets no response and is executed later.
+type heldAppend struct {
+	query url.Values
+	data  []byte
 }
 
 type stream struct {
@@ -34,6 +44,8 @@
 	// first is the offset of the first retained record.
 	first  uint64
 	newest map[string]newest
+	// epochs holds the highest epoch of each producer.
+	epochs map[string]int
 }
 
 type newest struct {
@@ -43,7 +55,7 @@
 
 // NewStore starts a store on loopback.
 func NewStore() *Store {
-	s := &Store{streams: map[string]*stream{}, changed: make(chan struct{}), calls: map[string]int{}}
+	s := &Store{streams: map[string]*stream{}, changed: make(chan struct{}), calls: map[string]int{}, holds: map[string]bool{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /log-append", s.append)
 	mux.HandleFunc("GET /log-read", s.read)
@@ -111,7 +123,7 @@
 func (s *Store) stream(topic string) *stream {
 	t := s.streams[topic]
 	if t == nil {
-		t = &stream{newest: map[string]newest{}}
+		t = &stream{newest: map[string]newest{}, epochs: map[string]int{}}
 		s.streams[topic] = t
 	}
 	return t
@@ -153,18 +165,66 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	topic := r.URL.Query().Get("topic")
-	offset := len(s.stream(topic).records)
-	if at := r.URL.Query().Get("at"); at != "" && at != strconv.Itoa(offset) {
-		w.WriteHeader(http.StatusPreconditionFailed)
+	if topic := r.URL.Query().Get("topic"); s.holds[topic] {
+		s.held = append(s.held, heldAppend{r.URL.Query(), data})
+		s.mu.Unlock()
+		<-r.Context().Done()
+		s.mu.Lock()
+		return
+	}
+	status, offset, end := s.execute(r.URL.Query(), data)
+	if status != http.StatusOK {
+		w.WriteHeader(status)
 		return
 	}
+	writeJSON(w, map[string]int{"offset": offset, "end": end})
+}
+
+// execute executes an append if its conditions hold. The caller holds the lock.
+func (s *Store) execute(query url.Values, data []byte) (status, offset, end int) {
+	topic := query.Get("topic")
+	t := s.stream(topic)
+	offset = len(t.records)
+	if at := query.Get("at"); at != "" && at != strconv.Itoa(offset) {
+		return http.StatusPreconditionFailed, 0, 0
+	}
+	if producer := query.Get("producer"); producer != "" {
+		epoch, err := strconv.Atoi(query.Get("epoch"))
+		if err != nil {
+			return http.StatusBadRequest, 0, 0
+		}
+		if epoch < t.epochs[producer] {
+			return http.StatusConflict, 0, 0
+		}
+		t.epochs[producer] = epoch
+	}
 	for len(data) >= 4 {
 		size := binary.BigEndian.Uint32(data)
 		s.add(topic, slices.Clone(data[4:4+size]))
 		data = data[4+size:]
 	}
-	writeJSON(w, map[string]int{"offset": offset, "end": len(s.stream(topic).records)})
+	return http.StatusOK, offset, len(t.records)
+}
+
+// SetHeld makes the store execute the appends to a topic late and without a response,
+// or at once.
+func (s *Store) SetHeld(topic string, isHeld bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.holds[topic] = isHeld
+}
+
+// ExecuteHeld executes the appends that are held, whose conditions may no longer hold, and
+// returns their number.
+func (s *Store) ExecuteHeld() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := len(s.held)
+	for _, h := range s.held {
+		s.execute(h.query, h.data)
+	}
+	s.held = nil
+	return count
 }
 
 func (s *Store) read(w http.ResponseWriter, r *http.Request) {
