Log the inputs of lapses, late entries and invalid answers

Events 510 and 511 have the ages and the decision, and the offset of the late write; event 405 and 410 say what is wrong with an invalid answer.

--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -110,6 +110,8 @@
 	// IsValid is set if the answer belongs to the request and, if it is a success,
 	// is signed by the server.
 	IsValid bool
+	// Problem says why the answer isn't valid, empty if it is.
+	Problem string
 	Body    io.ReadCloser
 	// WriteHeader forwards the status and headers to the client.
 	WriteHeader func() error
--- a/delivery/plain.go
+++ b/delivery/plain.go
@@ -6,6 +6,8 @@
 	"io"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"lycheecrank.example/backend"
 	"lycheecrank.example/request"
 	"lycheecrank.example/rollout"
@@ -125,7 +127,7 @@
 	}
 	if !answer.IsValid {
 		_ = answer.Body.Close()
-		return answer, nil, ErrNoValidAnswer
+		return answer, nil, eris.Wrap(ErrNoValidAnswer, answer.Problem)
 	}
 	body, err := answer.buffer()
 	if err != nil {
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -172,7 +172,7 @@
 		router.OnRunEnd(routed.pool.Name, placement.Server, routed.attempt.ID, preparation.RunRefused)
 		return s.retryNotRun(ctx, placement.Server, request.Refuse(request.ReasonQueueFull, "engine is full").WithRetryAfter(fullRetryAfter))
 	case !answer.IsValid:
-		return s.retryBroken(ctx, current, ErrNoValidAnswer)
+		return s.retryBroken(ctx, current, eris.Wrap(ErrNoValidAnswer, answer.Problem))
 	case !answer.isSuccess():
 		router.recordRun(routed, current, answer.Status >= 500)
 		if answer.Status >= 500 && s.mayRetryOldVersion(ctx, server) {
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -215,6 +215,7 @@
 	i.seeds.Store(&settings.Seeds)
 	i.grace.Store(int64(settings.DrainGrace))
 	i.stopSchedule.Store(&drain.Schedule{})
+	i.feeds.OnLate = func(_ string, late feed.Record) { i.Logger.Write(event.LateEntryIgnored, late.Key, late.Offset) }
 	i.feeds.AddStream(platform.ServerStream, platform.IsSameServer, platform.ServerVersion)
 	i.assemble()
 	return i
--- a/entry/lapse.go
+++ b/entry/lapse.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lycheecrank.example/event"
 	"lycheecrank.example/platform"
 )
 
@@ -55,7 +56,19 @@
 	if stream != platform.ServerStream || confirmedAt.IsZero() || time.Since(confirmedAt) <= unavailableAge {
 		return
 	}
-	if max(i.readFailedAt.Load(), i.reportedFailureAt.Load()) > i.instant(confirmedAt) {
-		i.lapseGraceUntil.Store(i.instant(time.Now().Add(lapseGrace)))
+	now := time.Now()
+	own, reported := i.readFailedAt.Load(), i.reportedFailureAt.Load()
+	isStarted := max(own, reported) > i.instant(confirmedAt)
+	if isStarted {
+		i.lapseGraceUntil.Store(i.instant(now.Add(lapseGrace)))
 	}
+	i.Logger.Write(event.LapseDecided, now.Sub(confirmedAt).Milliseconds(), i.sinceInstantMs(own, now), i.sinceInstantMs(reported, now), isStarted)
+}
+
+// sinceInstantMs returns the time since an instant in milliseconds, or -1 for none.
+func (i *Instance) sinceInstantMs(instant int64, now time.Time) int64 {
+	if instant == 0 {
+		return -1
+	}
+	return time.Duration(i.instant(now) - instant).Milliseconds()
 }
--- a/entry/lapse_test.go
+++ b/entry/lapse_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -75,8 +76,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				i := New(platform.Settings{Name: "n1", DataCentre: "a", PeerAddress: "n1:1"}, io.Discard)
-				defer func() { is.NoErr(i.Logger.Close()) }()
+				var log bytes.Buffer
+				i := New(platform.Settings{Name: "n1", DataCentre: "a", PeerAddress: "n1:1"}, &log)
 				i.SinceBoot = func() time.Duration { return time.Since(i.startedAt) }
 				i.lastBreak()
 				time.Sleep(time.Second)
@@ -85,6 +86,8 @@
 				i.addRead(platform.ServerStream, []feed.Record{{Key: "s1", Offset: 2, IsRemoved: true}}, 3, time.Now())
 				_, isUsable := i.fleet.Queries().Server("s1", time.Now())
 				is.Equal(isUsable, c.isLapse)
+				is.NoErr(i.Logger.Close())
+				is.Equal(strings.Contains(log.String(), `"isStarted":true`), c.isLapse)
 			})
 		})
 	}
--- a/entry/late_entry_test.go
+++ b/entry/late_entry_test.go
@@ -66,6 +66,8 @@
 			t.Parallel()
 			is := is.New(t)
 			i := newIdleInstance(1)
+			late := 0
+			i.feeds.OnLate = func(string, feed.Record) { late++ }
 			for n, step := range steps {
 				add(i, feed.Record{Key: "s1", Offset: uint64(n + 1), Value: []byte(step.value), IsRemoved: step.value == ""})
 				if _, isUsable := i.fleet.Queries().Server("s1", time.Now()); isUsable != step.isUsable {
@@ -73,6 +75,7 @@
 				}
 			}
 			is.Equal(i.feeds.Queries().State(platform.ServerStream).End, uint64(len(steps)+1))
+			is.Equal(late, 5)
 		})
 	}
 }
--- a/event/events.go
+++ b/event/events.go
@@ -66,6 +66,8 @@
 	PoolDepth                 = Event{507, log.InfoLevel, "pool depth", []string{"pool", "waiting", "servers", "busy", "delayMs", "roomTaken", "jobs"}, "The load of a stage pool, logged once a second by the coordinator while pieces wait or calls run there; delayMs is the expected delay, roomTaken the used share of the result memory of the servers from 0 to 1, and jobs the number of requests that the coordinator prepares for all pools."}
 	ServerPaused              = Event{508, log.InfoLevel, "backend server paused", []string{"backendServer", "ms"}, "A backend server turned a request away and wants no more of this instance for ms; the instance sends it none until then."}
 	EnginePool                = Event{509, log.InfoLevel, "engine pool", []string{"pool", "engines", "running", "pendingTokens", "slowestTokensPerMs", "medianTokensPerMs", "fastestTokensPerMs", "memoryShare"}, "The engines of a pool according to the coordinator, logged once a second while requests run there: running requests, prompt tokens that have to be prefilled, the expected prefill speeds of the engines, and the largest share of an engine's memory that its requests may need."}
+	LapseDecided              = Event{510, log.InfoLevel, "lapse decided", []string{"ageMs", "ownFailureMs", "reportedFailureMs", "isStarted"}, "The copy of the registrations of backend servers was updated when it was ageMs old. If isStarted is true, those that are removed in the next two seconds count as lapsed, because a read of the store failed since the copy was confirmed; ownFailureMs and reportedFailureMs are the times since the last one of this instance and of another, -1 for none. An old copy without such a failure is no evidence that the store was unavailable."}
+	LateEntryIgnored          = Event{511, log.InfoLevel, "late entry ignored", []string{"backendServer", "offset"}, "The store has executed a write of the registration of a backend server after a newer one; the older one is ignored."}
 	OwnershipAcquired         = Event{601, log.InfoLevel, "ownership taken", []string{"pool", "dataCentre", "term"}, "This instance has acquired a pool of its data centre and dispatches for it."}
 	OwnershipLost             = Event{602, log.WarnLevel, "ownership lost", []string{"pool", "dataCentre", "term"}, "Another instance has acquired the pool and dispatches for it."}
 	OwnershipReleased         = Event{604, log.InfoLevel, "ownership released", []string{"pool", "dataCentre", "term"}, "This instance is leaving and has released the pool."}
@@ -85,7 +87,7 @@
 		PeerConnected, PeerLost, PeerFrameRefused, CoordinatorChosen, SiteDivided,
 		RequestRefused, RequestFinished, ResultDropped, AttemptServed, AttemptFailed, ResultsRebuilt, RequestPlaced, RequestRejected, AttemptRetried, AnswerBroken,
 		PromptQuarantined, QuarantineEnded, QuarantineProbed, EngineCrashed, AttemptHedged,
-		ServerCold, ServerWarm, ServerLeaving, StageCallFailed, ServerListed, ServerUnlisted, PoolDepth, ServerPaused, EnginePool,
+		ServerCold, ServerWarm, ServerLeaving, StageCallFailed, ServerListed, ServerUnlisted, PoolDepth, ServerPaused, EnginePool, LapseDecided, LateEntryIgnored,
 		OwnershipAcquired, OwnershipLost, OwnershipReleased, OwnershipLeaseExpired,
 		ClaimUndecided, PrecedenceRecordsLost, DecisionRecordsNotSealed, DecisionRecords,
 	}
--- a/feed/commands.go
+++ b/feed/commands.go
@@ -46,6 +46,10 @@
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
 	state, fresh := next(c.table.states[stream])
+	for _, r := range state.late {
+		c.table.OnLate(stream, r)
+	}
+	state.late = nil
 	c.table.states[stream] = state.WithConfirmation(at)
 	if len(fresh) > 0 {
 		apply(fresh)
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -47,6 +47,9 @@
 	// ReadStart.
 	readEnd uint64
 	marks   []mark
+	// late are the records of the last change that were ignored: the store has executed
+	// them after a newer one of their key.
+	late []Record
 }
 
 // WithRecords returns the state with records added, with which it holds all records
@@ -55,7 +58,7 @@
 func (s State) WithRecords(records []Record, end uint64) (State, []Record) {
 	sorted := slices.Clone(records)
 	slices.SortStableFunc(sorted, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
-	var fresh []Record
+	var fresh, late []Record
 	changed := map[string]Record{}
 	for _, r := range sorted {
 		if s.VersionOf != nil && len(r.Value) > 0 {
@@ -71,6 +74,9 @@
 				// The removal came after the value.
 				changed[r.Key] = old.withRemoved(r)
 			}
+			if r.Offset > old.Offset && old.version.isNewerThan(r.version) {
+				late = append(late, r)
+			}
 			continue
 		}
 		if ok {
@@ -79,7 +85,7 @@
 		changed[r.Key] = r
 		fresh = append(fresh, r)
 	}
-	s.End = max(s.End, end)
+	s.End, s.late = max(s.End, end), late
 	if len(changed) == 0 {
 		return s, nil
 	}
--- a/feed/table.go
+++ b/feed/table.go
@@ -4,13 +4,17 @@
 
 // Table holds the copies of streams by name.
 type Table struct {
+	// OnLate is called with each record that is ignored because its value is older than
+	// that of a record before it. It is called under the lock. Set it before the first call.
+	OnLate func(stream string, late Record)
+
 	mu     *lock.Ranked
 	states map[string]State
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{mu: lock.New(lock.RankFeed, "feed"), states: map[string]State{}}
+	return &Table{OnLate: func(string, Record) {}, mu: lock.New(lock.RankFeed, "feed"), states: map[string]State{}}
 }
 
 // AddStream adds a stream. isEquivalent compares its values and versionOf orders them; see
