delivery: close the answer of a failed server before the next send

Cause: an answer with an error status that is retried stayed open until the attempt ended, with up to 1 MB buffered and a server that could send on.

Change: its body is closed before the request goes to the next server.

Evidence: TestRetriedAnswerIsClosed fails without the change.

--- a/delivery/buffer_test.go
+++ b/delivery/buffer_test.go
@@ -1,7 +1,9 @@
 package delivery
 
 import (
+	"context"
 	"io"
+	"strings"
 	"testing"
 	"testing/synctest"
 
@@ -40,3 +42,36 @@
 		is.Equal(len(r.sends), 1)
 	})
 }
+
+// closeRecorder is a body that records that it was closed.
+type closeRecorder struct {
+	io.Reader
+	isClosed bool
+}
+
+func (c *closeRecorder) Close() error {
+	c.isClosed = true
+	return nil
+}
+
+// Guards against an answer without end of a server that fails, which is kept while the
+// request is at the next server.
+func TestRetriedAnswerIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newTestRouter()
+		failed := &closeRecorder{Reader: strings.NewReader(strings.Repeat("x", maxBufferedBytes+1))}
+		r.script = []scriptedAnswer{{answer: Answer{Status: 500, IsValid: true}, body: failed}, okAnswer("found")}
+		r.OnAdmission = func(Admission) {}
+		send := r.send
+		attempt := r.attempt("/lookup/1")
+		attempt.Send = func(ctx context.Context, options ForwardOptions) (Answer, error) {
+			if len(r.sends) == 1 {
+				is.True(failed.isClosed)
+			}
+			return send(ctx, options)
+		}
+		is.True(r.Deliver(t.Context(), attempt).Failure == nil)
+		is.Equal(len(r.sends), 2)
+	})
+}
--- a/delivery/plain.go
+++ b/delivery/plain.go
@@ -81,6 +81,7 @@
 		}
 		mayRepeat := isNotRun || routed.route.IsRepeatable()
 		if isFailed && mayRepeat && reached < routed.route.MaxServers && ctx.Err() == nil && r.allowRetry(routed.attempt.ID, retryReason, result.Tries) {
+			exchanged.close()
 			continue
 		}
 		if isNotRun {
--- a/delivery/router_test.go
+++ b/delivery/router_test.go
@@ -144,6 +144,9 @@
 		t.done = ctx.Done()
 	}
 	a.Body = io.NopCloser(s.body)
+	if body, ok := s.body.(io.ReadCloser); ok {
+		a.Body = body
+	}
 	if s.isSilent {
 		a.Body = io.NopCloser(&silentBody{Reader: s.body, ctx: ctx})
 	}
