instance: check the answer of a request that outlasts the drain limit

The check passes on the code as it was. That the process exits before the answer is written was only read in the code; a scenario with real processes didn't reach the point (its requests never started at the server) and was dropped.

--- a/instance/settings_test.go
+++ b/instance/settings_test.go
@@ -222,8 +222,9 @@
 	n.stop()
 	s.await(setupBound, "not ready", func() bool { return !n.isReady() })
 	var senders sync.WaitGroup
+	verdict := ""
 	senders.Go(func() {
-		n.send(&callerv1.RunRequest{Workspace: "lab", Target: "status", TimeoutMs: 30_000})
+		verdict = verdictOf(n.send(&callerv1.RunRequest{Workspace: "lab", Target: "status", TimeoutMs: 30_000}))
 	})
 	s.await(config.Drain.BalancerLag, "a request is accepted during the balancer's lag", func() bool { return n.requestQueries.InFlight() == 1 })
 	err := <-n.done
@@ -232,6 +233,7 @@
 	is.True(took >= config.Drain.BalancerLag+config.Drain.Limit)             // Run waited for the lag and the limit
 	is.True(took < config.Drain.BalancerLag+config.Drain.Limit+setupBound/3) // Run didn't wait for the request
 	senders.Wait()
+	is.Equal(verdict, "may_have_run cancelled") // the caller got an answer before the connection was closed
 }
 
 func (n *node) isReady() bool {
