--- a/intaketest/process_test.go
+++ b/intaketest/process_test.go
@@ -104,7 +104,7 @@
 			{"name": "order", "host": "shop.example", "pathPrefix": "/endless/order/", "kind": "unsafe", "service": "registry", "maxAttempts": 1, "timeoutMs": 20000},
 			{"name": "chat", "host": "shop.example", "pathPrefix": "/endless/chat/", "kind": "streaming", "service": "models", "maxAttempts": 1, "timeoutMs": 20000, "targetLatencyMs": 5000},
 		},
-		"tenants":  []map[string]any{{"name": "parents", "apiKeys": []string{"key-1"}}},
+		"tenants": []map[string]any{{"name": "parents", "apiKeys": []string{"key-1"}}},
 		"services": []map[string]any{
 			{"name": "registry"},
 			{"name": "models", "engine": map[string]any{"slots": 4 * maxClients, "kvCapacity": 1 << 30, "kvTokenBytes": 100}},
