--- a/entry/lapse.go
+++ b/entry/lapse.go
@@ -62,7 +62,11 @@
 	if isStarted {
 		i.lapseGraceUntil.Store(i.instant(now.Add(lapseGrace)))
 	}
-	i.Logger.Write(event.LapseDecided, now.Sub(confirmedAt).Milliseconds(), i.sinceInstantMs(own, now), i.sinceInstantMs(reported, now), isStarted)
+	age := now.Sub(confirmedAt).Milliseconds()
+	if confirmedAt.Before(time.Unix(0, 0)) {
+		age = -1 // an instance that has no confirmed copy reports the largest age
+	}
+	i.Logger.Write(event.LapseDecided, age, i.sinceInstantMs(own, now), i.sinceInstantMs(reported, now), isStarted)
 }
 
 // sinceInstantMs returns the time since an instant in milliseconds, or -1 for none.
