--- a/entry/lapse.go
+++ b/entry/lapse.go
@@ -11,6 +11,10 @@
 // against the store. The read of a process that was frozen ends later.
 const maxFailureDelay = 200 * time.Millisecond
 
+// maxConfirmedAge is above the age of each copy that was ever confirmed. An instance without
+// a confirmed copy reports the largest possible age.
+const maxConfirmedAge = 365 * 24 * time.Hour
+
 // recordReadFailure records that the store was unavailable, after a read failed that was
 // sent at a time and after a number of breaks. A read that took longer than its timeout, or
 // during which this instance had a break, failed because this instance didn't run.
@@ -62,11 +66,11 @@
 	if isStarted {
 		i.lapseGraceUntil.Store(i.instant(now.Add(lapseGrace)))
 	}
-	age := now.Sub(confirmedAt).Milliseconds()
-	if confirmedAt.Before(time.Unix(0, 0)) {
-		age = -1 // an instance that has no confirmed copy reports the largest age
+	ageMs := now.Sub(confirmedAt).Milliseconds()
+	if ageMs > maxConfirmedAge.Milliseconds() {
+		ageMs = -1
 	}
-	i.Logger.Write(event.LapseDecided, age, i.sinceInstantMs(own, now), i.sinceInstantMs(reported, now), isStarted)
+	i.Logger.Write(event.LapseDecided, ageMs, i.sinceInstantMs(own, now), i.sinceInstantMs(reported, now), isStarted)
 }
 
 // sinceInstantMs returns the time since an instant in milliseconds, or -1 for none.
