entry: wait for events in the test of a planned stop

Change: it waits until the late orders are refused or run. The grace period is the default, so that the late lookup has 2 s in place of 0.2 s; routes have timeouts beyond it. Expected outcomes are unchanged.

--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -20,9 +20,6 @@
 	"lycheecrank.example/standin/site"
 )
 
-// stopGrace is the grace period of the instances that TestStopAnswersAllRequests stops.
-const stopGrace = 4500 * time.Millisecond
-
 // heldConnection is a connection of a client that sends its request later.
 type heldConnection struct {
 	net.Conn
@@ -69,18 +66,19 @@
 // that were opened before. It describes what became of each request.
 func playStop(t *testing.T, modify func(*Instance)) string {
 	s := newTestSite(t)
-	s.modify = func(i *Instance) {
-		i.grace.Store(int64(stopGrace))
-		if modify != nil {
-			modify(i)
-		}
+	for _, r := range s.routes {
+		r["timeoutMs"] = 20000 // later than the end of the grace period
 	}
+	s.configure()
+	s.modify = modify
 	s.start("n1")
 	n := s.instances[0]
 	outcomes := make([]string, 7)
 	var group errgroup.Group
-	await := func(row int, name, pool string, h heldConnection) {
+	await := func(row int, name, pool string, h heldConnection) <-chan struct{} {
+		done := make(chan struct{})
 		group.Go(func() error {
+			defer close(done)
 			status, err := h.status()
 			outcomes[row] = fmt.Sprintf("%s: status %d, cut off %v", name, status, errors.Is(err, errCutOff))
 			if s.hasRun(pool, h.id) {
@@ -88,6 +86,7 @@
 			}
 			return nil
 		})
+		return done
 	}
 	s.setFault("registry", site.Fault{Freezes: true})
 	s.setFault("models", site.Fault{Freezes: true})
@@ -116,11 +115,18 @@
 	_, _ = io.WriteString(slowBody, "met")
 	lateOrder.write("/order/4", "20000", "helmet")
 	lateStream.write("/draft/2", "20000", "helmet")
-	await(4, "late order", "registry", lateOrder)
 	await(5, "late stream", "models", lateStream)
-	pause(t.Context(), 200*time.Millisecond)
+	lateOrderDone := await(4, "late order", "registry", lateOrder)
+	s.waitFor("the late orders are refused or run", func() bool {
+		select {
+		case <-lateOrderDone:
+			return true
+		default:
+			return s.hasRun("registry", lateOrder.id) && s.hasRun("registry", slowBody.id)
+		}
+	})
 	s.setFault("registry", site.Fault{})
-	lateLookup.write("/lookup/1", "200", "helmet")
+	lateLookup.write("/lookup/1", "2000", "helmet")
 	await(6, "late lookup with a short deadline", "registry", lateLookup)
 	_ = group.Wait()
 	if err := <-n.done; err != nil {
