stage: don't take a server for overloaded because its answer is too large

Found in the reading of the diff: since an answer above the limit failed as serverCold, since connect uses the code of an overloaded server for its own limit. The server then counted as cold. A request that may not be repeated was still sent once, as its step counts as sent.

Change: an error of the limit, which didn't come from the server, is an invalid result.

Evidence: TestAnswerWithoutEnd checks the reason and fails without the change.

--- a/stage/endless_test.go
+++ b/stage/endless_test.go
@@ -78,18 +78,19 @@
 		name, contentType string
 		kind              request.Kind
 		next              func(n int) []byte
+		want              request.Reason
 	}{
-		{"body", "application/proto", request.Encode, func(int) []byte { return field }},
-		{"body that is no answer", "text/plain", request.Encode, func(int) []byte { return block }},
-		{"error", "application/json", request.Call, func(int) []byte { return block }},
+		{"body", "application/proto", request.Encode, func(int) []byte { return field }, request.ReasonResultInvalid},
+		{"body that is no answer", "text/plain", request.Encode, func(int) []byte { return block }, request.ReasonServerFailed},
+		{"error", "application/json", request.Call, func(int) []byte { return block }, request.ReasonServerFailed},
 		{"message of a stream", "application/connect+proto", request.Generate, func(n int) []byte {
 			if n == 0 {
 				return append(binary.BigEndian.AppendUint32([]byte{0}, 1<<31), block...)
 			}
 			return block
-		}},
-		{"pieces", "application/connect+proto", request.Generate, func(n int) []byte { return piece(step, uint32(n)) }},
-		{"pieces after a missing one", "application/connect+proto", request.Generate, func(n int) []byte { return piece(step, uint32(n+1)) }},
+		}, request.ReasonResultInvalid},
+		{"pieces", "application/connect+proto", request.Generate, func(n int) []byte { return piece(step, uint32(n)) }, request.ReasonResultInvalid},
+		{"pieces after a missing one", "application/connect+proto", request.Generate, func(n int) []byte { return piece(step, uint32(n+1)) }, request.ReasonResultInvalid},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -101,6 +102,7 @@
 			e := client.Execute(t.Context(), step, backend.Server{Spec: backend.Spec{Name: "b", Address: server.Listener.Addr().String()}}, nil)
 			is.True(e.Failure != nil)
 			is.True(e.Failure.Sent)
+			is.Equal(e.Failure.Reason, c.want)
 			limit := int64(maxAnswerBytes)
 			if c.kind == request.Generate {
 				limit = maxStreamBytes
--- a/stage/limit.go
+++ b/stage/limit.go
@@ -30,6 +30,12 @@
 // readLimit makes a call fail whose server sends a larger message.
 var readLimit = connect.WithReadMaxBytes(maxMessageBytes)
 
+// isTooLarge reports whether a call failed because the answer of the server exceeded a limit
+// of this client. Package connect uses the code of an overloaded server for that.
+func isTooLarge(err error) bool {
+	return errors.Is(err, errAnswerTooLarge) || connect.CodeOf(err) == connect.CodeResourceExhausted && !connect.IsWireError(err)
+}
+
 // boundedClient returns an HTTP client that ends the bodies of answers at their largest
 // size. The limit of package connect bounds the memory of a message, but reads on until the
 // server ends its answer.
--- a/stage/stage.go
+++ b/stage/stage.go
@@ -179,7 +179,7 @@
 func (c *call) failure(ctx context.Context, err error) request.Failure {
 	f := request.Failure{Reason: request.ReasonServerFailed, Detail: err.Error(), Sent: c.sent.Load(), Server: c.server.Name}
 	switch {
-	case errors.Is(err, errInvalidResult):
+	case errors.Is(err, errInvalidResult), isTooLarge(err):
 		f.Reason = request.ReasonResultInvalid
 	case errors.Is(err, errSinkFailed):
 		// The server is not at fault.
@@ -205,6 +205,6 @@
 	if !errors.As(err, &ce) {
 		return false
 	}
-	return ce.Code() == connect.CodeResourceExhausted ||
+	return ce.Code() == connect.CodeResourceExhausted && !isTooLarge(err) ||
 		(ce.Code() == connect.CodeUnavailable && strings.HasPrefix(ce.Message(), "cold"))
 }
