drain: log what unanswered attempts wait for in a shutdown

Cause: the logs couldn't tell late final answers, a handler that doesn't return and code without final answers apart; 103 had only the number of attempts that were cut off.

Change: package drain has a table of the unanswered attempts with what each waits for. Event 115 tells how late the process was for the final answers and how many attempts wait for what, 116 how long the answers took, 415 names each attempt that is cut off. The table replaces the counter of attempts in flight. No decision is changed.

--- a/entry/drain.go
+++ b/entry/drain.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lycheecrank.example/delivery"
+	"lycheecrank.example/drain"
 	"lycheecrank.example/event"
 )
 
@@ -48,14 +49,27 @@
 			break
 		}
 	}
+	i.logAnswersDue(schedule)
+	dueAt := time.Now()
 	stopAttempts(delivery.ErrStopping)
-	remaining := int64(0)
+	var cutOff []drain.Attempt
 	if err := front.Shutdown(ctx); err != nil {
-		remaining = i.attemptLog.inFlight.Load()
+		cutOff = i.attempts.Queries().Attempts()
 		_ = front.Close()
 	}
+	i.Logger.Write(event.AnswersWritten, time.Since(dueAt).Milliseconds(), len(cutOff))
+	for _, a := range cutOff {
+		i.Logger.Write(event.AttemptCutOff, a.ID, a.Phase.String(), time.Since(a.ArrivedAt).Milliseconds())
+	}
 	i.passOnQuarantine(ctx)
-	i.Logger.Write(event.Stopped, remaining)
+	i.Logger.Write(event.Stopped, len(cutOff))
+}
+
+// logAnswersDue logs how many attempts get a final answer, and what they wait for.
+func (i *Instance) logAnswersDue(schedule drain.Schedule) {
+	counts := i.attempts.Queries().Counts()
+	i.Logger.Write(event.AnswersDue, time.Since(schedule.AnswerBy).Milliseconds(), counts[drain.Reading], counts[drain.Waiting],
+		counts[drain.Sent], counts[drain.Answering], i.openConnections.Load())
 }
 
 // countConnections counts the connections of clients by their changes of state.
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -125,6 +125,8 @@
 	leavingAt atomic.Int64
 	// stopSchedule is the zero value until the instance begins to shut down.
 	stopSchedule atomic.Pointer[drain.Schedule]
+	// attempts holds the unanswered attempts of clients.
+	attempts *drain.Table
 	// openConnections is the number of connections of clients.
 	openConnections atomic.Int64
 	// lapseGraceUntil is the end of the period in which a removed server entry counts
@@ -196,6 +198,7 @@
 		quarantineWrites:   make(chan string, maxQuarantineWrites),
 		startedAt:          time.Now(),
 		breaks:             newBreakMonitor(),
+		attempts:           drain.NewTable(),
 		latencies:          newHistograms(),
 		refusals:           counter.NewSet("refusals"),
 		retries:            counter.NewSet("retries"),
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -133,7 +133,7 @@
 		ReachableInstances:   len(view.Reachable(now)),
 		Servers:              i.fleet.Queries().States(now),
 		InPreparation:        i.coordinator.Queries().JobCount(),
-		InFlight:             i.attemptLog.inFlight.Load(),
+		InFlight:             int64(i.attempts.Queries().Count()),
 		Engines:              i.engineStatuses(now),
 		Quarantine:           i.quarantine.Queries().Statuses(now),
 		Rollouts:             i.rollouts.Queries().Statuses(now),
--- a/entry/report.go
+++ b/entry/report.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -17,13 +16,10 @@
 	logInterval    = time.Second
 )
 
-// attemptLog counts the attempts of clients in progress and limits the log lines about
-// served attempts.
+// attemptLog limits the log lines about served attempts.
 type attemptLog struct {
 	logger *event.Logger
 	served atomic.Int64
-	// inFlight is the number of attempts in progress.
-	inFlight atomic.Int64
 }
 
 func newAttemptLog(logger *event.Logger) *attemptLog { return &attemptLog{logger: logger} }
@@ -62,15 +58,6 @@
 	return nil
 }
 
-// countInFlight returns a handler that counts the attempts in progress.
-func (l *attemptLog) countInFlight(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		l.inFlight.Add(1)
-		defer l.inFlight.Add(-1)
-		next.ServeHTTP(w, req)
-	})
-}
-
 // recordLatency adds an attempt to the histograms of its route, if it has a route.
 func (i *Instance) recordLatency(attempt delivery.Attempt, result delivery.Result) {
 	if result.Route == "" {
--- a/entry/run.go
+++ b/entry/run.go
@@ -120,10 +120,10 @@
 // frontServer serves clients. The contexts of their requests derive from attempts.
 func (i *Instance) frontServer(attempts context.Context) *http.Server {
 	return i.frontend.Attach(&http.Server{
-		Handler: i.attemptLog.countInFlight(&platform.ClientHandler{
+		Handler: &platform.ClientHandler{
 			Router: i.delivery, Backends: i.backendClient, Routes: i.routes.Queries(),
-			IsLeaving: i.isLeaving, OnResult: i.reportAttempt, Frontend: i.frontend,
-		}),
+			IsLeaving: i.isLeaving, OnResult: i.reportAttempt, Frontend: i.frontend, Attempts: i.attempts.Commands(),
+		},
 		BaseContext:       func(net.Listener) context.Context { return attempts },
 		ConnState:         i.countConnections,
 		ReadHeaderTimeout: headerReadTimeout,
--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -396,7 +396,7 @@
 	is.Equal(status, 200) // clients that still connect are served
 	is.Equal(header.Get("Connection"), "close")
 	is.NoErr(<-leaving.done)
-	is.Equal(leaving.attemptLog.inFlight.Load(), int64(0))
+	is.Equal(leaving.attempts.Queries().Count(), 0)
 	is.NoErr(group.Wait())
 	for range 4 {
 		is.Equal(<-answers, "200 "+wholeStream())
--- a/event/events.go
+++ b/event/events.go
@@ -23,6 +23,8 @@
 	IntakeShort               = Event{112, log.WarnLevel, "memory for requests short", []string{"usedBytes", "memoryBytes"}, "The memory for bodies and answers is in use, and requests wait for it; logged once per shortage. memoryBytes is the part of the memory of the process that requests get, see docs/design/intake.md."}
 	IntakeRecovered           = Event{113, log.InfoLevel, "memory for requests available", []string{"ms", "waited", "refused", "shed"}, "No request waits for memory any more; ms is the length of the shortage, waited, refused and shed are numbers of requests in it."}
 	RequestShed               = Event{114, log.WarnLevel, "request shed", []string{"client", "class", "phase", "heldBytes", "bytesPerS"}, "A request held memory that others waited for, and its client made no progress: it was refused while its body was received (503), or its connection was closed while its answer was sent. At most five in 50 ms are logged; the counter has all."}
+	AnswersDue                = Event{115, log.InfoLevel, "answers due", []string{"lateMs", "reading", "waiting", "sent", "answering", "connections"}, "An instance that shuts down gives the attempts of clients that are still unanswered a final answer, lateMs after the time planned for this, or before it if lateMs is negative. The attempts are counted by what they wait for: the rest of the body, a server, the answer of a server, the rest of an answer; connections is the number of connections of clients."}
+	AnswersWritten            = Event{116, log.InfoLevel, "answers written", []string{"ms", "unanswered"}, "The final answers of a shutdown are written; ms is the time since 115, and unanswered the number of attempts whose connections are closed without an answer or in its middle, see 415."}
 	InstanceListUnavailable   = Event{104, log.WarnLevel, "instance list unavailable", []string{"error"}, "The platform's list of instances could not be read; the last list stays in use."}
 	CatalogueApplied          = Event{201, log.InfoLevel, "catalogue adopted", []string{"revision", "entries", "source"}, "A newer revision of the catalogue is in force on this instance."}
 	CatalogueEditRefused      = Event{202, log.InfoLevel, "catalogue edit refused", []string{"offset", "author", "verdict", "detail"}, "An edit in the log was refused; every instance comes to the same verdict."}
@@ -56,6 +58,7 @@
 	QuarantineEnded           = Event{412, log.InfoLevel, "quarantine ended", []string{"parts", "succeeded", "generation"}, "Requests with all of these parts are served again, because requests with the parts in succeeded have succeeded, here or at another instance. If some parts are left, 411 follows for these. generation counts the ends for the same parts."}
 	QuarantineProbed          = Event{413, log.InfoLevel, "quarantine probed", []string{"request", "parts"}, "The coordinator admits one request with quarantined parts to find out whether it still crashes its engine."}
 	EngineCrashed             = Event{414, log.WarnLevel, "engine crashed", []string{"request", "backendServer", "dataCentre", "parts"}, "An engine broke off an answer that had just begun; parts are the parts of the prompt that other requests may share, of which one may be the cause. See 411."}
+	AttemptCutOff             = Event{415, log.WarnLevel, "attempt cut off", []string{"request", "waitedFor", "ms"}, "The connection of an unanswered attempt is closed because the process must exit. waitedFor is reading, waiting (for a server), sent or answering, and ms the time since the attempt arrived."}
 	AttemptHedged             = Event{419, log.InfoLevel, "attempt hedged", []string{"request", "route", "backendServer", "second", "afterMs", "ms", "result"}, "The first send of a request, to backendServer, was late after afterMs, so the request was sent to a second server while the first send was outstanding. result is won if the answer of the second server counts, lost if that of the first does, and failed if neither answered the request; ms is the time since the first send."}
 	ServerCold                = Event{501, log.WarnLevel, "backend server cold", []string{"backendServer", "reason"}, "A backend server is treated as cold and gets no more than its cold limit."}
 	ServerWarm                = Event{502, log.InfoLevel, "backend server warm", []string{"backendServer"}, "A backend server has reached its full limit."}
@@ -81,12 +84,12 @@
 // All returns every event by number.
 func All() []Event {
 	return []Event{
-		Started, Leaving, Stopped, InstanceListUnavailable, EntryStarted, ResumedAfterBreak, MetricsUnavailable, LogLinesDropped, SettingsApplied, SettingsRefused, SteppedDown, IntakeShort, IntakeRecovered, RequestShed,
+		Started, Leaving, Stopped, InstanceListUnavailable, EntryStarted, ResumedAfterBreak, MetricsUnavailable, LogLinesDropped, SettingsApplied, SettingsRefused, SteppedDown, IntakeShort, IntakeRecovered, RequestShed, AnswersDue, AnswersWritten,
 		CatalogueApplied, CatalogueEditRefused, LogUnavailable, LogRecordUnreadable, CatalogueSnapshotAppended, LogAvailable, ConfigurationApplied, EvacuationChanged, ConfigurationError, ConfigurationWarning,
 		RolloutOrdered, RolloutDecided, RolloutChanged,
 		PeerConnected, PeerLost, PeerFrameRefused, CoordinatorChosen, SiteDivided,
 		RequestRefused, RequestFinished, ResultDropped, AttemptServed, AttemptFailed, ResultsRebuilt, RequestPlaced, RequestRejected, AttemptRetried, AnswerBroken,
-		PromptQuarantined, QuarantineEnded, QuarantineProbed, EngineCrashed, AttemptHedged,
+		PromptQuarantined, QuarantineEnded, QuarantineProbed, EngineCrashed, AttemptCutOff, AttemptHedged,
 		ServerCold, ServerWarm, ServerLeaving, StageCallFailed, ServerListed, ServerUnlisted, PoolDepth, ServerPaused, EnginePool, LapseDecided, LateEntryIgnored,
 		OwnershipAcquired, OwnershipLost, OwnershipReleased, OwnershipLeaseExpired,
 		ClaimUndecided, PrecedenceRecordsLost, DecisionRecordsNotSealed, DecisionRecords,
--- a/lock/lock.go
+++ b/lock/lock.go
@@ -26,6 +26,7 @@
 	RankPrecedence  = 80
 	RankPeer        = 85
 	RankIntake      = 87
+	RankDrain       = 88
 	RankCounter     = 90
 	RankEvent       = 95
 )
