--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -77,7 +78,7 @@
 	}
 	req.Host = "shop.example"
 	for name, value := range map[string]string{
-		"Attempt-Id": id, "Authorization": "Token " + key, "Deadline-Ms": "4000", "Pieces": "1,2", "Piece-Key": "k",
+		"Attempt-Id": id, "Authorization": "Token " + key, "Deadline-Ms": strconv.FormatInt(max(4*time.Second, s.orderTimeout).Milliseconds(), 10), "Pieces": "1,2", "Piece-Key": "k",
 		"Token-Usage": "100,50", "Prompt-Prefix": promptOf(id), "Tenant": "forged",
 	} {
 		req.Header.Set(name, value)
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -33,6 +33,8 @@
 	// all have beside key-1.
 	version int
 	key     string
+	// orderTimeout is the timeout of orders.
+	orderTimeout time.Duration
 	// starts counts the starts of each worker.
 	starts map[string]int
 	// faults tells what was done and when, for the report.
@@ -41,7 +43,7 @@
 }
 
 func newSoakSite(ctx context.Context, t *testing.T, instances int) *soakSite {
-	s := &soakSite{t: t, store: site.NewStore(), workers: map[string]*site.Worker{}, links: map[string]*link.Link{}, starts: map[string]int{}, began: time.Now(), key: "key-0"}
+	s := &soakSite{t: t, store: site.NewStore(), workers: map[string]*site.Worker{}, links: map[string]*link.Link{}, starts: map[string]int{}, began: time.Now(), key: "key-0", orderTimeout: 2 * time.Second}
 	t.Cleanup(s.close)
 	for _, pool := range pools {
 		for n := range 2 {
@@ -129,7 +131,7 @@
 	s.store.PutJSON(platform.OperatorStream, platform.ConfigurationKey, map[string]any{
 		"version": s.version,
 		"routes": []map[string]any{
-			{"name": "order", "host": "shop.example", "pathPrefix": "/order/", "kind": "unsafe", "service": "registry", "maxAttempts": 1, "timeoutMs": 2000},
+			{"name": "order", "host": "shop.example", "pathPrefix": "/order/", "kind": "unsafe", "service": "registry", "maxAttempts": 1, "timeoutMs": s.orderTimeout.Milliseconds()},
 			{"name": "lookup", "host": "shop.example", "pathPrefix": "/lookup/", "kind": "safe", "service": "registry", "maxAttempts": 2, "timeoutMs": 2000},
 			{
 				"name": "draft", "host": "shop.example", "pathPrefix": "/draft/", "kind": "streaming", "service": "models", "maxAttempts": 2,
