drain: close connections when their requests are answered, not at a time

What callers saw: in a planned stop, requests that were unanswered near the end of the grace period got neither an answer nor a refusal.

Cause: the connections were closed 0.4 s before the end, 0.3 s after the final answers fell due, whether these were written or not. A process that ran late by that time closed them with requests on them, though it had 0.4 s left.

Change: the instance closes when no attempt is unanswered, and at the latest 0.15 s before the end of the grace period. The upkeep of its tables ends before the final answers, so that these get the processor; the exit, the close of the connections to other instances and the write of the log included, ends 0.05 s before the end.

--- a/drain/schedule.go
+++ b/drain/schedule.go
@@ -10,12 +10,14 @@
 	// with any deadline: the balancer checks readiness once a second and stops sending
 	// clients after two failed checks.
 	BalancerLag = 2800 * time.Millisecond
-	// exitReserve is the part of the grace period that is reserved for the exit of the
-	// process.
-	exitReserve = 400 * time.Millisecond
-	// answerReserve is the part of the grace period before exitReserve in which the
-	// requests that are still unanswered get a final answer.
-	answerReserve = 300 * time.Millisecond
+	// answerReserve is the part at the end of the grace period in which the requests that
+	// are still unanswered get a final answer.
+	answerReserve = 700 * time.Millisecond
+	// closeReserve is the part at the end of the grace period in which connections are
+	// closed whose requests are still unanswered, and exitReserve the part in which the
+	// process waits for nothing any more.
+	closeReserve = 150 * time.Millisecond
+	exitReserve  = 50 * time.Millisecond
 )
 
 // Schedule holds the times of a shutdown. It is an immutable value. The zero value is the
@@ -25,8 +27,10 @@
 	AdmitAllUntil time.Time
 	// AnswerBy is when the requests that are still unanswered get a final answer.
 	AnswerBy time.Time
-	// CloseBy is when the connections that are still open are closed.
+	// CloseBy is when connections are closed although their requests are unanswered.
 	CloseBy time.Time
+	// ExitBy is when the process exits, whatever hasn't ended.
+	ExitBy time.Time
 }
 
 // NewSchedule returns the schedule of a shutdown that begins at a time, after which the
@@ -34,8 +38,9 @@
 func NewSchedule(at time.Time, grace time.Duration) Schedule {
 	return Schedule{
 		AdmitAllUntil: at.Add(BalancerLag),
-		AnswerBy:      at.Add(max(0, grace-exitReserve-answerReserve)),
-		CloseBy:       at.Add(max(0, grace-exitReserve)),
+		AnswerBy:      at.Add(max(0, grace-answerReserve)),
+		CloseBy:       at.Add(max(0, grace-closeReserve)),
+		ExitBy:        at.Add(max(0, grace-exitReserve)),
 	}
 }
 
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -20,10 +20,11 @@
 )
 
 // drain shuts the instance down within its grace period, by a schedule of package drain,
-// and passes on what its requests have shown of crashes. Clients that are connected get an
-// answer to each request: http.Server.Shutdown, which closes their connections after it has
-// read a request, is only called at the end.
-func (i *Instance) drain(front *http.Server, listener net.Listener, stopAttempts context.CancelCauseFunc) {
+// and passes on what its requests have shown of crashes. It ends the upkeep of the tables
+// before the final answers, so that these get the processor. Clients that are connected get
+// an answer to each request: http.Server.Shutdown, which closes their connections after it
+// has read a request, is only called at the end.
+func (i *Instance) drain(front *http.Server, listener net.Listener, stopUpkeep context.CancelFunc, stopAttempts context.CancelCauseFunc) drain.Schedule {
 	grace := time.Duration(i.grace.Load())
 	if grace <= 0 {
 		grace = defaultGrace
@@ -51,18 +52,24 @@
 	}
 	i.logAnswersDue(schedule)
 	dueAt := time.Now()
+	stopUpkeep()
 	stopAttempts(delivery.ErrStopping)
-	var cutOff []drain.Attempt
-	if err := front.Shutdown(ctx); err != nil {
-		cutOff = i.attempts.Queries().Attempts()
-		_ = front.Close()
+	for i.attempts.Queries().Count() > 0 {
+		if !pause(ctx, connectionCheckInterval) {
+			break
+		}
 	}
+	cutOff := i.attempts.Queries().Attempts()
 	i.Logger.Write(event.AnswersWritten, time.Since(dueAt).Milliseconds(), len(cutOff))
 	for _, a := range cutOff {
 		i.Logger.Write(event.AttemptCutOff, a.ID, a.Phase.String(), time.Since(a.ArrivedAt).Milliseconds())
 	}
+	if err := front.Shutdown(ctx); err != nil {
+		_ = front.Close()
+	}
 	i.passOnQuarantine(ctx)
 	i.Logger.Write(event.Stopped, len(cutOff))
+	return schedule
 }
 
 // logAnswersDue logs how many attempts get a final answer, and what they wait for.
--- a/entry/run.go
+++ b/entry/run.go
@@ -18,9 +18,9 @@
 )
 
 const (
-	// exitTimeout bounds the wait for the tasks of the instance to end. On a slow
-	// machine, processes were killed at the end of the grace period while a task still
-	// waited for a reply.
+	// exitTimeout bounds the wait for the tasks of the instance to end, and that for its
+	// log to be written. On a slow machine, processes were killed at the end of the grace
+	// period while a task still waited for a reply.
 	exitTimeout = 300 * time.Millisecond
 	// idleTimeout is how long an idle client connection stays open. It is longer than
 	// any idle time that operators may set.
@@ -43,6 +43,8 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var group errgroup.Group
+	upkeep, stopUpkeep := context.WithCancel(work)
+	defer stopUpkeep()
 	attempts, stopAttempts := context.WithCancelCause(work)
 	defer stopAttempts(nil)
 	front, ready := i.frontServer(attempts), i.readyServer()
@@ -52,18 +54,26 @@
 	i.startMetrics(work, &group)
 	for _, task := range []func(context.Context) error{
 		i.runHeartbeats, i.runFetches, i.runOperators, i.runServers, i.runRegistration, i.runReload, i.runServerSync, i.runDepthLog,
-		i.runRollouts, i.runJudging, i.runQuarantineReads, i.runQuarantineWrites,
-		i.coordinator.Run, i.notices.run, i.attemptLog.run, i.configurationLog.run, i.decisions.run, i.intake.Run,
+		i.runRollouts, i.runJudging, i.runQuarantineReads, i.runQuarantineWrites, i.attemptLog.run, i.configurationLog.run,
 	} {
+		group.Go(func() error { return task(upkeep) })
+	}
+	for _, task := range []func(context.Context) error{i.coordinator.Run, i.notices.run, i.decisions.run, i.intake.Run} {
 		group.Go(func() error { return task(work) })
 	}
 	i.Logger.Write(event.EntryStarted, Version, i.Settings.ClientAddress, i.Settings.PeerAddress, i.Settings.DataCentre)
 	<-ctx.Done()
-	i.drain(front, listeners.front, stopAttempts)
+	schedule := i.drain(front, listeners.front, stopUpkeep, stopAttempts)
 	_ = ready.Close()
 	stop()
-	i.client.Close()
-	return errors.Join(waitWithTimeout(&group, exitTimeout), i.Logger.Close())
+	var closing, logging errgroup.Group
+	closing.Go(func() error {
+		i.client.Close()
+		return group.Wait()
+	})
+	err = waitWithTimeout(&closing, min(exitTimeout, time.Until(schedule.ExitBy)))
+	logging.Go(i.Logger.Close)
+	return errors.Join(err, waitWithTimeout(&logging, min(exitTimeout, time.Until(schedule.ExitBy))))
 }
 
 // waitWithTimeout waits for a group to end and returns its error. If the group is still
