frontend: close no idle connection from which a request is being read

What callers saw: in a planned stop, an order on a kept connection was passed on to a server, and the connection was closed 3 ms before with no answer.

Cause: net/http takes a connection for idle until it has parsed the head of the next request. SetKeepAlivesEnabled(false), Shutdown, and the replacement of an idle connection for a new one close it in that time; the request, which has been read, is served nevertheless.

Change: a connection decides by one state between the first byte of a request and the close as idle. A shutdown closes idle connections by this rule and needs neither SetKeepAlivesEnabled nor Shutdown. A request that was read from a connection that has been closed since, as by Shutdown in serve or when the limit of connections is reached, is not served.

--- a/entry/drain.go
+++ b/entry/drain.go
@@ -17,13 +17,16 @@
 	// connectionCheckInterval is how often an instance that shuts down checks whether
 	// clients are still connected.
 	connectionCheckInterval = 10 * time.Millisecond
+	// firstRequestTime is how long a connection without a request is kept open after the
+	// listener was closed.
+	firstRequestTime = 5 * time.Second
 )
 
 // drain shuts the instance down within its grace period, by a schedule of package drain,
 // and passes on what its requests have shown of crashes. It ends the upkeep of the tables
 // before the final answers, so that these get the processor. Clients that are connected get
-// an answer to each request: http.Server.Shutdown, which closes their connections after it
-// has read a request, is only called at the end.
+// an answer to each request, which http.Server.Shutdown doesn't guarantee: it closes
+// connections from which a request is being read.
 func (i *Instance) drain(front *http.Server, listener net.Listener, stopUpkeep context.CancelFunc, stopAttempts context.CancelCauseFunc) drain.Schedule {
 	grace := time.Duration(i.grace.Load())
 	if grace <= 0 {
@@ -43,9 +46,8 @@
 	i.unregister(answering)
 	pause(answering, time.Until(schedule.AdmitAllUntil))
 	_ = listener.Close()
-	// Closes idle connections, and the others after their next answer.
-	front.SetKeepAlivesEnabled(false)
 	for i.openConnections.Load() > 0 {
+		i.frontend.CloseIdle(time.Now().Add(-firstRequestTime))
 		if !pause(answering, connectionCheckInterval) {
 			break
 		}
@@ -54,7 +56,8 @@
 	dueAt := time.Now()
 	stopUpkeep()
 	stopAttempts(delivery.ErrStopping)
-	for i.attempts.Queries().Count() > 0 {
+	for i.openConnections.Load() > 0 {
+		i.frontend.CloseIdle(time.Now())
 		if !pause(ctx, connectionCheckInterval) {
 			break
 		}
@@ -64,9 +67,7 @@
 	for _, a := range cutOff {
 		i.Logger.Write(event.AttemptCutOff, a.ID, a.Phase.String(), time.Since(a.ArrivedAt).Milliseconds())
 	}
-	if err := front.Shutdown(ctx); err != nil {
-		_ = front.Close()
-	}
+	_ = front.Close()
 	i.passOnQuarantine(ctx)
 	i.Logger.Write(event.Stopped, len(cutOff))
 	return schedule
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -39,6 +39,10 @@
 // past is a deadline that ends a read at once.
 var past = time.Unix(1, 0)
 
+// ErrClosed is the error of a request that was read from a connection which has been closed
+// since. It must not be served: its client wouldn't get the answer.
+var ErrClosed = errors.New("connection was closed while a request was read")
+
 // Frontend connects servers to an account. Create it with New.
 type Frontend struct {
 	account    intake.Commands
@@ -62,10 +66,19 @@
 	}
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		if counted, ok := c.(*conn); ok {
-			return context.WithValue(ctx, connectionKey{}, counted.Connection)
+			return context.WithValue(ctx, connectionKey{}, counted)
 		}
 		return ctx
 	}
+	report := server.ConnState
+	server.ConnState = func(n net.Conn, state http.ConnState) {
+		if counted, ok := n.(*conn); ok && state == http.StateIdle {
+			counted.endRequest()
+		}
+		if report != nil {
+			report(n, state)
+		}
+	}
 	return server
 }
 
@@ -77,13 +90,27 @@
 	return &listener{Listener: l, account: f.account, class: class}
 }
 
-// Begin adds a request to the account. The request must be ended.
+// Begin adds a request to the account. The request must be ended. The error is ErrClosed,
+// or that of intake.Connection.Begin.
 func (f *Frontend) Begin(r *http.Request) (*intake.Request, error) {
 	if f == nil {
 		return nil, nil
 	}
-	connection, _ := r.Context().Value(connectionKey{}).(*intake.Connection)
-	return connection.Begin(r.Context(), time.Now())
+	counted, ok := r.Context().Value(connectionKey{}).(*conn)
+	switch {
+	case !ok:
+		return nil, nil
+	case !counted.startRequest():
+		return nil, ErrClosed
+	}
+	return counted.Connection.Begin(r.Context(), time.Now())
+}
+
+// CloseIdle closes the connections of clients that have no request, except those that have
+// had none yet and were opened at or after a time. Unlike http.Server.Shutdown, it closes
+// none from which a part of a request was read.
+func (f *Frontend) CloseIdle(openedBefore time.Time) {
+	f.account.CloseIdle(intake.Clients, openedBefore)
 }
 
 // Track adds a request in a phase without memory to a connection of a listener of Listen.
@@ -122,62 +149,13 @@
 			return n, nil
 		}
 		c := &conn{TCPConn: tcp, account: l.account}
-		if c.Connection, ok = l.account.Connect(l.class, n.RemoteAddr().String(), c.interrupt, time.Now()); ok {
+		if c.Connection, ok = l.account.Connect(l.class, n.RemoteAddr().String(), c.interrupt, c.closeIdle, time.Now()); ok {
 			return c, nil
 		}
 		_ = n.Close()
 	}
 }
 
-// conn is a counted connection. It embeds the TCP connection, so that net/http finds its
-// optional methods.
-type conn struct {
-	*net.TCPConn
-	*intake.Connection
-	account intake.Commands
-}
-
-// interrupt ends what the connection does. While a body is received, the read fails, so
-// that the handler can refuse the request.
-func (c *conn) interrupt(phase intake.Phase) {
-	if phase == intake.Receiving {
-		_ = c.SetReadDeadline(past)
-		return
-	}
-	_ = c.TCPConn.Close()
-}
-
-// Read counts the bytes read as progress.
-func (c *conn) Read(data []byte) (int, error) {
-	n, err := c.TCPConn.Read(data)
-	c.AddMoved(n)
-	return n, err
-}
-
-// maxWriteBytes is the size of a write after which its progress is counted.
-const maxWriteBytes = 64 << 10
-
-// Write counts the bytes written as progress.
-func (c *conn) Write(data []byte) (int, error) {
-	c.SetWriting(true)
-	defer c.SetWriting(false)
-	written := 0
-	for {
-		n, err := c.TCPConn.Write(data[written:min(len(data), written+maxWriteBytes)])
-		c.AddMoved(n)
-		written += n
-		if err != nil || written >= len(data) {
-			return written, err
-		}
-	}
-}
-
-// Close closes the connection and removes it from the account.
-func (c *conn) Close() error {
-	c.account.Disconnect(c.Connection)
-	return c.TCPConn.Close()
-}
-
 // IsRefused reports whether the read of a body failed because memory is short.
 func IsRefused(r *intake.Request, err error) bool {
 	return errors.Is(err, intake.ErrShort) || errors.Is(err, intake.ErrShed) || r.IsShed()
--- a/frontend/frontend_test.go
+++ b/frontend/frontend_test.go
@@ -162,7 +162,7 @@
 func TestDiscardedAnswerIsReleased(t *testing.T) {
 	is := is.New(t)
 	table := intake.NewTable(intake.Bounds{Memory: 6 << 20, Reserve: 1 << 20, Connections: [3]int{1, 1, 1}})
-	connection, _ := table.Commands().Connect(intake.Clients, "a", func(intake.Phase) {}, time.Now())
+	connection, _ := table.Commands().Connect(intake.Clients, "a", func(intake.Phase) {}, func() {}, time.Now())
 	counted, err := connection.Begin(t.Context(), time.Now())
 	is.NoErr(err)
 	answer := frontend.NewAnswer(counted)
--- a/intake/commands.go
+++ b/intake/commands.go
@@ -14,9 +14,12 @@
 // Connect adds a connection. If its class is full, the connection that has been idle for
 // the longest time is closed for it, or else the one whose request makes the least
 // progress. If there is none of these either, Connect reports false.
-func (c Commands) Connect(class Class, address string, interrupt func(phase Phase), now time.Time) (*Connection, bool) {
+//
+// The function interrupt ends what the connection does in a phase, and closeIdle closes it
+// unless it has begun to receive a request. Neither may block.
+func (c Commands) Connect(class Class, address string, interrupt func(phase Phase), closeIdle func(), now time.Time) (*Connection, bool) {
 	t := c.table
-	next := &Connection{table: t, class: class, address: address, interrupt: interrupt, idleSince: now}
+	next := &Connection{table: t, class: class, address: address, interrupt: interrupt, closeIdle: closeIdle, idleSince: now}
 	t.mu.Lock()
 	var replaced *Connection
 	phase := Idle
@@ -40,6 +43,23 @@
 	return next, true
 }
 
+// CloseIdle closes the connections of a class that have no request, except those that have
+// had none yet and were opened at or after a time.
+func (c Commands) CloseIdle(class Class, openedBefore time.Time) {
+	t := c.table
+	t.mu.Lock()
+	var idle []*Connection
+	for next := range t.connections[class] {
+		if next.active == 0 && (next.moved.Load() > 0 || next.idleSince.Before(openedBefore)) {
+			idle = append(idle, next)
+		}
+	}
+	t.mu.Unlock()
+	for _, next := range idle {
+		next.closeIdle()
+	}
+}
+
 // shedSlowest sheds the request of a class that makes the least progress and returns its
 // connection and phase, nil if all make progress. The caller holds the lock.
 func (t *Table) shedSlowest(class Class, now time.Time) (*Connection, Phase) {
--- a/intake/table.go
+++ b/intake/table.go
@@ -50,11 +50,12 @@
 
 // Connection is an open connection.
 type Connection struct {
-	table   *Table
-	class   Class
-	address string
-	// interrupt ends what the connection does in a phase. It must not block.
+	table     *Table
+	class     Class
+	address   string
 	interrupt func(phase Phase)
+	// closeIdle closes the connection unless it has begun to receive a request.
+	closeIdle func()
 	// moved is the number of bytes that were read and written.
 	moved atomic.Int64
 	// isWriting is set while a write waits for the client.
--- a/intake/table_test.go
+++ b/intake/table_test.go
@@ -33,7 +33,7 @@
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		m.shed = append(m.shed, name+" "+phase.String())
-	}, time.Now())
+	}, func() {}, time.Now())
 	if !ok {
 		t.Fatal("no place for a connection")
 	}
@@ -294,7 +294,7 @@
 // BenchmarkRequest measures the account of an ordinary request.
 func BenchmarkRequest(b *testing.B) {
 	t := intake.NewTable(intake.BoundsFor(144e6, 20000))
-	c, _ := t.Commands().Connect(intake.Clients, "", func(intake.Phase) {}, time.Now())
+	c, _ := t.Commands().Connect(intake.Clients, "", func(intake.Phase) {}, func() {}, time.Now())
 	for b.Loop() {
 		now := time.Now()
 		r, err := c.Begin(b.Context(), now)
