preparation: refuse early what an exiting instance can't answer

What callers saw: an instance that shuts down under overload held requests that waited for their stages until 0.7 s before its end, up to 7.3 s, and refused them then, when little of their time was left.

Cause: the coordinator knew the deadline of a request, but not that its instance exits before. It refuses what misses its deadline, so these requests waited.

Change: tasks and jobs have the time at which the instance exits. A notice tells the coordinators of the requests that wait when the shutdown begins.

Tests of entry, batch, preparation, delivery and drain pass.

--- a/batch/commands.go
+++ b/batch/commands.go
@@ -60,6 +60,16 @@
 	}
 }
 
+// SetAnswerBy records that the instance that a request came to exits at a time.
+func (c Commands) SetAnswerBy(request string, at time.Time) {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.pools {
+		p.queue.setAnswerBy(request, at)
+	}
+}
+
 // Next blocks until a call can be sent. It returns false once the context has ended.
 func (c Commands) Next(ctx context.Context) (Call, bool) {
 	t := c.table
--- a/batch/piece.go
+++ b/batch/piece.go
@@ -50,6 +50,9 @@
 	LatestStart time.Time
 	// Deadline is the deadline of the request.
 	Deadline time.Time
+	// AnswerBy is when the instance of the client exits, zero if it isn't shutting down. It
+	// doesn't change the order of the pieces.
+	AnswerBy time.Time
 	// PreferredDataCentre is the data centre that will use a large result. It is empty
 	// if the data centre does not matter.
 	PreferredDataCentre string
@@ -73,6 +76,20 @@
 // isLate reports whether the request can no longer meet its objective.
 func (p Piece) isLate(now time.Time) bool { return now.After(p.LatestStart) }
 
+// end returns when the request must be prepared at the latest.
+func (p Piece) end() time.Time {
+	if !p.AnswerBy.IsZero() && p.AnswerBy.Before(p.Deadline) {
+		return p.AnswerBy
+	}
+	return p.Deadline
+}
+
+// WithAnswerBy returns the piece of a request whose instance exits at a time.
+func (p Piece) WithAnswerBy(at time.Time) Piece {
+	p.AnswerBy = at
+	return p
+}
+
 func (p Piece) biasedStart() time.Time {
 	return p.LatestStart.Add(time.Duration(p.Rank)*rankBias + time.Duration(p.RouteRank)*routeRankBias)
 }
--- a/batch/queue.go
+++ b/batch/queue.go
@@ -189,6 +189,17 @@
 	q.late = slices.DeleteFunc(q.late, isOfRequest)
 }
 
+// setAnswerBy records when the instance of a request exits.
+func (q *queue) setAnswerBy(request string, at time.Time) {
+	for _, pieces := range [][]Piece{q.onTime, q.late} {
+		for n, p := range pieces {
+			if p.RequestID == request {
+				pieces[n] = p.WithAnswerBy(at)
+			}
+		}
+	}
+}
+
 // compareOnTime orders pieces that can be on time by their latest start, with a bias
 // for higher classes.
 func compareOnTime(a, b Piece) int {
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -39,6 +39,7 @@
 	i.Logger.Write(event.Leaving, "signal")
 	i.members.Commands().MarkLeaving()
 	i.triggerHeartbeats()
+	i.sendAnswerBy(schedule)
 	ctx, cancel := context.WithDeadline(context.Background(), schedule.CloseBy)
 	defer cancel()
 	answering, stopAnswering := context.WithDeadline(ctx, schedule.AnswerBy)
--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -10,6 +10,7 @@
 	"regexp"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -160,3 +161,54 @@
 		is.True(regexp.MustCompile("(?m)^" + name + ": .*, has run$").MatchString(outcomes))
 	}
 }
+
+// Guards against an instance that shuts down and holds requests until its end that can't be
+// prepared by then, though another instance can serve them.
+func TestStopRefusesWhatCannotBePrepared(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newTestSite(t)
+	s.encodeTime = 6 * time.Second
+	for _, id := range []string{"encode-1", "encode-2"} {
+		s.workers[id].Pause = s.encodeTime
+	}
+	for _, r := range s.routes {
+		r["timeoutMs"], r["targetLatencyMs"] = 40000, 20000
+	}
+	s.configure()
+	s.start("n1", "n2")
+	leaving, other := s.instances[0], s.instances[1]
+	const streams = 12 // the servers of the first stage compute six at a time
+	var group errgroup.Group
+	var mu sync.Mutex
+	answered := map[int]int{}
+	var refusedAt []time.Time
+	for range streams {
+		group.Go(func() error {
+			status, _, _ := leaving.send("POST", "/chat/1", "key-1")
+			at := time.Now()
+			if status == http.StatusServiceUnavailable {
+				status, _, _ = other.send("POST", "/chat/1", "key-1")
+				mu.Lock()
+				refusedAt = append(refusedAt, at)
+				mu.Unlock()
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			answered[status]++
+			return nil
+		})
+	}
+	s.waitFor("both servers of the first stage compute", func() bool {
+		return s.workers["encode-1"].Calls() > 0 && s.workers["encode-2"].Calls() > 0
+	})
+	leaving.stop()
+	s.waitFor("the instance leaves", leaving.isLeaving)
+	is.NoErr(group.Wait())
+	is.Equal(answered, map[int]int{http.StatusOK: streams})
+	is.True(len(refusedAt) > 0)
+	for _, at := range refusedAt {
+		is.True(at.Before(leaving.stopSchedule.Load().AnswerBy.Add(-4 * time.Second)))
+	}
+	is.NoErr(<-leaving.done)
+}
--- a/entry/message.go
+++ b/entry/message.go
@@ -96,6 +96,9 @@
 	remoteReadNotice
 	// leavingNotice notifies the coordinator of a server that said that it is leaving.
 	leavingNotice
+	// answerByNotice notifies the coordinator that the sender exits and must answer a
+	// request before.
+	answerByNotice
 )
 
 // notice notifies the coordinator of an event of a prepared request.
@@ -111,7 +114,8 @@
 	// LoadAge the time since then, in a notice about the first event or the end of a run.
 	Load    speed.Report  `msgpack:"load,omitempty"`
 	LoadAge time.Duration `msgpack:"loadAge,omitempty"`
-	// Remaining is the time until the request has ended at the latest, in a running notice.
+	// Remaining is the time until the request has ended at the latest, in a running notice,
+	// or until the sender answers it at the latest, in an answer by notice.
 	Remaining time.Duration `msgpack:"remaining,omitempty"`
 	// HasBegun is set in a running or prompt read notice if the engine has begun its
 	// answer.
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"lycheecrank.example/drain"
 	"lycheecrank.example/engine"
 	"lycheecrank.example/event"
 	"lycheecrank.example/membership"
@@ -47,6 +48,23 @@
 	i.notices.add(i.placements.coordinatorOf(id), notice{Kind: abandonedNotice, RequestID: id, Try: try})
 }
 
+// sendAnswerBy notifies the coordinators that this instance exits, of each attempt that
+// waits and may be prepared there.
+func (i *Instance) sendAnswerBy(schedule drain.Schedule) {
+	now := time.Now()
+	for _, name := range i.division.Load().layout.Cells() {
+		coordinator, ok := i.coordinatorOf(name, now)
+		if !ok {
+			continue
+		}
+		for _, a := range i.attempts.Queries().Attempts() {
+			if a.Phase == drain.Waiting {
+				i.notices.add(coordinator, notice{Kind: answerByNotice, RequestID: a.ID, Remaining: schedule.AnswerBy.Sub(now)})
+			}
+		}
+	}
+}
+
 // markLeaving records that a server said in an answer that it is leaving, and notifies
 // the coordinator: the entry of the server in the store may show it later.
 func (i *Instance) markLeaving(server string) {
@@ -117,6 +135,8 @@
 			if listed, _ := i.fleet.Queries().Server(n.Server, now); listed.StartedUnixMilli == n.StartedUnixMilli {
 				i.recordLeaving(n.Server)
 			}
+		case answerByNotice:
+			i.coordinator.SetAnswerBy(n.RequestID, now.Add(n.Remaining))
 		case remoteReadNotice:
 			if server, ok := i.fleet.Queries().Server(n.Server, now); ok {
 				reads = append(reads, engine.RemoteRead{Pool: n.Pool, Address: server.Address, Prompt: n.Prompt})
--- a/entry/prepare.go
+++ b/entry/prepare.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"lycheecrank.example/drain"
 	"lycheecrank.example/membership"
 	"lycheecrank.example/preparation"
 	"lycheecrank.example/request"
@@ -134,6 +135,9 @@
 }
 
 func (i *Instance) prepareAt(ctx context.Context, coordinator membership.Instance, task preparation.Task) (prepareReply, error) {
+	if schedule := *i.stopSchedule.Load(); schedule != (drain.Schedule{}) {
+		task = task.WithAnswerBy(schedule.AnswerBy, time.Now())
+	}
 	if coordinator.Name == i.Settings.Name {
 		return i.prepareLocally(ctx, task)
 	}
--- a/preparation/admission.go
+++ b/preparation/admission.go
@@ -9,7 +9,7 @@
 
 // decideAdmission decides about a new request and counts it for its workspace.
 func (c *Coordinator) decideAdmission(task Task, now time.Time) (admission.Outcome, time.Duration) {
-	terms := admission.Terms{Objective: task.Objective, Deadline: task.Deadline, OnTimeOnly: task.OnTimeOnly}
+	terms := admission.Terms{Objective: task.Objective, Deadline: task.timeLeft(), OnTimeOnly: task.OnTimeOnly}
 	if task.Workspace == "" {
 		return admission.Decide(c.estimate(task, now), terms)
 	}
--- a/preparation/commands.go
+++ b/preparation/commands.go
@@ -34,6 +34,16 @@
 	return *jobEntry, followUp, true
 }
 
+// setAnswerBy records that the instance of a request exits at a time.
+func (c Commands) setAnswerBy(request string, at time.Time) {
+	table := c.table
+	table.mu.Lock()
+	defer table.mu.Unlock()
+	if jobEntry := table.jobs[request]; jobEntry != nil {
+		jobEntry.job = jobEntry.job.withAnswerBy(at)
+	}
+}
+
 // beginCall records that pieces were sent in a call.
 func (c Commands) beginCall(pieces []batch.Piece) {
 	table := c.table
--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -212,8 +212,8 @@
 		}
 		task.Prompt = task.Prompt.WithinMemory(limit)
 	}
-	reserve := min(refusalReserve, task.Deadline/10)
-	ctx, cancel := context.WithTimeout(ctx, task.Deadline-reserve)
+	timeLeft := task.timeLeft()
+	ctx, cancel := context.WithTimeout(ctx, timeLeft-min(refusalReserve, timeLeft/10))
 	defer cancel()
 	if !task.IsForced && c.table.Queries().isHandedOver() {
 		// The estimate would be that of the queue of another coordinator.
@@ -344,6 +344,14 @@
 	}
 }
 
+// SetAnswerBy records that the instance that a request came to exits at a time. The request
+// is refused as soon as it can't be prepared before, so that its client can go on to another
+// instance.
+func (c *Coordinator) SetAnswerBy(id string, at time.Time) {
+	c.table.Commands().setAnswerBy(id, at)
+	c.Batches.Commands().SetAnswerBy(id, at)
+}
+
 // applyEffects queues pieces and releases results.
 func (c *Coordinator) applyEffects(followUp effects) {
 	if len(followUp.enqueue) > 0 {
--- a/preparation/job.go
+++ b/preparation/job.go
@@ -15,6 +15,8 @@
 	// the deadline is the end of the try.
 	objective time.Time
 	deadline  time.Time
+	// answerBy is when the instance of the request exits, zero if it isn't shutting down.
+	answerBy time.Time
 	// preferredDataCentre is the data centre in which the results should be computed,
 	// because the engine for the request is expected to be there; empty for none.
 	preferredDataCentre string
@@ -44,6 +46,9 @@
 		handles: make([][]string, len(task.Stages)), queued: make([]bool, len(task.Stages)), released: make([]bool, len(task.Stages)),
 		inputsFetched: make([][]bool, len(task.Stages)),
 	}
+	if task.AnswerWithin > 0 {
+		j.answerBy = now.Add(task.AnswerWithin)
+	}
 	for i, s := range task.Stages {
 		j.handles[i], j.inputsFetched[i] = make([]string, s.Pieces), make([]bool, s.Pieces)
 		if i < len(task.Results) && !task.IsRebuilt {
@@ -98,6 +103,12 @@
 	return j
 }
 
+// withAnswerBy returns the job of an instance that exits at a time.
+func (j job) withAnswerBy(at time.Time) job {
+	j.answerBy = at
+	return j
+}
+
 // withRecompute returns the job after one of its pieces was queued again.
 func (j job) withRecompute() job {
 	j.recomputes++
@@ -109,7 +120,7 @@
 func (j job) withoutResults(now time.Time) job {
 	j.task.IsRebuilt = true
 	next := newJob(j.task, now)
-	next.openedAt, next.objective, next.deadline = j.openedAt, j.objective, j.deadline
+	next.openedAt, next.objective, next.deadline, next.answerBy = j.openedAt, j.objective, j.deadline, j.answerBy
 	next.preferredDataCentre, next.recomputes, next.piecesInCalls = j.preferredDataCentre, j.recomputes+1, j.piecesInCalls
 	return next
 }
@@ -308,7 +319,7 @@
 		pieces = append(pieces, batch.Piece{
 			Identity: batch.Identity{RequestID: j.task.RequestID, Stage: stage, Number: n},
 			Pool:     spec.Pool, Key: key, Inputs: inputs, ResultBytes: spec.Bytes, Class: j.task.class(),
-			LatestStart: start, Deadline: j.deadline, PreferredDataCentre: j.preferredDataCentre, InputSizes: inflow, QueuedAt: now,
+			LatestStart: start, Deadline: j.deadline, AnswerBy: j.answerBy, PreferredDataCentre: j.preferredDataCentre, InputSizes: inflow, QueuedAt: now,
 		})
 	}
 	return pieces
--- a/preparation/reserve.go
+++ b/preparation/reserve.go
@@ -60,6 +60,9 @@
 		}
 		inputs := j.engineInputs()
 		now := time.Now()
+		if !j.answerBy.IsZero() && now.Add(task.engineTime()).After(j.answerBy) {
+			return Placement{}, unattainable(0)
+		}
 		requirements := engine.Requirements{
 			InputBytes: c.inputBytes(j), AvoidEngines: task.AvoidEngines, RequiredEngine: task.RequiredEngine, Until: until, ColdShare: c.ColdShare(),
 			Allows: c.Rollouts.Queries().Selection(task.Pool, lane, now),
