instance: wait for the final answers of requests cancelled at the drain limit

What callers saw: nothing yet.

Change: the process waits up to 1 s until the server has written its answers.

The exit in the middle of an answer was not reproduced with a process.

--- a/instance/run.go
+++ b/instance/run.go
@@ -61,10 +61,22 @@
 	stopRecorder()
 	recorderErr := <-recorderDone
 	stopBackground()
+	awaitAnswers(server)
 	i.peerClient.Close()
 	return errors.Join(drainErr, recorderErr, group.Wait())
 }
 
+// answerTimeout bounds the time in which requests that are cancelled at the drain limit get
+// their final answers.
+const answerTimeout = time.Second
+
+// awaitAnswers waits until a server that is shut down has written its answers.
+func awaitAnswers(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
+	defer cancel()
+	_ = server.Shutdown(ctx)
+}
+
 // startOwnershipManager runs the manager of ownerships until the context ends. The
 // returned channel is closed when the manager has stopped.
 func (i *Instance) startOwnershipManager(ctx context.Context) <-chan struct{} {
