--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -212,3 +212,26 @@
 	}
 	is.NoErr(<-leaving.done)
 }
+
+// Guards against final answers after which a client uses a connection that is being closed.
+func TestLastAnswerSaysThatItsConnectionCloses(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newTestSite(t)
+	for _, r := range s.routes {
+		r["timeoutMs"] = 20000
+	}
+	s.configure()
+	s.start("n1")
+	n := s.instances[0]
+	s.setFault("registry", site.Fault{Freezes: true})
+	order := n.hold(t)
+	order.write("/order/1", "20000", "helmet")
+	s.waitFor("the order runs", func() bool { return s.hasRun("registry", order.id) })
+	n.stop()
+	res, err := http.ReadResponse(bufio.NewReader(order), nil)
+	is.NoErr(err)
+	is.True(res.Close)
+	is.NoErr(res.Body.Close())
+	is.NoErr(<-n.done)
+}
