preparation: refuse a repeated try that the exit of its instance cuts short

What callers saw: a request that was sent again by an instance that shuts down could get an engine, or wait for one, though it can't be answered before the exit. And each refusal for lack of time of such an instance counted as one for its exit, with the short Retry-After of that, whether the exit was the cause or not.

Cause: the job that an earlier try left didn't take over the time of the exit. The reason was derived at the instance from the deadline of the request.

Change: a repeated try sets the time. The coordinator says whether the exit or the deadline is the reason (leaving or deadlineUnattainable).

Tests of batch, preparation, delivery and entry pass.

--- a/batch/commands.go
+++ b/batch/commands.go
@@ -60,7 +60,7 @@
 	}
 }
 
-// SetAnswerBy records that the instance that a request came to exits at a time.
+// SetAnswerBy records when the instance that a request came to gives its final answers.
 func (c Commands) SetAnswerBy(request string, at time.Time) {
 	t := c.table
 	t.mu.Lock()
--- a/batch/piece.go
+++ b/batch/piece.go
@@ -50,8 +50,8 @@
 	LatestStart time.Time
 	// Deadline is the deadline of the request.
 	Deadline time.Time
-	// AnswerBy is when the instance of the client exits, zero if it isn't shutting down. It
-	// doesn't change the order of the pieces.
+	// AnswerBy is when the instance of the client gives its final answers, zero if it isn't
+	// shutting down. It doesn't change the order of the pieces.
 	AnswerBy time.Time
 	// PreferredDataCentre is the data centre that will use a large result. It is empty
 	// if the data centre does not matter.
@@ -76,15 +76,12 @@
 // isLate reports whether the request can no longer meet its objective.
 func (p Piece) isLate(now time.Time) bool { return now.After(p.LatestStart) }
 
-// end returns when the request must be prepared at the latest.
-func (p Piece) end() time.Time {
-	if !p.AnswerBy.IsZero() && p.AnswerBy.Before(p.Deadline) {
-		return p.AnswerBy
-	}
-	return p.Deadline
-}
+// isCutShort reports whether the instance of the client gives its final answers before a
+// piece that is complete at a time is of use.
+func (p Piece) isCutShort(at time.Time) bool { return !p.AnswerBy.IsZero() && at.After(p.AnswerBy) }
 
-// WithAnswerBy returns the piece of a request whose instance exits at a time.
+// WithAnswerBy returns the piece of a request whose instance gives its final answers at a
+// time.
 func (p Piece) WithAnswerBy(at time.Time) Piece {
 	p.AnswerBy = at
 	return p
--- a/batch/queries.go
+++ b/batch/queries.go
@@ -75,13 +75,16 @@
 type UnattainableRequest struct {
 	RequestID    string
 	ExpectedWait time.Duration
+	// IsCutShort is set if another instance of the client could wait long enough.
+	IsCutShort bool
 }
 
 // UnattainableRequests returns the requests with a piece that waits behind so many
-// others that the request misses its deadline, that the instance of its client exits
-// before, or that its inputs expire. In the last case all of its stages would be
-// recomputed, in an overload more than once. The parameter after is the time that a request
-// still needs once its waiting pieces are computed.
+// others that the request misses its deadline or its inputs expire. In the second case
+// all of its stages would be recomputed, in an overload more than once. A request whose
+// instance gives its final answers is also unattainable if it can't be prepared by then,
+// even if it can be on time. The parameter after is the time that a request still needs
+// once its waiting pieces are computed.
 func (q Queries) UnattainableRequests(after time.Duration, now time.Time) []UnattainableRequest {
 	t := q.table
 	t.mu.Lock()
@@ -96,18 +99,20 @@
 		}
 		for k, piece := range p.queue.onTime {
 			wait := time.Duration(float64(k) / rate * float64(time.Second))
-			if !piece.AnswerBy.IsZero() && now.Add(wait+p.spec.CallTime+after).After(piece.end()) && !seen[piece.RequestID] {
+			if piece.isCutShort(now.Add(wait+p.spec.CallTime+after)) && !seen[piece.RequestID] {
 				seen[piece.RequestID] = true
-				unattainable = append(unattainable, UnattainableRequest{piece.RequestID, wait})
+				unattainable = append(unattainable, UnattainableRequest{piece.RequestID, wait, true})
 			}
 		}
 		for k, piece := range p.queue.late {
 			wait := time.Duration(lateWaitFactor * float64(len(p.queue.onTime)+k) / rate * float64(time.Second))
-			missesDeadline := now.Add(wait + p.spec.CallTime + after).After(piece.end())
+			computedAt := now.Add(wait + p.spec.CallTime + after)
+			missesDeadline := computedAt.After(piece.Deadline)
 			inputsExpire := len(piece.Inputs) > 0 && p.spec.ResultLifetime > 0 && now.Add(wait).After(piece.QueuedAt.Add(p.spec.ResultLifetime))
-			if (missesDeadline || inputsExpire) && !seen[piece.RequestID] {
+			isCutShort := piece.isCutShort(computedAt)
+			if (missesDeadline || inputsExpire || isCutShort) && !seen[piece.RequestID] {
 				seen[piece.RequestID] = true
-				unattainable = append(unattainable, UnattainableRequest{piece.RequestID, wait})
+				unattainable = append(unattainable, UnattainableRequest{piece.RequestID, wait, isCutShort && !missesDeadline && !inputsExpire})
 			}
 		}
 	}
--- a/batch/queue.go
+++ b/batch/queue.go
@@ -189,7 +189,7 @@
 	q.late = slices.DeleteFunc(q.late, isOfRequest)
 }
 
-// setAnswerBy records when the instance of a request exits.
+// setAnswerBy records when the instance of a request gives its final answers.
 func (q *queue) setAnswerBy(request string, at time.Time) {
 	for _, pieces := range [][]Piece{q.onTime, q.late} {
 		for n, p := range pieces {
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -117,7 +117,11 @@
 	placement, err := router.Prepare(ctx, task)
 	s.task.IsRebuilt = false
 	if err != nil {
-		return s.fail(router.preparationFailure(routed, request.AsFailure(err)))
+		failure := request.AsFailure(err)
+		if failure.Reason == request.ReasonLeaving {
+			failure = failure.WithRetryAfter(leavingRetryAfter)
+		}
+		return s.fail(failure)
 	}
 	s.server = placement.Server
 	server, ok := router.usable(routed.pool.Name, placement.Server)
@@ -186,15 +190,6 @@
 	return s.forwardEvents(ctx, sendCtx, answer, current, silence)
 }
 
-// preparationFailure returns the failure of a request that isn't prepared. Another instance
-// may serve one that lacks the time only because this instance shuts down.
-func (r *Router) preparationFailure(routed routedAttempt, failure request.Failure) request.Failure {
-	if failure.Reason == request.ReasonDeadlineUnattainable && r.StopSchedule().EndsBefore(routed.deadline) {
-		return LeavingFailure()
-	}
-	return failure
-}
-
 // sendFailure returns the failure of a request that must not be sent to the reserved engine
 // any more, nil for none.
 func (s *preparedAttempt) sendFailure(placement preparation.Placement) *request.Failure {
--- a/drain/schedule.go
+++ b/drain/schedule.go
@@ -57,11 +57,6 @@
 	return now.Before(s.AdmitAllUntil) || !deadline.After(s.AnswerBy)
 }
 
-// EndsBefore reports whether the unanswered requests get a final answer before a deadline.
-func (s Schedule) EndsBefore(deadline time.Time) bool {
-	return s != Schedule{} && s.AnswerBy.Before(deadline)
-}
-
 // AllowsSend reports whether a request may be sent to a server that is expected to answer
 // after a time. One that would be cut off there is better refused as not run.
 func (s Schedule) AllowsSend(now time.Time, expected time.Duration) bool {
--- a/preparation/admission.go
+++ b/preparation/admission.go
@@ -41,9 +41,18 @@
 	return c.Batches.Queries().EstimateWait(pool, upstream, latestStart(j, stage, c.callTime), class, now)
 }
 
+// refuseExiting returns the refusal of a request that can't be prepared before the instance
+// that it came to gives its final answers.
+func refuseExiting() request.Failure {
+	return request.Refuse(request.ReasonLeaving, "the instance exits before the request can be prepared")
+}
+
 // refuseEarly returns the refusal of a request whose stages are not expected to be
 // computed in time, so that the client gets it on arrival and not at the end of the try.
 func refuseEarly(task Task, expected time.Duration) request.Failure {
+	if task.isCutShort() && expected <= task.Deadline {
+		return refuseExiting()
+	}
 	refusal := request.Refuse(request.ReasonDeadlineUnattainable, "expected preparation time too long for the objective or the deadline: "+expected.String())
 	return refusal.WithRetryAfter(task.retryAfter(expected - task.Objective))
 }
--- a/preparation/commands.go
+++ b/preparation/commands.go
@@ -29,12 +29,15 @@
 		jobEntry.done = make(chan struct{})
 	}
 	jobEntry.job.task.Try = max(jobEntry.job.task.Try, task.Try)
+	if task.AnswerWithin > 0 {
+		jobEntry.job = jobEntry.job.withAnswerBy(now.Add(task.AnswerWithin))
+	}
 	followUp := jobEntry.advance(info, now)
 	followUp.release = append(followUp.release, released...)
 	return *jobEntry, followUp, true
 }
 
-// setAnswerBy records that the instance of a request exits at a time.
+// setAnswerBy records when the instance of a request gives its final answers.
 func (c Commands) setAnswerBy(request string, at time.Time) {
 	table := c.table
 	table.mu.Lock()
--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -249,7 +249,7 @@
 		return Placement{}, *job.refusal
 	case <-ctx.Done():
 		c.Abandon(task.RequestID, task.Try)
-		return Placement{}, c.contextFailure(ctx, "stages")
+		return Placement{}, c.contextFailure(ctx, task, "stages")
 	}
 	placement, err := c.reserveEngine(ctx, task, isProbe, openedAt.Add(task.Objective))
 	if err != nil {
@@ -307,8 +307,11 @@
 	return poolInfo{callTime: c.callTime, dataCentre: c.Batches.Queries().DataCentre, hasMemoryPressure: hasMemoryPressure}
 }
 
-func (c *Coordinator) contextFailure(ctx context.Context, awaited string) request.Failure {
+func (c *Coordinator) contextFailure(ctx context.Context, task Task, awaited string) request.Failure {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		if task.isCutShort() {
+			return refuseExiting()
+		}
 		return request.Refuse(request.ReasonDeadlineUnattainable, "preparation timed out waiting for "+awaited)
 	}
 	return request.Refuse(request.ReasonCancelled, ctx.Err().Error())
@@ -344,9 +347,9 @@
 	}
 }
 
-// SetAnswerBy records that the instance that a request came to exits at a time. The request
-// is refused as soon as it can't be prepared before, so that its client can go on to another
-// instance.
+// SetAnswerBy records when the instance that a request came to gives its final answers. The
+// request is refused as soon as it can't be prepared before, so that its client can go on to
+// another instance.
 func (c *Coordinator) SetAnswerBy(id string, at time.Time) {
 	c.table.Commands().setAnswerBy(id, at)
 	c.Batches.Commands().SetAnswerBy(id, at)
--- a/preparation/job.go
+++ b/preparation/job.go
@@ -15,7 +15,8 @@
 	// the deadline is the end of the try.
 	objective time.Time
 	deadline  time.Time
-	// answerBy is when the instance of the request exits, zero if it isn't shutting down.
+	// answerBy is when the instance of the request gives its final answers, zero if it isn't
+	// shutting down.
 	answerBy time.Time
 	// preferredDataCentre is the data centre in which the results should be computed,
 	// because the engine for the request is expected to be there; empty for none.
@@ -103,7 +104,7 @@
 	return j
 }
 
-// withAnswerBy returns the job of an instance that exits at a time.
+// withAnswerBy returns the job of an instance that gives its final answers at a time.
 func (j job) withAnswerBy(at time.Time) job {
 	j.answerBy = at
 	return j
--- a/preparation/reserve.go
+++ b/preparation/reserve.go
@@ -61,7 +61,7 @@
 		inputs := j.engineInputs()
 		now := time.Now()
 		if !j.answerBy.IsZero() && now.Add(task.engineTime()).After(j.answerBy) {
-			return Placement{}, unattainable(0)
+			return Placement{}, refuseExiting()
 		}
 		requirements := engine.Requirements{
 			InputBytes: c.inputBytes(j), AvoidEngines: task.AvoidEngines, RequiredEngine: task.RequiredEngine, Until: until, ColdShare: c.ColdShare(),
@@ -90,7 +90,7 @@
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
-			return Placement{}, c.contextFailure(ctx, "engines")
+			return Placement{}, c.contextFailure(ctx, task, "engines")
 		}
 	}
 }
--- a/preparation/task.go
+++ b/preparation/task.go
@@ -47,12 +47,12 @@
 	//
 	// RetryWindow is the time until the deadline of the whole request, within which the
 	// client may retry after a refusal.
-	Objective time.Duration `msgpack:"objective"`
-	Deadline  time.Duration `msgpack:"deadline"`
-	//
-	// AnswerWithin is the time until the instance that the request came to exits, 0 if it
-	// isn't shutting down. Another instance can serve a request that takes longer.
-	RetryWindow  time.Duration `msgpack:"limit"`
+	Objective   time.Duration `msgpack:"objective"`
+	Deadline    time.Duration `msgpack:"deadline"`
+	RetryWindow time.Duration `msgpack:"limit"`
+	// AnswerWithin is the time until the instance that the request came to gives its final
+	// answers, 0 if it isn't shutting down. Another instance can serve a request that takes
+	// longer.
 	AnswerWithin time.Duration `msgpack:"answerWithin,omitempty"`
 	// AvoidEngines lists engines that refused or failed the request.
 	AvoidEngines []string `msgpack:"avoid"`
@@ -87,7 +87,7 @@
 	return t
 }
 
-// WithAnswerBy returns the task of an instance that exits at a time.
+// WithAnswerBy returns the task of an instance that gives its final answers at a time.
 func (t Task) WithAnswerBy(at, now time.Time) Task {
 	t.AnswerWithin = max(1, at.Sub(now))
 	return t
@@ -101,6 +101,9 @@
 	return t.Deadline
 }
 
+// isCutShort reports whether the request could take longer at another instance.
+func (t Task) isCutShort() bool { return t.timeLeft() < t.Deadline }
+
 // WithHandOver returns the task for the next coordinator after an instance handed it over
 // with the results that exist so far. They are computed anew unless that instance did so.
 func (t Task) WithHandOver(results [][]string) Task {
--- a/preparation/upkeep.go
+++ b/preparation/upkeep.go
@@ -60,6 +60,10 @@
 	runEvery(ctx, shedInterval, func() {
 		for _, u := range c.Batches.Queries().UnattainableRequests(engineOverhead, time.Now()) {
 			c.Counters.Add("shed")
+			if u.IsCutShort {
+				c.refuse(u.RequestID, refuseExiting())
+				continue
+			}
 			c.refuse(u.RequestID, unattainable(u.ExpectedWait))
 		}
 	})
