--- a/entry/message.go
+++ b/entry/message.go
@@ -96,18 +96,20 @@
 	remoteReadNotice
 	// leavingNotice notifies the coordinator of a server that said that it is leaving.
 	leavingNotice
-	// answerByNotice notifies the coordinator that the sender exits and must answer a
-	// request before.
+	// answerByNotice notifies the coordinator that the sender exits and must answer
+	// requests before.
 	answerByNotice
 )
 
 // notice notifies the coordinator of an event of a prepared request.
 type notice struct {
-	Kind             noticeKind    `msgpack:"kind"`
-	Pool             string        `msgpack:"pool"`
-	Server           string        `msgpack:"server"`
-	RequestID        string        `msgpack:"request"`
-	Try              int           `msgpack:"try,omitempty"`
+	Kind      noticeKind `msgpack:"kind"`
+	Pool      string     `msgpack:"pool"`
+	Server    string     `msgpack:"server"`
+	RequestID string     `msgpack:"request"`
+	Try       int        `msgpack:"try,omitempty"`
+	// RequestIDs are the requests of an answer by notice.
+	RequestIDs       []string      `msgpack:"requests,omitempty"`
 	TimeToFirstEvent time.Duration `msgpack:"took,omitempty"`
 	Prompt           engine.Prompt `msgpack:"prompt,omitempty"`
 	// Load is the load that the server reported with its answer to the request, and
@@ -115,7 +117,7 @@
 	Load    speed.Report  `msgpack:"load,omitempty"`
 	LoadAge time.Duration `msgpack:"loadAge,omitempty"`
 	// Remaining is the time until the request has ended at the latest, in a running notice,
-	// or until the sender answers it at the latest, in an answer by notice.
+	// or until the sender answers the requests at the latest, in an answer by notice.
 	Remaining time.Duration `msgpack:"remaining,omitempty"`
 	// HasBegun is set in a running or prompt read notice if the engine has begun its
 	// answer.
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -48,19 +49,22 @@
 	i.notices.add(i.placements.coordinatorOf(id), notice{Kind: abandonedNotice, RequestID: id, Try: try})
 }
 
-// sendAnswerBy notifies the coordinators that this instance exits, of each attempt that
-// waits and may be prepared there.
+// sendAnswerBy notifies the coordinators which requests of this instance wait and must be
+// answered before it exits. The request IDs are those of attempts.
 func (i *Instance) sendAnswerBy(schedule drain.Schedule) {
 	now := time.Now()
-	for _, name := range i.division.Load().layout.Cells() {
-		coordinator, ok := i.coordinatorOf(name, now)
-		if !ok {
-			continue
+	var waiting []string
+	for _, a := range i.attempts.Queries().Attempts() {
+		if a.Phase == drain.Waiting {
+			waiting = append(waiting, a.ID)
 		}
-		for _, a := range i.attempts.Queries().Attempts() {
-			if a.Phase == drain.Waiting {
-				i.notices.add(coordinator, notice{Kind: answerByNotice, RequestID: a.ID, Remaining: schedule.AnswerBy.Sub(now)})
-			}
+	}
+	if len(waiting) == 0 {
+		return
+	}
+	for _, name := range i.division.Load().layout.Cells() {
+		if coordinator, ok := i.coordinatorOf(name, now); ok {
+			i.notices.add(coordinator, notice{Kind: answerByNotice, RequestIDs: waiting, Remaining: schedule.AnswerBy.Sub(now)})
 		}
 	}
 }
@@ -136,7 +140,9 @@
 				i.recordLeaving(n.Server)
 			}
 		case answerByNotice:
-			i.coordinator.SetAnswerBy(n.RequestID, now.Add(n.Remaining))
+			for _, id := range n.RequestIDs {
+				i.coordinator.SetAnswerBy(id, now.Add(n.Remaining))
+			}
 		case remoteReadNotice:
 			if server, ok := i.fleet.Queries().Server(n.Server, now); ok {
 				reads = append(reads, engine.RemoteRead{Pool: n.Pool, Address: server.Address, Prompt: n.Prompt})
@@ -172,6 +178,8 @@
 	// deliver sends notices to the instance at an address.
 	deliver func(ctx context.Context, address string, notices []notice) error
 	queue   chan addressedNotice
+	// pending is the number of notices that aren't delivered or lost.
+	pending atomic.Int64
 	// delivered receives a value when a delivery has ended.
 	delivered chan struct{}
 }
@@ -197,9 +205,11 @@
 		_, _ = n.instance.applyNotices([]notice{message})
 		return
 	}
+	n.pending.Add(1)
 	select {
 	case n.queue <- addressedNotice{to, message}:
 	default:
+		n.pending.Add(-1)
 		n.instance.coordinationCounts.Add("noticeDropped")
 	}
 }
@@ -242,6 +252,13 @@
 	}
 }
 
+// awaitDelivery waits until all notices are delivered or lost, or the context ends.
+func (n *noticeSender) awaitDelivery(ctx context.Context) {
+	for n.pending.Load() > 0 && pause(ctx, noticeBatchDelay/10) {
+		continue
+	}
+}
+
 func (n *noticeSender) drainQueue(waiting map[string][]notice) {
 	for {
 		select {
@@ -254,6 +271,7 @@
 }
 
 func (n *noticeSender) send(ctx context.Context, address string, list []notice) {
+	defer n.pending.Add(-int64(len(list)))
 	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
 	defer cancel()
 	if err := n.deliver(ctx, address, list); err != nil {
