frontend: tell reading, serving and idle connections apart

What callers saw, or would: a connection was replaced for a new one, at the limit of connections, before the answer of its request was written. A shutdown reset connections at which a request had arrived that wasn't read yet.

Cause: the account takes a connection for idle from the end of the handler, before net/http writes the answer, and one state stood for a request that is read and one that is served.

Change: a connection is idle, reading, serving or closed. Replacement closes none that serves; a shutdown closes none with unread bytes, and those whose head is overdue. After the final answers the exit waits for the connections that serve.

Evidence: found by a review.

--- a/entry/drain.go
+++ b/entry/drain.go
@@ -9,17 +9,16 @@
 	"lycheecrank.example/delivery"
 	"lycheecrank.example/drain"
 	"lycheecrank.example/event"
+	"lycheecrank.example/frontend"
 )
 
 const (
 	// defaultGrace is the grace period if the settings have none.
 	defaultGrace = 8 * time.Second
-	// connectionCheckInterval is how often an instance that shuts down checks whether
-	// clients are still connected.
-	connectionCheckInterval = 10 * time.Millisecond
-	// firstRequestTime is how long a connection without a request is kept open after the
-	// listener was closed.
-	firstRequestTime = 5 * time.Second
+	// closeInterval is how often an instance that shuts down closes idle connections, and
+	// answerInterval how often it checks whether its final answers are written.
+	closeInterval  = 50 * time.Millisecond
+	answerInterval = 5 * time.Millisecond
 )
 
 // drain shuts the instance down within its grace period, by a schedule of package drain,
@@ -48,8 +47,8 @@
 	pause(answering, time.Until(schedule.AdmitAllUntil))
 	_ = listener.Close()
 	for i.openConnections.Load() > 0 {
-		i.frontend.CloseIdle(time.Now().Add(-firstRequestTime))
-		if !pause(answering, connectionCheckInterval) {
+		i.frontend.CloseIdle(time.Now().Add(-frontend.HeadTimeout))
+		if !pause(answering, closeInterval) {
 			break
 		}
 	}
@@ -57,9 +56,8 @@
 	dueAt := time.Now()
 	stopUpkeep()
 	stopAttempts(delivery.ErrStopping)
-	for i.openConnections.Load() > 0 {
-		i.frontend.CloseIdle(time.Now())
-		if !pause(ctx, connectionCheckInterval) {
+	for i.frontend.Serving() > 0 {
+		if !pause(ctx, answerInterval) {
 			break
 		}
 	}
@@ -69,6 +67,7 @@
 		i.Logger.Write(event.AttemptCutOff, a.ID, a.Phase.String(), time.Since(a.ArrivedAt).Milliseconds())
 	}
 	_ = front.Close()
+	i.notices.awaitDelivery(ctx)
 	i.passOnQuarantine(ctx)
 	i.Logger.Write(event.Stopped, len(cutOff))
 	return schedule
--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -235,3 +235,22 @@
 	is.NoErr(res.Body.Close())
 	is.NoErr(<-n.done)
 }
+
+// Guards against a client that holds the exit until the end of the grace period with a few
+// bytes that are no request.
+func TestStrayBytesDontHoldExit(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newTestSite(t)
+	s.start("n1")
+	n := s.instances[0]
+	client := n.hold(t)
+	client.write("/order/1", "2000", "helmet")
+	_, err := client.status()
+	is.NoErr(err)
+	_, err = io.WriteString(client, "\r\n")
+	is.NoErr(err)
+	n.stop()
+	is.NoErr(<-n.done)
+	is.True(time.Now().Before(n.stopSchedule.Load().CloseBy))
+}
--- a/entry/run.go
+++ b/entry/run.go
@@ -22,6 +22,9 @@
 	// log to be written. On a slow machine, processes were killed at the end of the grace
 	// period while a task still waited for a reply.
 	exitTimeout = 300 * time.Millisecond
+	// minLogTime is the least time for the last lines of the log, which tell why an exit was
+	// late.
+	minLogTime = 20 * time.Millisecond
 	// idleTimeout is how long an idle client connection stays open. It is longer than
 	// any idle time that operators may set.
 	idleTimeout = 2 * time.Minute
@@ -54,11 +57,11 @@
 	i.startMetrics(work, &group)
 	for _, task := range []func(context.Context) error{
 		i.runHeartbeats, i.runFetches, i.runOperators, i.runServers, i.runRegistration, i.runReload, i.runServerSync, i.runDepthLog,
-		i.runRollouts, i.runJudging, i.runQuarantineReads, i.runQuarantineWrites, i.attemptLog.run, i.configurationLog.run,
+		i.runRollouts, i.runJudging, i.runQuarantineReads, i.attemptLog.run, i.configurationLog.run,
 	} {
 		group.Go(func() error { return task(upkeep) })
 	}
-	for _, task := range []func(context.Context) error{i.coordinator.Run, i.notices.run, i.decisions.run, i.intake.Run} {
+	for _, task := range []func(context.Context) error{i.coordinator.Run, i.notices.run, i.decisions.run, i.intake.Run, i.runQuarantineWrites} {
 		group.Go(func() error { return task(work) })
 	}
 	i.Logger.Write(event.EntryStarted, Version, i.Settings.ClientAddress, i.Settings.PeerAddress, i.Settings.DataCentre)
@@ -73,7 +76,7 @@
 	})
 	err = waitWithTimeout(&closing, min(exitTimeout, time.Until(schedule.ExitBy)))
 	logging.Go(i.Logger.Close)
-	return errors.Join(err, waitWithTimeout(&logging, min(exitTimeout, time.Until(schedule.ExitBy))))
+	return errors.Join(err, waitWithTimeout(&logging, max(minLogTime, min(exitTimeout, time.Until(schedule.ExitBy)))))
 }
 
 // waitWithTimeout waits for a group to end and returns its error. If the group is still
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"runtime"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -47,6 +48,9 @@
 type Frontend struct {
 	account    intake.Commands
 	smallReads *rate.Limiter
+	// serving is the number of connections of clients that have a request or an answer that
+	// isn't written.
+	serving atomic.Int64
 }
 
 // New returns a front end for an account, in a process that may use a number of processor
@@ -87,7 +91,7 @@
 
 // Listen returns a listener whose connections are counted in a class.
 func (f *Frontend) Listen(l net.Listener, class intake.Class) net.Listener {
-	return &listener{Listener: l, account: f.account, class: class}
+	return &listener{Listener: l, frontend: f, class: class}
 }
 
 // Begin adds a request to the account. The request must be ended. The error is ErrClosed,
@@ -100,19 +104,23 @@
 	switch {
 	case !ok:
 		return nil, nil
-	case !counted.startRequest():
+	case !counted.startServing():
 		return nil, ErrClosed
 	}
 	return counted.Connection.Begin(r.Context(), time.Now())
 }
 
 // CloseIdle closes the connections of clients that have no request, except those that have
-// had none yet and were opened at or after a time. Unlike http.Server.Shutdown, it closes
-// none from which a part of a request was read.
+// had none yet and were opened at or after a time. Unlike http.Server.Shutdown, it spares
+// those at which a part of a request has arrived, for the time in which the rest should.
 func (f *Frontend) CloseIdle(openedBefore time.Time) {
 	f.account.CloseIdle(intake.Clients, openedBefore)
 }
 
+// Serving returns the number of connections of clients that have a request, or an answer
+// that isn't written.
+func (f *Frontend) Serving() int { return int(f.serving.Load()) }
+
 // Track adds a request in a phase without memory to a connection of a listener of Listen.
 // Requests of other connections aren't accounted for.
 func Track(n net.Conn, phase intake.Phase) *intake.Request {
@@ -133,8 +141,8 @@
 
 type listener struct {
 	net.Listener
-	account intake.Commands
-	class   intake.Class
+	frontend *Frontend
+	class    intake.Class
 }
 
 // Accept returns the next connection that the account admits; it closes others.
@@ -148,8 +156,12 @@
 		if !ok {
 			return n, nil
 		}
-		c := &conn{TCPConn: tcp, account: l.account}
-		if c.Connection, ok = l.account.Connect(l.class, n.RemoteAddr().String(), c.interrupt, c.closeIdle, time.Now()); ok {
+		c := &conn{TCPConn: tcp, account: l.frontend.account, openedAt: time.Now()}
+		if l.class == intake.Clients {
+			c.serving = &l.frontend.serving
+		}
+		control := intake.Control{Interrupt: c.interrupt, ClaimIdle: c.claimIdle, CloseIdle: c.closeIdle}
+		if c.Connection, ok = c.account.Connect(l.class, n.RemoteAddr().String(), control, c.openedAt); ok {
 			return c, nil
 		}
 		_ = n.Close()
--- a/frontend/frontend_test.go
+++ b/frontend/frontend_test.go
@@ -31,14 +31,25 @@
 
 // newSite starts a server with a handler, with memory for one large body.
 func newSite(t *testing.T, handle func(f *frontend.Frontend) http.Handler) *site {
-	table := intake.NewTable(intake.Bounds{Memory: 6 << 20, Reserve: 1 << 20, Connections: [3]int{100, 1, 1}})
+	return newSiteWith(t, 100, handle, nil)
+}
+
+// newSiteWith starts a server that takes a number of connections of clients. The function
+// onState is called with each change of the state of a connection; nil for none.
+func newSiteWith(t *testing.T, connections int, handle func(f *frontend.Frontend) http.Handler, onState func(f *frontend.Frontend, state http.ConnState)) *site {
+	table := intake.NewTable(intake.Bounds{Memory: 6 << 20, Reserve: 1 << 20, Connections: [3]int{connections, 1, 1}})
 	f := frontend.New(table.Commands(), 0)
 	var config net.ListenConfig
 	l, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := f.Attach(&http.Server{Handler: handle(f), ReadHeaderTimeout: time.Second})
+	report := func(_ net.Conn, state http.ConnState) {
+		if onState != nil {
+			onState(f, state)
+		}
+	}
+	server := f.Attach(&http.Server{Handler: handle(f), ReadHeaderTimeout: time.Second, ConnState: report})
 	ctx, stop := context.WithCancel(t.Context())
 	var running sync.WaitGroup
 	running.Go(func() { _ = table.Run(ctx) })
@@ -162,7 +173,7 @@
 func TestDiscardedAnswerIsReleased(t *testing.T) {
 	is := is.New(t)
 	table := intake.NewTable(intake.Bounds{Memory: 6 << 20, Reserve: 1 << 20, Connections: [3]int{1, 1, 1}})
-	connection, _ := table.Commands().Connect(intake.Clients, "a", func(intake.Phase) {}, func() {}, time.Now())
+	connection, _ := table.Commands().Connect(intake.Clients, "a", intake.Control{}, time.Now())
 	counted, err := connection.Begin(t.Context(), time.Now())
 	is.NoErr(err)
 	answer := frontend.NewAnswer(counted)
--- a/intake/commands.go
+++ b/intake/commands.go
@@ -14,17 +14,14 @@
 // Connect adds a connection. If its class is full, the connection that has been idle for
 // the longest time is closed for it, or else the one whose request makes the least
 // progress. If there is none of these either, Connect reports false.
-//
-// The function interrupt ends what the connection does in a phase, and closeIdle closes it
-// unless it has begun to receive a request. Neither may block.
-func (c Commands) Connect(class Class, address string, interrupt func(phase Phase), closeIdle func(), now time.Time) (*Connection, bool) {
+func (c Commands) Connect(class Class, address string, control Control, now time.Time) (*Connection, bool) {
 	t := c.table
-	next := &Connection{table: t, class: class, address: address, interrupt: interrupt, closeIdle: closeIdle, idleSince: now}
+	next := &Connection{table: t, class: class, address: address, control: control, idleSince: now}
 	t.mu.Lock()
 	var replaced *Connection
 	phase := Idle
 	if len(t.connections[class]) >= t.bounds.Connections[class] {
-		if replaced = t.longestIdle(class); replaced == nil {
+		if replaced = t.claimIdle(class); replaced == nil {
 			replaced, phase = t.shedSlowest(class, now)
 		}
 		if replaced == nil {
@@ -38,7 +35,7 @@
 	t.mu.Unlock()
 	if replaced != nil {
 		t.Counters.Add("connectionsReplaced")
-		replaced.interrupt(phase)
+		replaced.control.Interrupt(phase)
 	}
 	return next, true
 }
@@ -49,14 +46,15 @@
 	t := c.table
 	t.mu.Lock()
 	var idle []*Connection
-	for next := range t.connections[class] {
-		if next.active == 0 && (next.moved.Load() > 0 || next.idleSince.Before(openedBefore)) {
-			idle = append(idle, next)
+	for connection := range t.connections[class] {
+		if connection.active == 0 && (connection.moved.Load() > 0 || connection.idleSince.Before(openedBefore)) {
+			idle = append(idle, connection)
 		}
 	}
 	t.mu.Unlock()
-	for _, next := range idle {
-		next.closeIdle()
+	now := time.Now()
+	for _, connection := range idle {
+		connection.control.CloseIdle(now)
 	}
 }
 
@@ -80,16 +78,22 @@
 	return slowest.connection, slowest.phase
 }
 
-// longestIdle returns the connection of a class that has had no request for the longest
-// time, nil if all have one. The caller holds the lock.
-func (t *Table) longestIdle(class Class) *Connection {
-	var oldest *Connection
+// claimIdle returns the connection of a class that has had no request for the longest time
+// and may be closed, nil if there is none. The caller holds the lock.
+func (t *Table) claimIdle(class Class) *Connection {
+	var idle []*Connection
 	for c := range t.connections[class] {
-		if c.active == 0 && (oldest == nil || c.idleSince.Before(oldest.idleSince)) {
-			oldest = c
+		if c.active == 0 {
+			idle = append(idle, c)
+		}
+	}
+	slices.SortFunc(idle, func(a, b *Connection) int { return a.idleSince.Compare(b.idleSince) })
+	for _, c := range idle {
+		if c.control.ClaimIdle() {
+			return c
 		}
 	}
-	return oldest
+	return nil
 }
 
 // disconnect removes a connection. The caller holds the lock.
--- a/intake/review.go
+++ b/intake/review.go
@@ -107,7 +107,7 @@
 		if n < maxShedLines {
 			t.Logger.Write(event.RequestShed, r.connection.address, r.connection.class.String(), chosen[n].Phase.String(), chosen[n].Held, int64(chosen[n].Rate))
 		}
-		r.connection.interrupt(chosen[n].Phase)
+		r.connection.control.Interrupt(chosen[n].Phase)
 	}
 	return isCalm
 }
--- a/intake/table.go
+++ b/intake/table.go
@@ -48,14 +48,24 @@
 // Queries returns the queries of the table.
 func (t *Table) Queries() Queries { return Queries{t} }
 
+// Control has the functions that end a connection. They must not block.
+type Control struct {
+	// Interrupt ends what the connection does in a phase; in Idle it closes the connection.
+	Interrupt func(phase Phase)
+	// ClaimIdle reports whether the connection may be closed as idle: no request is served
+	// and no answer is being written. After that, no request is read from it any more.
+	ClaimIdle func() bool
+	// CloseIdle closes the connection if it has no request and none has arrived.
+	CloseIdle func(now time.Time)
+}
+
 // Connection is an open connection.
 type Connection struct {
-	table     *Table
-	class     Class
-	address   string
-	interrupt func(phase Phase)
-	// closeIdle closes the connection unless it has begun to receive a request.
-	closeIdle func()
+	table   *Table
+	class   Class
+	address string
+	// control has the functions that end the connection.
+	control Control
 	// moved is the number of bytes that were read and written.
 	moved atomic.Int64
 	// isWriting is set while a write waits for the client.
--- a/intake/table_test.go
+++ b/intake/table_test.go
@@ -29,11 +29,12 @@
 
 func (m *machine) connect(t *testing.T, name string) *intake.Connection {
 	t.Helper()
-	c, ok := m.table.Commands().Connect(intake.Clients, name, func(phase intake.Phase) {
+	interrupt := func(phase intake.Phase) {
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		m.shed = append(m.shed, name+" "+phase.String())
-	}, func() {}, time.Now())
+	}
+	c, ok := m.table.Commands().Connect(intake.Clients, name, intake.Control{Interrupt: interrupt, ClaimIdle: func() bool { return true }}, time.Now())
 	if !ok {
 		t.Fatal("no place for a connection")
 	}
@@ -294,7 +295,7 @@
 // BenchmarkRequest measures the account of an ordinary request.
 func BenchmarkRequest(b *testing.B) {
 	t := intake.NewTable(intake.BoundsFor(144e6, 20000))
-	c, _ := t.Commands().Connect(intake.Clients, "", func(intake.Phase) {}, func() {}, time.Now())
+	c, _ := t.Commands().Connect(intake.Clients, "", intake.Control{}, time.Now())
 	for b.Loop() {
 		now := time.Now()
 		r, err := c.Begin(b.Context(), now)
--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -63,7 +63,11 @@
 			return nil
 		})
 	}
+	limit := time.Now().Add(recoveryLimit)
 	for s.runsOf("registry", "frozen-") < (run+1)*frozenOrders {
+		if time.Now().After(limit) {
+			s.t.Fatalf("%d orders run", s.runsOf("registry", "frozen-")-run*frozenOrders)
+		}
 		pause(ctx, 10*time.Millisecond)
 	}
 	began := time.Now()
