claim: read the stream to its end before a key is reported as running

The scenario same_key failed once: a repeat of a key right after its answer gave "keyRunning: instance a2 holds the claim" at a1 and "ran" at a2.

Cause: Claimer.Claim and GetOutcome refused with the state at the last record that the tail had delivered. At a1 the record of the outcome had not arrived, although it was in the log. The design says that a loser answers with what the stream says, and keyRunning means that a request is under way, so the product was at fault, not the script.

Now a state that says "running" is confirmed by reading the stream to its end. If the log can't be read, the state that was read last is given, as before, and event 702 says so.

Ruled out: an outcome whose append takes longer than the 250 ms for which the answer waits.

Evidence: TestRepeatAfterAnswerElsewhere holds back the tail of the other instance.

--- a/claim/claimer.go
+++ b/claim/claimer.go
@@ -24,6 +24,9 @@
 	// ErrNotAppended if the records are definitely not in the log and never will
 	// be.
 	Append func(ctx context.Context, stream string, records []Record) error
+	// Read reads a stream of the log up to its current end and applies the records to
+	// the table. The tail of the stream may be late.
+	Read func(ctx context.Context, stream string) error
 	// NewID returns a unique identifier for a new claim.
 	NewID func() ID
 	// Instance and Incarnation identify this process in its claims.
@@ -52,11 +55,12 @@
 const maxQueuedPerStream = 512
 
 // NewClaimer returns a claimer that uses a table to which the caller applies the
-// tails of the claim streams. Claims and appends time out after 2 s, and there
-// is one worker per stream.
+// tails of the claim streams. Its Read does nothing. Claims and appends time out
+// after 2 s, and there is one worker per stream.
 func NewClaimer(t *Table, appendRecords func(ctx context.Context, stream string, records []Record) error) *Claimer {
 	return &Claimer{
 		Append:        appendRecords,
+		Read:          func(context.Context, string) error { return nil },
 		NewID:         NewID,
 		ClaimTimeout:  2 * time.Second,
 		AppendTimeout: 2 * time.Second,
@@ -161,10 +165,10 @@
 }
 
 func (c *Claimer) claim(ctx context.Context, k Key, workspace string, digest Digest) (*Ticket, error) {
-	if st, ok := c.queries.State(k); ok {
-		if err := st.conflict(workspace, digest); err != nil {
-			return nil, err
-		}
+	ctx, cancel := context.WithTimeout(ctx, c.ClaimTimeout)
+	defer cancel()
+	if err := c.conflict(ctx, k, workspace, digest); err != nil {
+		return nil, err
 	}
 	if !c.table.Window.Contains(k, time.Now()) {
 		return nil, refuseOutsideWindow()
@@ -182,11 +186,26 @@
 	return &Ticket{claimer: c, record: r}, nil
 }
 
+// conflict returns the error for a new call with a key whose state does not allow
+// one. A key that appears to be running may have an outcome that has not arrived at
+// the tail of its stream, so that the stream is read to its end before the refusal.
+func (c *Claimer) conflict(ctx context.Context, k Key, workspace string, digest Digest) error {
+	st, _ := c.queries.State(k)
+	err := st.conflict(workspace, digest)
+	if !errors.Is(err, request.ReasonKeyInProgress) {
+		return err
+	}
+	if readErr := c.Read(ctx, StreamName(StreamOf(k))); readErr != nil {
+		c.Events.Write(event.ClaimsUnread, k.String(), readErr)
+		return err
+	}
+	st, _ = c.queries.State(k)
+	return st.conflict(workspace, digest)
+}
+
 // appendAndWait appends a claim, waits until it is read back from the tail of its
 // stream, and decides it. It returns nil if the claim won.
 func (c *Claimer) appendAndWait(ctx context.Context, r Record) error {
-	ctx, cancel := context.WithTimeout(ctx, c.ClaimTimeout)
-	defer cancel()
 	applied := c.commands.trackClaim(r)
 	pending, ok := c.outbox.addClaim(r)
 	if !ok {
--- a/event/events.go
+++ b/event/events.go
@@ -76,6 +76,7 @@
 	OwnershipReleased         = Event{604, log.InfoLevel, "ownership released", []string{"pool", "dataCentre", "term"}, "This instance is leaving and has released the pool."}
 	OwnershipLeaseExpired     = Event{603, log.WarnLevel, "ownership lease expired", []string{"age"}, "All ownership leases of this instance expired because they could not be renewed in the log; the cold servers of its pools get no work. age is the time in milliseconds since the last renewal."}
 	ClaimUndecided            = Event{701, log.WarnLevel, "claim undecided", []string{"key", "error"}, "A claim, or the outcome of a claimed request, could not be confirmed in the log. If it was the claim, the request was refused as not run; if it was the outcome, the request has ended, but the log may never hold its outcome."}
+	ClaimsUnread              = Event{702, log.WarnLevel, "claims unread", []string{"key", "error"}, "A request came with a key that another request holds, and the stream of claims could not be read to its end; the request was refused with the state of the key at the last record that was read."}
 	DecisionRecords           = Event{802, log.InfoLevel, "decision records", []string{"records", "first", "last", "data"}, "Signed decision records of this instance, the input of lycheectl precedence; data is a batch in base64, and first and last are its sequence numbers. The records form a hash chain; the store of the users' platform holds the hash of its end, so that missing records are detected."}
 	PrecedenceRecordsLost     = Event{801, log.ErrorLevel, "precedence records lost", []string{"count"}, "The buffer of decision records overflowed; a gap record holds the number of lost records."}
 	DecisionRecordsNotSealed  = Event{803, log.ErrorLevel, "decision records not sealed", []string{"first", "error"}, "Decision records could not be encoded or sealed; they are kept for another attempt. This is a bug in the program."}
@@ -92,6 +93,6 @@
 		PromptQuarantined, QuarantineEnded, QuarantineProbed, EngineCrashed, AttemptCutOff, AttemptHedged,
 		ServerCold, ServerWarm, ServerLeaving, StageCallFailed, ServerListed, ServerUnlisted, PoolDepth, ServerPaused, EnginePool, LapseDecided, LateEntryIgnored,
 		OwnershipAcquired, OwnershipLost, OwnershipReleased, OwnershipLeaseExpired,
-		ClaimUndecided, PrecedenceRecordsLost, DecisionRecordsNotSealed, DecisionRecords,
+		ClaimUndecided, ClaimsUnread, PrecedenceRecordsLost, DecisionRecordsNotSealed, DecisionRecords,
 	}
 }
--- a/instance/claim.go
+++ b/instance/claim.go
@@ -132,19 +132,24 @@
 }
 
 // keyStatus returns the status of a key, and reads the claims up to the end of their
-// stream if the key appears not to have run.
+// stream if the key appears not to have run or to be running.
 func (i *Instance) keyStatus(ctx context.Context, workspace, text string) caller.KeyStatus {
 	key, err := claim.ParseKey(text)
 	if err != nil {
 		return caller.KeyStatus{Outcome: request.MayHaveRun, Failure: request.Refuse(request.ReasonKeyMalformed, "the key is not a UUIDv7 in canonical form")}
 	}
 	status := i.localKeyStatus(key, workspace)
-	if status.Outcome != request.NotRun {
+	if status.Outcome != request.NotRun && !status.Running {
 		return status
 	}
-	// Another instance may have claimed the key in a record that has not arrived
-	// here yet, so that the stream must be read to its end.
-	if err := i.readClaims(ctx, claim.StreamName(claim.StreamOf(key))); err != nil {
+	// Another instance may have claimed or finished the key in a record that has not
+	// arrived here yet, so that the stream must be read to its end.
+	err = i.readClaims(ctx, claim.StreamName(claim.StreamOf(key)))
+	switch {
+	case err != nil && status.Running:
+		i.Logger.Write(event.ClaimsUnread, text, err)
+		return status
+	case err != nil:
 		return caller.KeyStatus{Outcome: request.MayHaveRun, Failure: request.Refuse(request.ReasonClaimLogUnavailable, "the claims of the key could not be read from the log")}
 	}
 	return i.localKeyStatus(key, workspace)
--- a/instance/claim_test.go
+++ b/instance/claim_test.go
@@ -207,6 +207,61 @@
 	goldie.New(t).Assert(t, "outcomeOfKey", []byte(table.String()))
 }
 
+// Guards against an instance that reports a key as running after the request with it has
+// been answered elsewhere, because the record of the outcome has not arrived.
+func TestRepeatAfterAnswerElsewhere(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, siteOptions{}, "a", "b")
+	executed := make(chan struct{})
+	s.startInstances(func(n *node) {
+		if n.self.Instance != "b1" {
+			return
+		}
+		execute := n.runner.Execute
+		n.runner.Execute = func(ctx context.Context, step request.Step, sink request.Sink) (request.Result, error) {
+			result, err := execute(ctx, step, sink)
+			if step.Key != "" {
+				select {
+				case <-executed:
+				case <-ctx.Done():
+				}
+			}
+			return result, err
+		}
+	}, "a1", "b1")
+	a1, b1 := s.nodes["a1"], s.nodes["b1"]
+	s.awaitServing(setupBound, "status", a1, b1)
+	s.awaitClaims(setupBound, a1, b1)
+	var table strings.Builder
+	for _, c := range []struct {
+		name  string
+		fault logFault
+	}{
+		{"tail late", logFault{TailFrozen: true}},
+		{"log down", logFault{Down: true}},
+	} {
+		key := newKey()
+		var first *callerv1.RunResponse
+		var sender sync.WaitGroup
+		sender.Go(func() { first = b1.ask("file", key) })
+		s.await(configurationBound, "the claim arrives", func() bool {
+			verdict, _ := a1.outcomeOf("lab", key)
+			return verdict == "may_have_run"
+		})
+		a1.log.set(c.fault)
+		executed <- struct{}{}
+		sender.Wait()
+		s.await(configurationBound, "the outcome is in the log", func() bool {
+			verdict, _ := b1.outcomeOf("lab", key)
+			return verdict == "ran"
+		})
+		outcome, _ := a1.outcomeOf("lab", key)
+		fmt.Fprintf(&table, "%-10s answer %-4s outcome elsewhere %-14s repeat elsewhere %s\n", c.name, verdictOf(first), outcome, verdictOf(a1.ask("file", key)))
+		a1.log.set(logFault{})
+	}
+	goldie.New(t).Assert(t, "repeatAfterAnswerElsewhere", []byte(table.String()))
+}
+
 // withoutDigits removes digits in strings.Map. The totals in outputs differ from run
 // to run.
 func withoutDigits(r rune) rune {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -171,7 +171,7 @@
 	i.claimCommands, i.claimQueries = claims.Commands(), claims.Queries()
 	i.claimer = claim.NewClaimer(claims, i.appendClaims)
 	i.claimer.Instance, i.claimer.Incarnation = i.self.Instance, i.self.Incarnation
-	i.claimer.Events = i.Logger
+	i.claimer.Read, i.claimer.Events = i.readClaims, i.Logger
 }
 
 func (i *Instance) buildOwnership() {
