claim: read a claim back from the log when the tail does not deliver it

Cause: a claim was read back only by the tail of its stream. After an outage a follower opens its tail after a pause of up to 2 s, which is the whole time limit of a claim: append and log were sound, and the claim was refused for the pause alone.

Now the claimer reads the stream itself if the tail has not delivered the claim 100 ms after the append ended, also when the result of the append is unknown.

The new row "tail late" of TestAtMostOnce failed without the change.

The row "claim appended but not read back" now blocks reads too, since the tail alone no longer prevents the read; the new row has the old fault.

--- a/claim/claimer.go
+++ b/claim/claimer.go
@@ -17,6 +17,10 @@
 // expiryInterval is the interval at which expired keys are deleted.
 const expiryInterval = time.Minute
 
+// tailGrace is the time that the tail of a stream has to deliver a claim after its
+// append, before the stream is read.
+const tailGrace = 100 * time.Millisecond
+
 // Claimer claims keys for the calls of one instance. Set the exported fields
 // before Run. Concurrent calls of Claim are safe.
 type Claimer struct {
@@ -109,9 +113,11 @@
 		return
 	}
 	c.Counters.Add("appendFailed")
-	if errors.Is(err, ErrNotAppended) {
-		for _, p := range b.claims {
+	for _, p := range b.claims {
+		if errors.Is(err, ErrNotAppended) {
 			close(p.failed)
+		} else {
+			close(p.sent)
 		}
 	}
 	c.outbox.failBatch(n, b)
@@ -203,8 +209,8 @@
 	return st.conflict(workspace, digest)
 }
 
-// appendAndWait appends a claim, waits until it is read back from the tail of its
-// stream, and decides it. It returns nil if the claim won.
+// appendAndWait appends a claim, waits until it is read back from its stream, and
+// decides it. It returns nil if the claim won.
 func (c *Claimer) appendAndWait(ctx context.Context, r Record) error {
 	applied := c.commands.trackClaim(r)
 	pending, ok := c.outbox.addClaim(r)
@@ -214,6 +220,8 @@
 	}
 	select {
 	case <-applied:
+	case <-pending.sent:
+		c.readBack(ctx, r.Key, applied)
 	case <-pending.failed:
 		c.commands.untrackClaim(r.ClaimID)
 		return refuseUnavailable("the claim record was not appended to the log")
@@ -234,6 +242,29 @@
 	return err
 }
 
+// readBack waits until a claim that was sent to the log is applied or the context
+// ends. It reads the stream if the tail does not deliver the claim soon, because a tail
+// that failed is opened again only after a pause.
+func (c *Claimer) readBack(ctx context.Context, k Key, applied <-chan struct{}) {
+	timer := time.NewTimer(tailGrace)
+	defer timer.Stop()
+	select {
+	case <-applied:
+		return
+	case <-ctx.Done():
+		return
+	case <-timer.C:
+	}
+	c.Counters.Add("readBack")
+	if err := c.Read(ctx, StreamName(StreamOf(k))); err != nil {
+		c.Events.Write(event.ClaimsUnread, k.String(), err)
+	}
+	select {
+	case <-applied:
+	case <-ctx.Done():
+	}
+}
+
 // refusal returns the error for a claim that did not win.
 func (d decision) refusal(r Record) error {
 	if !d.state.isHeldBy(r.ClaimID) {
--- a/claim/fakelog_test.go
+++ b/claim/fakelog_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -78,6 +80,7 @@
 	n := &node{log: l, table: claim.NewTable(), faultEnds: map[string]time.Time{}}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.claimer = claim.NewClaimer(n.table, n.append)
+	n.claimer.Read = n.read
 	n.claimer.Instance, n.claimer.Workers, n.claimer.ClaimTimeout = name, 2, timeout
 	return n
 }
@@ -130,6 +133,21 @@
 	return nil
 }
 
+func (n *node) read(_ context.Context, stream string) error {
+	time.Sleep(time.Millisecond)
+	if !n.waitWhileFrozen() || n.faultRemaining("disconnected") > 0 {
+		return errNoResponse
+	}
+	from := n.table.Queries().AppliedThrough(stream) + 1
+	number, err := strconv.Atoi(strings.TrimPrefix(stream, "claims."))
+	if err != nil {
+		return err
+	}
+	first, records, _, _ := n.log.read(number, from)
+	n.waitWhileFrozen()
+	return n.table.Commands().ApplyRecords(stream, first, records)
+}
+
 func (n *node) tail() {
 	commands := n.table.Commands()
 	var next [claim.StreamCount]uint64
--- a/claim/outbox.go
+++ b/claim/outbox.go
@@ -56,6 +56,8 @@
 
 type pendingClaim struct {
 	record Record
+	// sent is closed when the append has ended and the record may be in the log.
+	sent chan struct{}
 	// failed is closed if the record is definitely not in the log and never will
 	// be.
 	failed chan struct{}
@@ -110,7 +112,7 @@
 	if len(q.claims) >= o.maxQueued {
 		return nil, false
 	}
-	c := &pendingClaim{record: r, failed: make(chan struct{})}
+	c := &pendingClaim{record: r, sent: make(chan struct{}), failed: make(chan struct{})}
 	q.claims = append(q.claims, c)
 	o.schedule(n)
 	return c, true
@@ -175,6 +177,9 @@
 	for _, p := range b.outcomes {
 		close(p.done)
 	}
+	for _, p := range b.claims {
+		close(p.sent)
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	q := &o.queues[n]
--- a/instance/claim_test.go
+++ b/instance/claim_test.go
@@ -105,8 +105,9 @@
 		{"another input with the key", logFault{}, func() *callerv1.RunResponse { return b1.send(changed) }},
 		{"log down", logFault{Down: true}, func() *callerv1.RunResponse { return a1.ask("file", down) }},
 		{"log up again", logFault{}, func() *callerv1.RunResponse { return a1.ask("file", down) }},
-		{"claim appended but not read back", logFault{TailFrozen: true}, func() *callerv1.RunResponse { return a1.ask("file", unread) }},
+		{"claim appended but not read back", logFault{TailFrozen: true, ReadsDown: true}, func() *callerv1.RunResponse { return a1.ask("file", unread) }},
 		{"the same once the claim was released", logFault{}, func() *callerv1.RunResponse { return s.awaitRan(b1, unread) }},
+		{"tail late", logFault{TailFrozen: true}, func() *callerv1.RunResponse { return a1.ask("file", newKey()) }},
 	} {
 		a1.log.set(c.fault)
 		before := s.executed()
--- a/instance/faultylog_test.go
+++ b/instance/faultylog_test.go
@@ -18,6 +18,8 @@
 	Frozen bool
 	// TailFrozen blocks only the tails.
 	TailFrozen bool
+	// ReadsDown fails only the reads.
+	ReadsDown bool
 	// Delay is the time by which each call is delayed.
 	Delay time.Duration
 	// LoseAnswer makes an append return an error after it succeeded.
@@ -93,9 +95,13 @@
 }
 
 func (l *faultyLog) read(ctx context.Context, stream string, from uint64) (provider.Page, error) {
-	if _, err := l.applyFault(ctx); err != nil {
+	fault, err := l.applyFault(ctx)
+	if err != nil {
 		return provider.Page{}, err
 	}
+	if fault.ReadsDown {
+		return provider.Page{}, eris.Wrap(provider.ErrUnavailable, "reads down")
+	}
 	return l.inner.Read(ctx, stream, from)
 }
 
