bench: audit the filings of services without sending them requests

Cause: after a run the tool looked up the filings by a request to each service. A stand-in that has just fallen over refuses all requests for a second.

Now the audit reads the totals of the stand-in, which runs in the same process, as the counts are read. It has no error any more.

Ruled out: a fault of the servers' limits, which no balancer without one keeps; an audit that waits for the server would still depend on its load.

Evidence: TestFilingsOfFallenServer lets registry-1 fall over and audits.

--- a/bench/cell_test.go
+++ b/bench/cell_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -121,6 +122,37 @@
 	}
 }
 
+// Guards against an audit that fails because a service has just fallen over.
+func TestFilingsOfFallenServer(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	site := &Site{Warm: true}
+	defer func() { is.NoErr(site.Stop()) }()
+	is.NoErr(site.Start(t.Context(), readCell(t, "testdata/cell.yaml")))
+	i := slices.IndexFunc(site.servers, func(one server) bool { return one.Name == "registry-1" })
+	one := site.servers[i]
+	file := func(n int) error {
+		step := request.Step{
+			RequestID: fmt.Sprintf("r-%d", n), Stage: "file", Kind: request.Call, Attempt: 1, Operation: "fileRecall",
+			Key: fmt.Sprintf("k-%d", n), Input: []byte("helmet"), Deadline: time.Now().Add(grace),
+		}
+		_, err := stage.NewService(NewHTTP(), "http://"+one.address).Execute(t.Context(), step)
+		return err
+	}
+	calls := 0
+	for one.standin.Counts()["fellOver"] == 0 {
+		is.NoErr(site.TurnCold(one.Name))
+		var group errgroup.Group
+		for range 8 * one.Group.ColdInFlight {
+			calls++
+			n := calls
+			group.Go(func() error { return file(n) })
+		}
+		_ = group.Wait() // calls beyond the cold limit fail
+	}
+	is.Equal(site.filings(), map[string]int64{"helmet": one.standin.Counts()["executed"]})
+}
+
 // Guards against a run that loses, doubles or misjudges requests while a data
 // centre goes and comes, whatever the speed of the machine.
 func TestCellRun(t *testing.T) {
--- a/bench/cellrun.go
+++ b/bench/cellrun.go
@@ -79,7 +79,7 @@
 	if err := s.warm(ctx); err != nil {
 		return result, err
 	}
-	return s.measure(ctx)
+	return s.measure(ctx), nil
 }
 
 // startSide starts the instances, or the dispatcher of a baseline.
@@ -128,7 +128,7 @@
 	return ctx.Err()
 }
 
-func (s *cellState) measure(ctx context.Context) (Result, error) {
+func (s *cellState) measure(ctx context.Context) Result {
 	before := s.site.counts()
 	acting, stop := context.WithCancel(ctx)
 	var group errgroup.Group
@@ -146,8 +146,7 @@
 	stop()
 	_ = group.Wait()
 	s.site.platform.SetFault(fault.Fault{})
-	cell, err := s.result(ctx, before, r)
-	return r.WithCell(cell), err
+	return r.WithCell(s.result(before, r))
 }
 
 func (s *cellState) judged(a Arrival, v Verdict) {
@@ -248,7 +247,7 @@
 }
 
 // result sums up what the stand-ins have counted since the load began.
-func (s *cellState) result(ctx context.Context, before map[string]StageCost, r Result) (CellResult, error) {
+func (s *cellState) result(before map[string]StageCost, r Result) CellResult {
 	cell := CellResult{Events: s.events, WorkAfterTakeOut: s.workOut, CapacityPerSecond: s.Cell.Capacity()}
 	useful := s.stepsByPool(r.WholeByTarget)
 	after := s.site.counts()
@@ -264,10 +263,7 @@
 	if capacity := cell.CapacityPerSecond * counted.Seconds(); capacity > 0 {
 		cell.UsefulShare = float64(s.stepsByPool(r.Settled)[s.Cell.Scarce]) / capacity
 	}
-	filings, err := s.site.filings(ctx)
-	if err != nil {
-		return cell, err
-	}
+	filings := s.site.filings()
 	for subject, v := range s.verdicts {
 		if filings[subject] > 1 {
 			cell.DoubledAtServers++
@@ -276,7 +272,7 @@
 			cell.FalseRefusals++
 		}
 	}
-	return cell, nil
+	return cell
 }
 
 // stepsByPool returns how many steps of each pool a number of answers by target
--- a/bench/site.go
+++ b/bench/site.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net"
 	"net/http"
@@ -16,7 +15,6 @@
 	"lycheecrank.example/editor"
 	"lycheecrank.example/provider"
 	"lycheecrank.example/request"
-	"lycheecrank.example/stage"
 	"lycheecrank.example/standin"
 	"lycheecrank.example/standin/fault"
 	"lycheecrank.example/standin/work"
@@ -239,30 +237,21 @@
 	return cold
 }
 
-// filings returns how often each subject was filed at all plain services.
-func (s *Site) filings(ctx context.Context) (map[string]int64, error) {
+// filings returns how often each subject was filed at all plain services. It sends them
+// no request, which a cold or full server would refuse.
+func (s *Site) filings() map[string]int64 {
 	sums := map[string]int64{}
-	client := NewHTTP()
 	for _, one := range s.servers {
 		if one.Kind != request.Call {
 			continue
 		}
-		step := request.Step{RequestID: "audit-" + one.Name, Stage: "audit", Kind: request.Call, Attempt: 1, Operation: "lookup", Deadline: time.Now().Add(grace)}
-		output, err := stage.NewService(client, "http://"+one.address).Execute(ctx, step)
-		if err != nil {
-			return nil, eris.Wrap(err, "audit "+one.Name)
-		}
-		var totals []work.Total
-		if err := json.Unmarshal(output.Data, &totals); err != nil {
-			return nil, eris.Wrap(err, "audit "+one.Name)
-		}
-		for _, t := range totals {
+		for _, t := range one.standin.Totals() {
 			for _, n := range t.Sums {
 				sums[t.Subject] += n
 			}
 		}
 	}
-	return sums, nil
+	return sums
 }
 
 // countingListener counts the bytes of its connections.
--- a/standin/service.go
+++ b/standin/service.go
@@ -26,7 +26,9 @@
 	h := &serviceHandler{newBackend(o)}
 	mux := http.NewServeMux()
 	mux.Handle(servicev1connect.NewPlainServiceHandler(h, h.obey()))
-	return newStandin(mux, h.obedience, h.backend)
+	s := newStandin(mux, h.obedience, h.backend)
+	s.Totals = func() []work.Total { return h.state.Lookup("") }
+	return s
 }
 
 type serviceHandler struct {
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lycheecrank.example/standin/fault"
+	"lycheecrank.example/standin/work"
 )
 
 // Standin is one stand-in. Create it with NewPlatform, NewEngine, NewPool or
@@ -33,6 +34,9 @@
 	SetFault func(f fault.Fault)
 	// Counts returns what the stand-in has counted.
 	Counts func() map[string]int64
+	// Totals returns what a plain service has filed, whatever its load; nil for other
+	// stand-ins.
+	Totals func() []work.Total
 	// Stop refuses new work and ends the streams without an end of their own.
 	// Run calls it when its context ends.
 	Stop func()
