Show suspected servers and the messages of refusals in scenarios

The scenario data_centre_taken_out failed once with 47 of 136 requests deadlineUnattainable, and nothing told the hypotheses apart: the refusal's inputs are logged at the level debug only, and a server that is suspected of being cold has no log line.

Event 512 now says when a server is suspected, and load-stop and load-result print the time and the message of the first and the last refusal of each reason.

--- a/backend/commands.go
+++ b/backend/commands.go
@@ -139,6 +139,9 @@
 	case old.Warmth != Warm && s.Warmth == Warm:
 		c.table.Logger.Write(event.ServerWarm, s.Name)
 	}
+	if old.suspectedSince.IsZero() && !s.suspectedSince.IsZero() {
+		c.table.Logger.Write(event.ServerSuspected, s.Name, s.ServiceTime.Milliseconds(), s.InFlight, s.CurrentLimit)
+	}
 	if !old.IsLeaving() && s.IsLeaving() {
 		c.table.Logger.Write(event.ServerLeaving, s.Name)
 	}
--- a/event/events.go
+++ b/event/events.go
@@ -71,6 +71,7 @@
 	EnginePool                = Event{509, log.InfoLevel, "engine pool", []string{"pool", "engines", "running", "pendingTokens", "slowestTokensPerMs", "medianTokensPerMs", "fastestTokensPerMs", "memoryShare"}, "The engines of a pool according to the coordinator, logged once a second while requests run there: running requests, prompt tokens that have to be prefilled, the expected prefill speeds of the engines, and the largest share of an engine's memory that its requests may need."}
 	LapseDecided              = Event{510, log.InfoLevel, "lapse decided", []string{"ageMs", "ownFailureMs", "reportedFailureMs", "isStarted"}, "The copy of the registrations of backend servers was updated when it was ageMs old, -1 if it was never confirmed. If isStarted is true, those that are removed in the next two seconds count as lapsed, because a read of the store failed since the copy was confirmed; ownFailureMs and reportedFailureMs are the times since the last one of this instance and of another, -1 for none. An old copy without such a failure is no evidence that the store was unavailable."}
 	LateEntryIgnored          = Event{511, log.InfoLevel, "late entry ignored", []string{"backendServer", "offset"}, "The store has executed a write of the registration of a backend server after a newer one; the older one is ignored."}
+	ServerSuspected           = Event{512, log.InfoLevel, "backend server suspected", []string{"backendServer", "serviceMs", "inFlight", "limit"}, "A warm backend server gave a response that took more than three times its smoothed service time. It has at most its cold limit of steps in flight until a step sent later takes a normal time, or a second slow response makes it cold."}
 	OwnershipAcquired         = Event{601, log.InfoLevel, "ownership taken", []string{"pool", "dataCentre", "term"}, "This instance has acquired a pool of its data centre and dispatches for it."}
 	OwnershipLost             = Event{602, log.WarnLevel, "ownership lost", []string{"pool", "dataCentre", "term"}, "Another instance has acquired the pool and dispatches for it."}
 	OwnershipReleased         = Event{604, log.InfoLevel, "ownership released", []string{"pool", "dataCentre", "term"}, "This instance is leaving and has released the pool."}
@@ -91,7 +92,7 @@
 		PeerConnected, PeerLost, PeerFrameRefused, CoordinatorChosen, SiteDivided,
 		RequestRefused, RequestFinished, ResultDropped, AttemptServed, AttemptFailed, ResultsRebuilt, RequestPlaced, RequestRejected, AttemptRetried, AnswerBroken,
 		PromptQuarantined, QuarantineEnded, QuarantineProbed, EngineCrashed, AttemptCutOff, AttemptHedged,
-		ServerCold, ServerWarm, ServerLeaving, StageCallFailed, ServerListed, ServerUnlisted, PoolDepth, ServerPaused, EnginePool, LapseDecided, LateEntryIgnored,
+		ServerCold, ServerWarm, ServerLeaving, StageCallFailed, ServerListed, ServerUnlisted, PoolDepth, ServerPaused, EnginePool, LapseDecided, LateEntryIgnored, ServerSuspected,
 		OwnershipAcquired, OwnershipLost, OwnershipReleased, OwnershipLeaseExpired,
 		ClaimUndecided, ClaimsUnread, PrecedenceRecordsLost, DecisionRecordsNotSealed, DecisionRecords,
 	}
--- a/scenario/load_test.go
+++ b/scenario/load_test.go
@@ -50,6 +50,8 @@
 	sent    int
 	tallies map[string]int
 	details map[string]int
+	// refusals has the first and the last refusal of each class and reason.
+	refusals map[string][2]string
 }
 
 type loadOptions struct {
@@ -88,7 +90,7 @@
 	}
 	l := &load{
 		scene: s, balancer: newBalancer(s, strings.Split(o.via, ",")), options: o,
-		mu: lock.New(rankPart, "load"), tallies: map[string]int{}, details: map[string]int{},
+		mu: lock.New(rankPart, "load"), tallies: map[string]int{}, details: map[string]int{}, refusals: map[string][2]string{},
 	}
 	s.loads[o.name] = l
 	ctx, stop := context.WithTimeout(s.ctx, o.duration)
@@ -168,9 +170,9 @@
 	case a.GetRequestId() != m.GetRequestId():
 		l.count(foreign, entry)
 	case a.GetOutcome() == callerv1.Outcome_OUTCOME_NOT_RUN:
-		l.count(refused, a.GetRefusal().GetCode()+"."+entry)
+		l.countRefusal(refused, entry, a.GetRefusal())
 	case a.GetOutcome() != callerv1.Outcome_OUTCOME_RAN:
-		l.count(unknown, a.GetRefusal().GetCode()+"."+entry)
+		l.countRefusal(unknown, entry, a.GetRefusal())
 	case !isOwn:
 		l.count(foreign, entry)
 	case took > l.options.timeout:
@@ -187,7 +189,24 @@
 	l.details[class+"."+detail]++
 }
 
-// String returns the counts of all classes, then those by reason or instance.
+// countRefusal counts a refusal and keeps its message, which has the inputs of the
+// decision.
+func (l *load) countRefusal(class, entry string, refusal *callerv1.Refusal) {
+	l.count(class, refusal.GetCode()+"."+entry)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	reason := class + "." + refusal.GetCode()
+	text := fmt.Sprintf("%s at %s: %s", time.Now().Format(time.StampMilli), entry, refusal.GetMessage())
+	texts, known := l.refusals[reason]
+	if !known {
+		texts[0] = text
+	}
+	texts[1] = text
+	l.refusals[reason] = texts
+}
+
+// String returns the counts of all classes, then those by reason or instance, then the
+// first and the last refusal of each reason.
 func (l *load) String() string {
 	sent, answered := l.counts()
 	l.mu.Lock()
@@ -200,6 +219,9 @@
 	for _, d := range slices.Sorted(maps.Keys(l.details)) {
 		fmt.Fprintf(&out, "%s %d\n", d, l.details[d])
 	}
+	for _, reason := range slices.Sorted(maps.Keys(l.refusals)) {
+		fmt.Fprintf(&out, "%s first %s\n%[1]s last %[3]s\n", reason, l.refusals[reason][0], l.refusals[reason][1])
+	}
 	return out.String()
 }
 
