soak: play series of stops, signals and key changes, and check planned stops

Cause: the soak didn't look at requests that end without an answer, and stopped one instance at a time, beside other faults.

Change: a whole request whose connection ends without an answer in a planned stop of its instance is a failure, unless the instance was paused or killed, or its link to the clients disturbed, until 3 s before. Faults of workers, the store and other instances are no excuse. A request that crosses the close of an idle connection, or goes out on a new connection after the listener has closed, is allowed if no worker ran it and the instance hasn't logged it. New faults are rolls, SIGHUP and SIGTERM in series, and key changes in series, which overlap. In the seeds that divide by four there is nothing else, and clients ask more than the workers bear. An answer after the recovery limit counts as none; all instances are asked at the same time. SIGTERM may end a process that hasn't logged anything yet.

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -1,10 +1,14 @@
 package soak
 
 import (
+	"bytes"
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
+	"lycheecrank.example/drain"
 	"lycheecrank.example/standin/site"
 )
 
@@ -32,14 +36,16 @@
 	tally := map[string]int{}
 	for _, outcomes := range seen {
 		for _, o := range outcomes {
-			tally[fmt.Sprint(o.route, " ", o.status)]++
-			if fault := o.fault(runs[o.id]); fault != "" {
-				s.t.Errorf("at %v %s of attempt %s at %s: status %d, whole %v, body %q, runs %d: %s",
-					o.at, o.route, o.id, o.instance, o.status, o.isWhole, o.body, len(runs[o.id]), fault)
+			if o.sentAt > 0 {
+				tally[fmt.Sprint(o.route, " ", o.status)]++
+			}
+			if fault := cmp.Or(o.fault(runs[o.id]), s.stopFault(o, len(runs[o.id]))); fault != "" {
+				s.t.Errorf("at %v %s of attempt %s at %s: status %d, whole %v, body %q, runs %d, sent at %v, on a used connection %v, ended at %v: %s",
+					o.at, o.route, o.id, o.instance, o.status, o.isWhole, o.body, len(runs[o.id]), o.sentAt, o.isReused, o.endedAt, fault)
 			}
 		}
 	}
-	s.t.Logf("%d faults, outcomes %v", len(s.faults), tally)
+	s.t.Logf("%d faults, planned stops %v, outcomes %v", len(s.faults), s.stops, tally)
 	if tally["order 200"] == 0 || tally["draft 200"] == 0 {
 		s.t.Error("no request was served")
 	}
@@ -86,3 +92,51 @@
 	}
 	return ""
 }
+
+const (
+	// calmTime is how long before a request its instance must have been undisturbed.
+	calmTime = 3 * time.Second
+	// crossingTime bounds the time in which a client notices that its request has crossed
+	// the close of an idle connection.
+	crossingTime = 500 * time.Millisecond
+)
+
+// span is a time of an instance, as times since the start of the run.
+type span struct {
+	instance    string
+	from, until time.Duration
+}
+
+// meets reports whether an attempt at the instance was under way in the span, or began
+// within a time after it.
+func (p span) meets(o outcome, after time.Duration) bool {
+	return p.instance == o.instance && o.endedAt >= p.from && o.at <= p.until+after
+}
+
+// beginSpan returns a function that adds the time of an instance until then to a list.
+func (s *soakSite) beginSpan(list *[]span, i *instance) func() {
+	from := time.Since(s.began)
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		*list = append(*list, span{i.name, from, time.Since(s.began)})
+	}
+}
+
+// stopFault reports that the connection of a whole request ended without an answer in a
+// planned stop of its instance, whose process and whose link to the clients had no other
+// fault. A request that crossed the close of an idle connection or of the listener is
+// allowed: no worker has run it, and the instance hasn't read it.
+func (s *soakSite) stopFault(o outcome, runs int) string {
+	n := slices.IndexFunc(s.stops, func(p span) bool { return p.meets(o, 0) })
+	isDisturbed := slices.ContainsFunc(s.disturbed, func(p span) bool { return p.meets(o, calmTime) })
+	if o.status != 0 || o.sentAt == 0 || n < 0 || isDisturbed {
+		return ""
+	}
+	wasRead := slices.ContainsFunc(s.instances, func(i *instance) bool { return bytes.Contains(i.readLog(), fmt.Appendf(nil, "%q", o.id)) })
+	mayCross := o.isReused || o.sentAt > s.stops[n].from+drain.BalancerLag
+	if mayCross && runs == 0 && !wasRead && o.endedAt-o.sentAt < crossingTime {
+		return ""
+	}
+	return "has no answer in a planned stop"
+}
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"syscall"
 	"time"
 
@@ -18,33 +17,21 @@
 // faultCount is the number of faults in a second of a run.
 const faultCount = 2
 
-// play plays random faults until the time is over; each one ends by itself. Faults
-// overlap, but an instance has one fault of its process at a time.
-func (s *soakSite) play(ctx context.Context, r *rand.Rand, length time.Duration) {
+// play plays random faults until the time is over, or planned work only; each one ends by
+// itself. Faults overlap, but an instance has one fault of its process at a time.
+func (s *soakSite) play(ctx context.Context, r *rand.Rand, length time.Duration, isPlanned bool) {
+	faults := []func(context.Context, *rand.Rand, *instance, time.Duration) error{s.roll, s.sendSignals, s.changeKeys}
+	if !isPlanned {
+		faults = append(faults, s.disturbLink, s.disturbLink, s.disturbLink, s.disturbLink, s.disturbProcess,
+			s.disturbProcess, s.disturbProcess, s.disturbWorker, s.disturbWorker, s.disturbStore)
+	}
 	var group errgroup.Group
-	busy := map[*instance]time.Time{}
-	steps := int(length.Seconds() * faultCount)
-	for range steps {
+	for range int(length.Seconds() * faultCount) {
 		pause(ctx, time.Duration(r.Int64N(int64(2*time.Second/faultCount))))
 		lasts := 200*time.Millisecond + time.Duration(r.Int64N(int64(2500*time.Millisecond)))
-		i := s.instances[r.IntN(len(s.instances))]
-		kind := r.IntN(10)
-		seed := r.Uint64()
-		switch {
-		case kind < 4:
-			group.Go(func() error { return s.disturbLink(ctx, rand.New(rand.NewPCG(seed, 0)), i, lasts) })
-		case kind < 7:
-			if time.Now().Before(busy[i]) {
-				continue
-			}
-			// The longest is a stop: grace, restart and the lookout of the balancer.
-			busy[i] = time.Now().Add(grace + lasts + 2*time.Second)
-			group.Go(func() error { return s.disturbProcess(ctx, rand.New(rand.NewPCG(seed, 0)), i, lasts) })
-		case kind < 9:
-			group.Go(func() error { return s.disturbWorker(ctx, rand.New(rand.NewPCG(seed, 0)), lasts) })
-		default:
-			group.Go(func() error { return s.disturbStore(ctx, rand.New(rand.NewPCG(seed, 0)), lasts) })
-		}
+		play, i := faults[r.IntN(len(faults))], s.instances[r.IntN(len(s.instances))]
+		own := rand.New(rand.NewPCG(r.Uint64(), 0))
+		group.Go(func() error { return play(ctx, own, i, lasts) })
 	}
 	_ = group.Wait()
 }
@@ -68,6 +55,9 @@
 		{Delay: time.Duration(20+r.IntN(200)) * time.Millisecond},
 	}
 	n := r.IntN(len(states) + 1)
+	if l == i.clients {
+		defer s.beginSpan(&s.disturbed, i)()
+	}
 	if n == len(states) {
 		s.note("link %s is reset", name)
 		l.Reset()
@@ -82,34 +72,26 @@
 
 // disturbProcess stops, pauses, kills or reloads an instance.
 func (s *soakSite) disturbProcess(ctx context.Context, r *rand.Rand, i *instance, lasts time.Duration) error {
+	if !i.mu.TryLock() {
+		return nil
+	}
+	defer i.mu.Unlock()
 	p := i.process
 	switch r.IntN(4) {
 	case 0:
+		defer s.beginSpan(&s.disturbed, i)()
 		s.note("%s pauses for %v", i.name, lasts)
 		p.signal(syscall.SIGSTOP)
 		pause(ctx, lasts)
 		p.signal(syscall.SIGCONT)
 	case 1:
+		defer s.beginSpan(&s.disturbed, i)()
 		s.note("%s is killed, back after %v", i.name, lasts/2)
 		p.kill()
 		pause(ctx, lasts/2)
 		s.start(i)
 	case 2:
-		s.note("%s gets SIGTERM", i.name)
-		p.isExpected.Store(true)
-		p.signal(syscall.SIGTERM)
-		limit := time.NewTimer(grace)
-		defer limit.Stop()
-		select {
-		case <-p.exited:
-			if code := p.command.ProcessState.ExitCode(); code != 0 {
-				s.t.Errorf("%s ended with %d after SIGTERM", i.name, code)
-			}
-		case <-limit.C:
-			s.t.Errorf("%s still ran %v after SIGTERM", i.name, grace)
-			p.kill()
-		}
-		s.start(i)
+		return s.restart(i)
 	default:
 		s.note("%s gets SIGHUP", i.name)
 		p.signal(syscall.SIGHUP)
@@ -117,8 +99,83 @@
 	return nil
 }
 
+// restart plays a planned stop of an instance, whose lock is held, and starts it again.
+func (s *soakSite) restart(i *instance) error {
+	s.note("%s gets SIGTERM", i.name)
+	p, end := i.process, s.beginSpan(&s.stops, i)
+	p.isExpected.Store(true)
+	p.signal(syscall.SIGTERM)
+	limit := time.NewTimer(grace)
+	defer limit.Stop()
+	select {
+	case <-p.exited:
+		// SIGTERM may end a process that has not begun to receive signals, and has no clients.
+		state := p.command.ProcessState.String()
+		if state != "exit status 0" && (state != "signal: terminated" || len(i.readLog()) > p.logStart) {
+			s.t.Errorf("%s ended with %s after SIGTERM", i.name, state)
+		}
+	case <-limit.C:
+		s.t.Errorf("%s still ran %v after SIGTERM", i.name, grace)
+		p.kill()
+	}
+	end()
+	s.start(i)
+	return nil
+}
+
+// roll restarts instances one after the other, whose stops may overlap.
+func (s *soakSite) roll(ctx context.Context, r *rand.Rand, _ *instance, _ time.Duration) error {
+	count, gap := 1+r.IntN(len(s.instances)), time.Duration(100+r.IntN(900))*time.Millisecond
+	s.note("%d instances are restarted every %v", count, gap)
+	var group errgroup.Group
+	for _, n := range r.Perm(len(s.instances))[:count] {
+		if i := s.instances[n]; i.mu.TryLock() {
+			group.Go(func() error {
+				defer i.mu.Unlock()
+				return s.restart(i)
+			})
+		}
+		pause(ctx, gap)
+	}
+	return group.Wait()
+}
+
+// sendSignals sends SIGHUP in series to an instance before, during and after a SIGTERM, and
+// SIGTERM once more, so that both overlap.
+func (s *soakSite) sendSignals(ctx context.Context, r *rand.Rand, i *instance, _ time.Duration) error {
+	if !i.mu.TryLock() {
+		return nil
+	}
+	defer i.mu.Unlock()
+	s.note("%s gets signals in series", i.name)
+	var group errgroup.Group
+	defer func() { _ = group.Wait() }()
+	p, stopAt := i.process, r.IntN(4)
+	for n := range 8 {
+		p.signal(syscall.SIGHUP)
+		if n == stopAt {
+			group.Go(func() error { return s.restart(i) })
+		} else if n > stopAt && r.IntN(3) == 0 {
+			p.signal(syscall.SIGTERM)
+		}
+		pause(ctx, time.Duration(r.IntN(600))*time.Millisecond)
+	}
+	return nil
+}
+
+// changeKeys changes the keys in series.
+func (s *soakSite) changeKeys(ctx context.Context, r *rand.Rand, _ *instance, _ time.Duration) error {
+	for range 2 + r.IntN(6) {
+		key := fmt.Sprint("key-", 2+r.IntN(1000))
+		s.note("the key becomes %s", key)
+		s.configure(key)
+		pause(ctx, time.Duration(r.IntN(300))*time.Millisecond)
+	}
+	return nil
+}
+
 // disturbWorker makes a worker misbehave, or drain and come back.
-func (s *soakSite) disturbWorker(ctx context.Context, r *rand.Rand, lasts time.Duration) error {
+func (s *soakSite) disturbWorker(ctx context.Context, r *rand.Rand, _ *instance, lasts time.Duration) error {
 	pool := pools[r.IntN(len(pools))]
 	id := fmt.Sprintf("%s-%d", pool, 1+r.IntN(2))
 	w := s.workers[id]
@@ -149,23 +206,17 @@
 	return nil
 }
 
-// disturbStore takes the store away, drops its history, or changes the keys.
-func (s *soakSite) disturbStore(ctx context.Context, r *rand.Rand, lasts time.Duration) error {
-	switch r.IntN(3) {
-	case 0:
+// disturbStore takes the store away or drops its history.
+func (s *soakSite) disturbStore(ctx context.Context, r *rand.Rand, _ *instance, lasts time.Duration) error {
+	if r.IntN(2) == 0 {
 		s.note("the store is down for %v", lasts)
 		s.store.SetDown(true)
 		pause(ctx, lasts)
 		s.store.SetDown(false)
-	case 1:
-		s.note("the store drops its history")
-		for _, topic := range slices.Sorted(slices.Values([]string{platform.OperatorStream, platform.ServerStream})) {
-			s.store.Forget(topic)
-		}
-	default:
-		key := fmt.Sprint("key-", 2+r.IntN(1000))
-		s.note("the key becomes %s", key)
-		s.configure(key)
+		return nil
 	}
+	s.note("the store drops its history")
+	s.store.Forget(platform.OperatorStream)
+	s.store.Forget(platform.ServerStream)
 	return nil
 }
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -28,6 +29,8 @@
 	process        *process
 	// isReady is what the balancer believes.
 	isReady atomic.Bool
+	// mu is held by a fault of the process.
+	mu sync.Mutex
 }
 
 // process is a process that the soak has started.
@@ -37,6 +40,8 @@
 	exited chan struct{}
 	// isExpected tells that the soak ends it.
 	isExpected atomic.Bool
+	// logStart is the size of the instance's log when the process was started.
+	logStart int
 }
 
 // newInstance returns an instance that keeps its settings and its log in a folder.
@@ -62,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	p := &process{command: exec.Command(program, "entry", "--metrics", ""), exited: make(chan struct{})}
+	p := &process{command: exec.Command(program, "entry", "--metrics", ""), exited: make(chan struct{}), logStart: len(i.readLog())}
 	p.command.Env = append(os.Environ(), "LYCHEECRANK_SETTINGS="+i.settings)
 	p.command.Stdout, p.command.Stderr = out, out
 	// The processes end with the test process even if that is killed.
@@ -91,12 +96,15 @@
 // logTailSize is how much of the log of an instance that ended by itself is reported.
 const logTailSize = 1500
 
+// readLog returns the log of the instance, which is empty before its first start.
+func (i *instance) readLog() []byte {
+	data, _ := os.ReadFile(i.log)
+	return data
+}
+
 // logTail returns the end of the log of the instance.
 func (i *instance) logTail() []byte {
-	data, err := os.ReadFile(i.log)
-	if err != nil {
-		return []byte(err.Error())
-	}
+	data := i.readLog()
 	return data[max(0, len(data)-logTailSize):]
 }
 
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -19,9 +19,17 @@
 // kinds of workers, with two of each.
 var pools = []string{"registry", "models", "encode", "rerank"}
 
+// load has the number of clients, the deadline of their requests, and for each worker the
+// requests that it runs at a time and its pause before each event or answer.
+type load struct {
+	clients, slots        int
+	workerPause, deadline time.Duration
+}
+
 // soakSite is a store, workers and instances with links between them.
 type soakSite struct {
 	t         *testing.T
+	load      load
 	store     *site.Store
 	workers   map[string]*site.Worker
 	links     map[string]*link.Link
@@ -40,15 +48,17 @@
 	// faults tells what was done and when, for the report.
 	faults []string
 	began  time.Time
+	// stops are the planned stops, disturbed the times of other faults of the instances.
+	stops, disturbed []span
 }
 
-func newSoakSite(ctx context.Context, t *testing.T, instances int) *soakSite {
-	s := &soakSite{t: t, store: site.NewStore(), workers: map[string]*site.Worker{}, links: map[string]*link.Link{}, starts: map[string]int{}, began: time.Now(), key: "key-0", orderTimeout: 2 * time.Second}
+func newSoakSite(ctx context.Context, t *testing.T, instances int, l load) *soakSite {
+	s := &soakSite{t: t, load: l, store: site.NewStore(), workers: map[string]*site.Worker{}, links: map[string]*link.Link{}, starts: map[string]int{}, began: time.Now(), key: "key-0", orderTimeout: 2 * time.Second}
 	t.Cleanup(s.close)
 	for _, pool := range pools {
 		for n := range 2 {
 			w := site.NewWorker(fmt.Sprintf("%s-%d", pool, n+1))
-			w.Pause = 10 * time.Millisecond
+			w.Pause = s.load.workerPause
 			if pool == "models" {
 				w.Events, w.NeedsInputs = wholeEvents, true
 			}
@@ -84,7 +94,7 @@
 	born := s.starts[id]
 	s.mu.Unlock()
 	s.store.PutJSON(platform.ServerStream, id, map[string]any{
-		"service": pool, "address": s.links[id].Address(), "zone": "a", "slots": 8, "state": state, "sequence": 1, "born": born,
+		"service": pool, "address": s.links[id].Address(), "zone": "a", "slots": s.load.slots, "state": state, "sequence": 1, "born": born,
 	})
 }
 
@@ -135,14 +145,14 @@
 			{"name": "lookup", "host": "shop.example", "pathPrefix": "/lookup/", "kind": "safe", "service": "registry", "maxAttempts": 2, "timeoutMs": 2000},
 			{
 				"name": "draft", "host": "shop.example", "pathPrefix": "/draft/", "kind": "streaming", "service": "models", "maxAttempts": 2,
-				"timeoutMs": 4000, "targetLatencyMs": 800, "streamResume": true,
+				"timeoutMs": s.load.deadline.Milliseconds(), "targetLatencyMs": 800, "streamResume": true,
 				"stages": []map[string]any{{"service": "encode", "bytes": 1000}, {"service": "rerank", "after": []int{0}, "bytes": 1000}},
 			},
 		},
 		"tenants": []map[string]any{{"name": "parents", "apiKeys": []string{"key-1", key}}},
 		"services": []map[string]any{
 			{"name": "registry"},
-			{"name": "models", "engine": map[string]any{"slots": 8, "kvCapacity": 100000, "kvTokenBytes": 100}},
+			{"name": "models", "engine": map[string]any{"slots": s.load.slots, "kvCapacity": 100000, "kvTokenBytes": 100}},
 			{"name": "encode", "pieces": pieces},
 			{"name": "rerank", "pieces": pieces},
 		},
@@ -156,20 +166,17 @@
 	s.faults = append(s.faults, fmt.Sprintf("%6.2f s  %s", time.Since(s.began).Seconds(), fmt.Sprintf(format, args...)))
 }
 
-// balance asks the instances whether they are ready, as the platform's balancer does:
-// each second, gone after two misses.
-func (s *soakSite) balance(ctx context.Context) error {
+// balance asks an instance whether it is ready, as the platform's balancer does: each
+// second, gone after two misses.
+func (s *soakSite) balance(ctx context.Context, i *instance) error {
 	client := &http.Client{Timeout: 500 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
-	misses := map[*instance]int{}
+	misses := 0
 	for ctx.Err() == nil {
-		for _, i := range s.instances {
-			if i.answersReady(client) {
-				misses[i] = 0
-			} else {
-				misses[i]++
-			}
-			i.isReady.Store(misses[i] < 2)
+		misses++
+		if i.answersReady(client) {
+			misses = 0
 		}
+		i.isReady.Store(misses < 2)
 		pause(ctx, time.Second)
 	}
 	return nil
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -90,18 +90,32 @@
 	return list
 }
 
+// lightLoad is a load under which requests needn't wait.
+var lightLoad = load{slots: 8, workerPause: 10 * time.Millisecond, deadline: 4 * time.Second}
+
 func soakOnce(t *testing.T, seed uint64) {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	s := newSoakSite(ctx, t, *instances)
+	r, l := rand.New(rand.NewPCG(seed, 0)), lightLoad
+	l.clients = *clients
+	// In some runs there is only planned work, and clients ask more than the workers bear,
+	// so that many requests wait in a stop.
+	isPlanned := seed%4 == 0
+	if isPlanned {
+		pauseMs, slowness := 100+r.IntN(200), time.Duration(1+r.IntN(2))
+		l = load{clients: 3 * *clients, slots: 2, workerPause: slowness * time.Duration(pauseMs) * time.Millisecond, deadline: slowness * slowness * 4 * time.Second}
+	}
+	s := newSoakSite(ctx, t, *instances, l)
 	var group errgroup.Group
-	group.Go(func() error { return s.balance(ctx) })
+	for _, i := range s.instances {
+		group.Go(func() error { return s.balance(ctx, i) })
+	}
 	defer func() { _ = group.Wait() }()
 	defer stop()
 	s.awaitService(ctx, "at the start")
 
 	sending, end := context.WithCancel(ctx)
-	seen := make([][]outcome, *clients)
+	seen := make([][]outcome, l.clients)
 	var senders errgroup.Group
 	for n := range seen {
 		senders.Go(func() error {
@@ -109,8 +123,12 @@
 			return nil
 		})
 	}
-	s.play(ctx, rand.New(rand.NewPCG(seed, 0)), *length)
+	s.play(ctx, r, *length, isPlanned)
 	s.heal()
+	if isPlanned {
+		end()
+		_ = senders.Wait()
+	}
 	s.awaitService(ctx, "after the last fault")
 	end()
 	_ = senders.Wait()
@@ -147,28 +165,36 @@
 // awaitService waits until each instance serves each kind of request with the newest
 // key and refuses what doesn't exist.
 func (s *soakSite) awaitService(ctx context.Context, when string) {
-	client := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	limit := time.Now().Add(recoveryLimit)
-	number := 0
+	var group errgroup.Group
 	for _, i := range s.instances {
-		for _, want := range []struct {
-			route, key string
-			status     int
-		}{{"order", s.key, 200}, {"lookup", "key-1", 200}, {"draft", s.key, 200}, {"nothing", "key-1", 404}, {"order", "key-old", 401}} {
-			for {
-				number++
-				o := s.ask(client, i, want.route, want.key, fmt.Sprintf("await-%s-%s-%d", strings.Fields(when)[0], i.name, number))
-				if o.status == want.status && o.isWhole {
-					break
-				}
-				if time.Now().After(limit) {
-					s.t.Errorf("%s answers %s with %d, %v %s", i.name, want.route, o.status, recoveryLimit, when)
-					return
-				}
-				pause(ctx, 50*time.Millisecond)
+		group.Go(func() error { return s.awaitInstance(ctx, i, when, limit) })
+	}
+	if err := group.Wait(); err != nil {
+		s.t.Error(err)
+	}
+}
+
+func (s *soakSite) awaitInstance(ctx context.Context, i *instance, when string, limit time.Time) error {
+	client := &http.Client{Timeout: s.load.deadline, Transport: &http.Transport{DisableKeepAlives: true}}
+	number := 0
+	for _, want := range []struct {
+		route, key string
+		status     int
+	}{{"order", s.key, 200}, {"lookup", "key-1", 200}, {"draft", s.key, 200}, {"nothing", "key-1", 404}, {"order", "key-old", 401}} {
+		for {
+			number++
+			o := s.ask(client, i, want.route, want.key, fmt.Sprintf("await-%s-%s-%d", strings.Fields(when)[0], i.name, number))
+			if time.Now().After(limit) {
+				return fmt.Errorf("%s answers %s with %d, %v %s", i.name, want.route, o.status, recoveryLimit, when)
+			}
+			if o.status == want.status && o.isWhole {
+				break
 			}
+			pause(ctx, 50*time.Millisecond)
 		}
 	}
+	return nil
 }
 
 // keep reports the faults and where the logs of the instances are.
@@ -179,11 +205,7 @@
 		return
 	}
 	for _, i := range s.instances {
-		data, err := os.ReadFile(i.log)
-		if err == nil {
-			err = os.WriteFile(filepath.Join(folder, i.name+".log"), data, 0o600)
-		}
-		if err != nil {
+		if err := os.WriteFile(filepath.Join(folder, i.name+".log"), i.readLog(), 0o600); err != nil {
 			s.t.Error(err)
 		}
 	}
--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -31,7 +31,7 @@
 func TestLateProcessAnswersBeforeExit(t *testing.T) {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	s := newSoakSite(ctx, t, 1)
+	s := newSoakSite(ctx, t, 1, lightLoad)
 	s.orderTimeout = 2 * grace
 	s.configure(s.key)
 	for run := 0; ; run++ {
