--- a/drain/schedule.go
+++ b/drain/schedule.go
@@ -1,6 +1,7 @@
 // Package drain decides what an instance still serves while it shuts down. A request that
 // may still be unanswered when the process ends is refused while nothing of it has run, so
-// that its client can send it to another instance.
+// that its client can send it to another instance. The package also holds the unanswered
+// attempts, and what each waits for.
 package drain
 
 import "time"
--- a/entry/run.go
+++ b/entry/run.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lycheecrank.example/event"
+	"lycheecrank.example/frontend"
 	"lycheecrank.example/intake"
 	"lycheecrank.example/platform"
 )
@@ -28,8 +29,6 @@
 	// idleTimeout is how long an idle client connection stays open. It is longer than
 	// any idle time that operators may set.
 	idleTimeout = 2 * time.Minute
-	// headerReadTimeout bounds the reading of a request's headers.
-	headerReadTimeout = 5 * time.Second
 )
 
 // Run serves until the context ends, waits for the requests in flight to end, and
@@ -139,7 +138,7 @@
 		},
 		BaseContext:       func(net.Listener) context.Context { return attempts },
 		ConnState:         i.countConnections,
-		ReadHeaderTimeout: headerReadTimeout,
+		ReadHeaderTimeout: frontend.HeadTimeout,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          discardLog(),
 	})
@@ -154,7 +153,7 @@
 				w.WriteHeader(http.StatusServiceUnavailable)
 			}
 		}),
-		ReadHeaderTimeout: headerReadTimeout,
+		ReadHeaderTimeout: frontend.HeadTimeout,
 		ErrorLog:          discardLog(),
 	})
 }
@@ -170,7 +169,7 @@
 		i.Logger.Write(event.MetricsUnavailable, i.MetricsAddress, err)
 		return
 	}
-	server := i.frontend.Attach(&http.Server{Handler: i.frontend.Handler(expvar.Handler(), 0), ReadHeaderTimeout: headerReadTimeout, ErrorLog: discardLog()})
+	server := i.frontend.Attach(&http.Server{Handler: i.frontend.Handler(expvar.Handler(), 0), ReadHeaderTimeout: frontend.HeadTimeout, ErrorLog: discardLog()})
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	group.Go(func() error { return serve(server, i.frontend.Listen(listener, intake.Operators)) })
 }
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -1,6 +1,7 @@
 // Package frontend connects HTTP servers to the account of memory and connections of
 // package intake. It counts connections when they are accepted, bodies while they are read
-// and answers until they are written, and makes no decisions.
+// and answers until they are written. It closes connections as idle such that no request is
+// served whose connection is closed.
 package frontend
 
 import (
