entry: bound the wait for the last notices at shutdown

What callers would see: none yet.

Cause: waits until all notices are delivered, also to a coordinator that doesn't answer, until connections are closed at the latest.

Change: it waits for 0.15 s at most.

--- a/entry/notices.go
+++ b/entry/notices.go
@@ -21,6 +21,9 @@
 	noticeBatchDelay = 50 * time.Millisecond
 	// noticeTimeout bounds the delivery of one message of notices.
 	noticeTimeout = time.Second
+	// lastNoticesTimeout bounds the wait for the last notices at shutdown. Without them,
+	// coordinators count places until the deadlines of their requests.
+	lastNoticesTimeout = 3 * noticeBatchDelay
 	// maxQueuedNotices bounds the notices that wait to be sent.
 	maxQueuedNotices = 4096
 )
@@ -252,8 +255,11 @@
 	}
 }
 
-// awaitDelivery waits until all notices are delivered or lost, or the context ends.
+// awaitDelivery waits until all notices are delivered or lost, for lastNoticesTimeout at
+// most.
 func (n *noticeSender) awaitDelivery(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, lastNoticesTimeout)
+	defer cancel()
 	for n.pending.Load() > 0 && pause(ctx, noticeBatchDelay/10) {
 		continue
 	}
