frontend: close a connection as idle only if no request is in hand

Callers saw a connection closed without an answer at a planned stop although their whole request had arrived.

Cause: closeIdle looked for unread bytes and then marked the connection as closed, while the reader took bytes from the socket and then recorded it. A request that had been taken and wasn't recorded yet was in neither place; its bytes were thrown away.

Change: taking bytes and recording them is one step under a lock that the claim of an idle connection takes as well. The read is made on the raw connection, so that the lock isn't held while it waits.

--- a/frontend/connection.go
+++ b/frontend/connection.go
@@ -1,8 +1,13 @@
 package frontend
 
 import (
+	"errors"
+	"io"
 	"net"
+	"os"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -30,8 +35,12 @@
 type conn struct {
 	*net.TCPConn
 	*intake.Connection
+	raw      syscall.RawConn
 	account  intake.Commands
 	openedAt time.Time
+	// receiving is locked while bytes are taken from the socket and recorded in the state, so
+	// that closeIdle finds the bytes of a request in one or the other.
+	receiving sync.Mutex
 	// state decides between a request and a close: net/http takes a connection for idle
 	// until it has parsed the head of a request, and the account from the end of the handler
 	// on, when the answer may not be written.
@@ -94,8 +103,7 @@
 	isClaimed := false
 	switch c.state.Load() {
 	case idleState:
-		// A close with unread bytes would reset the connection.
-		isClaimed = !c.hasUnread() && c.state.CompareAndSwap(idleState, closedState)
+		isClaimed = c.claimUnused()
 	case readingState:
 		isOverdue := now.Sub(c.openedAt)-time.Duration(c.readingSince.Load()) > HeadTimeout
 		isClaimed = isOverdue && c.state.CompareAndSwap(readingState, closedState)
@@ -105,14 +113,18 @@
 	}
 }
 
+// claimUnused marks the connection as closed if no part of a request has arrived, and
+// reports whether it did. A close with unread bytes would reset the connection.
+func (c *conn) claimUnused() bool {
+	c.receiving.Lock()
+	defer c.receiving.Unlock()
+	return !c.hasUnread() && c.state.CompareAndSwap(idleState, closedState)
+}
+
 // hasUnread reports whether bytes have arrived that weren't read.
 func (c *conn) hasUnread() bool {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
-	}
 	n := 0
-	err = raw.Control(func(fd uintptr) {
+	err := c.raw.Control(func(fd uintptr) {
 		var first [1]byte
 		n, _, _ = unix.Recvfrom(int(fd), first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
@@ -140,12 +152,43 @@
 // Read counts the bytes read as progress. It returns none of a connection that was closed
 // as idle.
 func (c *conn) Read(data []byte) (int, error) {
-	n, err := c.TCPConn.Read(data)
+	n, isOpen := 0, true
+	var readErr error
+	err := c.raw.Read(func(fd uintptr) bool {
+		n, isOpen, readErr = c.receive(int(fd), data)
+		return !errors.Is(readErr, syscall.EAGAIN)
+	})
 	c.AddMoved(n)
-	if n > 0 && !c.startReading() {
+	switch {
+	case err != nil:
+		// net/http logs read errors of other operations.
+		if failed, ok := errors.AsType[*net.OpError](err); ok {
+			failed.Op = "read"
+		}
+		return 0, err
+	case readErr != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", readErr)}
+	case !isOpen:
 		return 0, net.ErrClosed
+	case n == 0 && len(data) > 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// receive takes bytes that have arrived, and records that it did. It reports whether the
+// connection may still be used. The error is syscall.EAGAIN if nothing has arrived.
+func (c *conn) receive(fd int, data []byte) (n int, isOpen bool, err error) {
+	c.receiving.Lock()
+	defer c.receiving.Unlock()
+	for {
+		n, err = syscall.Read(fd, data)
+		if !errors.Is(err, syscall.EINTR) {
+			break
+		}
 	}
-	return n, err
+	n = max(n, 0)
+	return n, n == 0 || c.startReading(), err
 }
 
 // maxWriteBytes is the size of a write after which its progress is counted.
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -157,7 +157,12 @@
 		if !ok {
 			return n, nil
 		}
-		c := &conn{TCPConn: tcp, account: l.frontend.account, openedAt: time.Now()}
+		raw, err := tcp.SyscallConn()
+		if err != nil {
+			_ = n.Close()
+			continue
+		}
+		c := &conn{TCPConn: tcp, raw: raw, account: l.frontend.account, openedAt: time.Now()}
 		if l.class == intake.Clients {
 			c.serving = &l.frontend.serving
 		}
