peer: don't take a pause of the own process for silence of the peer

Callers got peerUnreachable from an instance that had not run for longer than the peer timeout, although the answer of its peer was unread in its socket.

Cause: the peer timeout compared times, so that the first check after a pause ended the connection before the reader had run.

Deadlines of writes and of the handshake still count a pause.

--- a/peer/inbound.go
+++ b/peer/inbound.go
@@ -43,6 +43,7 @@
 	inputBytes   int
 	lastExchange uint64
 	lastReceived time.Time
+	silence      silence
 }
 
 // inboundExchange is the answering side of an exchange.
@@ -68,6 +69,7 @@
 		exchanges:    map[uint64]*inboundExchange{},
 		lastReceived: time.Now(),
 	}
+	a.silence.restart(a.lastReceived)
 	c.heartbeat, c.handle = a.checkIdle, a.handleMessage
 	return a
 }
@@ -77,15 +79,15 @@
 func (a *acceptedConn) checkIdle(now time.Time) (time.Duration, bool, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	limit := idleLimit
-	if a.awaited > 0 {
-		limit = a.peerTimeout
+	next, isOver := a.silence.check(now, a.peerTimeout)
+	if a.awaited == 0 {
+		next = a.lastReceived.Add(idleLimit).Sub(now)
+		isOver = next <= 0
 	}
-	remaining := a.lastReceived.Add(limit).Sub(now)
-	if remaining <= 0 {
+	if isOver {
 		return 0, false, ErrPeerTimeout
 	}
-	return remaining, false, nil
+	return next, false, nil
 }
 
 // handleMessage processes a message on the goroutine of the reader and never
@@ -93,6 +95,7 @@
 func (a *acceptedConn) handleMessage(m message) error {
 	a.mu.Lock()
 	a.lastReceived = time.Now()
+	a.silence.restart(a.lastReceived)
 	a.mu.Unlock()
 	switch m.Type {
 	case pingType:
--- a/peer/outbound.go
+++ b/peer/outbound.go
@@ -23,11 +23,11 @@
 	lastExchange uint64
 	// busySince is when the number of open exchanges last rose from 0.
 	busySince time.Time
-	// expectedSince is when this side began to expect a message; zero if none is
-	// expected.
-	expectedSince time.Time
-	// watchdog fires when an expected message may have been missing for the peer
-	// timeout. The writer cannot check this, because a frozen peer may block it.
+	// isExpecting reports that this side expects a message.
+	isExpecting bool
+	silence     silence
+	// watchdog checks the silence while a message is expected. The writer cannot check
+	// it, because a frozen peer may block it.
 	watchdog     *time.Timer
 	lastPing     time.Time
 	lastReceived time.Time
@@ -69,16 +69,22 @@
 // expectMessage starts the peer timeout if no message is expected yet. The caller
 // holds the lock.
 func (d *dialledConn) expectMessage(now time.Time) {
-	if d.expectedSince.IsZero() {
-		d.expectedSince = now
-		d.watchdog.Reset(d.peerTimeout)
+	if !d.isExpecting {
+		d.isExpecting = true
+		d.silence.restart(now)
+		d.watchdog.Reset(d.peerTimeout / silenceIntervals)
 	}
 }
 
 // checkPeerTimeout fails the connection if an expected message is overdue.
 func (d *dialledConn) checkPeerTimeout() {
 	d.mu.Lock()
-	isOverdue := !d.expectedSince.IsZero() && time.Since(d.expectedSince) >= d.peerTimeout
+	isOverdue := false
+	if d.isExpecting {
+		var next time.Duration
+		next, isOverdue = d.silence.check(time.Now(), d.peerTimeout)
+		d.watchdog.Reset(next)
+	}
 	d.mu.Unlock()
 	if isOverdue {
 		d.fail(ErrPeerTimeout)
@@ -158,7 +164,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.lastReceived = time.Now()
-	d.expectedSince = time.Time{}
+	d.isExpecting = false
 	switch m.Type {
 	case pongType:
 		return nil
