frontend, entry: accept all connections before the listener is closed

Callers had their connection reset at a planned stop although they had connected and sent their request in time.

Cause: closing a listener resets the connections that wait to be accepted; on a busy machine these are all that came since the process last ran. A connection that was accepted and not yet reported by net/http wasn't counted either, so that the exit didn't wait for it.

Change: frontend.CloseListener waits until none is left to accept, within the time of the drain, and the drain waits for the server's accept loop to end before it looks at the count.

--- a/entry/drain.go
+++ b/entry/drain.go
@@ -26,7 +26,7 @@
 // before the final answers, so that these get the processor. Clients that are connected get
 // an answer to each request, which http.Server.Shutdown doesn't guarantee: it closes
 // connections from which a request is being read.
-func (i *Instance) drain(front *http.Server, listener net.Listener, stopUpkeep context.CancelFunc, stopAttempts context.CancelCauseFunc) drain.Schedule {
+func (i *Instance) drain(front *http.Server, clients clientListener, stopUpkeep context.CancelFunc, stopAttempts context.CancelCauseFunc) drain.Schedule {
 	grace := time.Duration(i.grace.Load())
 	if grace <= 0 {
 		grace = defaultGrace
@@ -45,7 +45,7 @@
 	defer stopAnswering()
 	i.unregister(answering)
 	pause(answering, time.Until(schedule.AdmitAllUntil))
-	_ = listener.Close()
+	clients.close(answering)
 	for i.openConnections.Load() > 0 {
 		i.frontend.CloseIdle(time.Now().Add(-frontend.HeadTimeout))
 		if !pause(answering, closeInterval) {
@@ -73,6 +73,22 @@
 	return schedule
 }
 
+// clientListener is the listener of clients, and the end of the server's use of it.
+type clientListener struct {
+	net.Listener
+	served <-chan struct{}
+}
+
+// close closes the listener when all connections that clients have opened are accepted and
+// counted, or when the context ends.
+func (l clientListener) close(ctx context.Context) {
+	_ = frontend.CloseListener(ctx, l.Listener)
+	select {
+	case <-l.served:
+	case <-ctx.Done():
+	}
+}
+
 // logAnswersDue logs how many attempts get a final answer, and what they wait for.
 func (i *Instance) logAnswersDue(schedule drain.Schedule) {
 	counts := i.attempts.Queries().Counts()
--- a/entry/run.go
+++ b/entry/run.go
@@ -50,7 +50,11 @@
 	attempts, stopAttempts := context.WithCancelCause(work)
 	defer stopAttempts(nil)
 	front, ready := i.frontServer(attempts), i.readyServer()
-	group.Go(func() error { return serve(front, listeners.front) })
+	served := make(chan struct{})
+	group.Go(func() error {
+		defer close(served)
+		return serve(front, listeners.front)
+	})
 	group.Go(func() error { return serve(ready, listeners.ready) })
 	group.Go(func() error { return i.server.Serve(work, listeners.peers) })
 	i.startMetrics(work, &group)
@@ -65,7 +69,7 @@
 	}
 	i.Logger.Write(event.EntryStarted, Version, i.Settings.ClientAddress, i.Settings.PeerAddress, i.Settings.DataCentre)
 	<-ctx.Done()
-	schedule := i.drain(front, listeners.front, stopUpkeep, stopAttempts)
+	schedule := i.drain(front, clientListener{listeners.front, served}, stopUpkeep, stopAttempts)
 	_ = ready.Close()
 	stop()
 	var closing, logging errgroup.Group
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -90,11 +90,6 @@
 // connectionKey is the key of the connection in the context of a request.
 type connectionKey struct{}
 
-// Listen returns a listener whose connections are counted in a class.
-func (f *Frontend) Listen(l net.Listener, class intake.Class) net.Listener {
-	return &listener{Listener: l, frontend: f, class: class}
-}
-
 // Begin adds a request to the account. The request must be ended. The error is ErrClosed,
 // or that of intake.Connection.Begin.
 func (f *Frontend) Begin(r *http.Request) (*intake.Request, error) {
@@ -140,40 +135,6 @@
 	_ = http.NewResponseController(w).SetReadDeadline(past)
 }
 
-type listener struct {
-	net.Listener
-	frontend *Frontend
-	class    intake.Class
-}
-
-// Accept returns the next connection that the account admits; it closes others.
-func (l *listener) Accept() (net.Conn, error) {
-	for {
-		n, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		tcp, ok := n.(*net.TCPConn)
-		if !ok {
-			return n, nil
-		}
-		raw, err := tcp.SyscallConn()
-		if err != nil {
-			_ = n.Close()
-			continue
-		}
-		c := &conn{TCPConn: tcp, raw: raw, account: l.frontend.account, openedAt: time.Now()}
-		if l.class == intake.Clients {
-			c.serving = &l.frontend.serving
-		}
-		control := intake.Control{Interrupt: c.interrupt, ClaimIdle: c.claimIdle, CloseIdle: c.closeIdle}
-		if c.Connection, ok = c.account.Connect(l.class, n.RemoteAddr().String(), control, c.openedAt); ok {
-			return c, nil
-		}
-		_ = n.Close()
-	}
-}
-
 // IsRefused reports whether the read of a body failed because memory is short.
 func IsRefused(r *intake.Request, err error) bool {
 	return errors.Is(err, intake.ErrShort) || errors.Is(err, intake.ErrShed) || r.IsShed()
