entry: hold the drain in TestCrashAtEndOfDrainIsPassedOn

Change: a client's request with an open body keeps the instance from exiting until the crash is recorded. What the test checks is the same.

--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -193,12 +193,15 @@
 	}
 	s.start("n1", "n2")
 	leaving, other := s.instances[0], s.instances[1]
+	client := leaving.hold(t)
+	client.write("/order/1", "20000", "hel") // its open body keeps the instance until the crash is recorded
 	leaving.stop()
 	s.waitFor("the drain nears its end", func() bool { return leaving.leavingFor() > drain.BalancerLag-time.Second })
 	isFrozen.Store(true)
 	<-frozen
 	pause(t.Context(), 2*heartbeatInterval)
 	leaving.recordCrash(fleet.Server{ID: "models-1", DataCentre: "a"}, "crashing", engine.Prompt{Parts: []engine.Part{{ID: crashPart}, {ID: "own"}}})
+	is.NoErr(client.Close())
 	is.NoErr(<-leaving.done)
 	crashes := other.quarantine.Queries().Fresh(time.Now()).Crashes
 	isFrozen.Store(false)
