frontend, intake: don't close connections at which a request has arrived

At the limit of connections, callers had their connection reset although their request had arrived and another connection was idle. A connection with a stray line end was also closed as idle long after that, with a whole new request unread.

Cause: the replacement took the connection that had been without a request for longest, whether bytes were unread or a head was being read; only the close of idle connections at a shutdown looked for that. The age of a head counted from its first byte.

Change: a replacement first takes connections at which nothing has arrived, under the lock that also covers reads, and then those whose head has been arriving for over 0.1 s. The close as idle counts from the last byte that was read, spares connections with unread bytes, and returns how many requests are arriving. Connections of HTTP/2 are left to http.Server.Shutdown.

--- a/entry/drain.go
+++ b/entry/drain.go
@@ -47,7 +47,7 @@
 	pause(answering, time.Until(schedule.AdmitAllUntil))
 	clients.close(answering)
 	for i.openConnections.Load() > 0 {
-		i.frontend.CloseIdle(time.Now().Add(-frontend.HeadTimeout))
+		i.frontend.CloseIdle(time.Now().Add(-frontend.HeadTimeout), frontend.HeadTimeout)
 		if !pause(answering, closeInterval) {
 			break
 		}
--- a/frontend/connection.go
+++ b/frontend/connection.go
@@ -27,8 +27,13 @@
 	closedState
 )
 
-// HeadTimeout is the time in which the head of a request should arrive.
-const HeadTimeout = 5 * time.Second
+const (
+	// HeadTimeout is the time in which the head of a request should arrive.
+	HeadTimeout = 5 * time.Second
+	// stalledHead is the time after which a connection may be replaced although a part of a
+	// request has arrived.
+	stalledHead = 100 * time.Millisecond
+)
 
 // conn is a counted connection. It embeds the TCP connection, so that net/http finds its
 // optional methods.
@@ -45,8 +50,11 @@
 	// until it has parsed the head of a request, and the account from the end of the handler
 	// on, when the answer may not be written.
 	state atomic.Int32
-	// readingSince is when the state became reading, in nanoseconds since openedAt.
-	readingSince atomic.Int64
+	// readingSince is when the state became reading, and readAt when bytes were last read in
+	// that state, in nanoseconds since openedAt.
+	readingSince, readAt atomic.Int64
+	// isMultiplexed reports that the connection has streams of HTTP/2.
+	isMultiplexed atomic.Bool
 	// serving counts the connections in the serving state; nil doesn't.
 	serving *atomic.Int64
 }
@@ -54,8 +62,10 @@
 // startReading records that a part of a request was read. It reports false if the
 // connection was closed.
 func (c *conn) startReading() bool {
+	now := int64(time.Since(c.openedAt))
+	c.readAt.Store(now)
 	if c.state.Load() == idleState {
-		c.readingSince.Store(int64(time.Since(c.openedAt)))
+		c.readingSince.Store(now)
 		c.state.CompareAndSwap(idleState, readingState)
 	}
 	return c.state.Load() != closedState
@@ -91,34 +101,49 @@
 	}
 }
 
-// claimIdle marks the connection as closed unless a request is served, and reports whether
-// it did.
+// claimIdle marks the connection as closed if no part of a request has arrived, and reports
+// whether it did. A close with unread bytes would reset the connection.
 func (c *conn) claimIdle() bool {
-	return c.state.CompareAndSwap(idleState, closedState) || c.state.CompareAndSwap(readingState, closedState)
-}
-
-// closeIdle closes the connection if no part of a request has arrived, or if the rest of its
-// head is overdue.
-func (c *conn) closeIdle(now time.Time) {
-	isClaimed := false
-	switch c.state.Load() {
-	case idleState:
-		isClaimed = c.claimUnused()
-	case readingState:
-		isOverdue := now.Sub(c.openedAt)-time.Duration(c.readingSince.Load()) > HeadTimeout
-		isClaimed = isOverdue && c.state.CompareAndSwap(readingState, closedState)
+	c.receiving.Lock()
+	defer c.receiving.Unlock()
+	return !c.hasUnread() && c.state.CompareAndSwap(idleState, closedState)
+}
+
+// claimStalled marks the connection as closed if the head of a request is slow to arrive, and
+// reports whether it did.
+func (c *conn) claimStalled() bool {
+	c.receiving.Lock()
+	defer c.receiving.Unlock()
+	isStalled := c.elapsedSince(&c.readingSince) > stalledHead
+	return isStalled && !c.hasUnread() && c.state.CompareAndSwap(readingState, closedState)
+}
+
+// closeIdle closes the connection if no part of a request has arrived, or if no more of its
+// head has for headTimeout. It reports false if a request is arriving. It leaves connections
+// of HTTP/2 to http.Server.Shutdown, which announces their close.
+func (c *conn) closeIdle(headTimeout time.Duration) bool {
+	if c.isMultiplexed.Load() {
+		return true
 	}
-	if isClaimed {
-		_ = c.TCPConn.Close()
+	if !c.claimIdle() && !c.claimOverdue(headTimeout) {
+		return c.state.Load() > readingState
 	}
+	_ = c.TCPConn.Close()
+	return true
 }
 
-// claimUnused marks the connection as closed if no part of a request has arrived, and
-// reports whether it did. A close with unread bytes would reset the connection.
-func (c *conn) claimUnused() bool {
+// claimOverdue marks the connection as closed if no more of the head of a request has arrived
+// for a time, and reports whether it did.
+func (c *conn) claimOverdue(headTimeout time.Duration) bool {
 	c.receiving.Lock()
 	defer c.receiving.Unlock()
-	return !c.hasUnread() && c.state.CompareAndSwap(idleState, closedState)
+	isOverdue := c.elapsedSince(&c.readAt) > headTimeout
+	return isOverdue && !c.hasUnread() && c.state.CompareAndSwap(readingState, closedState)
+}
+
+// elapsedSince returns the time since a time in nanoseconds since openedAt.
+func (c *conn) elapsedSince(at *atomic.Int64) time.Duration {
+	return time.Since(c.openedAt) - time.Duration(at.Load())
 }
 
 // hasUnread reports whether bytes have arrived that weren't read.
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -103,14 +103,18 @@
 	case !counted.startServing():
 		return nil, ErrClosed
 	}
+	if r.ProtoMajor > 1 {
+		counted.isMultiplexed.Store(true)
+	}
 	return counted.Connection.Begin(r.Context(), time.Now())
 }
 
 // CloseIdle closes the connections of clients that have no request, except those that have
 // had none yet and were opened at or after a time. Unlike http.Server.Shutdown, it spares
-// those at which a part of a request has arrived, for the time in which the rest should.
-func (f *Frontend) CloseIdle(openedBefore time.Time) {
-	f.account.CloseIdle(intake.Clients, openedBefore)
+// those at which a request is arriving whose last bytes came within headTimeout, and returns
+// their number.
+func (f *Frontend) CloseIdle(openedBefore time.Time, headTimeout time.Duration) (arriving int) {
+	return f.account.CloseIdle(intake.Clients, openedBefore, headTimeout)
 }
 
 // Serving returns the number of connections of clients that have a request, or an answer
--- a/frontend/idle_test.go
+++ b/frontend/idle_test.go
@@ -73,7 +73,7 @@
 			})
 		}
 		group.Go(func() error {
-			f.CloseIdle(time.Now())
+			f.CloseIdle(time.Now(), frontend.HeadTimeout)
 			return nil
 		})
 		_ = group.Wait()
@@ -104,7 +104,7 @@
 		for _, conn := range conns {
 			_, _ = fmt.Fprint(conn, emptyGet)
 		}
-		f.CloseIdle(time.Now())
+		f.CloseIdle(time.Now(), frontend.HeadTimeout)
 		for _, conn := range conns {
 			_ = s.answer(conn).Body.Close() // fails the test without an answer
 			_ = conn.Close()
@@ -144,7 +144,7 @@
 	closed := make(chan error, 1)
 	s := newSiteWith(t, 10, answerAll(func(err error) { closed <- err }), func(f *frontend.Frontend, state http.ConnState) {
 		if state == http.StateIdle {
-			f.CloseIdle(time.Now())
+			f.CloseIdle(time.Now(), frontend.HeadTimeout)
 		}
 	})
 	s.send(emptyGet + emptyGet)
--- a/frontend/listener.go
+++ b/frontend/listener.go
@@ -47,7 +47,7 @@
 		if l.class == intake.Clients {
 			c.serving = &l.frontend.serving
 		}
-		control := intake.Control{Interrupt: c.interrupt, ClaimIdle: c.claimIdle, CloseIdle: c.closeIdle}
+		control := intake.Control{Interrupt: c.interrupt, ClaimIdle: c.claimIdle, ClaimStalled: c.claimStalled, CloseIdle: c.closeIdle}
 		if c.Connection, ok = c.account.Connect(l.class, n.RemoteAddr().String(), control, c.openedAt); ok {
 			return c, nil
 		}
--- a/intake/commands.go
+++ b/intake/commands.go
@@ -41,8 +41,9 @@
 }
 
 // CloseIdle closes the connections of a class that have no request, except those that have
-// had none yet and were opened at or after a time.
-func (c Commands) CloseIdle(class Class, openedBefore time.Time) {
+// had none yet and were opened at or after a time. It spares connections at which a request
+// is arriving whose last bytes came within headTimeout, and returns their number.
+func (c Commands) CloseIdle(class Class, openedBefore time.Time, headTimeout time.Duration) (arriving int) {
 	t := c.table
 	t.mu.Lock()
 	var idle []*Connection
@@ -52,10 +53,12 @@
 		}
 	}
 	t.mu.Unlock()
-	now := time.Now()
 	for _, connection := range idle {
-		connection.control.CloseIdle(now)
+		if !connection.control.CloseIdle(headTimeout) {
+			arriving++
+		}
 	}
+	return arriving
 }
 
 // shedSlowest sheds the request of a class that makes the least progress and returns its
@@ -88,10 +91,11 @@
 		}
 	}
 	slices.SortFunc(idle, func(a, b *Connection) int { return a.idleSince.Compare(b.idleSince) })
-	for _, c := range idle {
-		if c.control.ClaimIdle() {
-			return c
-		}
+	if n := slices.IndexFunc(idle, func(c *Connection) bool { return c.control.ClaimIdle() }); n >= 0 {
+		return idle[n]
+	}
+	if n := slices.IndexFunc(idle, func(c *Connection) bool { return c.control.ClaimStalled() }); n >= 0 {
+		return idle[n]
 	}
 	return nil
 }
--- a/intake/table.go
+++ b/intake/table.go
@@ -52,11 +52,14 @@
 type Control struct {
 	// Interrupt ends what the connection does in a phase; in Idle it closes the connection.
 	Interrupt func(phase Phase)
-	// ClaimIdle reports whether the connection may be closed as idle: no request is served
-	// and no answer is being written. After that, no request is read from it any more.
-	ClaimIdle func() bool
-	// CloseIdle closes the connection if it has no request and none has arrived.
-	CloseIdle func(now time.Time)
+	// ClaimIdle reports whether the connection may be closed as idle: no part of a request
+	// has arrived, and no answer is being written. After that, no request is read from it
+	// any more. ClaimStalled is the same for a connection with a request whose head is slow
+	// to arrive.
+	ClaimIdle, ClaimStalled func() bool
+	// CloseIdle closes the connection if it has no request, and none is arriving whose last
+	// bytes came within a time. It reports false if one is arriving.
+	CloseIdle func(headTimeout time.Duration) bool
 }
 
 // Connection is an open connection.
--- a/intake/table_test.go
+++ b/intake/table_test.go
@@ -34,7 +34,7 @@
 		defer m.mu.Unlock()
 		m.shed = append(m.shed, name+" "+phase.String())
 	}
-	c, ok := m.table.Commands().Connect(intake.Clients, name, intake.Control{Interrupt: interrupt, ClaimIdle: func() bool { return true }}, time.Now())
+	c, ok := m.table.Commands().Connect(intake.Clients, name, intake.Control{Interrupt: interrupt, ClaimIdle: func() bool { return true }, ClaimStalled: func() bool { return false }}, time.Now())
 	if !ok {
 		t.Fatal("no place for a connection")
 	}
