entry: give final answers to requests that are still arriving

A whole request could be cut off at the end of a drain: the instance waited for requests whose handler had begun, and closed all other connections, also one from which a request had just been read. While the listener was being closed, idle connections weren't, which hold descriptors that accepting needs.

Change: before it closes the server, the instance closes connections as idle and waits while a request is arriving whose last bytes came within 0.2 s, until CloseBy at the latest. The listener is closed beside the close of idle connections.

The tests of stops in ./entry pass.

--- a/entry/drain.go
+++ b/entry/drain.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"lycheecrank.example/delivery"
 	"lycheecrank.example/drain"
 	"lycheecrank.example/event"
@@ -19,6 +21,8 @@
 	// answerInterval how often it checks whether its final answers are written.
 	closeInterval  = 50 * time.Millisecond
 	answerInterval = 5 * time.Millisecond
+	// lastHeadTimeout is how long the final answers wait for the next bytes of a request.
+	lastHeadTimeout = 200 * time.Millisecond
 )
 
 // drain shuts the instance down within its grace period, by a schedule of package drain,
@@ -45,18 +49,20 @@
 	defer stopAnswering()
 	i.unregister(answering)
 	pause(answering, time.Until(schedule.AdmitAllUntil))
-	clients.close(answering)
-	for i.openConnections.Load() > 0 {
+	var closing errgroup.Group
+	closing.Go(func() error { return frontend.CloseListener(answering, clients.Listener) })
+	for clients.isServing() || i.openConnections.Load() > 0 {
 		i.frontend.CloseIdle(time.Now().Add(-frontend.HeadTimeout), frontend.HeadTimeout)
 		if !pause(answering, closeInterval) {
 			break
 		}
 	}
+	_ = closing.Wait()
 	i.logAnswersDue(schedule)
 	dueAt := time.Now()
 	stopUpkeep()
 	stopAttempts(delivery.ErrStopping)
-	for i.frontend.Serving() > 0 {
+	for i.frontend.CloseIdle(time.Now(), lastHeadTimeout) > 0 || i.frontend.Serving() > 0 {
 		if !pause(ctx, answerInterval) {
 			break
 		}
@@ -79,13 +85,13 @@
 	served <-chan struct{}
 }
 
-// close closes the listener when all connections that clients have opened are accepted and
-// counted, or when the context ends.
-func (l clientListener) close(ctx context.Context) {
-	_ = frontend.CloseListener(ctx, l.Listener)
+// isServing reports whether connections may still be accepted that aren't counted.
+func (l clientListener) isServing() bool {
 	select {
 	case <-l.served:
-	case <-ctx.Done():
+		return false
+	default:
+		return true
 	}
 }
 
