peer: write the last answers before a stopped server closes

An instance got peerUnreachable for a step that a leaving neighbour had refused as not run, or had run and answered, so that a step that may run once counted as one that may have run.

Cause: when the server was stopped, it closed its connections at once, with answers in their queue, and dropped the answers of exchanges that the stop had ended.

Change: a stopped server refuses new exchanges as leaving, sends the answers of the open ones, also after the stop has ended their context, and closes each connection when they are written, after 0.2 s at the latest. An exchange that the stop breaks off without a failure of its own is peerUnreachable, as before.

--- a/peer/connection.go
+++ b/peer/connection.go
@@ -102,6 +102,8 @@
 	once      sync.Once
 	cause     error
 	frames    FrameReader
+	// isClosing makes the writer close the connection when all queued messages are written.
+	isClosing atomic.Bool
 
 	controlMu *lock.Ranked
 	// control holds the queued control messages, which are sent without waiting.
@@ -262,6 +264,12 @@
 	c.wakeWriter()
 }
 
+// closeWhenWritten closes the connection when the messages that are queued have been written.
+func (c *connection) closeWhenWritten() {
+	c.isClosing.Store(true)
+	c.wakeWriter()
+}
+
 // drainControl removes and returns the queued control messages.
 func (c *connection) drainControl() [][]byte {
 	c.controlMu.Lock()
@@ -298,11 +306,18 @@
 				return err
 			}
 		}
+		isClosing := c.isClosing.Load()
 		o := c.tryDequeue()
 		if o == nil {
+			if err := c.writeControl(&frames); err != nil {
+				return err
+			}
 			if err := buffer.Flush(); err != nil {
 				return eris.Wrap(err, "write")
 			}
+			if isClosing {
+				return ErrClosed
+			}
 			timer.Reset(next)
 			if o, err = c.dequeue(timer.C); err != nil {
 				return err
--- a/peer/inbound.go
+++ b/peer/inbound.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -44,6 +46,8 @@
 	lastExchange uint64
 	lastReceived time.Time
 	silence      silence
+	// isStopping refuses new exchanges.
+	isStopping bool
 }
 
 // inboundExchange is the answering side of an exchange.
@@ -54,6 +58,8 @@
 	// creditAdded signals that credit was added.
 	creditAdded chan struct{}
 	inputBytes  int
+	// isCancelled reports that the peer has cancelled the exchange.
+	isCancelled atomic.Bool
 	// The fields below are guarded by the mutex of the connection.
 	credit    int64
 	isAwaited bool
@@ -114,15 +120,13 @@
 
 func (a *acceptedConn) startExchange(m message) error {
 	x, err := a.openExchange(m)
-	if err != nil {
-		return err
-	}
-	if x == nil {
-		a.server.counters.Add("exchangeLimit")
-		refused := request.Refuse(request.ReasonQueueFull, "too many open exchanges from one peer")
+	if refused, ok := errors.AsType[request.Failure](err); ok {
 		a.enqueueControl(message{Type: failureType, Exchange: m.Exchange, Failure: asFailureBody(refused)})
 		return nil
 	}
+	if err != nil {
+		return err
+	}
 	a.wakeWriter()
 	a.running.Go(func() {
 		defer a.closeExchange(x)
@@ -131,8 +135,9 @@
 	return nil
 }
 
-// openExchange adds an exchange; it returns nil if too many are open. Exchange
-// numbers must increase, so that no message can belong to two exchanges.
+// openExchange adds an exchange. It returns a request.Failure if too many are open or the
+// server stops. Exchange numbers must increase, so that no message can belong to two
+// exchanges.
 func (a *acceptedConn) openExchange(m message) (*inboundExchange, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -140,8 +145,11 @@
 		return nil, eris.Wrapf(ErrMessageUnexpected, "exchange number %d is not above the last one, %d", m.Exchange, a.lastExchange)
 	}
 	a.lastExchange = m.Exchange
-	if len(a.exchanges) >= maxExchanges || a.inputBytes > maxInputBytes {
-		return nil, nil
+	switch {
+	case a.isStopping:
+		return nil, request.Refuse(request.ReasonLeaving, "the instance is shutting down")
+	case len(a.exchanges) >= maxExchanges, a.inputBytes > maxInputBytes:
+		return nil, a.refuseExchange()
 	}
 	inputBytes := 0
 	if m.Execute != nil {
@@ -151,7 +159,7 @@
 		inputBytes = len(m.Ask.Data)
 	}
 	if inputBytes > freeInputBytes && !a.inputs.TryGrow(int64(inputBytes)) {
-		return nil, nil
+		return nil, a.refuseExchange()
 	}
 	ctx, cancel := context.WithCancel(a.ctx)
 	x := &inboundExchange{id: m.Exchange, ctx: ctx, cancel: cancel, creditAdded: make(chan struct{}, 1), credit: window, isAwaited: true}
@@ -162,6 +170,32 @@
 	return x, nil
 }
 
+func (a *acceptedConn) refuseExchange() request.Failure {
+	a.server.counters.Add("exchangeLimit")
+	return request.Refuse(request.ReasonQueueFull, "too many open exchanges from one peer")
+}
+
+// stopTimeout bounds the time in which the last answers are written after the server stops.
+const stopTimeout = 200 * time.Millisecond
+
+// stop refuses new exchanges, and closes the connection when the answers to the open ones
+// are written. A peer that gets no answer can't tell whether its step has run.
+func (a *acceptedConn) stop() {
+	time.AfterFunc(stopTimeout, func() { a.fail(ErrClosed) })
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.isStopping = true
+	a.closeIfAnswered()
+}
+
+// closeIfAnswered closes the connection after the last answer if the server stops. The caller
+// holds the lock.
+func (a *acceptedConn) closeIfAnswered() {
+	if a.isStopping && len(a.exchanges) == 0 {
+		a.closeWhenWritten()
+	}
+}
+
 func (a *acceptedConn) closeExchange(x *inboundExchange) {
 	x.cancel()
 	a.mu.Lock()
@@ -172,12 +206,14 @@
 		a.inputs.Shrink(int64(x.inputBytes))
 	}
 	a.stopAwaiting(x)
+	a.closeIfAnswered()
 }
 
 func (a *acceptedConn) cancelExchange(id uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if x := a.exchanges[id]; x != nil {
+		x.isCancelled.Store(true)
 		x.cancel()
 		a.stopAwaiting(x)
 	}
@@ -238,9 +274,9 @@
 	return a.enqueue(ctx, &queuedMessage{data: data})
 }
 
-// sendReply sends the last message of an exchange unless it was cancelled.
+// sendReply sends the last message of an exchange unless the peer has cancelled it.
 func (a *acceptedConn) sendReply(x *inboundExchange, m message) {
-	if x.ctx.Err() != nil {
+	if x.isCancelled.Load() {
 		return
 	}
 	m.Exchange = x.id
@@ -253,6 +289,6 @@
 		a.fail(err)
 		return
 	}
-	// An error means that the peer no longer waits for the answer.
-	_ = a.enqueue(x.ctx, &queuedMessage{data: data})
+	// An error means that the connection has ended.
+	_ = a.enqueue(context.WithoutCancel(x.ctx), &queuedMessage{data: data})
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -115,8 +115,8 @@
 	// The peer sees the close of its connection only after its frame was counted.
 	c.onFailure = s.countFrameError
 	stop := context.AfterFunc(ctx, func() { c.fail(ErrClosed) })
-	defer stop()
 	peer, err := c.handshake(s.Self)
+	stop()
 	if err != nil {
 		c.fail(err)
 		s.report(n, "", err)
@@ -132,7 +132,9 @@
 		c.frames.Reserve = func(bytes int64) error { return reserveMessage(ctx, messages, bytes, c.peerTimeout) }
 	}
 	c.frames.Limit = 0
+	stop = context.AfterFunc(ctx, a.stop)
 	err = a.run()
+	stop()
 	cancel()
 	a.running.Wait()
 	s.report(n, peer.Instance, err)
@@ -226,6 +228,9 @@
 		}
 	}
 	result, err := s.Execute(ctx, step, sink)
+	if _, ok := errors.AsType[request.Failure](err); err != nil && !ok && a.ctx.Err() != nil {
+		err = request.Refuse(request.ReasonPeerUnreachable, "the instance is shutting down").WithSent(true)
+	}
 	if err != nil {
 		return message{Type: failureType, Failure: asFailureBody(request.AsFailure(err))}
 	}
