instance: announce the close of connections while leaving

Callers of `serve` who kept using a connection got neither an answer nor a refusal at a planned stop.

Cause: no answer of a leaving instance said that its connection closes, and http.Server.Shutdown closes connections that net/http takes for idle, with unread requests or half-read heads; it also resets connections that wait to be accepted.

Change: answers of a leaving instance have Connection: close, which is a GOAWAY over HTTP/2. Before Shutdown, the listener is closed once all connections are accepted, and idle connections are closed that have no request.

--- a/instance/http.go
+++ b/instance/http.go
@@ -25,12 +25,23 @@
 	mux.HandleFunc("GET /health/live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /health/ready", i.serveReady)
 	mux.Handle("GET /debug/vars", i.frontend.Handler(expvar.Handler(), 0))
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, Protocols: new(http.Protocols)}
+	server := &http.Server{Handler: i.announceClose(mux), ReadHeaderTimeout: 5 * time.Second, Protocols: new(http.Protocols)}
 	server.Protocols.SetHTTP1(true)
 	server.Protocols.SetUnencryptedHTTP2(true)
 	return i.frontend.Attach(server)
 }
 
+// announceClose makes the answers of an instance that is leaving say that their connections
+// close.
+func (i *Instance) announceClose(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if i.isLeaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // serveReady answers the readiness checks of the load balancer.
 func (i *Instance) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if i.isLeaving.Load() || !i.catalogueQueries.IsLoaded() {
--- a/instance/run.go
+++ b/instance/run.go
@@ -12,6 +12,7 @@
 
 	"lycheecrank.example/claim"
 	"lycheecrank.example/event"
+	"lycheecrank.example/frontend"
 	"lycheecrank.example/intake"
 )
 
@@ -39,9 +40,9 @@
 	// end of ctx.
 	backgroundCtx, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
-	server := i.httpServer()
+	server, clients := i.httpServer(), i.frontend.Listen(callers, intake.Clients)
 	var group errgroup.Group
-	group.Go(func() error { return ignoreClosed(server.Serve(i.frontend.Listen(callers, intake.Clients))) })
+	group.Go(func() error { return ignoreClosed(server.Serve(clients)) })
 	group.Go(func() error { return i.peerServer.Serve(backgroundCtx, i.frontend.Listen(peers, intake.Peers)) })
 	i.startBackground(backgroundCtx, &group)
 	group.Go(func() error { return i.workers.Run(backgroundCtx, backgroundCtx) })
@@ -54,7 +55,7 @@
 	i.OnReady(i.addresses.callers, i.addresses.peers)
 	i.Logger.Write(event.Started, Version, i.addresses.callers, i.addresses.peers)
 	<-ctx.Done()
-	drainErr := i.drain(context.WithoutCancel(ctx), server, func() {
+	drainErr := i.drain(context.WithoutCancel(ctx), server, clients, func() {
 		stopManager()
 		<-managerDone
 	})
@@ -66,6 +67,9 @@
 	return errors.Join(drainErr, recorderErr, group.Wait())
 }
 
+// closeInterval is how often an instance that shuts down closes idle connections.
+const closeInterval = 5 * time.Millisecond
+
 // answerTimeout bounds the time in which requests that are cancelled at the drain limit get
 // their final answers.
 const answerTimeout = time.Second
@@ -109,8 +113,19 @@
 	return listener, eris.Wrap(err, "listen")
 }
 
+// closeIdle closes the listener for callers, and the connections that no caller uses.
+// http.Server.Shutdown would also close those from which a request is being read.
+func (i *Instance) closeIdle(ctx context.Context, clients net.Listener) {
+	_ = frontend.CloseListener(ctx, clients)
+	for i.frontend.CloseIdle(time.Now(), frontend.HeadTimeout) > 0 || i.frontend.Serving() > 0 {
+		if sleep(ctx, closeInterval); ctx.Err() != nil {
+			return
+		}
+	}
+}
+
 func ignoreClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return eris.Wrap(err, "serve callers")
@@ -134,7 +149,7 @@
 // drain shuts the instance down after its requests have finished, within the drain
 // limit. Ownerships are renewed until stopManager is called, so that the pools have an
 // owner while this instance still dispatches steps.
-func (i *Instance) drain(ctx context.Context, server *http.Server, stopManager func()) error {
+func (i *Instance) drain(ctx context.Context, server *http.Server, clients net.Listener, stopManager func()) error {
 	i.isLeaving.Store(true)
 	i.Logger.Write(event.Leaving, "signal")
 	i.memberCommands.MarkLeaving(i.self.Instance, i.self.Incarnation)
@@ -149,6 +164,7 @@
 	unfinished += i.dispatchCommands.AwaitIdle(ctx)
 	stopManager()
 	i.releaseAndFlush(ctx)
+	i.closeIdle(ctx, clients)
 	err := server.Shutdown(ctx)
 	i.Logger.Write(event.Stopped, unfinished)
 	if unfinished > 0 || err != nil {
