policy: order the events of the same instant in the comparison

Cause: timers of the simulation that expire at the same nanosecond wake their goroutines together, and the scheduler chose which went first. A trace of that row shows it 3.190776140 s into the window: steps 4320 (normal) and 4321 (urgent) reach two different instances at the same nanosecond. If the normal one is dispatched before the urgent one is submitted, it is no inversion; otherwise it is one. The varied delays made such ties rare, not impossible: the row has 6 of them between instances, the rows with load 2.0 more than 700.

Change: in the simulation alone. A timeline makes its events (steps that reach a queue, ends of steps, responses of failed steps, load reports) happen one at a time, at the same instants as before. Each waits until the consequences of the previous one have ended; ties go by key, which is the request's input for a step. The golden file and the table in docs/policy.md are unchanged.

--- a/policy/compare_test.go
+++ b/policy/compare_test.go
@@ -30,9 +30,7 @@
 	warmUp = 6003 * time.Millisecond
 	window = 20 * time.Second
 	// networkDelay is the mean delay between the entry instance and the owner, and
-	// localDelay the mean delay within an instance. Both vary by step, so that steps
-	// that are refused together aren't retried at the same moment, in an undefined
-	// order.
+	// localDelay the mean delay within an instance. Both vary by step.
 	networkDelay = time.Millisecond
 	localDelay   = 10 * time.Microsecond
 )
@@ -62,9 +60,10 @@
 	synctest.Test(t, func(*testing.T) {
 		m.from = time.Now().Add(warmUp)
 		m.until = m.from.Add(window)
+		l := newTimeline()
 		var all []*simulatedServer
 		for n := range servers {
-			all = append(all, newServer(n))
+			all = append(all, newServer(n, l))
 		}
 		known := all[e.coldServers:]
 		for _, s := range all[:e.coldServers] {
@@ -72,12 +71,16 @@
 		}
 		ctx, stop := context.WithCancel(context.Background())
 		var background, requests sync.WaitGroup
-		dispatchers, runners := e.instances(known, m)
+		background.Go(func() { l.run(ctx) })
+		dispatchers, runners := e.instances(known, l, m)
 		for _, d := range dispatchers {
 			d.run(ctx, &background)
+			// The sweeps of a dispatcher are at multiples of an interval after its start.
+			// Those of two dispatchers must not coincide.
+			time.Sleep(time.Nanosecond)
 		}
 		background.Go(func() {
-			if sleep(ctx, warmUp) {
+			if l.sleep(ctx, time.Until(m.from), "warm up") {
 				for _, d := range dispatchers {
 					d.addServers(all)
 				}
@@ -92,7 +95,7 @@
 }
 
 // instances returns the dispatchers and the runners of the entry instances.
-func (e experiment) instances(known []*simulatedServer, m *results) ([]*dispatcher, []*pipeline.Runner) {
+func (e experiment) instances(known []*simulatedServer, l *timeline, m *results) ([]*dispatcher, []*pipeline.Runner) {
 	var dispatchers []*dispatcher
 	var runners []*pipeline.Runner
 	share, delay := 1, networkDelay
@@ -100,12 +103,12 @@
 		share, delay = instances, localDelay
 	}
 	for range share {
-		dispatchers = append(dispatchers, newDispatcher(known, share, m))
+		dispatchers = append(dispatchers, newDispatcher(known, share, l, m))
 	}
 	for n := range instances {
 		d := dispatchers[n%share]
 		runners = append(runners, newRunner(func(ctx context.Context, step request.Step) (request.Result, error) {
-			if !sleep(ctx, time.Duration((0.5+fraction(step.Input))*float64(delay))) {
+			if !l.sleep(ctx, time.Duration((0.5+fraction(step.Input))*float64(delay)), eventKey(step)) {
 				return request.Result{}, request.Refuse(request.ReasonDeadlinePassed, "the deadline passed before the step reached the queue")
 			}
 			return d.submit(ctx, step)
--- a/policy/instance_test.go
+++ b/policy/instance_test.go
@@ -22,14 +22,15 @@
 	commands dispatch.Commands
 	results  *results
 	servers  map[string]*simulatedServer
+	timeline *timeline
 	// limitDivisor is the number of dispatchers that share the limits of the servers
 	// equally.
 	limitDivisor int
 }
 
-func newDispatcher(servers []*simulatedServer, share int, m *results) *dispatcher {
+func newDispatcher(servers []*simulatedServer, share int, l *timeline, m *results) *dispatcher {
 	d := &dispatcher{
-		backends: backend.NewTable(event.Discard()), table: dispatch.NewTable(), results: m, limitDivisor: share, servers: map[string]*simulatedServer{},
+		backends: backend.NewTable(event.Discard()), table: dispatch.NewTable(), results: m, limitDivisor: share, servers: map[string]*simulatedServer{}, timeline: l,
 	}
 	commands, queries := d.backends.Commands(), d.backends.Queries()
 	t := d.table
@@ -106,7 +107,7 @@
 	group.Go(func() {
 		// The interval is no multiple of that of the sweeps, so that reports and
 		// sweeps rarely coincide.
-		for sleep(ctx, 1007*time.Millisecond) {
+		for d.timeline.sleep(ctx, 1007*time.Millisecond, "report") {
 			for _, s := range d.backends.Queries().All() {
 				d.backends.Commands().ApplyReport(s.Name, d.servers[s.Name].report(), time.Now())
 			}
@@ -115,18 +116,6 @@
 	})
 }
 
-// sleep waits for a duration and returns false if the context ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // newRunner returns the runner of an entry instance.
 func newRunner(execute func(context.Context, request.Step) (request.Result, error)) *pipeline.Runner {
 	c := newCatalogue()
--- a/policy/site_test.go
+++ b/policy/site_test.go
@@ -27,6 +27,7 @@
 	spec backend.Spec
 	// meanServiceTime is the mean service time of a step.
 	meanServiceTime time.Duration
+	timeline        *timeline
 
 	mu            sync.Mutex
 	running       int
@@ -36,12 +37,12 @@
 	crashed chan struct{}
 }
 
-func newServer(n int) *simulatedServer {
+func newServer(n int, l *timeline) *simulatedServer {
 	speeds := []time.Duration{100 * time.Millisecond, 150 * time.Millisecond, 250 * time.Millisecond, 400 * time.Millisecond}
 	name := fmt.Sprintf("s%02d", n)
 	return &simulatedServer{
 		spec:            backend.Spec{Name: name, Pool: "p", Address: name, LowestRank: 9, MaxInFlight: slots, ColdInFlight: 1},
-		meanServiceTime: speeds[n%len(speeds)], crashed: make(chan struct{}),
+		meanServiceTime: speeds[n%len(speeds)], timeline: l, crashed: make(chan struct{}),
 	}
 }
 
@@ -95,10 +96,9 @@
 		return &f
 	}
 	started := time.Now()
-	timer := time.NewTimer(time.Duration(float64(s.meanServiceTime) * (0.8 + 0.4*fraction(step.Input))))
-	defer timer.Stop()
+	serviceTime := time.Duration(float64(s.meanServiceTime) * (0.8 + 0.4*fraction(step.Input)))
 	select {
-	case <-timer.C:
+	case <-s.timeline.after(serviceTime, eventKey(step)):
 		s.end(true)
 		m.addServerTime(&m.useful, started)
 		return nil
@@ -113,12 +113,15 @@
 	return &f
 }
 
-// waitResponse waits for the response time of a failed step. It varies by step, so
-// that failures don't coincide, which would make the order of the events undefined.
+// waitResponse waits for the response time of a failed step, which varies by step.
 func (s *simulatedServer) waitResponse(step request.Step) {
-	time.Sleep(time.Duration((1 + fraction(step.Input)) * float64(time.Millisecond)))
+	<-s.timeline.after(time.Duration((1+fraction(step.Input))*float64(time.Millisecond)), eventKey(step))
 }
 
+// eventKey returns the key of the events of a step. The input differs by request, and
+// nothing waits for more than one event of a request.
+func eventKey(step request.Step) string { return "step " + string(step.Input) }
+
 // fraction returns a number in [0, 1) that depends only on the input, so that all
 // policies get the same work.
 func fraction(input []byte) float64 {
