instance: end the load of a test with the test, not after a minute

Cause: the setup waits up to 8 minutes until the servers are warm, but the load that makes them warm ended by itself after one minute (loadLimit). A server that got a step, and is still cold when the load ends, then gets no step that could succeed. The wait goes on until its bound, or until another instance, which knows the server only from its reports, owns the pool. The wait for the warm server in checkTakeOut has the same fault. The product is not at fault: a limit is raised by successes, and nobody sends requests.

Ruled out: a limiter that stays at its lowest under load, and a lost wake-up: while the load runs, the servers become warm, also beside a load of 50 to 200.

Change: a load ends when it is stopped, at the latest by the cleanup of its test. No bound and no check changes.

--- a/instance/load_test.go
+++ b/instance/load_test.go
@@ -10,10 +10,9 @@
 	"time"
 )
 
-// loadLimit bounds the duration of a load that its test doesn't stop.
-const loadLimit = time.Minute
-
-// load sends requests until it is stopped and counts the verdicts.
+// load sends requests until it is stopped, at the latest at the end of its test, and counts
+// the verdicts. It has no time limit of its own, because tests wait for conditions that
+// only requests can bring about, such as a warm server.
 type load struct {
 	stop func()
 
@@ -25,7 +24,7 @@
 
 // startLoad starts a load on a target. Each instance gets atOnce requests at a time.
 func (s *site) startLoad(target string, atOnce int, nodes ...*node) *load {
-	ctx, cancel := context.WithTimeout(s.ctx, loadLimit)
+	ctx, cancel := context.WithCancel(s.ctx)
 	l := &load{verdicts: map[string]int{}}
 	var senders sync.WaitGroup
 	for _, n := range nodes {
