backend: give a cold server with a slow response more steps

Cause: steps go to the server with the shortest expected time, and the measured time of a server changes only by its own steps. A server that isn't warm and whose measured time is a slow response, of a starved machine or of its cold start, gets none while the warm ones have room, so it stays cold for ever.

Without a network, a cold server with one response of 800 ms gets no step in 30 s.

Change: with the permission ProbesCold, an idle server whose limit can still rise gets a step 500 ms after its last measured one, whatever its expected time. Owners of pools in `serve` have it. Plain services of `entry` don't: many instances dispatch to them, whose probes would add up. As the first choice may now be a slow server, the dispatch table tries a second one before it refuses a step for its deadline.

--- a/backend/choose.go
+++ b/backend/choose.go
@@ -9,6 +9,10 @@
 type Permission struct {
 	// AllowCold allows steps for servers that are not warm.
 	AllowCold bool
+	// ProbesCold gives steps to servers that are not warm however slow they are expected to
+	// be, so that they become warm. It is for the only instance that dispatches to a pool:
+	// the probes of several add up.
+	ProbesCold bool
 	// WarmLimitDivisor is the divisor of the limits of warm servers: 1 for the whole
 	// limit, 2 for half of it. 0 allows no steps for warm servers.
 	WarmLimitDivisor int
@@ -91,7 +95,7 @@
 			continue
 		}
 		avoided := slices.Contains(avoid, s.Name)
-		if best < 0 || isBetter(s, &servers[best], avoided, bestAvoided, now) {
+		if best < 0 || isBetter(s, &servers[best], avoided, bestAvoided, p, now) {
 			best, bestAvoided = i, avoided
 		}
 	}
@@ -101,14 +105,31 @@
 	return servers[best], true
 }
 
+// probeInterval is how long after its last measured step an idle server that isn't warm
+// gets another one, however slow it is expected to be.
+const probeInterval = 500 * time.Millisecond
+
+// needsProbe reports whether a server that isn't warm yet should get a step to warm up.
+// Its measured time may be that of a stall or of its cold start, and while the other
+// servers have room for all steps, no step would show that it is faster now. Without
+// recent reports it can't become warm.
+func needsProbe(s *Server, p Permission, now time.Time) bool {
+	return p.ProbesCold && s.CurrentLimit < s.MaxInFlight && s.InFlight == 0 && s.ServiceTime > 0 && now.Sub(s.measuredAt) >= probeInterval &&
+		now.Sub(s.reportedAt) <= maxReportAge && !isInColdStart(s, now)
+}
+
 // isBetter reports whether s is preferred over best. It prefers, in this order, a
-// server that is not to be avoided, a shorter expected time, one that isn't in cold
-// start, and fewer steps in flight. A server in cold start whose service time is unknown
-// is expected to be as slow as the other one: otherwise all instances would prefer it.
-func isBetter(s, best *Server, avoided, bestAvoided bool, now time.Time) bool {
+// server that is not to be avoided, one that needs a probe, a shorter expected time, one
+// that isn't in cold start, and fewer steps in flight. A server in cold start whose service
+// time is unknown is expected to be as slow as the other one: otherwise all instances would
+// prefer it.
+func isBetter(s, best *Server, avoided, bestAvoided bool, p Permission, now time.Time) bool {
 	if avoided != bestAvoided {
 		return bestAvoided
 	}
+	if isProbe, isBestProbe := needsProbe(s, p, now), needsProbe(best, p, now); isProbe != isBestProbe {
+		return isProbe
+	}
 	a, b := expectedTime(s, now), expectedTime(best, now)
 	switch {
 	case s.ServiceTime == 0 && isInColdStart(s, now):
--- a/dispatch/attainable_test.go
+++ b/dispatch/attainable_test.go
@@ -7,6 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
+
 	"lycheecrank.example/backend"
 	"lycheecrank.example/request"
 )
@@ -80,3 +82,32 @@
 		s.running.Wait()
 	})
 }
+
+// Guards against refusing a step for the time of a slow server that is chosen to warm up,
+// although another server can finish it before its deadline.
+func TestOtherServerMeetsDeadline(t *testing.T) {
+	is := is.New(t)
+	synctest.Test(t, func(*testing.T) {
+		s := newFixture(0, 0)
+		s.permission.ProbesCold = true
+		servers := s.servers.Commands()
+		servers.Sync([]backend.Spec{
+			{Name: "cold", Pool: "p", LowestRank: 9, MaxInFlight: 8, ColdInFlight: 1},
+			{Name: "other", Pool: "p", LowestRank: 9, MaxInFlight: 1, ColdInFlight: 1},
+		}, time.Now())
+		for name, took := range map[string]time.Duration{"cold": 3 * time.Second, "other": 100 * time.Millisecond} {
+			servers.Reserve("p", 0, []string{map[string]string{"cold": "other", "other": "cold"}[name]}, s.permission, time.Now())
+			servers.Release(name, backend.Observation{SentAt: time.Now(), ResponseTime: took}, time.Now())
+		}
+		time.Sleep(time.Second)
+		servers.ApplyReport("cold", backend.Report{MeasuredAt: time.Now()}, time.Now())
+		s.add(stepWithin("r", 0, 2*time.Second))
+		a, ok := s.tryNext()
+		is.True(ok)
+		is.Equal(a.Server.Name, "other")
+		s.run(a)
+		is.Equal(s.outcome("r"), "succeeded")
+		s.running.Wait()
+		is.Equal(s.leftover(), "")
+	})
+}
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"lycheecrank.example/backend"
@@ -159,25 +160,40 @@
 	return Assignment{}, false
 }
 
-// reserve reserves a slot for the next step of a pool. A step that the best
-// available server can't finish before the deadline is refused: it would waste
-// the slot, and skipping it would break the order. The caller holds the lock.
+// reserve reserves a slot for the next step of a pool. A step that neither the best nor
+// the second best available server can finish before the deadline is refused: it would
+// waste the slot, and skipping it would break the order. The best server may be slow, if
+// it is chosen to warm up. The caller holds the lock.
 func (c Commands) reserve(q *poolQueue, now time.Time) (*waitingStep, backend.Server, bool) {
 	t := c.table
 	for w := q.peek(); w != nil; w = q.peek() {
-		s, ok := t.Reserve(q.name, w.step.Rank, w.step.AvoidServers, t.Permission(q.name, now), now)
+		permission, avoid := t.Permission(q.name, now), w.step.AvoidServers
+		s, ok := t.Reserve(q.name, w.step.Rank, avoid, permission, now)
 		if !ok {
 			break
 		}
-		if !now.Add(s.ServiceTimeBound(now)).After(w.step.Deadline) {
+		if !canMissDeadline(s, w.step, now) {
 			return w, s, true
 		}
 		t.CancelReservation(s.Name)
+		avoid = append(slices.Clip(avoid), s.Name)
+		if s, ok := t.Reserve(q.name, w.step.Rank, avoid, permission, now); ok {
+			if !canMissDeadline(s, w.step, now) {
+				return w, s, true
+			}
+			t.CancelReservation(s.Name)
+		}
 		c.refuse(q, w, newRefusal(request.ReasonDeadlineUnattainable, "the deadline cannot be met: a step may take "+s.ServiceTimeBound(now).String()+" on the best available server"), now)
 	}
 	return nil, backend.Server{}, false
 }
 
+// canMissDeadline reports whether a step may take longer on a server than its deadline
+// allows.
+func canMissDeadline(s backend.Server, step request.Step, now time.Time) bool {
+	return now.Add(s.ServiceTimeBound(now)).After(step.Deadline)
+}
+
 // refuse removes a waiting step from the queue and sends it its refusal. The
 // caller holds the lock.
 func (c Commands) refuse(q *poolQueue, w *waitingStep, f *request.Failure, now time.Time) {
--- a/instance/ownership.go
+++ b/instance/ownership.go
@@ -61,7 +61,7 @@
 		return backend.Permission{}
 	}
 	granted := i.ownershipQueries.Permission(pool, now)
-	permission := backend.Permission{AllowCold: granted.Cold}
+	permission := backend.Permission{AllowCold: granted.Cold, ProbesCold: granted.Cold}
 	switch granted.WarmShare {
 	case ownership.WarmFull:
 		permission.WarmLimitDivisor = 1
