lycheectl: don't take a pause of the own process for silence of the platform

Operators got exit code 5 ("deadline_exceeded: platform service unavailable", "no instance answers") although the platform had answered.

Cause: each call had a timeout on the wall clock, which passed while lycheectl itself didn't run. In traced calls that expired, the process had not run for 2.65 of 2.66 s and 3.2 of 4.4 s, at a timeout of 2 s; the timer then ran before the answer was read. The dial had such a timeout too, and so had the wait for adoption and the time to read an edit back.

Change: expiry.WithTimeout counts a timeout in ten intervals; one that ends late counts once. console, editor and lycheectl use it for each call; the dial is bounded by its call.

Ruled out: a limit shared by several steps (each call has its own); commands that the tests issue too early. No retry was added: calls that fail within their time are reported as before.

The wait of 15 s in TestRealInstances still counts pauses.

--- a/cmd/lycheectl/flags.go
+++ b/cmd/lycheectl/flags.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -63,9 +62,7 @@
 			return nil, eris.Wrapf(console.ErrUsage, "--instance needs IP:port, got %q", s)
 		}
 	}
-	client := &http.Client{Transport: &http.Transport{
-		DialContext: (&net.Dialer{Timeout: timeout}).DialContext,
-	}}
+	client := &http.Client{Transport: &http.Transport{}}
 	k := console.New(client, platformURL, timeout)
 	k.Author, k.Seeds = c.String("author"), seeds
 	return k, nil
--- a/cmd/lycheectl/precedence.go
+++ b/cmd/lycheectl/precedence.go
@@ -9,6 +9,7 @@
 
 	"lycheecrank.example/codec"
 	"lycheecrank.example/console"
+	"lycheecrank.example/expiry"
 	"lycheecrank.example/platform"
 	"lycheecrank.example/precedence"
 	"lycheecrank.example/provider"
@@ -57,7 +58,7 @@
 	if address := c.String("store"); address != "" {
 		store := platform.NewStore(address)
 		anchors = func(ctx context.Context) ([]precedence.Anchor, error) {
-			ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
+			ctx, cancel := expiry.WithTimeout(ctx, c.Duration("timeout"))
 			defer cancel()
 			return readAnchors(ctx, store)
 		}
--- a/cmd/lycheectl/quarantine.go
+++ b/cmd/lycheectl/quarantine.go
@@ -30,7 +30,7 @@
 	if len(urls) == 0 {
 		return eris.Wrap(console.ErrUsage, "a --metrics is needed")
 	}
-	all, err := console.Quarantines(ctx, &http.Client{Timeout: c.Duration("timeout")}, urls)
+	all, err := console.Quarantines(ctx, http.DefaultClient, c.Duration("timeout"), urls)
 	if printErr := printResult(c, result{text: console.QuarantineTable(all), value: all}); printErr != nil {
 		err = errors.Join(err, printErr)
 	}
--- a/cmd/lycheectl/rollout.go
+++ b/cmd/lycheectl/rollout.go
@@ -30,7 +30,7 @@
 	if len(urls) == 0 {
 		return eris.Wrap(console.ErrUsage, "a --metrics is needed")
 	}
-	all, err := console.Rollouts(ctx, &http.Client{Timeout: c.Duration("timeout")}, urls)
+	all, err := console.Rollouts(ctx, http.DefaultClient, c.Duration("timeout"), urls)
 	if printErr := printResult(c, result{text: console.RolloutTable(all), value: all}); printErr != nil {
 		err = errors.Join(err, printErr)
 	}
--- a/console/hold.go
+++ b/console/hold.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lycheecrank.example/catalogue"
+	"lycheecrank.example/expiry"
 	"lycheecrank.example/operator"
 )
 
@@ -102,7 +103,7 @@
 
 func (c Commands) holdOne(ctx context.Context, i InstanceStatus, dataCentre string, d time.Duration) HeldInstance {
 	held := HeldInstance{Name: i.label(), DataCentre: i.DataCentre, Address: i.Address}
-	ctx, cancel := context.WithTimeout(ctx, c.console.Timeout)
+	ctx, cancel := expiry.WithTimeout(ctx, c.console.Timeout)
 	defer cancel()
 	ends, err := c.console.Operator(i.Address).Hold(ctx, dataCentre, c.console.Author, d)
 	if err != nil {
--- a/console/precedence.go
+++ b/console/precedence.go
@@ -11,6 +11,7 @@
 	"lycheecrank.example/catalogue"
 	"lycheecrank.example/codec"
 	"lycheecrank.example/editor"
+	"lycheecrank.example/expiry"
 	"lycheecrank.example/precedence"
 	"lycheecrank.example/provider"
 )
@@ -74,7 +75,7 @@
 }
 
 func (q Queries) readPage(ctx context.Context, stream string, from uint64) (provider.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, q.console.Timeout)
+	ctx, cancel := expiry.WithTimeout(ctx, q.console.Timeout)
 	defer cancel()
 	return q.console.Read(ctx, stream, from)
 }
--- a/console/quarantine.go
+++ b/console/quarantine.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"lycheecrank.example/expiry"
 	"lycheecrank.example/operator"
 	"lycheecrank.example/quarantine"
 	"lycheecrank.example/rollout"
@@ -29,11 +30,11 @@
 // Quarantines reads the counters of entry instances at the given URLs, and returns what
 // each of them has quarantined, in order. It returns operator.ErrUnavailable, together with the
 // answers that there are, if an instance didn't answer.
-func Quarantines(ctx context.Context, client *http.Client, urls []string) ([]InstanceQuarantine, error) {
+func Quarantines(ctx context.Context, client *http.Client, timeout time.Duration, urls []string) ([]InstanceQuarantine, error) {
 	var all []InstanceQuarantine
 	var failed []string
 	for _, url := range urls {
-		found, err := readBeliefs(ctx, client, url)
+		found, err := readBeliefs(ctx, client, timeout, url)
 		status := InstanceQuarantine{Metrics: url, Quarantine: found.Quarantine}
 		if err != nil {
 			status.Error = err.Error()
@@ -53,7 +54,9 @@
 	Rollouts   []rollout.Status    `json:"rollouts"`
 }
 
-func readBeliefs(ctx context.Context, client *http.Client, url string) (beliefs, error) {
+func readBeliefs(ctx context.Context, client *http.Client, timeout time.Duration, url string) (beliefs, error) {
+	ctx, cancel := expiry.WithTimeout(ctx, timeout)
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
 		return beliefs{}, eris.Wrap(err, "create request")
--- a/console/rollout.go
+++ b/console/rollout.go
@@ -23,11 +23,11 @@
 // Rollouts reads the counters of entry instances at the given URLs, and returns what each
 // of them knows of rollouts, in order. It returns operator.ErrUnavailable, together with the
 // answers that there are, if an instance didn't answer.
-func Rollouts(ctx context.Context, client *http.Client, urls []string) ([]InstanceRollouts, error) {
+func Rollouts(ctx context.Context, client *http.Client, timeout time.Duration, urls []string) ([]InstanceRollouts, error) {
 	var all []InstanceRollouts
 	var failed []string
 	for _, url := range urls {
-		found, err := readBeliefs(ctx, client, url)
+		found, err := readBeliefs(ctx, client, timeout, url)
 		status := InstanceRollouts{Metrics: url, Rollouts: found.Rollouts}
 		if err != nil {
 			status.Error = err.Error()
--- a/console/state.go
+++ b/console/state.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"lycheecrank.example/catalogue"
+	"lycheecrank.example/expiry"
 )
 
 // DefaultWait is how long an accepted configuration may take until it is in
@@ -92,7 +93,7 @@
 	if wait == 0 {
 		wait = DefaultWait
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait)
+	ctx, cancel := expiry.WithTimeout(ctx, wait)
 	defer cancel()
 	return c.awaitAdoption(ctx, s, id)
 }
--- a/console/status.go
+++ b/console/status.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"lycheecrank.example/expiry"
 	"lycheecrank.example/operator"
 	"lycheecrank.example/provider"
 )
@@ -219,7 +220,7 @@
 
 // entries returns the entry instances of the platform's list.
 func (q Queries) entries(ctx context.Context) ([]InstanceStatus, error) {
-	ctx, cancel := context.WithTimeout(ctx, q.console.Timeout)
+	ctx, cancel := expiry.WithTimeout(ctx, q.console.Timeout)
 	defer cancel()
 	list, err := q.console.List(ctx)
 	if err != nil {
@@ -283,7 +284,7 @@
 }
 
 func (q Queries) askOne(ctx context.Context, i InstanceStatus) InstanceStatus {
-	ctx, cancel := context.WithTimeout(ctx, q.console.Timeout)
+	ctx, cancel := expiry.WithTimeout(ctx, q.console.Timeout)
 	defer cancel()
 	s, err := q.console.Operator(i.Address).Status(ctx)
 	if err != nil {
--- a/editor/editor.go
+++ b/editor/editor.go
@@ -15,6 +15,7 @@
 
 	"lycheecrank.example/catalogue"
 	"lycheecrank.example/codec"
+	"lycheecrank.example/expiry"
 	"lycheecrank.example/provider"
 )
 
@@ -98,13 +99,13 @@
 }
 
 func (e Editor) readPage(ctx context.Context, stream string, from uint64) (provider.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, e.callTimeout())
+	ctx, cancel := expiry.WithTimeout(ctx, e.callTimeout())
 	defer cancel()
 	return e.Log.Read(ctx, stream, from)
 }
 
 func (e Editor) appendRecord(ctx context.Context, data []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, e.callTimeout())
+	ctx, cancel := expiry.WithTimeout(ctx, e.callTimeout())
 	defer cancel()
 	_, err := e.Log.Append(ctx, catalogue.StreamName, data)
 	return err
@@ -177,7 +178,7 @@
 	if errors.Is(appendErr, provider.ErrRateLimited) {
 		return catalogue.Verdict{}, appendErr
 	}
-	ctx, cancel := context.WithTimeout(ctx, e.readBackTimeout())
+	ctx, cancel := expiry.WithTimeout(ctx, e.readBackTimeout())
 	defer cancel()
 	for {
 		h, err := e.Load(ctx)
