--- a/peer/pause_test.go
+++ b/peer/pause_test.go
@@ -6,11 +6,11 @@
 	"net"
 	"os"
 	"os/exec"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
 
 	"lycheecrank.example/peer"
 )
@@ -42,8 +42,11 @@
 	s := newServer()
 	s.Ask = func(context.Context, peer.Hello, string, []byte) ([]byte, error) {
 		process := <-started
-		time.AfterFunc(pause, func() { _ = process.Signal(syscall.SIGCONT) })
-		return nil, process.Signal(syscall.SIGSTOP)
+		err := process.Signal(unix.SIGSTOP)
+		// A process that the signal hasn't reached yet would still read the answer.
+		_ = unix.Waitid(unix.P_PID, process.Pid, nil, unix.WSTOPPED, nil)
+		time.AfterFunc(pause, func() { _ = process.Signal(unix.SIGCONT) })
+		return nil, err
 	}
 	defer start(t, s, l, newClient())()
 	is.NoErr(child.Start())
