peer: use the usual assertions in the tests of stops

Cause: one test reported by t.Errorf.

Change: matryer/is, as in the other tests; what is checked is the same.

--- a/peer/stop_test.go
+++ b/peer/stop_test.go
@@ -48,11 +48,12 @@
 // answer is queued.
 func TestStopWritesQueuedResults(t *testing.T) {
 	const rounds = 100
+	is := is.New(t)
 	lost := 0
 	for range rounds {
 		s, c := newServer(), newClient()
 		l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
-		is.New(t).NoErr(err)
+		is.NoErr(err)
 		ctx, stop := context.WithCancel(t.Context())
 		s.Execute = func(ctx context.Context, st request.Step, sink request.Sink) (request.Result, error) {
 			result, err := echo(ctx, st, sink)
@@ -68,7 +69,5 @@
 		running.Wait()
 		stop()
 	}
-	if lost > 0 {
-		t.Errorf("%d of %d results of steps that have run were lost", lost, rounds)
-	}
+	is.Equal(lost, 0) // results of steps that have run
 }
