instance: answer requests that are read during a stop

Cause: net/http drops a request that it reads after Shutdown was called, and the drain called it while new connections could bring one.

Change: CloseIdle counts the connections that it spares as new, and the drain calls Shutdown when none is left but those of HTTP/2. `entry`, which doesn't use Shutdown or that count, behaves as before.

--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -110,10 +110,10 @@
 }
 
 // CloseIdle closes the connections of clients that have no request, except those that have
-// had none yet and were opened at or after a time. Unlike http.Server.Shutdown, it spares
-// those at which a request is arriving whose last bytes came within headTimeout, and returns
-// their number.
-func (f *Frontend) CloseIdle(openedBefore time.Time, headTimeout time.Duration) (arriving int) {
+// had none yet and were opened at or after a time. Unlike http.Server.Shutdown, it also spares
+// those at which a request is arriving whose last bytes came within headTimeout. It returns
+// how many it spares.
+func (f *Frontend) CloseIdle(openedBefore time.Time, headTimeout time.Duration) (spared int) {
 	return f.account.CloseIdle(intake.Clients, openedBefore, headTimeout)
 }
 
--- a/instance/http.go
+++ b/instance/http.go
@@ -31,17 +31,6 @@
 	return i.frontend.Attach(server)
 }
 
-// announceClose makes the answers of an instance that is leaving say that their connections
-// close.
-func (i *Instance) announceClose(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if i.isLeaving.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 // serveReady answers the readiness checks of the load balancer.
 func (i *Instance) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if i.isLeaving.Load() || !i.catalogueQueries.IsLoaded() {
--- a/instance/run.go
+++ b/instance/run.go
@@ -123,8 +123,9 @@
 	served <-chan struct{}
 }
 
-// closeIdle closes the listener for callers, and the connections that no caller uses.
-// http.Server.Shutdown would also close those from which a request is being read.
+// closeIdle closes the listener for callers, and the connections that no caller uses, until
+// none is left but those of HTTP/2. http.Server.Shutdown would also close those from which a
+// request is being read, and drop requests that are read after it was called.
 func (i *Instance) closeIdle(ctx context.Context, clients clientListener) {
 	_ = frontend.CloseListener(ctx, clients.Listener)
 	// Shutdown would close the listener once more and fail.
--- a/intake/commands.go
+++ b/intake/commands.go
@@ -41,24 +41,28 @@
 }
 
 // CloseIdle closes the connections of a class that have no request, except those that have
-// had none yet and were opened at or after a time. It spares connections at which a request
-// is arriving whose last bytes came within headTimeout, and returns their number.
-func (c Commands) CloseIdle(class Class, openedBefore time.Time, headTimeout time.Duration) (arriving int) {
+// had none yet and were opened at or after a time, and those at which a request is arriving
+// whose last bytes came within headTimeout. It returns how many it spares.
+func (c Commands) CloseIdle(class Class, openedBefore time.Time, headTimeout time.Duration) (spared int) {
 	t := c.table
 	t.mu.Lock()
 	var idle []*Connection
 	for connection := range t.connections[class] {
-		if connection.active == 0 && (connection.moved.Load() > 0 || connection.idleSince.Before(openedBefore)) {
+		switch {
+		case connection.active > 0:
+		case connection.moved.Load() > 0, connection.idleSince.Before(openedBefore):
 			idle = append(idle, connection)
+		default:
+			spared++
 		}
 	}
 	t.mu.Unlock()
 	for _, connection := range idle {
 		if !connection.control.CloseIdle(headTimeout) {
-			arriving++
+			spared++
 		}
 	}
-	return arriving
+	return spared
 }
 
 // shedSlowest sheds the request of a class that makes the least progress and returns its
