frontend: wait for idle connections in the test of replacement

Cause: the test took both connections for idle 2 ms after their answers. On a busy machine the server hasn't ended the request of the second one by then; neither may be replaced, and the new connection is refused.

Change: the test waits until no connection is served. It checks the same.

--- a/frontend/replacement_test.go
+++ b/frontend/replacement_test.go
@@ -17,13 +17,19 @@
 func TestReplacementSparesArrivedRequests(t *testing.T) {
 	const rounds = 200
 	is := is.New(t)
-	s := newSiteWith(t, 2, answerAll(func(error) {}), nil)
+	var f *frontend.Frontend
+	s := newSiteWith(t, 2, func(front *frontend.Frontend) http.Handler {
+		f = front
+		return answerAll(func(error) {})(front)
+	}, nil)
 	cut := 0
 	for range rounds {
 		busy, idle := s.send(emptyGet), s.send(emptyGet)
 		_ = s.answer(busy).Body.Close()
 		_ = s.answer(idle).Body.Close()
-		<-time.After(2 * time.Millisecond) // both are idle, busy for longer
+		for f.Serving() > 0 { // until both are idle
+			<-time.After(time.Millisecond)
+		}
 		_, _ = fmt.Fprint(busy, emptyGet)
 		next := s.send(emptyGet)
 		_ = s.answer(next).Body.Close()
