--- a/review/rig2/prompts.go
+++ b/review/rig2/prompts.go
@@ -47,7 +47,7 @@
 			header: map[string]string{"Model": "m", "Token-Usage": fmt.Sprintf("%d,24", parts), "Prompt-Prefix": prefix.String()[1:]},
 		}
 	})
-	for until := time.Now().Add(90 * time.Second); time.Now().Before(until) && countEnded(d) < neededMachines; {
+	for until := time.Now().Add(80 * time.Second); time.Now().Before(until) && countEnded(d) < neededMachines; {
 		time.Sleep(5 * time.Second)
 		record("resident at most %d MB and %d MB; streams by status %v", d.machines[0].peakMb(), d.machines[1].peakMb(), streams.statuses())
 	}
