--- a/review/rig3/site.go
+++ b/review/rig3/site.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -97,14 +98,18 @@
 	}
 }
 
-// freeAddress returns a loopback address with a free port.
+// freeAddress returns a loopback address with a free port below the range from which the
+// system takes the ports of outgoing connections.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	const first, count, tries = 20000, 12000, 100
+	var err error
+	for range tries {
+		var l net.Listener
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(count))); err == nil {
+			return l.Addr().String(), l.Close()
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", err
 }
 
 // configure writes the next version of the configuration.
