--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -1,7 +1,7 @@
 //go:build review2
 
-// Program rig3 plays the cases of the third part of the review: it starts the system's
-// entry processes with stand-ins for the store, the workers and the clients on loopback
+// Program rig3 plays the scripts review/8 and review/10: it starts the system's entry
+// processes with stand-ins for the store, the workers and the clients on loopback
 // addresses, plays one case and checks its rule. It exits with 1 if the rule was broken, 0
 // if it held and 2 if the case couldn't run.
 package main
--- a/review/rig3/site.go
+++ b/review/rig3/site.go
@@ -48,6 +48,8 @@
 	version   int
 	stopBeats chan struct{}
 	beating   sync.WaitGroup
+	// running has the goroutines that end with the processes and the workers.
+	running sync.WaitGroup
 
 	mu       sync.Mutex
 	lastID   int
@@ -84,6 +86,7 @@
 	for _, w := range s.workers {
 		w.stop()
 	}
+	s.running.Wait()
 	s.store.CloseClientConnections()
 	s.store.Close()
 	_ = os.RemoveAll(s.folder)
@@ -91,6 +94,9 @@
 
 func (s *site) killInstances() {
 	for _, n := range s.instances {
+		if n.command == nil || n.command.Process == nil {
+			continue
+		}
 		_ = n.command.Process.Signal(syscall.SIGCONT)
 		_ = n.command.Process.Kill()
 		select {
@@ -229,11 +235,11 @@
 		return err
 	}
 	s.write("started %s, process %d, front %s", n.name, n.command.Process.Pid, n.front)
-	go func() {
+	s.running.Go(func() {
 		_ = n.command.Wait()
 		_ = log.Close()
 		close(n.exited)
-	}()
+	})
 	return nil
 }
 
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -40,7 +40,7 @@
 	w := &worker{site: s, id: id, zone: zone, work: work, addr: l.Addr().String(), born: time.Now().UnixMilli()}
 	w.server = &http.Server{Handler: w, ReadHeaderTimeout: 5 * time.Second}
 	s.workers = append(s.workers, w)
-	go func() { _ = w.server.Serve(l) }()
+	s.running.Go(func() { _ = w.server.Serve(l) })
 	w.beat()
 	s.beating.Go(func() {
 		ticker := time.NewTicker(beatInterval)
