--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -1,6 +1,6 @@
 //go:build review2
 
-// Program rig3 plays the scripts review/8 and review/10: it starts the system's entry
+// Program rig3 plays the script review/8 and one that was left out: it starts the system's entry
 // processes with stand-ins for the store, the workers and the clients on loopback
 // addresses, plays one case and checks its rule. It exits with 1 if the rule was broken, 0
 // if it held and 2 if the case couldn't run.
