entry: log each leaving statement of a backend server with its effect

Change: event 513 has the source of each statement, whether the server was listed and whether the statement changed anything; 505 has the start time of the process.

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -73,7 +73,7 @@
 	}
 	old, _ := i.fleet.Queries().Server(server.ID, now)
 	if old.ID == "" || old.IsDraining != server.IsDraining || old.Address != server.Address || old.StartedUnixMilli != server.StartedUnixMilli {
-		i.Logger.Write(event.ServerListed, server.ID, server.Pool, server.Address, server.DataCentre, server.IsDraining, record.Offset)
+		i.Logger.Write(event.ServerListed, server.ID, server.Pool, server.Address, server.DataCentre, server.IsDraining, record.Offset, server.StartedUnixMilli)
 	}
 	return fleet.Change{Server: server}, true
 }
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -75,7 +75,7 @@
 // markLeaving records that a server said in an answer that it is leaving, and notifies
 // the coordinator: the entry of the server in the store may show it later.
 func (i *Instance) markLeaving(server string) {
-	if i.recordLeaving(server) {
+	if i.recordLeaving(server, "answer") {
 		listed, _ := i.fleet.Queries().Server(server, time.Now())
 		if coordinator := i.view().Coordinator(i.ownScope(), time.Now()); coordinator.Name != i.Settings.Name {
 			i.notices.add(coordinator, notice{Kind: leavingNotice, Server: server, StartedUnixMilli: listed.StartedUnixMilli})
@@ -85,8 +85,13 @@
 
 // recordLeaving takes a server that is leaving out of service. It reports whether this is
 // new.
-func (i *Instance) recordLeaving(server string) bool {
-	if !i.fleet.Commands().MarkLeaving(server) {
+func (i *Instance) recordLeaving(server, source string) bool {
+	listed, _ := i.fleet.Queries().Server(server, time.Now())
+	isNew := i.fleet.Commands().MarkLeaving(server)
+	if isListed := listed.ID != ""; isNew || !isListed {
+		i.Logger.Write(event.LeavingStated, server, source, isListed, isNew)
+	}
+	if !isNew {
 		return false
 	}
 	i.Logger.Write(event.ServerLeaving, server)
@@ -140,7 +145,7 @@
 		case leavingNotice:
 			// A notice may be late: the server may be listed as another process by now.
 			if listed, _ := i.fleet.Queries().Server(n.Server, now); listed.StartedUnixMilli == n.StartedUnixMilli {
-				i.recordLeaving(n.Server)
+				i.recordLeaving(n.Server, "notice")
 			}
 		case answerByNotice:
 			for _, id := range n.RequestIDs {
