fleet: keep what a process of a server says, whether or not it is listed

A backend server left without reporting draining; its entry was removed, and its next answers said that it was leaving. Cause: fleet kept a statement only for a server that was listed at the time, and kept it after a removal only if it had been made before. A statement that arrived after the removal, or before the first entry, was dropped. Ruled out: a statement that arrives late, and one that is lost when the entry comes back (TestLeavingOutlastsRemoval passed). Change: a statement is keyed by the process (ID, address, start time), and an entry is looked up by the process that it describes, so that the order of statement, entry and removal doesn't matter. The same for the pause that a server asks for, which a removal dropped too; for statements of stage servers, which were recorded for whichever process was listed when the answer came; and for notices to the coordinator. The table of departed servers, which was emptied as a whole when it was full, is gone: the oldest statement of an unlisted process gives way. Event 503 takes the place of 513.

--- a/backend/commands.go
+++ b/backend/commands.go
@@ -143,6 +143,6 @@
 		c.table.Logger.Write(event.ServerSuspected, s.Name, s.ServiceTime.Milliseconds(), s.InFlight, s.CurrentLimit)
 	}
 	if !old.IsLeaving() && s.IsLeaving() {
-		c.table.Logger.Write(event.ServerLeaving, s.Name)
+		c.table.Logger.Write(event.ServerLeaving, s.Name, "report", 0, true)
 	}
 }
--- a/batch/commands.go
+++ b/batch/commands.go
@@ -31,7 +31,7 @@
 		if !ok || s.Address != pl.Address {
 			s = newServer(pl)
 		}
-		s.isDraining, s.IsTrial = false, pl.IsTrial
+		s.isDraining, s.IsTrial, s.StartedUnixMilli = false, pl.IsTrial, pl.StartedUnixMilli
 		servers[pl.ID] = s
 	}
 	p.setServers(servers)
--- a/batch/server.go
+++ b/batch/server.go
@@ -42,6 +42,9 @@
 	ID         string
 	Address    string
 	DataCentre string
+	// StartedUnixMilli is the start time that the process of the server reports, 0 if it
+	// reports none.
+	StartedUnixMilli int64
 	// IsTrial is set for a server of a version that is tried out. It gets only the pieces
 	// with IsTrial.
 	IsTrial bool
--- a/delivery/plain.go
+++ b/delivery/plain.go
@@ -120,7 +120,7 @@
 		cancel(context.Canceled)
 		return Answer{}, nil, err
 	}
-	r.applyStatements(server.ID, routed.attempt.ID, answer)
+	r.applyStatements(server, routed.attempt.ID, answer)
 	answer.Body = &sendBody{ReadCloser: answer.Body, cancel: cancel}
 	if answer.IsNotRun {
 		_ = answer.Body.Close()
--- a/delivery/router.go
+++ b/delivery/router.go
@@ -46,10 +46,10 @@
 	OnFirstEvent func(pool, server, id string, try int, took time.Duration)
 	OnRunEnd     func(pool, server, id string, status preparation.RunStatus)
 	Abandon      func(id string, try int)
-	// OnLeaving is called with the ID of a server that says in an answer that it is
-	// leaving, OnPause with that of a server that wants no requests for a time.
-	OnLeaving func(server string)
-	OnPause   func(server string, pause time.Duration)
+	// OnLeaving is called with the process of a server that says in an answer that it is
+	// leaving, OnPause with one that wants no requests for a time.
+	OnLeaving func(process fleet.Process)
+	OnPause   func(process fleet.Process, pause time.Duration)
 	// OnLoad is called with the load that a server reports in its answer to a request.
 	OnLoad func(server, id string, load speed.Report)
 	// OnAdmission is called with each admitted attempt before it is served.
@@ -208,15 +208,15 @@
 }
 
 // applyStatements passes on what a server says about itself in an answer to a request.
-func (r *Router) applyStatements(server, id string, answer Answer) {
+func (r *Router) applyStatements(server fleet.Server, id string, answer Answer) {
 	if answer.Load != (speed.Report{}) {
-		r.OnLoad(server, id, answer.Load)
+		r.OnLoad(server.ID, id, answer.Load)
 	}
 	if answer.IsLeaving {
-		r.OnLeaving(server)
+		r.OnLeaving(server.Process())
 	}
 	if answer.PauseFor > 0 {
-		r.OnPause(server, answer.PauseFor)
+		r.OnPause(server.Process(), answer.PauseFor)
 	}
 }
 
--- a/delivery/router_test.go
+++ b/delivery/router_test.go
@@ -101,7 +101,7 @@
 		OnCrash: func(server fleet.Server, _ string, _ engine.Prompt) {
 			r.notifications = append(r.notifications, "crashed "+server.ID)
 		},
-		OnLeaving: func(string) {}, OnPause: func(string, time.Duration) {},
+		OnLeaving: func(fleet.Process) {}, OnPause: func(fleet.Process, time.Duration) {},
 		OnAdmission: func(Admission) {},
 		Abandon:     func(string, int) { r.notifications = append(r.notifications, "abandoned") },
 	}
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -154,7 +154,7 @@
 		return s.retryBroken(ctx, current, withSilence(sendCtx, err))
 	}
 	defer func() { _ = answer.Body.Close() }()
-	router.applyStatements(placement.Server, routed.attempt.ID, answer)
+	router.applyStatements(server, routed.attempt.ID, answer)
 	current.answeredAt = time.Now()
 	if !answer.IsMisdirected {
 		s.addReached(placement.Server)
--- a/entry/apply.go
+++ b/entry/apply.go
@@ -142,7 +142,7 @@
 			i.coordinator.Batches.Commands().SetPool(batchSpec(p), i.batchPlaces(inCell(servers, layout, own), now))
 		default:
 			for _, s := range servers {
-				plain = append(plain, plainSpec(s, p, i.coldLimit(p, s.ID, now)))
+				plain = append(plain, plainSpec(s, p, i.coldLimit(p, s.ID, now), i.fleet.Queries().PauseEnd(s.Process())))
 			}
 		}
 	}
@@ -176,7 +176,7 @@
 	for _, s := range servers {
 		isTrial := i.rollouts.Queries().IsTrial(s.Pool, s.ID, now)
 		if isTrial || i.serves(s, now) {
-			places = append(places, batch.Endpoint{ID: s.ID, Address: s.Address, DataCentre: s.DataCentre, IsTrial: isTrial})
+			places = append(places, batch.Endpoint{ID: s.ID, Address: s.Address, DataCentre: s.DataCentre, StartedUnixMilli: s.StartedUnixMilli, IsTrial: isTrial})
 		}
 	}
 	return places
@@ -207,10 +207,10 @@
 	return limit
 }
 
-func plainSpec(server fleet.Server, pool route.Pool, limit backend.ColdLimit) backend.Spec {
+func plainSpec(server fleet.Server, pool route.Pool, limit backend.ColdLimit, pausedUntil time.Time) backend.Spec {
 	return backend.Spec{
 		ColdLimit: limit, ColdUntil: server.ColdUntil, ColdTime: pool.ColdTime,
 		Name: server.ID, Pool: server.Pool, DataCentre: server.DataCentre, Address: server.Address,
-		LowestRank: lowestRank, MaxInFlight: server.Slots + queuedPerServer, ColdInFlight: server.Slots, PausedUntil: server.PausedUntil(),
+		LowestRank: lowestRank, MaxInFlight: server.Slots + queuedPerServer, ColdInFlight: server.Slots, PausedUntil: pausedUntil,
 	}
 }
--- a/entry/late_entry_test.go
+++ b/entry/late_entry_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"lycheecrank.example/feed"
+	"lycheecrank.example/fleet"
 	"lycheecrank.example/platform"
 )
 
@@ -111,7 +112,8 @@
 	i := newIdleInstance(1)
 	i.addRead(platform.ServerStream, []feed.Record{{Key: "s1", Offset: 1, Value: []byte(serverEntry("ready", `,"sequence":1,"born":9`))}}, 2, time.Now())
 	isUsableAfter := func(started int64) bool {
-		_, err := i.applyNotices([]notice{{Kind: leavingNotice, Server: "s1", StartedUnixMilli: started}})
+		leaving := fleet.Process{ServerID: "s1", Address: "10.0.0.1:80", StartedUnixMilli: started}
+		_, err := i.applyNotices([]notice{{Kind: leavingNotice, Leaving: leaving}})
 		is.NoErr(err)
 		_, isUsable := i.fleet.Queries().Server("s1", time.Now())
 		return isUsable
--- a/entry/message.go
+++ b/entry/message.go
@@ -5,6 +5,7 @@
 
 	"lycheecrank.example/engine"
 	"lycheecrank.example/feed"
+	"lycheecrank.example/fleet"
 	"lycheecrank.example/membership"
 	"lycheecrank.example/preparation"
 	"lycheecrank.example/quarantine"
@@ -122,7 +123,6 @@
 	// HasBegun is set in a running or prompt read notice if the engine has begun its
 	// answer.
 	HasBegun bool `msgpack:"hasBegun,omitempty"`
-	// StartedUnixMilli is set in a leaving notice: the start time of the process that is
-	// leaving (see fleet.Server).
-	StartedUnixMilli int64 `msgpack:"started,omitempty"`
+	// Leaving is set in a leaving notice: the process that is leaving.
+	Leaving fleet.Process `msgpack:"leaving,omitempty"`
 }
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -11,6 +11,7 @@
 	"lycheecrank.example/drain"
 	"lycheecrank.example/engine"
 	"lycheecrank.example/event"
+	"lycheecrank.example/fleet"
 	"lycheecrank.example/membership"
 	"lycheecrank.example/preparation"
 )
@@ -72,42 +73,48 @@
 	}
 }
 
-// markLeaving records that a server said in an answer that it is leaving, and notifies
-// the coordinator: the entry of the server in the store may show it later.
-func (i *Instance) markLeaving(server string) {
-	if i.recordLeaving(server, "answer") {
-		listed, _ := i.fleet.Queries().Server(server, time.Now())
-		if coordinator := i.view().Coordinator(i.ownScope(), time.Now()); coordinator.Name != i.Settings.Name {
-			i.notices.add(coordinator, notice{Kind: leavingNotice, Server: server, StartedUnixMilli: listed.StartedUnixMilli})
-		}
+// The sources of leaving statements in the log.
+const (
+	fromAnswer = "answer"
+	fromNotice = "notice"
+)
+
+// markLeaving records that a process of a server said in an answer that it is leaving, and
+// notifies the coordinator: the entry of the server in the store may show it later.
+func (i *Instance) markLeaving(process fleet.Process) {
+	if !i.recordLeaving(process, fromAnswer) {
+		return
+	}
+	if coordinator := i.view().Coordinator(i.ownScope(), time.Now()); coordinator.Name != i.Settings.Name {
+		i.notices.add(coordinator, notice{Kind: leavingNotice, Leaving: process})
 	}
 }
 
-// recordLeaving takes a server that is leaving out of service. It reports whether this is
+// recordLeaving takes a process that is leaving out of service. It reports whether this is
 // new.
-func (i *Instance) recordLeaving(server, source string) bool {
-	listed, _ := i.fleet.Queries().Server(server, time.Now())
-	isNew := i.fleet.Commands().MarkLeaving(server)
-	if isListed := listed.ID != ""; isNew || !isListed {
-		i.Logger.Write(event.LeavingStated, server, source, isListed, isNew)
-	}
-	if !isNew {
+func (i *Instance) recordLeaving(process fleet.Process, source string) bool {
+	now := time.Now()
+	if !i.fleet.Commands().MarkLeaving(process, now) {
 		return false
 	}
-	i.Logger.Write(event.ServerLeaving, server)
-	i.syncServers(time.Now())
+	listed, _ := i.fleet.Queries().Server(process.ServerID, now)
+	i.Logger.Write(event.ServerLeaving, process.ServerID, source, process.StartedUnixMilli, listed.Process() == process)
+	i.syncServers(now)
 	return true
 }
 
-// pauseServer records that a server turned a request away and wants none of this instance
-// for a time.
-func (i *Instance) pauseServer(server string, pause time.Duration) {
-	until := time.Now().Add(pause)
-	i.fleet.Commands().Pause(server, until)
-	i.plainServers.Commands().Pause(server, until)
-	i.coordinator.Batches.Commands().Pause(server, until)
+// pauseServer records that a process of a server turned a request away and wants none of
+// this instance for a time.
+func (i *Instance) pauseServer(process fleet.Process, pause time.Duration) {
+	now := time.Now()
+	until := now.Add(pause)
+	i.fleet.Commands().Pause(process, until, now)
+	if listed, _ := i.fleet.Queries().Server(process.ServerID, now); listed.Process() == process {
+		i.plainServers.Commands().Pause(process.ServerID, until)
+		i.coordinator.Batches.Commands().Pause(process.ServerID, until)
+	}
 	i.coordinationCounts.Add("serverPaused")
-	i.Logger.Write(event.ServerPaused, server, pause.Milliseconds())
+	i.Logger.Write(event.ServerPaused, process.ServerID, pause.Milliseconds())
 }
 
 // applyNotices applies notices about prepared requests to the tables of the
@@ -143,10 +150,7 @@
 				Pool: n.Pool, EngineID: n.Server, RequestID: n.RequestID, Prompt: n.Prompt, IsRunning: n.Kind == runningNotice, Until: until,
 			})
 		case leavingNotice:
-			// A notice may be late: the server may be listed as another process by now.
-			if listed, _ := i.fleet.Queries().Server(n.Server, now); listed.StartedUnixMilli == n.StartedUnixMilli {
-				i.recordLeaving(n.Server, "notice")
-			}
+			i.recordLeaving(n.Leaving, fromNotice)
 		case answerByNotice:
 			for _, id := range n.RequestIDs {
 				i.coordinator.SetAnswerBy(id, now.Add(n.Remaining))
--- a/entry/statement_test.go
+++ b/entry/statement_test.go
@@ -6,7 +6,10 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
+	"lycheecrank.example/fleet"
+	"lycheecrank.example/platform"
 	"lycheecrank.example/standin/site"
 )
 
@@ -63,13 +66,92 @@
 			is := is.New(t)
 			is.Equal(lateArrivals(t, p.pool, p.path, f, nil), 0)
 			broken := func(i *Instance) {
-				i.delivery.OnLeaving, i.stageClient.OnLeaving = func(string) {}, func(string) {}
+				i.delivery.OnLeaving, i.stageClient.OnLeaving = func(fleet.Process) {}, func(fleet.Process) {}
 			}
 			is.True(lateArrivals(t, p.pool, p.path, f, broken) > 0) // the check finds the broken variant
 		})
 	}
 }
 
+// arrivalsAfterLateWrite removes the entry of the first worker of a pool while a request runs
+// there, which the worker answers with a fault. Then the store executes an earlier write of
+// the entry, and the function returns how many of the next requests reach the worker.
+func arrivalsAfterLateWrite(t *testing.T, pool, path string, f site.Fault) int {
+	s := newTestSite(t)
+	s.encodeTime = time.Second // a call may take some times as long
+	s.configure()
+	id := pool + "-1"
+	worker := s.workers[id]
+	if pool == "registry" {
+		s.announce(pool+"-2", pool, "draining")
+	} else {
+		s.workers[pool+"-2"].Pause = 100 * time.Millisecond // the first worker is preferred
+	}
+	began, removed := make(chan bool, 16), make(chan bool)
+	worker.OnArrival = func() {
+		began <- true
+		<-removed
+	}
+	s.start("n1")
+	n := s.instances[0]
+	isListed := func() bool {
+		listed, _ := n.fleet.Queries().Server(id, time.Now())
+		return listed.ID != ""
+	}
+	worker.SetFault(f)
+	var sending errgroup.Group
+	sending.Go(func() error {
+		s.sendUntilReached(n, path, id)
+		return nil
+	})
+	<-began
+	s.store.Put(platform.ServerStream, id, nil)
+	s.waitFor("the entry is removed", func() bool { return !isListed() })
+	close(removed)
+	_ = sending.Wait()
+	s.announce(id, pool, "ready")
+	s.waitFor("the entry is listed again", isListed)
+	before := s.arrivals(id)
+	for m := range 8 {
+		n.sendPrompt("GET", path, "key-1", fmt.Sprintf("q%d:60,own-%d:40", m, m))
+	}
+	return s.arrivals(id) - before
+}
+
+// atMostOncePaths holds the pools of statementPaths with requests that wait for the answer of
+// a slow server, because they may run only once.
+var atMostOncePaths = []struct{ pool, path string }{
+	{"registry", "/order/1"}, {"models", "/chat/1"}, {"encode", "/chat/1"},
+}
+
+// Guards against requests for a server that has said that it is leaving in an answer which
+// arrived after the removal of its entry, when the store executes an earlier write of the
+// entry late.
+func TestLeavingAnswerAfterRemoval(t *testing.T) {
+	t.Parallel()
+	for _, p := range atMostOncePaths {
+		t.Run(p.pool, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			is.Equal(arrivalsAfterLateWrite(t, p.pool, p.path, site.Fault{SaysLeaving: true}), 0)
+			is.True(arrivalsAfterLateWrite(t, p.pool, p.path, site.Fault{}) > 0) // the server is used without the statement
+		})
+	}
+}
+
+// Guards against requests for a server whose pause is forgotten, because its entry was
+// removed before it asked for the pause and came back after that.
+func TestPauseAfterRemoval(t *testing.T) {
+	t.Parallel()
+	for _, p := range atMostOncePaths {
+		t.Run(p.pool, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			is.Equal(arrivalsAfterLateWrite(t, p.pool, p.path, site.Fault{IsFull: true, RetryAfter: 60}), 0)
+		})
+	}
+}
+
 // pauseBound is the number of requests that may reach a server from an instance before the
 // end of the time for which it wants none.
 const pauseBound = 2
@@ -85,7 +167,7 @@
 			is := is.New(t)
 			is.True(lateArrivals(t, p.pool, p.path, f, nil) <= pauseBound)
 			broken := func(i *Instance) {
-				i.delivery.OnPause, i.stageClient.OnPause = func(string, time.Duration) {}, func(string, time.Duration) {}
+				i.delivery.OnPause, i.stageClient.OnPause = func(fleet.Process, time.Duration) {}, func(fleet.Process, time.Duration) {}
 			}
 			is.True(lateArrivals(t, p.pool, p.path, f, broken) > pauseBound) // the check finds the broken variant
 		})
--- a/fleet/commands.go
+++ b/fleet/commands.go
@@ -18,25 +18,25 @@
 	c.change(func(l List) List { return l.WithChanges(changes) })
 }
 
-// MarkLeaving records that a server said that it is leaving: it gets no new work until it
-// is listed as another process. It reports whether this is new.
-func (c Commands) MarkLeaving(id string) bool {
+// MarkLeaving records that a process of a server said at a time that it is leaving: it gets
+// no new work from then on, also if it is listed only later. It reports whether this is new.
+func (c Commands) MarkLeaving(p Process, at time.Time) bool {
 	isNew := false
 	c.change(func(l List) List {
-		s, isListed := l.servers[id]
-		isNew = isListed && !s.saysLeaving
-		if !isNew {
+		isNew = !l.statements[p].isLeaving(p, at)
+		if !isNew && p.StartedUnixMilli != 0 {
 			return l
 		}
-		return l.withServer(id, Server.WithLeaving)
+		return l.withStatement(p, at, func(s statement) statement { return s.withLeaving(at) })
 	})
 	return isNew
 }
 
-// Pause records that a server wants no requests of this instance until a time.
-func (c Commands) Pause(id string, until time.Time) {
+// Pause records that a process of a server said that it wants no requests of this instance
+// until a time.
+func (c Commands) Pause(p Process, until, now time.Time) {
 	c.change(func(l List) List {
-		return l.withServer(id, func(s Server) Server { return s.WithPause(until) })
+		return l.withStatement(p, now, func(s statement) statement { return s.withPause(until) })
 	})
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -30,43 +30,11 @@
 	// store drops it because the server could not renew it while the store was
 	// unavailable.
 	lapsedAt time.Time
-	// saysLeaving is set if this process of the server has said in an answer that it is
-	// leaving. pausedUntil is the end of the time in which it wants no requests of this
-	// instance.
-	saysLeaving bool
-	pausedUntil time.Time
 }
 
-// isSameProcess reports whether two entries describe the same process of a server.
-func (s Server) isSameProcess(other Server) bool {
-	return s.Address == other.Address && s.StartedUnixMilli == other.StartedUnixMilli
-}
-
-// PausedUntil returns the end of the time in which the server wants no requests of this
-// instance.
-func (s Server) PausedUntil() time.Time { return s.pausedUntil }
-
-// withStatements returns the server with what the process said in its answers, if the old
-// entry describes the same process.
-func (s Server) withStatements(old Server) Server {
-	if s.isSameProcess(old) {
-		s.saysLeaving, s.pausedUntil = old.saysLeaving, old.pausedUntil
-	}
-	return s
-}
-
-// WithLeaving returns the server after it said that it is leaving.
-func (s Server) WithLeaving() Server {
-	s.saysLeaving = true
-	return s
-}
-
-// WithPause returns the server after it said that it wants no requests until a time.
-func (s Server) WithPause(until time.Time) Server {
-	if s.pausedUntil.Before(until) {
-		s.pausedUntil = until
-	}
-	return s
+// Process returns the process that the entry describes.
+func (s Server) Process() Process {
+	return Process{ServerID: s.ID, Address: s.Address, StartedUnixMilli: s.StartedUnixMilli}
 }
 
 // WithLapse returns the server with the time at which its entry lapsed.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -82,34 +82,114 @@
 	is.True(allocated < 2000*count) // bytes: a few copies, not one for each change
 }
 
-// Guards against new work for a server that said that it is leaving, when its entry comes
-// back after a removal, and against a new process that gets none.
-func TestLeavingOutlastsRemoval(t *testing.T) {
+// Guards against new work for a process that said that it is leaving or wants no requests,
+// whichever of its statement, its entry and the removal of its entry comes first; and
+// against a new process that gets none because of an earlier one.
+func TestStatements(t *testing.T) {
+	var b strings.Builder
+	at := time.Unix(1000, 0)
+	for _, row := range []struct {
+		what  string
+		steps string
+	}{
+		{"said while listed", "list leave"},
+		{"a heartbeat after it", "list leave list"},
+		{"the entry comes back after a removal", "list leave remove list"},
+		{"removed and back at once", "list leave remove+list"},
+		{"said after the removal", "list remove leave list"},
+		{"said before the first entry", "leave list"},
+		{"the entry lapses and comes back", "list leave lapse list"},
+		{"replaced at its address and back", "list leave replace list"},
+		{"a later process", "list leave remove later"},
+		{"a later process without a removal", "list leave later"},
+		{"said after the later process is listed", "list later leave"},
+		{"the earlier process is back after the later one", "list leave later list"},
+		{"pause while listed", "list pause"},
+		{"pause, removed and back", "list pause remove list"},
+		{"pause after the removal", "list remove pause list"},
+		{"pause and a later process", "list pause later"},
+		{"no start time: said while listed", "unnamed leaveUnnamed"},
+		{"no start time: the entry comes back", "unnamed leaveUnnamed remove unnamed"},
+		{"no start time: listed much later", "unnamed leaveUnnamed remove wait unnamed"},
+	} {
+		table := NewTable()
+		c, q := table.Commands(), table.Queries()
+		now := at
+		entry := func(started int64) Server {
+			return Server{ID: "s1", Pool: "models", Address: "10.0.0.1:1", StartedUnixMilli: started}
+		}
+		removal := Change{Server: Server{ID: "s1"}, IsRemoved: true}
+		for step := range strings.FieldsSeq(row.steps) {
+			switch step {
+			case "list":
+				c.Apply([]Change{{Server: entry(1)}})
+			case "later":
+				c.Apply([]Change{{Server: entry(2)}})
+			case "unnamed":
+				c.Apply([]Change{{Server: entry(0)}})
+			case "remove":
+				c.Apply([]Change{removal})
+			case "remove+list":
+				c.Apply([]Change{removal, {Server: entry(1)}})
+			case "lapse":
+				c.Apply([]Change{{Server: Server{ID: "s1"}, LapsedAt: now}})
+			case "replace":
+				c.Apply([]Change{{Server: Server{ID: "s2", Pool: "models", Address: "10.0.0.1:1", Offset: 1}}, {Server: Server{ID: "s2"}, IsRemoved: true}})
+			case "leave":
+				c.MarkLeaving(entry(1).Process(), now)
+			case "leaveUnnamed":
+				c.MarkLeaving(entry(0).Process(), now)
+			case "pause":
+				c.Pause(entry(1).Process(), now.Add(time.Minute), now)
+			case "wait":
+				now = now.Add(unnamedLeavingPeriod)
+			}
+		}
+		_, isUsable := q.Server("s1", now)
+		_, isUsableLater := q.Server("s1", now.Add(time.Minute))
+		fmt.Fprintf(&b, "%-48s usable %-5v after a minute %v\n", row.what, isUsable, isUsableLater)
+	}
+	goldie.New(t).Assert(t, "statements", []byte(b.String()))
+}
+
+// Guards against a statement that is reported as new again and again, and against a pause
+// that outlasts its time.
+func TestStatementIsNewOnce(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
 	table := NewTable()
 	c, q := table.Commands(), table.Queries()
 	entry := Server{ID: "s1", Pool: "models", Address: "10.0.0.1:1", StartedUnixMilli: 1}
-	isUsable := func() bool {
-		_, ok := q.Server("s1", now)
-		return ok
-	}
-	c.Apply([]Change{{Server: entry}})
-	is.True(isUsable())
-	is.True(c.MarkLeaving("s1"))
-	is.True(!c.MarkLeaving("s1")) // known
-	is.True(!isUsable())
 	c.Apply([]Change{{Server: entry}})
-	is.True(!isUsable())
-	c.Apply([]Change{{Server: entry, IsRemoved: true}, {Server: entry}})
-	is.True(!isUsable())
-	entry.StartedUnixMilli = 2
-	c.Apply([]Change{{Server: entry}})
-	is.True(isUsable())
-	c.Pause("s1", now.Add(time.Second))
-	is.True(!isUsable())
-	_, ok := q.Server("s1", now.Add(time.Second))
-	is.True(ok)
+	c.Pause(entry.Process(), now.Add(time.Second), now)
+	_, ok := q.Server("s1", now)
+	is.True(!ok)
 	is.Equal(q.Paused("models", now), []string{"s1"})
 	is.Equal(len(q.Usable(now)["models"]), 1) // the pause concerns this instance alone, which checks it before each send
+	_, ok = q.Server("s1", now.Add(time.Second))
+	is.True(ok)
+	is.True(c.MarkLeaving(entry.Process(), now))
+	is.True(!c.MarkLeaving(entry.Process(), now)) // known
+	is.Equal(q.Leaving(now), []Process{entry.Process()})
+}
+
+// Guards against statements that grow without bound, and against one of a listed process
+// that is forgotten for newer ones.
+func TestStatementsAreBounded(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	table := NewTable()
+	c, q := table.Commands(), table.Queries()
+	entry := Server{ID: "s1", Pool: "models", Address: "10.0.0.1:1", StartedUnixMilli: 1}
+	departed := Process{ServerID: "d0", Address: "10.0.0.2:1", StartedUnixMilli: 1}
+	c.Apply([]Change{{Server: entry}})
+	c.MarkLeaving(entry.Process(), now)
+	for n := range maxStatements {
+		departed.ServerID = fmt.Sprint("d", n)
+		c.MarkLeaving(departed, now.Add(time.Duration(n+1)))
+	}
+	is.Equal(len(table.current.Load().statements), maxStatements)
+	_, ok := q.Server("s1", now)
+	is.True(!ok)
+	is.True(!c.MarkLeaving(departed, now)) // the newest is kept
 }
--- a/fleet/queries.go
+++ b/fleet/queries.go
@@ -47,15 +47,16 @@
 func (q Queries) Server(id string, now time.Time) (Server, bool) {
 	list := q.table.current.Load()
 	server, ok := list.servers[id]
-	return server, ok && list.isUsable(server, now) && !now.Before(server.pausedUntil)
+	return server, ok && list.isUsable(server, now) && !list.isPaused(server, now)
 }
 
 // Paused returns the IDs of the servers of a pool that want no requests of this instance,
 // sorted.
 func (q Queries) Paused(pool string, now time.Time) []string {
 	var paused []string
-	for id, s := range q.table.current.Load().servers {
-		if s.Pool == pool && now.Before(s.pausedUntil) {
+	list := q.table.current.Load()
+	for id, s := range list.servers {
+		if s.Pool == pool && list.isPaused(s, now) {
 			paused = append(paused, id)
 		}
 	}
@@ -72,16 +73,35 @@
 		if s.Pool != pool || !list.isUsable(s, now) {
 			continue
 		}
-		if !now.Before(s.pausedUntil) {
+		until := list.statements[s.Process()].pausedUntil
+		if !now.Before(until) {
 			return time.Time{}, false
 		}
-		if first.IsZero() || s.pausedUntil.Before(first) {
-			first = s.pausedUntil
+		if first.IsZero() || until.Before(first) {
+			first = until
 		}
 	}
 	return first, !first.IsZero()
 }
 
+// PauseEnd returns the end of the time in which a process of a server wants no requests of
+// this instance, zero if it has named none.
+func (q Queries) PauseEnd(p Process) time.Time {
+	return q.table.current.Load().statements[p].pausedUntil
+}
+
+// Leaving returns the processes that have said that they are leaving, in any order. Some
+// may not be listed.
+func (q Queries) Leaving(now time.Time) []Process {
+	var leaving []Process
+	for p, s := range q.table.current.Load().statements {
+		if s.isLeaving(p, now) {
+			leaving = append(leaving, p)
+		}
+	}
+	return leaving
+}
+
 // States holds the number of servers of a pool in each state.
 type States struct {
 	// Usable is the number of servers that are not draining, lapsed or evacuated.
@@ -105,7 +125,7 @@
 	for _, s := range list.servers {
 		states := pools[s.Pool]
 		switch {
-		case s.IsDraining || s.saysLeaving:
+		case s.IsDraining || list.isLeaving(s, now):
 			states.Draining++
 		case !s.lapsedAt.IsZero():
 			states.Lapsed++
@@ -131,5 +151,5 @@
 }
 
 func (l *List) isUsable(s Server, now time.Time) bool {
-	return !s.IsDraining && !s.saysLeaving && !s.isGone(now) && !l.evacuated[s.DataCentre]
+	return !s.IsDraining && !l.isLeaving(s, now) && !s.isGone(now) && !l.evacuated[s.DataCentre]
 }
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -27,32 +27,12 @@
 // Queries returns the queries that read the table.
 func (t *Table) Queries() Queries { return Queries{t} }
 
-// List is the state of a table at one time: the listed servers by ID and the evacuated
-// data centres. It is an immutable value.
+// List is the state of a table at one time: the listed servers by ID, the evacuated data
+// centres, and the statements of processes. It is an immutable value.
 type List struct {
-	servers   map[string]Server
-	evacuated map[string]bool
-	// departed holds removed servers that said that they were leaving: an entry of the
-	// same process that comes back is no reason to send to it again.
-	departed map[string]Server
-}
-
-// maxDeparted bounds the departed servers. When there are more, all are forgotten.
-const maxDeparted = 1024
-
-// withDeparted returns the list after the removal of a server.
-func (l List) withDeparted(s Server) List {
-	if !s.saysLeaving {
-		return l
-	}
-	if len(l.departed) >= maxDeparted {
-		l.departed = nil
-	}
-	next := make(map[string]Server, len(l.departed)+1)
-	maps.Copy(next, l.departed)
-	next[s.ID] = s
-	l.departed = next
-	return l
+	servers    map[string]Server
+	evacuated  map[string]bool
+	statements map[Process]statement
 }
 
 // Change is a change of the list: a new entry of a server, or the end of an entry.
@@ -77,13 +57,11 @@
 	maps.Copy(next, l.servers)
 	byAddress := l.byAddress(changes)
 	for _, c := range changes {
-		s, isListed := next[c.Server.ID]
 		switch {
 		case c.IsRemoved:
 			delete(next, c.Server.ID)
-			l = l.withDeparted(s)
 		case !c.LapsedAt.IsZero():
-			if isListed {
+			if s, isListed := next[c.Server.ID]; isListed {
 				next[s.ID] = s.WithLapse(c.LapsedAt)
 			}
 		default:
@@ -92,28 +70,13 @@
 					delete(next, id)
 				}
 			}
-			if !isListed {
-				s = l.departed[c.Server.ID]
-			}
-			next[c.Server.ID] = c.Server.withStatements(s)
+			next[c.Server.ID] = c.Server
 		}
 	}
 	l.servers = next
 	return l
 }
 
-// withServer returns the list with an updated server. It changes nothing if the server
-// isn't listed.
-func (l List) withServer(id string, update func(Server) Server) List {
-	s, ok := l.servers[id]
-	if !ok {
-		return l
-	}
-	l.servers = maps.Clone(l.servers)
-	l.servers[id] = update(s)
-	return l
-}
-
 // byAddress returns the IDs of the servers that may share an address after the changes, by
 // address. It leaves out addresses to which the changes add no new or moved server.
 func (l List) byAddress(changes []Change) map[string][]string {
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -26,6 +26,8 @@
 	Pause time.Duration
 	// NeedsInputs refuses requests without results of stages.
 	NeedsInputs bool
+	// OnArrival is called when a request or a call has arrived, unless it is nil.
+	OnArrival func()
 	// OnRun is called when a request begins to run, unless it is nil.
 	OnRun func()
 	// OnCrash is called after each crash, unless it is nil.
@@ -184,6 +186,9 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if w.OnArrival != nil {
+		w.OnArrival()
+	}
 	w.mu.Lock()
 	fault := w.fault
 	number := len(w.runs)
@@ -285,6 +290,9 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if w.OnArrival != nil {
+		w.OnArrival()
+	}
 	time.Sleep(w.Pause)
 	w.mu.Lock()
 	defer w.mu.Unlock()
