entry: tell new coordinators and starting instances which servers are leaving

A coordinator that is chosen later, or an instance that starts later, read the entry that the store wrote late, offered the server or sent it requests, and callers lost what was there when it exited. Change: an instance passes on the processes that are leaving with its placements to a new coordinator, and in the reply to the first request for entries of an instance that starts: those that are listed or said so in the last two minutes. Measured: TestNewCoordinatorLearnsWhoLeaves and TestRestartedInstanceLearnsWhoLeaves fail with the change put back (the first waits for the notice until its timeout).

--- a/entry/feeds.go
+++ b/entry/feeds.go
@@ -271,6 +271,9 @@
 // after that, the confirmed time may be too early but never too late.
 func (i *Instance) applyReply(reply heartbeat, sentAt time.Time) {
 	i.recordReportedFailure(reply, sentAt)
+	for _, process := range reply.Leaving {
+		i.recordLeaving(process, fromReply)
+	}
 	for _, m := range reply.Missing {
 		if i.feeds.Queries().State(m.Stream).End >= m.From {
 			i.addRecords(m.Stream, m.Records, m.End, confirmedAt(reply, m.Stream, sentAt))
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -98,6 +98,9 @@
 	reply.Quarantine = i.missingQuarantine(received, now)
 	if received.WantsRecords {
 		reply.Missing = i.missingRecords(received.Positions)
+		if isWithoutServers(received.Positions) {
+			reply.Leaving = i.fleet.Queries().Leaving(now)
+		}
 	}
 	if i.lacksOperatorRecords(received.Positions) {
 		i.requestFetch(received.Self.Address)
@@ -371,6 +374,11 @@
 	return positions
 }
 
+// isWithoutServers reports whether positions are those of an instance without server entries.
+func isWithoutServers(positions []position) bool {
+	return slices.ContainsFunc(positions, func(p position) bool { return p.Stream == platform.ServerStream && p.End == 0 })
+}
+
 // recordUnreachable records a failed call to the instance at an address.
 func (i *Instance) recordUnreachable(address string, now time.Time) {
 	for _, m := range i.view().Known() {
--- a/entry/late_entry_test.go
+++ b/entry/late_entry_test.go
@@ -9,6 +9,7 @@
 
 	"lycheecrank.example/feed"
 	"lycheecrank.example/fleet"
+	"lycheecrank.example/membership"
 	"lycheecrank.example/platform"
 )
 
@@ -121,3 +122,47 @@
 	is.True(isUsableAfter(5))
 	is.True(!isUsableAfter(9))
 }
+
+// leavingServer returns an instance with a server that has said that it is leaving, whose
+// entry was removed before, and the late write of the entry.
+func leavingServer() (*Instance, feed.Record) {
+	i := newIdleInstance(1)
+	entry := feed.Record{Key: "s1", Offset: 1, Value: []byte(serverEntry("ready", `,"sequence":1,"born":5`))}
+	i.addRead(platform.ServerStream, []feed.Record{entry, {Key: "s1", Offset: 2, IsRemoved: true}}, 3, time.Now())
+	i.recordLeaving(fleet.Process{ServerID: "s1", Address: "10.0.0.1:80", StartedUnixMilli: 5}, fromAnswer)
+	return i, feed.Record{Key: "s1", Offset: 3, Value: []byte(serverEntry("ready", `,"sequence":2,"born":5`))}
+}
+
+// Guards against a new coordinator that offers a server which has told its predecessors
+// that it is leaving, because the store executed a write of the server's entry late.
+func TestNewCoordinatorLearnsWhoLeaves(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	i, late := leavingServer()
+	coordinator := newIdleInstance(1)
+	i.sendPlacements(membership.Instance{Name: "n9", Address: "n9:1"})
+	sent := <-i.notices.queue
+	is.Equal(sent.to.Name, "n9")
+	_, err := coordinator.applyNotices([]notice{sent.notice})
+	is.NoErr(err)
+	coordinator.addRead(platform.ServerStream, []feed.Record{late}, 4, time.Now())
+	is.Equal(len(coordinator.fleet.Queries().Usable(time.Now())["models"]), 0)
+}
+
+// Guards against a restarted instance that sends requests to a server which has told others
+// that it is leaving, because the store executed a write of the server's entry late.
+func TestRestartedInstanceLearnsWhoLeaves(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	neighbour, late := leavingServer()
+	neighbour.addRead(platform.ServerStream, []feed.Record{late}, 4, time.Now())
+	restarted := newIdleInstance(1)
+	message := restarted.newHeartbeat(false)
+	message.WantsRecords, message.Positions = true, withoutServers(message.Positions)
+	reply, err := neighbour.handleHeartbeat(message)
+	is.NoErr(err)
+	restarted.applyReply(reply, time.Now())
+	listed, isUsable := restarted.fleet.Queries().Server("s1", time.Now())
+	is.Equal(listed.ID, "s1")
+	is.True(!isUsable)
+}
--- a/entry/message.go
+++ b/entry/message.go
@@ -40,6 +40,10 @@
 	// Missing is set in replies to heartbeats with WantsRecords. It holds the records
 	// that the receiver of the reply lacks.
 	Missing []streamRecords `msgpack:"missing,omitempty"`
+	// Leaving holds the processes of backend servers that have said that they are leaving.
+	// It is set in replies to instances that have just started: the entries that they read
+	// may say otherwise.
+	Leaving []fleet.Process `msgpack:"leaving,omitempty"`
 	// SinceReadFailureMs is the time since a read of the store by the sender failed last, 0
 	// if none has.
 	SinceReadFailureMs int64 `msgpack:"sinceReadFailureMs,omitempty"`
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -77,6 +77,7 @@
 const (
 	fromAnswer = "answer"
 	fromNotice = "notice"
+	fromReply  = "reply"
 )
 
 // markLeaving records that a process of a server said in an answer that it is leaving, and
@@ -167,7 +168,8 @@
 }
 
 // sendPlacements notifies a new coordinator of the requests of this instance that are
-// running in its cell, and of the prompts that engines have recently read for them.
+// running in its cell, of the prompts that engines have recently read for them, and of the
+// servers that are leaving.
 func (i *Instance) sendPlacements(coordinator membership.Instance) {
 	layout := i.division.Load().layout
 	isInCell := func(old membership.Instance) bool {
@@ -176,6 +178,12 @@
 	for _, n := range i.placements.reassign(coordinator, isInCell, time.Now()) {
 		i.notices.add(coordinator, n)
 	}
+	if coordinator.Name == i.Settings.Name {
+		return
+	}
+	for _, process := range i.fleet.Queries().Leaving(time.Now()) {
+		i.notices.add(coordinator, notice{Kind: leavingNotice, Leaving: process})
+	}
 }
 
 // addressedNotice is a notice with its recipient.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -170,7 +170,10 @@
 	is.True(ok)
 	is.True(c.MarkLeaving(entry.Process(), now))
 	is.True(!c.MarkLeaving(entry.Process(), now)) // known
+	is.Equal(q.Leaving(now.Add(recentPeriod)), []Process{entry.Process()})
+	c.Apply([]Change{{Server: entry, IsRemoved: true}})
 	is.Equal(q.Leaving(now), []Process{entry.Process()})
+	is.Equal(len(q.Leaving(now.Add(recentPeriod))), 0)
 }
 
 // Guards against statements that grow without bound, and against one of a listed process
--- a/fleet/queries.go
+++ b/fleet/queries.go
@@ -90,12 +90,13 @@
 	return q.table.current.Load().statements[p].pausedUntil
 }
 
-// Leaving returns the processes that have said that they are leaving, in any order. Some
-// may not be listed.
+// Leaving returns the processes that have said that they are leaving and are listed or said
+// so in the last recentPeriod, in any order.
 func (q Queries) Leaving(now time.Time) []Process {
+	list := q.table.current.Load()
 	var leaving []Process
-	for p, s := range q.table.current.Load().statements {
-		if s.isLeaving(p, now) {
+	for p, s := range list.statements {
+		if s.isLeaving(p, now) && (list.isListed(p) || now.Sub(s.leavingAt) < recentPeriod) {
 			leaving = append(leaving, p)
 		}
 	}
--- a/fleet/statement.go
+++ b/fleet/statement.go
@@ -28,6 +28,10 @@
 	// unnamedLeavingPeriod is how long a process without a start time counts as leaving
 	// after it last said so. The next process of the server can't be told from it.
 	unnamedLeavingPeriod = 30 * time.Second
+	// recentPeriod is how long other instances may still need the statement of a process
+	// that isn't listed: it serves on for some time, and the store may execute a write of
+	// its entry late.
+	recentPeriod = 2 * time.Minute
 )
 
 // isLeaving reports whether the process of the statement is leaving.
