entry: keep requests under an ID of the system, not of the client

Requests without an Attempt-Id ended one coordinator after the other, with the ordinary streams that were being prepared. Besides, two requests with the same Attempt-Id that were prepared at a time shared one job, so that an engine computed one with the stage results of the other. Cause: jobs, pieces, requests at engines, placements, notices and unanswered attempts were kept under the Attempt-Id. The result of a piece of a removed job indexed the job of another request with the same ID and fewer pieces: a panic in a goroutine of its own. Change: request.IDSource makes the ID of each attempt when it arrives. It begins with the client's ID, which stage servers and engines get as before, and by which lycheectl explain finds all attempts. Results of pieces that a job doesn't have are dropped.

--- a/console/explain.go
+++ b/console/explain.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"lycheecrank.example/request"
 )
 
 // TraceLine is a log line about a request.
@@ -31,7 +33,8 @@
 const maxLogLine = 1 << 20
 
 // Traces reads log files and returns what they say of some requests, in the order
-// of the requests. Text before the JSON of a line is passed over, such as the time
+// of the requests. A request is named by its ID or by the one that its client gave it, which
+// several requests may share. Text before the JSON of a line is passed over, such as the time
 // and name that a collector puts there; lines that are no events are left out.
 func Traces(requests []string, logs ...io.Reader) ([]Trace, error) {
 	traces := make([]Trace, len(requests))
@@ -43,8 +46,13 @@
 		scanner.Buffer(nil, maxLogLine)
 		for scanner.Scan() {
 			line, id, ok := parseTraceLine(scanner.Text())
-			if i := slices.Index(requests, id); ok && i >= 0 {
-				traces[i].Lines = append(traces[i].Lines, line)
+			if !ok {
+				continue
+			}
+			for i, asked := range requests {
+				if asked == id || asked == request.ClientID(id) {
+					traces[i].Lines = append(traces[i].Lines, line)
+				}
 			}
 		}
 		if err := scanner.Err(); err != nil {
--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -34,8 +34,8 @@
 // Attempt is one attempt of a client. Its functions convert between this package's
 // types and the protocols of the client and the servers.
 type Attempt struct {
-	// ID is the attempt's ID from the client. The preparation uses it as the ID of the
-	// request.
+	// ID identifies the attempt in all instances (see request.IDSource). The preparation
+	// uses it as the ID of the request.
 	ID   string
 	Host string
 	Path string
--- a/entry/client_test.go
+++ b/entry/client_test.go
@@ -18,12 +18,19 @@
 
 // sendPrompt sends a client request with the given parts of a prompt.
 func (n *testInstance) sendPrompt(method, path, key, prompt string) (int, string, http.Header) {
+	return n.sendAttempt(fmt.Sprintf("attempt%d", attempts.Add(1)), method, path, key, prompt)
+}
+
+// sendAttempt sends a client request with an ID, or without one if it is empty.
+func (n *testInstance) sendAttempt(id, method, path, key, prompt string) (int, string, http.Header) {
 	req, err := http.NewRequest(method, "http://"+n.Settings.ClientAddress+path, strings.NewReader("helmet"))
 	if err != nil {
 		return 0, err.Error(), nil
 	}
 	req.Host = "shop.example"
-	req.Header.Set("Attempt-Id", fmt.Sprintf("attempt%d", attempts.Add(1)))
+	if id != "" {
+		req.Header.Set("Attempt-Id", id)
+	}
 	req.Header.Set("Authorization", "Token "+key)
 	req.Header.Set("Deadline-Ms", "20000")
 	req.Header.Set("Pieces", "1,2")
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -43,6 +43,7 @@
 	"lycheecrank.example/platform"
 	"lycheecrank.example/preparation"
 	"lycheecrank.example/quarantine"
+	"lycheecrank.example/request"
 	"lycheecrank.example/rollout"
 	"lycheecrank.example/route"
 )
@@ -80,6 +81,8 @@
 	routes        *route.Table
 	// fleet holds the entries of all backend servers.
 	fleet *fleet.Table
+	// ids makes the IDs of the attempts.
+	ids *request.IDSource
 	// serverSync is held while the server tables are synchronized with the entries.
 	serverSync *lock.Ranked
 	// members holds the known instances and chooses the coordinator.
@@ -189,6 +192,7 @@
 		feeds:              feed.NewTable(),
 		routes:             route.NewTable(),
 		fleet:              fleet.NewTable(),
+		ids:                request.NewIDSource(),
 		serverSync:         lock.New(lock.RankServerSync, "server sync"),
 		heartbeatTrigger:   make(chan struct{}, 1),
 		fetchAddress:       make(chan string, 1),
--- a/entry/run.go
+++ b/entry/run.go
@@ -137,7 +137,7 @@
 func (i *Instance) frontServer(attempts context.Context) *http.Server {
 	return i.frontend.Attach(&http.Server{
 		Handler: &platform.ClientHandler{
-			Router: i.delivery, Backends: i.backendClient, Routes: i.routes.Queries(),
+			Router: i.delivery, Backends: i.backendClient, Routes: i.routes.Queries(), IDs: i.ids,
 			IsLeaving: i.isLeaving, OnResult: i.reportAttempt, Frontend: i.frontend, Attempts: i.attempts.Commands(),
 		},
 		BaseContext:       func(net.Listener) context.Context { return attempts },
--- a/precedence/explain.go
+++ b/precedence/explain.go
@@ -7,6 +7,8 @@
 	"slices"
 
 	"github.com/rotisserie/eris"
+
+	"lycheecrank.example/request"
 )
 
 // ErrNotFound is returned by Explain if no record has the given request identifier or
@@ -68,17 +70,23 @@
 // history holds all records of one request, chain by chain, each chain in its order.
 type history []Record
 
+// names reports whether a record is about a request with an identifier, of the system or of
+// its client, or with a request key.
+func names(r Record, identifierOrKey string) bool {
+	return r.RequestID == identifierOrKey || request.ClientID(r.RequestID) == identifierOrKey || r.RequestKey == identifierOrKey
+}
+
 // historyOf collects the records of the request with an identifier or request key.
 // Several requests can have the same key, but at most one of them is dispatched: the
 // key resolves to the dispatched request, or to the first one in the records if none
-// was dispatched.
+// was dispatched. The same holds for an identifier that a client gave to several requests.
 func historyOf(chains [][]indexedBatch, identifierOrKey string) (history, error) {
 	var id string
 	dispatched := false
 	for _, chain := range chains {
 		for _, b := range chain {
 			for _, r := range b.Records {
-				if r.RequestID == "" || (r.RequestID != identifierOrKey && r.RequestKey != identifierOrKey) {
+				if r.RequestID == "" || !names(r, identifierOrKey) {
 					continue
 				}
 				if id == "" || (!dispatched && r.Kind == Dispatch) {
--- a/preparation/commands.go
+++ b/preparation/commands.go
@@ -122,7 +122,7 @@
 	table.mu.Lock()
 	defer table.mu.Unlock()
 	jobEntry := table.jobs[piece.RequestID]
-	if jobEntry == nil || jobEntry.job.handles[piece.Stage][piece.Number] != "" {
+	if jobEntry == nil || !jobEntry.job.lacks(piece.Identity) {
 		return effects{release: []string{handle}}
 	}
 	jobEntry.job = jobEntry.job.withHandle(piece.Identity, handle)
@@ -141,7 +141,7 @@
 	var total effects
 	for _, p := range pieces {
 		jobEntry := table.jobs[p.RequestID]
-		if jobEntry == nil || jobEntry.isBeingHandedOver || jobEntry.job.handles[p.Stage][p.Number] != "" || !slices.Equal(p.Inputs, jobEntry.job.stageInputs(p.Stage)) {
+		if jobEntry == nil || jobEntry.isBeingHandedOver || !jobEntry.job.lacks(p.Identity) || !slices.Equal(p.Inputs, jobEntry.job.stageInputs(p.Stage)) {
 			continue
 		}
 		jobEntry.job = jobEntry.job.withInputsFetched(p.Identity, true)
@@ -163,7 +163,7 @@
 	jobEntry := table.jobs[piece.RequestID]
 	// If the inputs of the piece have changed, the job was rebuilt and queues the piece
 	// again once its new inputs are complete.
-	if jobEntry == nil || jobEntry.job.handles[piece.Stage][piece.Number] != "" || jobEntry.isBeingHandedOver || !slices.Equal(piece.Inputs, jobEntry.job.stageInputs(piece.Stage)) {
+	if jobEntry == nil || !jobEntry.job.lacks(piece.Identity) || jobEntry.isBeingHandedOver || !slices.Equal(piece.Inputs, jobEntry.job.stageInputs(piece.Stage)) {
 		return ignorePiece
 	}
 	switch {
@@ -205,7 +205,7 @@
 	// All pieces of a call report the same missing input. The rebuild after the first
 	// report clears the handles of the inputs, so that the other reports don't match any
 	// more.
-	if jobEntry == nil || jobEntry.isBeingHandedOver || jobEntry.job.recomputes >= maxRecomputes || !slices.Equal(piece.Inputs, jobEntry.job.stageInputs(piece.Stage)) {
+	if jobEntry == nil || jobEntry.isBeingHandedOver || !jobEntry.job.has(piece.Identity) || jobEntry.job.recomputes >= maxRecomputes || !slices.Equal(piece.Inputs, jobEntry.job.stageInputs(piece.Stage)) {
 		return effects{}, false
 	}
 	released := jobEntry.job.unreleased()
--- a/preparation/coordinator_test.go
+++ b/preparation/coordinator_test.go
@@ -444,3 +444,32 @@
 		is.True(longest <= 5*time.Second)
 	})
 }
+
+// Guards against the end of the process by the result of a piece that the job of its request
+// doesn't have: the job was removed, and one with fewer pieces has the same ID.
+func TestResultOfRemovedJob(t *testing.T) {
+	for _, failure := range []error{nil, errors.New("connection reset"), ErrFull} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			r := newFixture(t, 2)
+			isFirst := true
+			r.respond = func(batch.Call, int) ([]Result, error) {
+				if isFirst {
+					isFirst = false
+					return nil, failure
+				}
+				return nil, nil
+			}
+			task := func(pieces int) Task {
+				return Task{RequestID: "r", Pool: "models", Deadline: 2 * time.Second, Stages: []Stage{{Pool: "encode", Pieces: pieces, Bytes: 1000}}}
+			}
+			leaving, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+			defer cancel()
+			_, err := r.Prepare(leaving, task(3))
+			is.True(errors.Is(err, request.ReasonCancelled) || errors.Is(err, request.ReasonDeadlineUnattainable))
+			placement, err := r.Prepare(t.Context(), task(1))
+			is.NoErr(err)
+			is.Equal(len(placement.Inputs), 1)
+		})
+	}
+}
--- a/preparation/job.go
+++ b/preparation/job.go
@@ -126,6 +126,14 @@
 	return next
 }
 
+// has reports whether a piece is one of the job.
+func (j job) has(id batch.Identity) bool {
+	return id.Stage >= 0 && id.Stage < len(j.handles) && id.Number >= 0 && id.Number < len(j.handles[id.Stage])
+}
+
+// lacks reports whether a piece is one of the job and isn't computed yet.
+func (j job) lacks(id batch.Identity) bool { return j.has(id) && j.handles[id.Stage][id.Number] == "" }
+
 // isStageComplete reports whether all results of a stage are computed.
 func (j job) isStageComplete(stage int) bool { return !slices.Contains(j.handles[stage], "") }
 
