Contain panics of goroutines that serve requests

Change: the panic is logged with its stack (event 117) and counted. The requests with pieces in the call are refused as not run, the exchange gets a failure that may have had effects, and the attempt 502. Slots and calls that are in use are given back.

--- a/delivery/hedge.go
+++ b/delivery/hedge.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"lycheecrank.example/backend"
 	"lycheecrank.example/event"
 	"lycheecrank.example/hedge"
@@ -91,7 +93,13 @@
 }
 
 // exchangeOnce is exchange with its results in one value.
-func (r *Router) exchangeOnce(ctx context.Context, routed routedAttempt, server backend.Server, mayRetryElsewhere bool) exchanged {
+func (r *Router) exchangeOnce(ctx context.Context, routed routedAttempt, server backend.Server, mayRetryElsewhere bool) (result exchanged) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			r.Logger.WritePanic("send to "+server.Name, cause)
+			result = exchanged{server: server, err: eris.Wrap(ErrNoValidAnswer, "internal error")}
+		}
+	}()
 	sent := time.Now()
 	answer, body, err := r.exchange(ctx, routed, server, mayRetryElsewhere)
 	if !errors.Is(ctx.Err(), context.Canceled) {
--- a/entry/report.go
+++ b/entry/report.go
@@ -69,6 +69,12 @@
 	}
 }
 
+// reportPanic counts and logs a panic in the handler of an attempt.
+func (i *Instance) reportPanic(attempt string, cause any) {
+	i.coordinationCounts.Add("panics")
+	i.Logger.WritePanic("attempt "+attempt, cause)
+}
+
 // reportAttempt counts and logs how an attempt ended.
 func (i *Instance) reportAttempt(attempt delivery.Attempt, result delivery.Result, status int) {
 	took := time.Since(attempt.ArrivedAt).Milliseconds()
--- a/entry/run.go
+++ b/entry/run.go
@@ -138,7 +138,7 @@
 	return i.frontend.Attach(&http.Server{
 		Handler: &platform.ClientHandler{
 			Router: i.delivery, Backends: i.backendClient, Routes: i.routes.Queries(), IDs: i.ids,
-			IsLeaving: i.isLeaving, OnResult: i.reportAttempt, Frontend: i.frontend, Attempts: i.attempts.Commands(),
+			IsLeaving: i.isLeaving, OnPanic: i.reportPanic, OnResult: i.reportAttempt, Frontend: i.frontend, Attempts: i.attempts.Commands(),
 		},
 		BaseContext:       func(net.Listener) context.Context { return attempts },
 		ConnState:         i.countConnections,
--- a/event/events.go
+++ b/event/events.go
@@ -25,6 +25,7 @@
 	RequestShed               = Event{114, log.WarnLevel, "request shed", []string{"client", "class", "phase", "heldBytes", "bytesPerS"}, "A request held memory that others waited for, and its client made no progress: it was refused while its body was received (503), or its connection was closed while its answer was sent. At most five in 50 ms are logged; the counter has all."}
 	AnswersDue                = Event{115, log.InfoLevel, "answers due", []string{"lateMs", "reading", "waiting", "sent", "answering", "connections"}, "An instance that shuts down gives the attempts of clients that are still unanswered a final answer, lateMs after the time planned for this, or before it if lateMs is negative. The attempts are counted by what they wait for: the rest of the body, a server, the answer of a server, the rest of an answer; connections is the number of connections of clients."}
 	AnswersWritten            = Event{116, log.InfoLevel, "answers written", []string{"ms", "unanswered"}, "The final answers of a shutdown are written; ms is the time since 115, and unanswered the number of attempts whose connections are closed without an answer or in its middle, see 415."}
+	Panicked                  = Event{117, log.ErrorLevel, "panic", []string{"task", "error", "stack"}, "A goroutine that serves requests panicked. The requests of its task end as failed, and the process goes on. This is a bug in the program."}
 	InstanceListUnavailable   = Event{104, log.WarnLevel, "instance list unavailable", []string{"error"}, "The platform's list of instances could not be read; the last list stays in use."}
 	CatalogueApplied          = Event{201, log.InfoLevel, "catalogue adopted", []string{"revision", "entries", "source"}, "A newer revision of the catalogue is in force on this instance."}
 	CatalogueEditRefused      = Event{202, log.InfoLevel, "catalogue edit refused", []string{"offset", "author", "verdict", "detail"}, "An edit in the log was refused; every instance comes to the same verdict."}
@@ -86,7 +87,7 @@
 // All returns every event by number.
 func All() []Event {
 	return []Event{
-		Started, Leaving, Stopped, InstanceListUnavailable, EntryStarted, ResumedAfterBreak, MetricsUnavailable, LogLinesDropped, SettingsApplied, SettingsRefused, SteppedDown, IntakeShort, IntakeRecovered, RequestShed, AnswersDue, AnswersWritten,
+		Started, Leaving, Stopped, InstanceListUnavailable, EntryStarted, ResumedAfterBreak, MetricsUnavailable, LogLinesDropped, SettingsApplied, SettingsRefused, SteppedDown, IntakeShort, IntakeRecovered, RequestShed, AnswersDue, AnswersWritten, Panicked,
 		CatalogueApplied, CatalogueEditRefused, LogUnavailable, LogRecordUnreadable, CatalogueSnapshotAppended, LogAvailable, ConfigurationApplied, EvacuationChanged, ConfigurationError, ConfigurationWarning,
 		RolloutOrdered, RolloutDecided, RolloutChanged,
 		PeerConnected, PeerLost, PeerFrameRefused, CoordinatorChosen, SiteDivided,
--- a/peer/server.go
+++ b/peer/server.go
@@ -20,6 +20,9 @@
 // descriptors run out.
 const acceptBackoff = 50 * time.Millisecond
 
+// errPanicked is the failure of an exchange whose handler panicked: it may have had effects.
+var errPanicked = errors.New("internal error of the instance")
+
 // maxHelloBytes bounds the first message of a connection, whose sender is not yet known.
 // The three names in it have a few hundred characters at most.
 const maxHelloBytes = 4 << 10
@@ -170,7 +173,14 @@
 
 // handleExchange performs the operation that the first message of an exchange
 // requests and returns the last message of the exchange.
-func (s *Server) handleExchange(a *acceptedConn, x *inboundExchange, m message) message {
+func (s *Server) handleExchange(a *acceptedConn, x *inboundExchange, m message) (last message) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.logger.WritePanic("exchange with "+a.peer.Instance, cause)
+			s.counters.Add("panics")
+			last = message{Type: failureType, Failure: asFailureBody(request.AsFailure(errPanicked))}
+		}
+	}()
 	switch m.Type {
 	case digestType:
 		s.ApplyDigest(a.peer, *m.Digest)
--- a/preparation/calls.go
+++ b/preparation/calls.go
@@ -13,14 +13,26 @@
 	"lycheecrank.example/request"
 )
 
-// execute makes one call and applies its results.
+// execute makes one call and applies its results. After a panic, the requests with pieces in
+// the call are refused.
 func (c *Coordinator) execute(ctx context.Context, call batch.Call) {
+	isRecorded := false
+	defer func() {
+		if cause := recover(); cause != nil {
+			c.endPanicked(call, cause, isRecorded)
+		}
+	}()
 	c.table.Commands().beginCall(call.Pieces)
 	defer c.table.Commands().endCall(call.Pieces)
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout())
 	defer cancel()
 	var isEnded atomic.Bool
 	fetchTimer := time.AfterFunc(inputFetchTime, func() {
+		defer func() {
+			if cause := recover(); cause != nil {
+				c.endPanicked(call, cause, true)
+			}
+		}()
 		if !isEnded.Load() {
 			c.applyEffects(c.table.Commands().recordInputsFetched(call.Pieces, c.poolInfo(), time.Now()))
 		}
@@ -34,6 +46,7 @@
 	if err == nil && c.isRepeated(call, results) {
 		err = ErrRepeatedAnswer
 	}
+	isRecorded = true
 	if err != nil || len(results) != len(call.Pieces) {
 		c.failCall(call, err, now)
 		return
@@ -54,6 +67,19 @@
 	}
 }
 
+// endPanicked ends a call after a panic. isRecorded is set if the end of the call has been
+// recorded already, or will be.
+func (c *Coordinator) endPanicked(call batch.Call, cause any, isRecorded bool) {
+	c.Logger.WritePanic("call to "+call.Server.ID, cause)
+	c.Counters.Add("panics")
+	if !isRecorded {
+		c.Batches.Commands().FailCall(call, false, time.Now())
+	}
+	for _, p := range call.Pieces {
+		c.refuse(p.RequestID, stagesFailed("internal error in a call to a stage server"))
+	}
+}
+
 // isRepeated reports whether an answer contains a handle of another piece. Answers to
 // stage calls don't name their call. Each call has a connection of its own, so that only a
 // faulty server gives such an answer.
--- a/preparation/coordinator_test.go
+++ b/preparation/coordinator_test.go
@@ -473,3 +473,31 @@
 		})
 	}
 }
+
+// Guards against the end of the process by a panic in one call: the requests with pieces in
+// the call are refused as not run, and the server gets the calls of others.
+func TestPanicEndsOneCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newFixture(t, 1)
+		r.respond = func(_ batch.Call, n int) ([]Result, error) {
+			if n == 0 {
+				panic("index out of range")
+			}
+			return nil, nil
+		}
+		task := func(id string) Task {
+			return Task{RequestID: id, Pool: "models", Deadline: 4 * time.Second, Stages: []Stage{{Pool: "encode", Pieces: 2, Bytes: 1000}}}
+		}
+		_, err := r.Prepare(t.Context(), task("r1"))
+		failure := request.AsFailure(err)
+		is.Equal(failure.Reason, request.ReasonNoServer)
+		is.True(!failure.Sent)
+		for n := range 5 {
+			_, err = r.Prepare(t.Context(), task(fmt.Sprint("later", n)))
+			is.NoErr(err)
+		}
+		is.Equal(r.Counters.Values()["panics"], int64(1))
+		is.Equal(r.Queries().JobCount(), 5) // those that are prepared
+	})
+}
