intake: count heads by what they take once they are parsed

Cause: a request counted 16 KiB for its head, whose headers take about 250 KB once parsed and as much again as the copy for a server; a head that never ended counted nothing. Ruled out: the bodies. Change: connections with HTTP count the head of a request while it arrives, before net/http parses it, by bytes and lines. Without room they wait and are closed. 8 KiB are covered by what each request counts, so that ordinary heads count as before.

--- a/frontend/connection.go
+++ b/frontend/connection.go
@@ -57,6 +57,8 @@
 	isMultiplexed atomic.Bool
 	// serving counts the connections in the serving state; nil doesn't.
 	serving *atomic.Int64
+	// head counts the memory of the head that arrives; nil for connections without HTTP.
+	head *headMeter
 }
 
 // startReading records that a part of a request was read. It reports false if the
@@ -93,6 +95,10 @@
 	if c.state.CompareAndSwap(servingState, idleState) {
 		c.countServing(-1)
 	}
+	if c.head != nil {
+		// The head of a request whose handler didn't call Begin.
+		c.head.take().End(time.Now())
+	}
 }
 
 func (c *conn) countServing(change int64) {
@@ -198,6 +204,11 @@
 	case n == 0 && len(data) > 0:
 		return 0, io.EOF
 	}
+	if c.head != nil && c.state.Load() == readingState && !c.isMultiplexed.Load() {
+		if err := c.head.add(data[:n]); err != nil {
+			return 0, err
+		}
+	}
 	return n, nil
 }
 
@@ -237,6 +248,9 @@
 // Close closes the connection and removes it from the account.
 func (c *conn) Close() error {
 	c.end()
+	if c.head != nil {
+		c.head.close()
+	}
 	c.account.Disconnect(c.Connection)
 	return c.TCPConn.Close()
 }
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -106,7 +106,16 @@
 	if r.ProtoMajor > 1 {
 		counted.isMultiplexed.Store(true)
 	}
-	return counted.Connection.Begin(r.Context(), time.Now())
+	var head *intake.Request
+	if counted.head != nil {
+		head = counted.head.take()
+	}
+	defer func() { head.End(time.Now()) }()
+	begun, err := counted.Connection.Begin(r.Context(), time.Now())
+	if err == nil && r.ProtoMajor == 1 {
+		begun.Adopt(head, headMemory(r))
+	}
+	return begun, err
 }
 
 // CloseIdle closes the connections of clients that have no request, except those that have
--- a/frontend/frontend_test.go
+++ b/frontend/frontend_test.go
@@ -87,6 +87,15 @@
 	}
 }
 
+// awaitRelease waits until requests hold nothing.
+func (s *site) awaitRelease() {
+	ticker := time.NewTicker(time.Millisecond)
+	defer ticker.Stop()
+	for s.table.Queries().Status().UsedBytes > 0 {
+		<-ticker.C
+	}
+}
+
 func (s *site) answer(conn net.Conn) *http.Response {
 	_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
 	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
--- a/frontend/listener.go
+++ b/frontend/listener.go
@@ -49,6 +49,9 @@
 		}
 		control := intake.Control{Interrupt: c.interrupt, ClaimIdle: c.claimIdle, ClaimStalled: c.claimStalled, CloseIdle: c.closeIdle}
 		if c.Connection, ok = c.account.Connect(l.class, n.RemoteAddr().String(), control, c.openedAt); ok {
+			if l.class != intake.Peers {
+				c.head = &headMeter{connection: c.Connection}
+			}
 			return c, nil
 		}
 		_ = n.Close()
--- a/intake/commands.go
+++ b/intake/commands.go
@@ -157,6 +157,32 @@
 	return r
 }
 
+// TrackHead adds a request of which only a part of the head has arrived: the connection has
+// no request yet. A nil connection isn't accounted for.
+func (c *Connection) TrackHead(now time.Time) *Request {
+	if c == nil {
+		return nil
+	}
+	r := &Request{connection: c, isHead: true, progress: progress{sampledAt: now, moved: c.moved.Load()}}
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	c.table.requests[r] = struct{}{}
+	return r
+}
+
+// Adopt takes over up to a number of bytes that the head of the request holds.
+func (r *Request) Adopt(head *Request, bytes int64) {
+	if r == nil || head == nil {
+		return
+	}
+	t := r.connection.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	bytes = min(bytes, head.held)
+	head.held -= bytes
+	r.held += bytes
+}
+
 // Grow counts bytes for a request before they are allocated. While memory is short, it
 // waits for up to patience.
 func (r *Request) Grow(ctx context.Context, bytes int64, patience time.Duration) error {
@@ -306,6 +332,9 @@
 	r.isEnded = true
 	delete(t.requests, r)
 	t.shrink(r, r.held)
+	if r.isHead {
+		return
+	}
 	r.connection.active--
 	r.connection.idleSince = now
 }
--- a/intake/table.go
+++ b/intake/table.go
@@ -96,6 +96,8 @@
 	// The fields below are guarded by the lock of the table.
 	phase Phase
 	held  int64
+	// isHead is set if only a part of the head has arrived.
+	isHead bool
 	// isWaiting is set while the request waits for memory.
 	isWaiting bool
 	isShed    bool
--- a/intaketest/crowd_test.go
+++ b/intaketest/crowd_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -188,6 +189,44 @@
 	})
 }
 
+// largeHead returns a request line and headers of the largest legal size, with as many
+// headers as fit in.
+func (d *daemon) largeHead() []byte {
+	const headBytes, reservedBytes = 16 << 10, 100
+	var b bytes.Buffer
+	b.Write(bytes.TrimSuffix(d.head(d.path, "Transfer-Encoding: chunked"), []byte("\r\n")))
+	for n := 0; b.Len() < headBytes-reservedBytes; n++ {
+		fmt.Fprintf(&b, "%s:\r\n", strconv.FormatInt(int64(n), 36))
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+// Guards against a process that runs out of memory because many clients send heads of legal
+// size whose headers take many times their size once they are parsed, with bodies that stop
+// short of their end.
+func TestManyHeaders(t *testing.T) {
+	inFrontEnds(t, func(d *daemon) {
+		request := append(d.largeHead(), "8\r\nin part\r\n"...)
+		d.crowd(maxClients, false, func(w io.Writer) error {
+			_, err := w.Write(request)
+			return err
+		})
+	})
+}
+
+// Guards against a process that runs out of memory because many clients send such heads
+// that stop short of their end.
+func TestManyHeadersWithoutEnd(t *testing.T) {
+	inFrontEnds(t, func(d *daemon) {
+		head := d.largeHead()
+		d.crowd(maxClients, false, func(w io.Writer) error {
+			_, err := w.Write(head[:len(head)-missingBytes])
+			return err
+		})
+	})
+}
+
 // Guards against a process that runs out of memory because many clients that are no
 // instances send large messages to the port for instances, which stop short of their end.
 func TestMessagesAtPeerPort(t *testing.T) {
