engine: bound the parts of prompts that are remembered

Streams at an ordinary rate with some 1,350 parts a prompt made each coordinator exceed its memory. Cause: each part was kept for 30 s for its engine without a bound and copied for each request; messages carried all parts; beginnings that engines of other cells had read were kept as text that grows with the square of the parts.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -20,7 +20,8 @@
 // Prompt describes the input and the output of a model for a request.
 type Prompt struct {
 	Model string `msgpack:"model"`
-	// Parts are the parts of the prompt in order.
+	// Parts are the parts of the prompt in order, at most MaxParts: those of a longer
+	// prompt after these aren't known here.
 	Parts []Part `msgpack:"parts"`
 	// InputTokens is the number of prompt tokens, MaxOutputTokens the largest number of
 	// output tokens.
@@ -28,6 +29,10 @@
 	MaxOutputTokens int64 `msgpack:"output"`
 }
 
+// MaxParts bounds the parts of a prompt. Clients may send some thousand in a head of legal
+// size, which would be copied with each message about the request.
+const MaxParts = 256
+
 // maxCount bounds the token counts that clients state, so that sums don't overflow.
 const maxCount = 1 << 40
 
@@ -118,6 +123,8 @@
 const (
 	// cacheLifetime is how long a part counts as cached after its last use.
 	cacheLifetime = 30 * time.Second
+	// maxCachedParts bounds the parts that count as cached at an engine.
+	maxCachedParts = 4096
 	// transferLifetime is how long after its last use a part is worth a transfer. Later
 	// it is cheaper to prefill it again.
 	transferLifetime = 8 * time.Second
@@ -174,6 +181,7 @@
 	for _, part := range p.Parts {
 		next[part.ID] = now
 	}
+	evictOldest(next, maxCachedParts, lastUse)
 	s.cached = next
 	return s
 }
@@ -192,6 +200,7 @@
 			s.cached[part.ID] = now
 		}
 	}
+	evictOldest(s.cached, maxCachedParts, lastUse)
 	return s
 }
 
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -156,3 +156,47 @@
 	c.AddRemoteReads([]RemoteRead{{Pool: "models", Address: "10.0.1.1:1", Prompt: p}}, at.Add(transferLifetime))
 	is.Equal(len(table.pools["models"].remote.reads), 2) // old reads were removed
 }
+
+// Guards against cached parts that grow without bound, and against one in use that gives way
+// to newer ones.
+func TestCachedPartsAreBounded(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	shared := Part{ID: "shared", Tokens: 100}
+	s := newServer(Endpoint{ID: "e1"})
+	for n := range 400 {
+		now = now.Add(10 * time.Millisecond)
+		p := Prompt{Parts: []Part{shared}}
+		for k := range MaxParts - 1 {
+			p.Parts = append(p.Parts, Part{ID: fmt.Sprintf("%d-%d", n, k), Tokens: 1})
+		}
+		if n%2 == 0 {
+			s = s.WithCached(p, now)
+		} else {
+			s = s.WithRestored([]PlacedRequest{{EngineID: "e1", RequestID: "r", Prompt: p}}, now)
+		}
+		is.True(len(s.cached) <= maxCachedParts)
+		is.Equal(s.cachedTokens(p, now), shared.Tokens+MaxParts-1)
+	}
+}
+
+// Guards against the memory of long prompts that engines of other cells have read, which
+// grew with the square of their parts and without bound.
+func TestRemoteReadsAreBounded(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	var c remoteCache
+	p := Prompt{Model: "m"}
+	for n := range 100 {
+		p.Parts = nil
+		for k := range MaxParts {
+			p.Parts = append(p.Parts, Part{ID: fmt.Sprintf("%d-%d", n, k), Tokens: 1})
+		}
+		now = now.Add(time.Millisecond)
+		c.add(RemoteRead{Address: "10.0.0.1:1", Prompt: p}, now)
+		is.True(len(c.reads) <= maxRemoteReads)
+	}
+	address, tokens := c.longest(p, now)
+	is.Equal(address, "10.0.0.1:1")
+	is.Equal(tokens, int64(MaxParts))
+}
