platform: take no incomplete entry for a server

Another writer left entries without some fields under the key of a server; until the server's next heartbeat, unsafe orders ran at another service. Cause: missing fields passed as zero, and an entry without a sequence number and a start time has no version, so that it replaced the server's own.

--- a/entry/instance.go
+++ b/entry/instance.go
@@ -223,6 +223,9 @@
 	i.grace.Store(int64(settings.DrainGrace))
 	i.stopSchedule.Store(&drain.Schedule{})
 	i.feeds.OnLate = func(_ string, late feed.Record) { i.Logger.Write(event.LateEntryIgnored, late.Key, late.Offset) }
+	i.feeds.OnInvalid = func(stream string, r feed.Invalid) {
+		i.Logger.Write(event.LogRecordUnreadable, stream, r.Offset, r.Err)
+	}
 	i.feeds.AddStream(platform.ServerStream, platform.IsSameServer, platform.ServerVersion)
 	i.assemble()
 	return i
--- a/feed/commands.go
+++ b/feed/commands.go
@@ -49,7 +49,10 @@
 	for _, r := range state.late {
 		c.table.OnLate(stream, r)
 	}
-	state.late = nil
+	for _, r := range state.invalid {
+		c.table.OnInvalid(stream, r)
+	}
+	state.late, state.invalid = nil, nil
 	c.table.states[stream] = state.WithConfirmation(at)
 	if len(fresh) > 0 {
 		apply(fresh)
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -36,20 +36,28 @@
 	// renews its entry as a heartbeat writes an equivalent value. If nil, the bytes are
 	// compared.
 	IsEquivalent func(a, b []byte) bool
-	// VersionOf returns the version of a value. With it, a record whose value is older
-	// than one that was seen before is ignored: the store may execute a write late. If
-	// nil, the record with the higher offset is the newer one. Removals then keep the
-	// removed value, so that copies which receive them from other instances know its
-	// version.
-	VersionOf func(value []byte) Version
+	// VersionOf returns the version of a value, or an error if the value isn't one of its
+	// key. With it, a record with such a value is ignored, and so is one whose value is
+	// older than one that was seen before: the store may execute a write late. If nil, the
+	// record with the higher offset is the newer one. Removals then keep the removed value,
+	// so that copies which receive them from other instances know its version.
+	VersionOf func(value []byte) (Version, error)
 	records   map[string]Record
 	// readEnd is the end of the last read from the store, and marks are earlier ends; see
 	// ReadStart.
 	readEnd uint64
 	marks   []mark
 	// late are the records of the last change that were ignored: the store has executed
-	// them after a newer one of their key.
-	late []Record
+	// them after a newer one of their key. invalid are those that were ignored because
+	// their values aren't those of their keys.
+	late    []Record
+	invalid []Invalid
+}
+
+// Invalid is a record that was ignored, with what is wrong with its value.
+type Invalid struct {
+	Record
+	Err error
 }
 
 // WithRecords returns the state with records added, with which it holds all records
@@ -59,10 +67,16 @@
 	sorted := slices.Clone(records)
 	slices.SortStableFunc(sorted, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
 	var fresh, late []Record
+	var invalid []Invalid
 	changed := map[string]Record{}
 	for _, r := range sorted {
 		if s.VersionOf != nil && len(r.Value) > 0 {
-			r.version = s.VersionOf(r.Value)
+			version, err := s.VersionOf(r.Value)
+			if err != nil && !r.IsRemoved {
+				invalid = append(invalid, Invalid{r, err})
+				continue
+			}
+			r.version = version
 		}
 		r.changedOffset = r.Offset
 		old, ok := changed[r.Key]
@@ -85,7 +99,7 @@
 		changed[r.Key] = r
 		fresh = append(fresh, r)
 	}
-	s.End, s.late = max(s.End, end), late
+	s.End, s.late, s.invalid = max(s.End, end), late, invalid
 	if len(changed) == 0 {
 		return s, nil
 	}
--- a/feed/table.go
+++ b/feed/table.go
@@ -5,8 +5,10 @@
 // Table holds the copies of streams by name.
 type Table struct {
 	// OnLate is called with each record that is ignored because its value is older than
-	// that of a record before it. It is called under the lock. Set it before the first call.
-	OnLate func(stream string, late Record)
+	// that of a record before it, OnInvalid with each that is ignored because its value
+	// isn't one of its key. They are called under the lock. Set them before the first call.
+	OnLate    func(stream string, late Record)
+	OnInvalid func(stream string, invalid Invalid)
 
 	mu     *lock.Ranked
 	states map[string]State
@@ -14,12 +16,12 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{OnLate: func(string, Record) {}, mu: lock.New(lock.RankFeed, "feed"), states: map[string]State{}}
+	return &Table{OnLate: func(string, Record) {}, OnInvalid: func(string, Invalid) {}, mu: lock.New(lock.RankFeed, "feed"), states: map[string]State{}}
 }
 
 // AddStream adds a stream. isEquivalent compares its values and versionOf orders them; see
 // State.IsEquivalent and State.VersionOf.
-func (t *Table) AddStream(name string, isEquivalent func(a, b []byte) bool, versionOf func(value []byte) Version) {
+func (t *Table) AddStream(name string, isEquivalent func(a, b []byte) bool, versionOf func(value []byte) (Version, error)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.states[name] = State{IsEquivalent: isEquivalent, VersionOf: versionOf}
