feed: pass on a value that was taken back and set again

Requests reached a data centre that an operator had evacuated, taken back and evacuated again, from an instance that missed the second evacuation for good. Cause: a copy that got the records from another one compared the value with its own last one, took it for unchanged, and left it out of what it passed on.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -18,9 +18,10 @@
 	Value  []byte `msgpack:"value"`
 	// IsRemoved is set if the key was removed.
 	IsRemoved bool `msgpack:"isRemoved"`
-	// changedOffset is the offset of the record that last changed the value, apart from
-	// changes that State.IsEquivalent ignores.
-	changedOffset uint64
+	// ChangedOffset is the offset of the record that last changed the value, apart from
+	// changes that State.IsEquivalent ignores. A record that was read from the store has
+	// none, 0: it depends on the record before it.
+	ChangedOffset uint64 `msgpack:"changed,omitempty"`
 	// version is the version of the value, or of the removed value if IsRemoved is set.
 	version Version
 }
@@ -78,7 +79,6 @@
 			}
 			r.version = version
 		}
-		r.changedOffset = r.Offset
 		old, ok := changed[r.Key]
 		if !ok {
 			old, ok = s.records[r.Key]
@@ -95,6 +95,8 @@
 		}
 		if ok {
 			r = s.succeed(r, old)
+		} else {
+			r.ChangedOffset = max(r.ChangedOffset, r.Offset)
 		}
 		changed[r.Key] = r
 		fresh = append(fresh, r)
@@ -128,15 +130,17 @@
 	return r.version.isNewerThan(old.version)
 }
 
-// succeed returns the record of a key after r has replaced old.
+// succeed returns the record of a key after r has replaced old. If r comes from another
+// copy, there may have been other records between the two, of which only that copy knows.
 func (s State) succeed(r, old Record) Record {
 	if r.IsRemoved && (r.version == Version{} || old.version.isNewerThan(r.version)) {
 		r = r.withRemoved(old)
 	}
-	r.changedOffset = max(r.Offset, old.Offset)
 	if old.IsRemoved == r.IsRemoved && s.isEquivalent(old.Value, r.Value) {
-		r.changedOffset = old.changedOffset
+		r.ChangedOffset = max(r.ChangedOffset, old.ChangedOffset)
+		return r
 	}
+	r.ChangedOffset = max(r.Offset, old.Offset)
 	return r
 }
 
@@ -153,8 +157,13 @@
 // that the stream no longer holds.
 func (s State) WithSnapshot(records []Record, end uint64) (State, []Record) {
 	present := make(map[string]bool, len(records))
-	for _, r := range records {
+	records = slices.Clone(records)
+	for n, r := range records {
 		present[r.Key] = true
+		if r.Offset >= s.End {
+			// There may have been other records since the end of the copy.
+			records[n].ChangedOffset = r.Offset
+		}
 	}
 	for _, r := range s.records {
 		if !present[r.Key] && !r.IsRemoved && r.Offset < end {
@@ -187,7 +196,7 @@
 func (s State) Since(from uint64) []Record {
 	var records []Record
 	for _, r := range s.records {
-		if r.changedOffset >= from {
+		if r.ChangedOffset >= from {
 			records = append(records, r)
 		}
 	}
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -95,3 +95,33 @@
 	is.True(q.State("op").ConfirmedAt.IsZero())
 	is.Equal(q.State("op").End, uint64(3))
 }
+
+// Guards against a change that a copy missed, because the value was taken back and set again
+// in between, and that it doesn't pass on to a copy that saw a part of it: an evacuation that
+// is in force would be missing there for good.
+func TestMissedChangeIsPassedOn(t *testing.T) {
+	set := func(offset uint64) Record { return Record{Key: "evacuate/a", Offset: offset, Value: []byte("{}")} }
+	removal := Record{Key: "evacuate/a", Offset: 2, IsRemoved: true}
+	holds := func(s State) bool {
+		for _, r := range s.Since(0) {
+			if r.Key == "evacuate/a" {
+				return !r.IsRemoved
+			}
+		}
+		return false
+	}
+	reader, _ := State{}.WithRecords([]Record{set(1), removal, set(3)}, 4)
+	partial, _ := State{}.WithRecords([]Record{set(1), removal}, 3)
+	before, _ := State{}.WithRecords([]Record{set(1)}, 2)
+	throughCopy, _ := before.WithRecords(reader.Since(before.End), reader.End)
+	throughSnapshot, _ := before.WithSnapshot([]Record{set(3)}, 4)
+	for name, missed := range map[string]State{"copy": throughCopy, "snapshot": throughSnapshot} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.True(holds(missed))
+			next, fresh := partial.WithRecords(missed.Since(partial.End), missed.End)
+			is.Equal(len(fresh), 1)
+			is.True(holds(next))
+		})
+	}
+}
