frontend: close a connection whose head finds no room, without an answer

Cause: where a head found no memory, or was shed, the read failed. net/http takes the part of a line before that for a wrong header and answers 400, after which clients don't send the request again. Besides, a head whose connection was closed while it waited for memory got it after its end, and the account went below zero. Change: a connection in the middle of a head is closed, which clients may retry; requests that have ended get no memory.

--- a/frontend/connection.go
+++ b/frontend/connection.go
@@ -162,11 +162,24 @@
 	return err == nil && n > 0
 }
 
+// closeReading closes the connection if a part of a head has arrived, and reports whether it
+// did. If only the read failed, net/http would take the part of a line for a wrong header and
+// answer with 400, after which clients don't send the request again.
+func (c *conn) closeReading() bool {
+	if !c.state.CompareAndSwap(readingState, closedState) {
+		return false
+	}
+	_ = c.TCPConn.Close()
+	return true
+}
+
 // interrupt ends what the connection does. While a body is received, the read fails, so
 // that the handler can refuse the request.
 func (c *conn) interrupt(phase intake.Phase) {
 	if phase == intake.Receiving {
-		_ = c.SetReadDeadline(past)
+		if !c.closeReading() {
+			_ = c.SetReadDeadline(past)
+		}
 		return
 	}
 	c.end()
@@ -206,6 +219,7 @@
 	}
 	if c.head != nil && c.state.Load() == readingState && !c.isMultiplexed.Load() {
 		if err := c.head.add(data[:n]); err != nil {
+			c.closeReading()
 			return 0, err
 		}
 	}
--- a/frontend/head.go
+++ b/frontend/head.go
@@ -49,16 +49,7 @@
 	head, growth := m.head, (missing+headBlockBytes-1)/headBlockBytes*headBlockBytes
 	m.counted += growth
 	m.mu.Unlock()
-	if err := head.Grow(context.Background(), growth, intake.Patience); err != nil {
-		return err
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.isClosed {
-		// The head ended while this waited.
-		head.Shrink(growth)
-	}
-	return nil
+	return head.Grow(context.Background(), growth, intake.Patience)
 }
 
 // take returns what holds the memory of the head, nil if nothing does, and begins the next
--- a/frontend/head_test.go
+++ b/frontend/head_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -12,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"lycheecrank.example/frontend"
+	"lycheecrank.example/intake"
 )
 
 // shortHeaders is a request without the end of its head, whose headers take about 250 KB
@@ -70,3 +75,27 @@
 	}
 	is.NoErr(conn.Close())
 }
+
+// Guards against an answer that says that a request was wrong, where its head found no room:
+// its client wouldn't send it again.
+func TestHeadWithoutRoomGetsNoAnswer(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, readBody)
+	const heads = 40 // some of them have room
+	var conns []net.Conn
+	for range heads {
+		conns = append(conns, s.send(shortHeaders()))
+	}
+	closed := 0
+	for _, conn := range conns {
+		is.NoErr(conn.SetReadDeadline(time.Now().Add(2 * intake.Patience)))
+		answer, err := io.ReadAll(conn)
+		is.Equal(string(answer), "")
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			closed++
+		}
+	}
+	is.True(closed > 0)
+	counts := s.table.Counters.Values()
+	is.True(counts["refused"]+counts["shed"] > 0)
+}
--- a/intake/commands.go
+++ b/intake/commands.go
@@ -191,7 +191,7 @@
 	}
 	t := r.connection.table
 	t.mu.Lock()
-	if r.isShed {
+	if r.isShed || r.isEnded {
 		t.mu.Unlock()
 		return ErrShed
 	}
--- a/intake/table.go
+++ b/intake/table.go
@@ -168,6 +168,10 @@
 	kept := t.waiting[:0]
 	isBlocked := false
 	for _, w := range t.waiting {
+		if w.request.isEnded {
+			w.end(ErrShed)
+			continue
+		}
 		if (isBlocked && !w.isSmall()) || !t.fits(w.request, w.bytes) {
 			isBlocked = true
 			kept = append(kept, w)
