--- a/entry/late_entry_test.go
+++ b/entry/late_entry_test.go
@@ -116,7 +116,7 @@
 	i.addRead(platform.ServerStream, []feed.Record{{Key: "s1", Offset: 1, Value: []byte(serverEntry("ready", `,"sequence":1,"born":9`))}}, 2, time.Now())
 	isUsableAfter := func(started int64) bool {
 		leaving := fleet.Process{ServerID: "s1", Address: "10.0.0.1:80", StartedUnixMilli: started}
-		_, err := i.applyNotices([]notice{{Kind: leavingNotice, Leaving: leaving}})
+		_, err := i.applyNotices([]notice{{Kind: leavingNotice, Leaving: &leaving}})
 		is.NoErr(err)
 		_, isUsable := i.fleet.Queries().Server("s1", time.Now())
 		return isUsable
--- a/entry/message.go
+++ b/entry/message.go
@@ -127,6 +127,6 @@
 	// HasBegun is set in a running or prompt read notice if the engine has begun its
 	// answer.
 	HasBegun bool `msgpack:"hasBegun,omitempty"`
-	// Leaving is set in a leaving notice: the process that is leaving.
-	Leaving fleet.Process `msgpack:"leaving,omitempty"`
+	// Leaving is the process that is leaving, in a leaving notice.
+	Leaving *fleet.Process `msgpack:"leaving,omitempty"`
 }
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -87,7 +87,7 @@
 		return
 	}
 	if coordinator := i.view().Coordinator(i.ownScope(), time.Now()); coordinator.Name != i.Settings.Name {
-		i.notices.add(coordinator, notice{Kind: leavingNotice, Leaving: process})
+		i.notices.add(coordinator, notice{Kind: leavingNotice, Leaving: &process})
 	}
 }
 
@@ -151,7 +151,9 @@
 				Pool: n.Pool, EngineID: n.Server, RequestID: n.RequestID, Prompt: n.Prompt, IsRunning: n.Kind == runningNotice, Until: until,
 			})
 		case leavingNotice:
-			i.recordLeaving(n.Leaving, fromNotice)
+			if n.Leaving != nil {
+				i.recordLeaving(*n.Leaving, fromNotice)
+			}
 		case answerByNotice:
 			for _, id := range n.RequestIDs {
 				i.coordinator.SetAnswerBy(id, now.Add(n.Remaining))
@@ -182,7 +184,7 @@
 		return
 	}
 	for _, process := range i.fleet.Queries().Leaving(time.Now()) {
-		i.notices.add(coordinator, notice{Kind: leavingNotice, Leaving: process})
+		i.notices.add(coordinator, notice{Kind: leavingNotice, Leaving: &process})
 	}
 }
 
