Review: case 11, results of another process of a stage worker

A stage worker that starts again under its ID may name its results as the process before did. The results of that process stay in use, so that pieces and models read results of other requests.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,8 @@
 #!/bin/bash
-# Builds the rig of the cases 11 to 15, which has the stand-ins that the scripts start.
-set -e
+# Builds the stand-ins of the scripts review/11 to review/15 into target/review-3, beside the
+# programs that the build command of the deploy file leaves in target.
+set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review-3/rig4 ./review/rig4
+mkdir -p target/review-3
+go build -tags review2 -o target/review-3/rig2 ./review/rig2
+go build -tags review3 -o target/review-3/rig4 ./review/rig4
--- a/review/rig4/config.go
+++ b/review/rig4/config.go
@@ -1,3 +1,5 @@
+//go:build review3
+
 package main
 
 import "encoding/json"
--- a/review/rig4/process.go
+++ b/review/rig4/process.go
@@ -1,3 +1,5 @@
+//go:build review3
+
 package main
 
 import (
@@ -8,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -131,30 +134,49 @@
 // counters, whose port is the same for all machines.
 func startInstances(s *store, all []*instance) {
 	for _, i := range all {
-		path := filepath.Join(i.folder, i.name+".toml")
-		if err := os.WriteFile(path, []byte(i.settings(s, all)), 0o600); err != nil {
+		if err := os.WriteFile(i.settingsPath(), []byte(i.settings(s, all)), 0o600); err != nil {
 			cannotRun("settings: %v", err)
 		}
-		out, err := os.Create(filepath.Join(i.folder, i.name+".log"))
-		if err != nil {
-			cannotRun("log: %v", err)
-		}
-		i.command = exec.Command("target/lycheecrank", "entry", "--metrics", "")
-		i.command.Env = append(os.Environ(), "LYCHEECRANK_SETTINGS="+path)
-		i.command.Stdout, i.command.Stderr = out, out
-		// The processes end with the rig, even if that is killed.
-		i.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-		if err := i.command.Start(); err != nil {
-			cannotRun("start: %v", err)
-		}
-		running = append(running, i.command)
+		i.start()
+	}
+}
+
+func (i *instance) settingsPath() string { return filepath.Join(i.folder, i.name+".toml") }
+
+// start starts a process of the instance.
+func (i *instance) start() {
+	out, err := os.OpenFile(filepath.Join(i.folder, i.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		cannotRun("log: %v", err)
+	}
+	i.command = exec.Command("target/lycheecrank", "entry", "--metrics", "")
+	i.command.Env = append(os.Environ(), "LYCHEECRANK_SETTINGS="+i.settingsPath())
+	i.command.Stdout, i.command.Stderr = out, out
+	// The processes end with the rig, even if that is killed.
+	i.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := i.command.Start(); err != nil {
+		cannotRun("start: %v", err)
 	}
+	runningMu.Lock()
+	running = append(running, i.command)
+	runningMu.Unlock()
 }
 
-// running are the processes that were started.
-var running []*exec.Cmd
+// hasExited reports whether the process has ended.
+func (i *instance) hasExited() bool {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", i.command.Process.Pid))
+	return err != nil || strings.Contains(string(data), ") Z ")
+}
+
+var (
+	runningMu sync.Mutex
+	// running are the processes that were started.
+	running []*exec.Cmd
+)
 
 func endProcesses() {
+	runningMu.Lock()
+	defer runningMu.Unlock()
 	for _, c := range running {
 		_ = c.Process.Kill()
 		_ = c.Wait()
