--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,5 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-go build -tags review2 -o target/review-3/rig2 ./review/rig2
 go build -tags review3 -o target/review-3/rig4 ./review/rig4
--- a/review/rig4/main.go
+++ b/review/rig4/main.go
@@ -1,6 +1,6 @@
 //go:build review3
 
-// Program rig4 runs the scripts of the cases 12 to 15: it starts processes of the system on
+// Program rig4 runs the scripts of the cases 11 to 15: it starts processes of the system on
 // loopback with stand-ins for the store, the workers and the clients, brings the disruption
 // of a case about, and checks the rule from what clients and workers saw.
 //
@@ -59,7 +59,7 @@
 
 func main() {
 	cases := map[string]func() bool{
-		"era-config": eraConfig, "crash-unseen": crashUnseen, "crash-bursts": crashBursts, "cold-plain": coldPlain, "slow-streams": slowStreams,
+		"era-config": eraConfig, "crash-unseen": crashUnseen, "crash-bursts": crashBursts, "cold-plain": coldPlain, "handles": stageHandles, "slow-streams": slowStreams,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig4 CASE RECORD")
