--- a/entry/feeds.go
+++ b/entry/feeds.go
@@ -191,7 +191,12 @@
 		return err
 	}
 	i.startLapseGrace(stream)
-	i.feeds.Commands().ApplySnapshot(stream, records, end, sentAt, func(fresh []feed.Record) { i.applyRecords(stream, fresh) })
+	changed := 0
+	i.feeds.Commands().ApplySnapshot(stream, records, end, sentAt, func(fresh []feed.Record) {
+		changed = len(fresh)
+		i.applyRecords(stream, fresh)
+	})
+	i.Logger.Write(event.SnapshotRead, stream, i.store.Era(), end, state.End, len(records), changed)
 	i.confirmConfiguration(stream, sentAt)
 	i.pushOperatorRecords(stream, records)
 	return nil
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -273,6 +273,7 @@
 		Logger:       i.Logger,
 	}
 	i.store.OnCall = i.countStoreCall
+	i.store.OnEra = func(era, previous uint64) { i.Logger.Write(event.StoreEraChanged, era, previous) }
 	i.decisions = newDecisions(i, time.Now())
 	i.delivery.OnAdmission, i.coordinator.OnDecision = i.recordAdmission, i.recordPlacement
 	counter.Publish("beliefs", func() any { return i.status() })
