Keep following the store after it comes back from an older copy

Cause: the copies of the store's records compared offsets of two eras. The record of version 14 had offset 2, that of the lost version 9 offset 3, so it was taken for an older one (feed.State.supersedes).

Ruled out: the return isn't noticed; nothing is read; the configuration is refused.

Change: the era of the store is part of each position: in records, copies, heartbeats and conditions of writes. Removals right after the return are found in the log. A restarted instance, or one that has read a later era, asks another one for what the store lacks. Responses without an era or of an earlier one are ignored and logged. Candidates register again.

Why it works: within an era offsets order records as before; between eras only versions and eras do, so that nothing that is in force gives way to the copy, and everything written afterwards is newer than it.

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -66,7 +66,7 @@
 	if record.IsRemoved {
 		return i.serverRemoval(record.Key, now), true
 	}
-	server, err := platform.DecodeServer(record.Key, record.Value, record.Offset, now)
+	server, err := platform.DecodeServer(record.Key, record.Value, record.Position(), now)
 	if err != nil {
 		i.Logger.Write(event.LogRecordUnreadable, platform.ServerStream, record.Offset, err)
 		return fleet.Change{}, false
@@ -114,6 +114,7 @@
 
 func (i *Instance) runServerSync(ctx context.Context) error {
 	for pause(ctx, syncInterval) {
+		i.removeKept()
 		i.syncServers(time.Now())
 	}
 	return nil
--- a/entry/apply_test.go
+++ b/entry/apply_test.go
@@ -20,7 +20,7 @@
 	i := New(platform.Settings{Name: "n1", DataCentre: "a", PeerAddress: "n1:1"}, io.Discard)
 	defer func() { is.NoErr(i.Logger.Close()) }()
 	add := func(offset uint64, stream, key, value string) {
-		i.addRead(stream, []feed.Record{{Key: key, Offset: offset, Value: []byte(value)}}, offset+1, time.Now())
+		i.addRead(stream, feed.Batch{End: offset + 1, Records: []feed.Record{{Key: key, Offset: offset, Value: []byte(value)}}}, time.Now())
 	}
 	add(1, platform.OperatorStream, platform.ConfigurationKey, `{"version":1,"services":[{"name":"models","engine":{"slots":8,"kvCapacity":100000,"kvTokenBytes":100}}]}`)
 	add(1, platform.ServerStream, "s1", serverEntry("ready", `,"sequence":1,"born":5`))
--- a/entry/clock_test.go
+++ b/entry/clock_test.go
@@ -57,11 +57,11 @@
 		time.Sleep(3 * time.Second)
 		is.Equal(i.leavingFor().Round(time.Millisecond), 3*time.Second)
 
-		i.addRead(platform.ServerStream, nil, 1, time.Now())
+		i.addRead(platform.ServerStream, feed.Batch{End: 1}, time.Now())
 		time.Sleep(unavailableAge)
 		i.recordReadFailure(time.Now(), i.lastBreak().Count)
 		time.Sleep(time.Second)
-		i.addRead(platform.ServerStream, []feed.Record{{Key: "s1", Offset: 1, Value: []byte(serverEntry("ready", ""))}}, 2, time.Now())
+		i.addRead(platform.ServerStream, feed.Batch{End: 2, Records: []feed.Record{{Key: "s1", Offset: 1, Value: []byte(serverEntry("ready", ""))}}}, time.Now())
 		is.True(!i.serverRemoval("s1", time.Now().Add(lapseGrace-time.Millisecond)).IsRemoved)
 		is.True(i.serverRemoval("s1", time.Now().Add(lapseGrace)).IsRemoved)
 	})
--- a/entry/feeds.go
+++ b/entry/feeds.go
@@ -75,7 +75,7 @@
 		}
 		if i.isReader(stream) && (isLeader || time.Since(readAt) >= extraReadInterval) {
 			sentAt, breaks := time.Now(), i.lastBreak().Count
-			err := i.readStore(ctx, stream, wait)
+			hasReadOn, err := i.readStore(ctx, stream, wait)
 			if isDown != (err != nil) {
 				isDown = err != nil
 				i.logStoreAvailability(stream, err)
@@ -84,7 +84,7 @@
 				i.recordReadFailure(sentAt, breaks)
 			} else {
 				readAt = time.Now()
-				if wait > 0 && i.feeds.Queries().State(stream).End > 0 {
+				if hasReadOn && wait > 0 {
 					continue
 				}
 			}
@@ -164,44 +164,81 @@
 	i.Logger.Write(event.LogAvailable, stream)
 }
 
-// readStore reads the records that the copy lacks. If the store no longer holds all of
-// them, it reads the newest record of each key instead.
-func (i *Instance) readStore(ctx context.Context, stream string, wait time.Duration) error {
+// readStore reads the records that the copy lacks, and reports whether it could read on where
+// the copy ends. If the store no longer holds all of them, or the copy is of an earlier era of
+// the store, it reads the newest record of each key instead.
+func (i *Instance) readStore(ctx context.Context, stream string, wait time.Duration) (hasReadOn bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	state := i.feeds.Queries().State(stream)
-	sentAt := time.Now()
-	if state.End > 0 {
-		records, end, err := i.store.Read(ctx, stream, state.ReadStart(), wait)
-		if err == nil {
-			at := completeAt(sentAt, wait, len(records) > 0)
-			if len(records) > 0 && end < state.End {
-				at = time.Time{} // the response holds only a part of the overlap
-			}
-			i.addRead(stream, records, max(end, state.ReadStart()), at)
-			i.pushOperatorRecords(stream, records)
-			return nil
-		}
-		if !errors.Is(err, platform.ErrExpired) {
-			return err
-		}
+	if state.End == 0 {
+		return false, i.readSnapshot(ctx, stream)
+	}
+	sentAt, from := time.Now(), feed.Position{Era: state.Era, Offset: state.ReadStart()}
+	records, end, err := i.store.Read(ctx, stream, from, wait)
+	if errors.Is(err, platform.ErrExpired) {
+		return false, i.readSnapshot(ctx, stream)
 	}
+	if err != nil {
+		return false, err
+	}
+	at := completeAt(sentAt, wait, len(records) > 0)
+	if len(records) > 0 && end.Offset < state.End {
+		at = time.Time{} // the response holds only a part of the overlap
+	}
+	if !i.addRead(stream, feed.Batch{Era: end.Era, From: from.Offset, End: end.Offset, Records: records}, at) {
+		// Another instance has sent records of a later era meanwhile.
+		return false, platform.ErrEra
+	}
+	i.pushOperatorRecords(stream, records)
+	return true, nil
+}
+
+// readSnapshot reads the newest record of each key.
+func (i *Instance) readSnapshot(ctx context.Context, stream string) error {
+	before := i.feeds.Queries().State(stream)
+	sentAt := time.Now()
 	records, end, err := i.store.Newest(ctx, stream)
 	if err != nil {
 		return err
 	}
+	if end.Era > before.Era && before.End > 0 && stream == platform.OperatorStream {
+		records = append(records, i.readRemovals(ctx, stream, end)...)
+	}
 	i.startLapseGrace(stream)
 	changed := 0
-	i.feeds.Commands().ApplySnapshot(stream, records, end, sentAt, func(fresh []feed.Record) {
+	isApplied := i.feeds.Commands().ApplySnapshot(stream, feed.Batch{Era: end.Era, End: end.Offset, Records: records}, sentAt, func(fresh []feed.Record) {
 		changed = len(fresh)
 		i.applyRecords(stream, fresh)
 	})
-	i.Logger.Write(event.SnapshotRead, stream, i.store.Era(), end, state.End, len(records), changed)
+	i.Logger.Write(event.SnapshotRead, stream, end.Era, end.Offset, before.Era, before.End, len(records), changed)
+	if !isApplied {
+		return platform.ErrEra
+	}
+	if end.Era > before.Era {
+		i.requestAllRecords()
+	}
 	i.confirmConfiguration(stream, sentAt)
 	i.pushOperatorRecords(stream, records)
 	return nil
 }
 
+// maxRemovalReads is the number of records before the end of a stream among which an instance
+// looks for removals when the era of the store has changed.
+const maxRemovalReads = 64
+
+// readRemovals returns the removals among the last records of a stream. A snapshot of a new
+// era doesn't show whether a key that it lacks was removed in that era or is part of what the
+// store has lost.
+func (i *Instance) readRemovals(ctx context.Context, stream string, end feed.Position) []feed.Record {
+	records, err := i.store.Tail(ctx, stream, end, maxRemovalReads)
+	if err != nil {
+		i.Logger.Write(event.LogUnavailable, stream, err)
+		return nil
+	}
+	return slices.DeleteFunc(records, func(r feed.Record) bool { return !r.IsRemoved })
+}
+
 // completeAt returns when the copy was complete according to a read: at the end of the
 // wait if the read waited and returned no records, otherwise when the read was sent.
 func completeAt(sentAt time.Time, wait time.Duration, hasRecords bool) time.Time {
@@ -211,20 +248,24 @@
 	return sentAt
 }
 
-// addRead adds records that were read from the store to the copy of a stream and applies
-// the new ones.
-func (i *Instance) addRead(stream string, records []feed.Record, end uint64, at time.Time) {
+// addRead adds records that were read from the store to the copy of a stream, applies the new
+// ones, and reports whether the copy took them (see feed.State.WithBatch).
+func (i *Instance) addRead(stream string, batch feed.Batch, at time.Time) bool {
 	i.startLapseGrace(stream)
-	i.feeds.Commands().ApplyRead(stream, records, end, at, func(fresh []feed.Record) { i.applyRecords(stream, fresh) })
-	i.confirmConfiguration(stream, at)
+	isApplied := i.feeds.Commands().ApplyRead(stream, batch, at, func(fresh []feed.Record) { i.applyRecords(stream, fresh) })
+	if isApplied {
+		i.confirmConfiguration(stream, at)
+	}
+	return isApplied
 }
 
 // addRecords adds records of another instance to the copy of a stream and applies the new
 // ones.
-func (i *Instance) addRecords(stream string, records []feed.Record, end uint64, at time.Time) {
+func (i *Instance) addRecords(stream string, batch feed.Batch, at time.Time) {
 	i.startLapseGrace(stream)
-	i.feeds.Commands().ApplyRecords(stream, records, end, at, func(fresh []feed.Record) { i.applyRecords(stream, fresh) })
-	i.confirmConfiguration(stream, at)
+	if i.feeds.Commands().ApplyRecords(stream, batch, at, func(fresh []feed.Record) { i.applyRecords(stream, fresh) }) {
+		i.confirmConfiguration(stream, at)
+	}
 }
 
 // pushOperatorRecords sends heartbeats to all reachable instances after operator
@@ -254,7 +295,7 @@
 	var positions []position
 	for _, stream := range streams {
 		s := i.feeds.Queries().State(stream)
-		positions = append(positions, position{Stream: stream, End: s.End, AgeMs: now.Sub(s.ConfirmedAt).Milliseconds()})
+		positions = append(positions, position{Stream: stream, Era: s.Era, End: s.End, AgeMs: now.Sub(s.ConfirmedAt).Milliseconds()})
 	}
 	return positions
 }
@@ -262,9 +303,10 @@
 // missingRecords returns the records that an instance with the given positions lacks.
 func (i *Instance) missingRecords(positions []position) []streamRecords {
 	var missing []streamRecords
+	isNew := isWithoutServers(positions)
 	for _, p := range positions {
-		if s := i.feeds.Queries().State(p.Stream); s.End > p.End {
-			missing = append(missing, streamRecords{Stream: p.Stream, From: p.End, Records: s.Since(p.End), End: s.End})
+		if b, ok := i.feeds.Queries().State(p.Stream).Missing(p.end(), isNew); ok {
+			missing = append(missing, newStreamRecords(p.Stream, b))
 		}
 	}
 	return missing
@@ -280,14 +322,12 @@
 		i.recordLeaving(process, fromReply)
 	}
 	for _, m := range reply.Missing {
-		if i.feeds.Queries().State(m.Stream).End >= m.From {
-			i.addRecords(m.Stream, m.Records, m.End, confirmedAt(reply, m.Stream, sentAt))
-		}
+		i.addRecords(m.Stream, m.batch(), confirmedAt(reply, m.Stream, sentAt))
 	}
 	for _, p := range reply.Positions {
 		at := confirmedAt(reply, p.Stream, sentAt)
-		if p.End == i.feeds.Queries().State(p.Stream).End {
-			i.feeds.Commands().Confirm(p.Stream, p.End, at)
+		if p.end() == i.feeds.Queries().State(p.Stream).Position() {
+			i.feeds.Commands().Confirm(p.Stream, p.end(), at)
 			i.confirmConfiguration(p.Stream, at)
 		}
 	}
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -114,7 +114,7 @@
 // occupied with replies alone.
 func (i *Instance) lacksOperatorRecords(positions []position) bool {
 	return slices.ContainsFunc(positions, func(theirs position) bool {
-		return theirs.Stream == platform.OperatorStream && theirs.End > i.feeds.Queries().State(theirs.Stream).End
+		return theirs.Stream == platform.OperatorStream && theirs.end().Compare(i.feeds.Queries().State(theirs.Stream).Position()) > 0
 	})
 }
 
@@ -336,7 +336,7 @@
 	sentAt := time.Now()
 	message := i.newHeartbeat(includesKnown)
 	message.WantsRecords = to.wantsRecords
-	wantsAll := to.wantsRecords && !i.hasNeighbourEntries.Load() && sentAt.Sub(i.startedAt) < settlingTime
+	wantsAll := to.wantsRecords && i.wantsAllRecords(sentAt)
 	if wantsAll {
 		message.Positions = withoutServers(message.Positions)
 	}
@@ -357,7 +357,7 @@
 		i.mergeRollouts(reply.Rollouts, sentAt, time.Now())
 		i.applyReply(reply, sentAt)
 		if wantsAll {
-			i.hasNeighbourEntries.Store(true)
+			i.allRecordsUntil.Store(0)
 		}
 	}
 }
--- a/entry/heartbeat_test.go
+++ b/entry/heartbeat_test.go
@@ -22,7 +22,7 @@
 func newIdleInstance(end uint64) *Instance {
 	i := New(platform.Settings{Name: "n1", DataCentre: "a", PeerAddress: "n1:1"}, io.Discard)
 	for _, stream := range streams {
-		i.feeds.Commands().ApplyRecords(stream, []feed.Record{{Key: "k", Offset: end - 1, Value: []byte("{}")}}, end, time.Now(), func([]feed.Record) {})
+		i.feeds.Commands().ApplyRecords(stream, feed.Batch{End: end, Records: []feed.Record{{Key: "k", Offset: end - 1, Value: []byte("{}")}}}, time.Now(), func([]feed.Record) {})
 	}
 	return i
 }
@@ -127,7 +127,7 @@
 	is.True(!i.isReader(platform.OperatorStream))
 	confirm := func(age time.Duration) {
 		i.feeds.Commands().Invalidate()
-		i.feeds.Commands().Confirm(platform.OperatorStream, 5, time.Now().Add(-age))
+		i.feeds.Commands().Confirm(platform.OperatorStream, feed.Position{Offset: 5}, time.Now().Add(-age))
 	}
 	confirm(candidateReadAge + 2*candidateReadStep)
 	is.True(i.isReader(platform.OperatorStream)) // the first candidate after the coordinator
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -121,8 +121,9 @@
 
 	startedAt time.Time
 	breaks    *breakMonitor
-	// isRegistered is true if the store has an entry of this instance.
-	isRegistered atomic.Bool
+	// registeredEra is the era of the store in which it got the entry of this instance, or
+	// notRegistered.
+	registeredEra atomic.Int64
 	// leavingAt is the instant at which the instance began to shut down, 0 if it isn't
 	// shutting down.
 	leavingAt atomic.Int64
@@ -154,10 +155,11 @@
 	// isPushPending is true if the next heartbeats go to all reachable instances.
 	heartbeatTrigger chan struct{}
 	isPushPending    atomic.Bool
-	// hasNeighbourEntries is set once this instance has asked another one for all server
-	// entries, including removed ones. After a restart it can't know from the store alone
-	// that an entry was written late.
-	hasNeighbourEntries atomic.Bool
+	// allRecordsUntil is the instant until which this instance asks another one for all that
+	// it knows, including removed entries of servers and what the store has lost, 0 once it has
+	// got a reply. After a restart or a change of the store's era it can't know these from the
+	// store alone.
+	allRecordsUntil atomic.Int64
 	// isFetchingRecords is true while a heartbeat that asks for records is in progress.
 	isFetchingRecords atomic.Bool
 
@@ -220,13 +222,11 @@
 	i.plainServers = backend.NewTable(i.Logger)
 	i.division.Store(&division{})
 	i.seeds.Store(&settings.Seeds)
+	i.registeredEra.Store(notRegistered)
 	i.grace.Store(int64(settings.DrainGrace))
 	i.stopSchedule.Store(&drain.Schedule{})
-	i.feeds.OnLate = func(_ string, late feed.Record) { i.Logger.Write(event.LateEntryIgnored, late.Key, late.Offset) }
-	i.feeds.OnInvalid = func(stream string, r feed.Invalid) {
-		i.Logger.Write(event.LogRecordUnreadable, stream, r.Offset, r.Err)
-	}
-	i.feeds.AddStream(platform.ServerStream, platform.IsSameServer, platform.ServerVersion)
+	i.addStreams()
+	i.requestAllRecords()
 	i.assemble()
 	return i
 }
@@ -274,6 +274,7 @@
 	}
 	i.store.OnCall = i.countStoreCall
 	i.store.OnEra = func(era, previous uint64) { i.Logger.Write(event.StoreEraChanged, era, previous) }
+	i.store.OnEraError = func(call, header string, era uint64) { i.Logger.Write(event.StoreEraInvalid, call, header, era) }
 	i.decisions = newDecisions(i, time.Now())
 	i.delivery.OnAdmission, i.coordinator.OnDecision = i.recordAdmission, i.recordPlacement
 	counter.Publish("beliefs", func() any { return i.status() })
--- a/entry/lapse_test.go
+++ b/entry/lapse_test.go
@@ -65,7 +65,7 @@
 }
 
 func confirmServers(i *Instance, at time.Time) {
-	i.feeds.Commands().Confirm(platform.ServerStream, 0, at)
+	i.feeds.Commands().Confirm(platform.ServerStream, feed.Position{}, at)
 }
 
 // Guards against requests for removed servers because only the instance that reads the
@@ -81,9 +81,9 @@
 				i.SinceBoot = func() time.Duration { return time.Since(i.startedAt) }
 				i.lastBreak()
 				time.Sleep(time.Second)
-				i.addRead(platform.ServerStream, []feed.Record{{Key: "s1", Offset: 1, Value: []byte(serverEntry("ready", `,"sequence":1,"born":5`))}}, 2, time.Now())
+				i.addRead(platform.ServerStream, feed.Batch{End: 2, Records: []feed.Record{{Key: "s1", Offset: 1, Value: []byte(serverEntry("ready", `,"sequence":1,"born":5`))}}}, time.Now())
 				c.between(i)
-				i.addRead(platform.ServerStream, []feed.Record{{Key: "s1", Offset: 2, IsRemoved: true}}, 3, time.Now())
+				i.addRead(platform.ServerStream, feed.Batch{End: 3, Records: []feed.Record{{Key: "s1", Offset: 2, IsRemoved: true}}}, time.Now())
 				_, isUsable := i.fleet.Queries().Server("s1", time.Now())
 				is.NoErr(i.Logger.Close())
 				is.Equal(isUsable, c.isLapse)
--- a/entry/late_entry_test.go
+++ b/entry/late_entry_test.go
@@ -50,14 +50,14 @@
 	}
 	for name, add := range map[string]func(i *Instance, record feed.Record){
 		"read": func(i *Instance, r feed.Record) {
-			i.addRead(platform.ServerStream, []feed.Record{r}, r.Offset+1, time.Now())
+			i.addRead(platform.ServerStream, feed.Batch{End: r.Offset + 1, Records: []feed.Record{r}}, time.Now())
 		},
 		"snapshot": func(i *Instance, r feed.Record) {
 			records := []feed.Record{r}
 			if r.IsRemoved {
 				records = nil
 			}
-			i.feeds.Commands().ApplySnapshot(platform.ServerStream, records, r.Offset+1, time.Now(), func(fresh []feed.Record) { i.applyRecords(platform.ServerStream, fresh) })
+			i.feeds.Commands().ApplySnapshot(platform.ServerStream, feed.Batch{End: r.Offset + 1, Records: records}, time.Now(), func(fresh []feed.Record) { i.applyRecords(platform.ServerStream, fresh) })
 		},
 		"reply of another instance": func(i *Instance, r feed.Record) {
 			i.applyReply(heartbeat{
@@ -92,8 +92,8 @@
 	neighbour, restarted := newIdleInstance(1), newIdleInstance(1)
 	old := feed.Record{Key: "s1", Offset: 1, Value: []byte(serverEntry("ready", `,"sequence":2,"born":5`))}
 	late := feed.Record{Key: "s1", Offset: 3, Value: []byte(serverEntry("ready", `,"sequence":1,"born":5`))}
-	neighbour.addRead(platform.ServerStream, []feed.Record{old, {Key: "s1", Offset: 2, IsRemoved: true}, late}, 4, time.Now())
-	restarted.feeds.Commands().ApplySnapshot(platform.ServerStream, []feed.Record{late}, 4, time.Now(), func(fresh []feed.Record) { restarted.applyRecords(platform.ServerStream, fresh) })
+	neighbour.addRead(platform.ServerStream, feed.Batch{End: 4, Records: []feed.Record{old, {Key: "s1", Offset: 2, IsRemoved: true}, late}}, time.Now())
+	restarted.feeds.Commands().ApplySnapshot(platform.ServerStream, feed.Batch{End: 4, Records: []feed.Record{late}}, time.Now(), func(fresh []feed.Record) { restarted.applyRecords(platform.ServerStream, fresh) })
 	isUsable := func() bool {
 		_, ok := restarted.fleet.Queries().Server("s1", time.Now())
 		return ok
@@ -113,7 +113,7 @@
 	t.Parallel()
 	is := is.New(t)
 	i := newIdleInstance(1)
-	i.addRead(platform.ServerStream, []feed.Record{{Key: "s1", Offset: 1, Value: []byte(serverEntry("ready", `,"sequence":1,"born":9`))}}, 2, time.Now())
+	i.addRead(platform.ServerStream, feed.Batch{End: 2, Records: []feed.Record{{Key: "s1", Offset: 1, Value: []byte(serverEntry("ready", `,"sequence":1,"born":9`))}}}, time.Now())
 	isUsableAfter := func(started int64) bool {
 		leaving := fleet.Process{ServerID: "s1", Address: "10.0.0.1:80", StartedUnixMilli: started}
 		_, err := i.applyNotices([]notice{{Kind: leavingNotice, Leaving: &leaving}})
@@ -130,7 +130,7 @@
 func leavingServer() (*Instance, feed.Record) {
 	i := newIdleInstance(1)
 	entry := feed.Record{Key: "s1", Offset: 1, Value: []byte(serverEntry("ready", `,"sequence":1,"born":5`))}
-	i.addRead(platform.ServerStream, []feed.Record{entry, {Key: "s1", Offset: 2, IsRemoved: true}}, 3, time.Now())
+	i.addRead(platform.ServerStream, feed.Batch{End: 3, Records: []feed.Record{entry, {Key: "s1", Offset: 2, IsRemoved: true}}}, time.Now())
 	i.recordLeaving(fleet.Process{ServerID: "s1", Address: "10.0.0.1:80", StartedUnixMilli: 5}, fromAnswer)
 	return i, feed.Record{Key: "s1", Offset: 3, Value: []byte(serverEntry("ready", `,"sequence":2,"born":5`))}
 }
@@ -147,7 +147,7 @@
 	is.Equal(sent.to.Name, "n9")
 	_, err := coordinator.applyNotices([]notice{sent.notice})
 	is.NoErr(err)
-	coordinator.addRead(platform.ServerStream, []feed.Record{late}, 4, time.Now())
+	coordinator.addRead(platform.ServerStream, feed.Batch{End: 4, Records: []feed.Record{late}}, time.Now())
 	is.Equal(len(coordinator.fleet.Queries().Usable(time.Now())["models"]), 0)
 }
 
@@ -157,7 +157,7 @@
 	t.Parallel()
 	is := is.New(t)
 	neighbour, late := leavingServer()
-	neighbour.addRead(platform.ServerStream, []feed.Record{late}, 4, time.Now())
+	neighbour.addRead(platform.ServerStream, feed.Batch{End: 4, Records: []feed.Record{late}}, time.Now())
 	restarted := newIdleInstance(1)
 	message := restarted.newHeartbeat(false)
 	message.WantsRecords, message.Positions = true, withoutServers(message.Positions)
--- a/entry/message.go
+++ b/entry/message.go
@@ -24,10 +24,14 @@
 // time since the last time for which it is confirmed (see the package comment).
 type position struct {
 	Stream string `msgpack:"stream"`
-	End    uint64 `msgpack:"end"`
-	AgeMs  int64  `msgpack:"ageMs"`
+	// Era is the era of the store that End belongs to.
+	Era   uint64 `msgpack:"era,omitempty"`
+	End   uint64 `msgpack:"end"`
+	AgeMs int64  `msgpack:"ageMs"`
 }
 
+func (p position) end() feed.Position { return feed.Position{Era: p.Era, Offset: p.End} }
+
 // heartbeat is the message that instances send each other regularly, and the reply to
 // it.
 type heartbeat struct {
@@ -66,15 +70,24 @@
 	Evidence []rollout.Evidence `msgpack:"evidence,omitempty"`
 }
 
-// streamRecords holds the records of a stream with offsets from From up to, but not
-// including, End.
+// streamRecords holds the records of a stream in an era of the store, with offsets from From
+// up to, but not including, End.
 type streamRecords struct {
 	Stream  string        `msgpack:"stream"`
+	Era     uint64        `msgpack:"era,omitempty"`
 	From    uint64        `msgpack:"from"`
 	Records []feed.Record `msgpack:"records"`
 	End     uint64        `msgpack:"end"`
 }
 
+func newStreamRecords(stream string, b feed.Batch) streamRecords {
+	return streamRecords{Stream: stream, Era: b.Era, From: b.From, Records: b.Records, End: b.End}
+}
+
+func (r streamRecords) batch() feed.Batch {
+	return feed.Batch{Era: r.Era, From: r.From, End: r.End, Records: r.Records}
+}
+
 // prepareReply is the reply of a coordinator to a task.
 type prepareReply struct {
 	Placement preparation.Placement `msgpack:"placement"`
--- a/entry/odd_entry_test.go
+++ b/entry/odd_entry_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"lycheecrank.example/feed"
 	"lycheecrank.example/fleet"
 	"lycheecrank.example/platform"
 )
@@ -72,7 +73,7 @@
 	t.Parallel()
 	is := is.New(t)
 	decode := func(id string, data []byte) (fleet.Server, error) {
-		return platform.DecodeServer(id, data, 1, time.Now())
+		return platform.DecodeServer(id, data, feed.Position{Offset: 1}, time.Now())
 	}
 	// The broken variant takes every entry that names a service and an address.
 	broken := func(id string, _ []byte) (fleet.Server, error) { return fleet.Server{ID: id}, nil }
--- a/entry/registration.go
+++ b/entry/registration.go
@@ -38,8 +38,11 @@
 	pause(ctx, contactGrace)
 	for ctx.Err() == nil {
 		now := time.Now()
-		if !i.isRegistered.Load() && i.isCandidate(now) {
-			i.isRegistered.Store(i.register(ctx) == nil)
+		if !i.isRegistered() && i.isCandidate(now) {
+			era := i.store.Era()
+			if i.register(ctx) == nil {
+				i.registeredEra.Store(int64(era))
+			}
 		}
 		if i.isDiscoveryDue(now.Sub(discoveredAt), now) && i.discover(ctx) == nil {
 			discoveredAt = now
@@ -49,6 +52,15 @@
 	return nil
 }
 
+// notRegistered is the registered era of an instance that has no entry in the store.
+const notRegistered = -1
+
+// isRegistered reports whether the store has an entry of this instance. An entry that was
+// written in an earlier era may be lost.
+func (i *Instance) isRegistered() bool {
+	return i.registeredEra.Load() >= int64(i.feeds.Queries().State(platform.OperatorStream).Era)
+}
+
 // isCandidate reports whether this instance is a candidate for leader of the site or for
 // coordinator of its cell.
 func (i *Instance) isCandidate(now time.Time) bool {
@@ -99,7 +111,7 @@
 
 // unregister removes the entry of this instance at shutdown.
 func (i *Instance) unregister(ctx context.Context) {
-	if !i.isRegistered.Load() {
+	if i.registeredEra.Load() == notRegistered {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, unregisterTimeout)
--- a/entry/rollout.go
+++ b/entry/rollout.go
@@ -48,8 +48,8 @@
 	// hasRead is set once the streams were read, until an append shows that another
 	// instance has written. rolloutEnd and statusEnd are their ends.
 	hasRead    bool
-	rolloutEnd uint64
-	statusEnd  uint64
+	rolloutEnd feed.Position
+	statusEnd  feed.Position
 	// stored and statuses hold the newest records by pool.
 	stored   map[string]rollout.State
 	statuses map[string]string
@@ -132,6 +132,9 @@
 }
 
 func (l *rolloutLeader) leadWithStore(ctx context.Context, names []string, decisions []rolloutDecision, now time.Time) error {
+	if l.rolloutEnd.Era != l.instance.store.Era() {
+		l.hasRead = false // the store has lost what was written last
+	}
 	if !l.hasRead || len(names) > 0 && now.Sub(l.readAt) >= rolloutReadInterval {
 		if err := l.read(ctx); err != nil {
 			return err
@@ -300,7 +303,7 @@
 		l.hasRead = false
 		return err
 	}
-	l.rolloutEnd++
+	l.rolloutEnd.Offset++
 	l.stored[state.Pool] = state
 	return nil
 }
@@ -318,7 +321,7 @@
 		l.hasRead = false
 		return err
 	}
-	l.statusEnd++
+	l.statusEnd.Offset++
 	l.statuses[state.Pool] = string(value)
 	return nil
 }
--- a/entry/rollout_leader_test.go
+++ b/entry/rollout_leader_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"lycheecrank.example/feed"
 	"lycheecrank.example/fleet"
 	"lycheecrank.example/platform"
 	"lycheecrank.example/rollout"
@@ -32,7 +33,7 @@
 			ExposureShare: 0.1, ExposureSlack: 50, RollbackTime: 5 * time.Second,
 		}, io.Discard)
 		for k, version := range []string{"v1", "v2"} {
-			server := fleet.Server{ID: string(rune('a' + k)), Pool: "p", Address: fmt.Sprintf("127.0.0.1:%d", k+1), Version: version, Offset: uint64(k)}
+			server := fleet.Server{ID: string(rune('a' + k)), Pool: "p", Address: fmt.Sprintf("127.0.0.1:%d", k+1), Version: version, EntryPosition: feed.Position{Offset: uint64(k)}}
 			i.fleet.Commands().Apply([]fleet.Change{{Server: server}})
 			i.syncServers(f.now)
 		}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -1,6 +1,11 @@
 // Package feed keeps an instance's copies of the keyed streams of the platform's
 // store: the newest record of each key. Copies are updated from the store or from
 // other instances; records may arrive in any order and more than once.
+//
+// The store may come back from an older copy of itself. What was written after that copy is
+// gone, and the offsets are given out again in the next era of the store. Offsets are
+// therefore only compared together with their eras. An instance keeps what it has of the
+// earlier era until it is written again (see era.go).
 package feed
 
 import (
@@ -13,7 +18,9 @@
 
 // Record is a record of a key. A State holds the newest one of each key.
 type Record struct {
-	Key    string `msgpack:"key"`
+	Key string `msgpack:"key"`
+	// Era is the era of the store in which Offset was given out.
+	Era    uint64 `msgpack:"era,omitempty"`
 	Offset uint64 `msgpack:"offset"`
 	Value  []byte `msgpack:"value"`
 	// IsRemoved is set if the key was removed.
@@ -22,13 +29,18 @@
 	// changes that State.IsEquivalent ignores. A record that was read from the store has
 	// none, 0: it depends on the record before it.
 	ChangedOffset uint64 `msgpack:"changed,omitempty"`
+	// IsKept is set if the value was written in an earlier era than Era, and is newer than
+	// the one that the store has at Offset.
+	IsKept bool `msgpack:"isKept,omitempty"`
 	// version is the version of the value, or of the removed value if IsRemoved is set.
 	version Version
 }
 
 // State is a copy of a stream. It is an immutable value.
 type State struct {
-	// End is the offset before which all records are known.
+	// Era is the era of the store that the copy is of, 0 if the store names none.
+	Era uint64
+	// End is the offset before which all records of the era are known.
 	End uint64
 	// ConfirmedAt is when the copy was last known to be complete.
 	ConfirmedAt time.Time
@@ -42,8 +54,13 @@
 	// older than one that was seen before: the store may execute a write late. If nil, the
 	// record with the higher offset is the newer one. Removals then keep the removed value,
 	// so that copies which receive them from other instances know its version.
-	VersionOf func(value []byte) (Version, error)
-	records   map[string]Record
+	VersionOf func(key string, value []byte) (Version, error)
+	// KeepPeriod is how long after a change of the era the copy keeps a value that the store
+	// no longer holds, unless it is written again.
+	KeepPeriod time.Duration
+	records    map[string]Record
+	// eraSince is when the copy changed to its era, the zero time once KeepPeriod has ended.
+	eraSince time.Time
 	// readEnd is the end of the last read from the store, and marks are earlier ends; see
 	// ReadStart.
 	readEnd uint64
@@ -66,13 +83,13 @@
 // record of their key, in the order of their offsets.
 func (s State) WithRecords(records []Record, end uint64) (State, []Record) {
 	sorted := slices.Clone(records)
-	slices.SortStableFunc(sorted, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	slices.SortStableFunc(sorted, func(a, b Record) int { return a.Position().Compare(b.Position()) })
 	var fresh, late []Record
 	var invalid []Invalid
 	changed := map[string]Record{}
 	for _, r := range sorted {
 		if s.VersionOf != nil && len(r.Value) > 0 {
-			version, err := s.VersionOf(r.Value)
+			version, err := s.VersionOf(r.Key, r.Value)
 			if err != nil && !r.IsRemoved {
 				invalid = append(invalid, Invalid{r, err})
 				continue
@@ -88,7 +105,10 @@
 				// The removal came after the value.
 				changed[r.Key] = old.withRemoved(r)
 			}
-			if r.Offset > old.Offset && old.version.isNewerThan(r.version) {
+			switch {
+			case r.Era > old.Era:
+				changed[r.Key] = old.keptAt(r)
+			case r.Era == old.Era && r.Offset > old.Offset && old.version.isNewerThan(r.version):
 				late = append(late, r)
 			}
 			continue
@@ -114,7 +134,7 @@
 
 // supersedes reports whether a record replaces an older one of its key.
 func (s State) supersedes(r, old Record) bool {
-	isLater := r.Offset > old.Offset
+	isLater := r.Position().Compare(old.Position()) > 0
 	if !r.version.isOrderedWith(old.version) {
 		return isLater
 	}
@@ -136,6 +156,13 @@
 	if r.IsRemoved && (r.version == Version{} || old.version.isNewerThan(r.version)) {
 		r = r.withRemoved(old)
 	}
+	switch {
+	case r.Era < old.Era:
+		return r.keptAt(old)
+	case r.Era > old.Era, old.IsKept:
+		r.ChangedOffset = r.Offset
+		return r
+	}
 	if old.IsRemoved == r.IsRemoved && s.isEquivalent(old.Value, r.Value) {
 		r.ChangedOffset = max(r.ChangedOffset, old.ChangedOffset)
 		return r
@@ -166,9 +193,9 @@
 		}
 	}
 	for _, r := range s.records {
-		if !present[r.Key] && !r.IsRemoved && r.Offset < end {
+		if !present[r.Key] && !r.IsRemoved && r.Era == s.Era && r.Offset < end {
 			// The offset of the removal is unknown, but it is before end.
-			records = append(records, Record{Key: r.Key, Offset: end - 1, IsRemoved: true})
+			records = append(records, Record{Key: r.Key, Era: s.Era, Offset: end - 1, IsRemoved: true})
 		}
 	}
 	return s.WithRecords(records, end)
@@ -190,18 +217,22 @@
 	return s.IsEquivalent(a, b)
 }
 
-// Since returns the records whose values changed at or after an offset, in the order of
-// their offsets. A copy that holds all records before that offset is up to date after
-// they are added to it.
+// Since returns the records whose values changed at or after an offset of the era, in the
+// order of their positions. A copy that holds all records before that offset is up to date
+// after they are added to it. Records of earlier eras are among them if the offset is 0.
 func (s State) Since(from uint64) []Record {
 	var records []Record
 	for _, r := range s.records {
-		if r.ChangedOffset >= from {
+		if from == 0 || r.Era == s.Era && r.ChangedOffset >= from {
 			records = append(records, r)
 		}
 	}
+	sortRecords(records)
+	return records
+}
+
+func sortRecords(records []Record) {
 	slices.SortFunc(records, func(a, b Record) int {
-		return cmp.Or(cmp.Compare(a.Offset, b.Offset), cmp.Compare(a.Key, b.Key))
+		return cmp.Or(a.Position().Compare(b.Position()), cmp.Compare(a.Key, b.Key))
 	})
-	return records
 }
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -83,13 +83,13 @@
 		}
 	}
 	at := time.Unix(100, 0)
-	c.ApplyRecords("op", []Record{{Key: "b", Offset: 1}, {Key: "a", Offset: 0}}, 2, at, apply)
-	c.ApplyRecords("op", []Record{{Key: "a", Offset: 0}}, 1, at, apply)
-	c.ApplySnapshot("op", []Record{{Key: "a", Offset: 0}}, 3, at, apply)
+	c.ApplyRecords("op", Batch{End: 2, Records: []Record{{Key: "b", Offset: 1}, {Key: "a", Offset: 0}}}, at, apply)
+	c.ApplyRecords("op", Batch{End: 1, Records: []Record{{Key: "a", Offset: 0}}}, at, apply)
+	c.ApplySnapshot("op", Batch{End: 3, Records: []Record{{Key: "a", Offset: 0}}}, at, apply)
 	is.Equal(applied, []uint64{0, 1, 2})
-	c.Confirm("op", 4, at.Add(time.Second)) // the copy ends at 3
+	c.Confirm("op", Position{Offset: 4}, at.Add(time.Second)) // the copy ends at 3
 	is.Equal(q.State("op").ConfirmedAt, at)
-	c.Confirm("op", 3, at.Add(time.Second))
+	c.Confirm("op", Position{Offset: 3}, at.Add(time.Second))
 	is.Equal(q.State("op").ConfirmedAt, at.Add(time.Second))
 	c.Invalidate()
 	is.True(q.State("op").ConfirmedAt.IsZero())
--- a/feed/overlap.go
+++ b/feed/overlap.go
@@ -41,7 +41,7 @@
 // executes late for a newer one. The read goes back to before such a write was sent, so
 // that it finds all newer ones.
 func (s State) ReadStart() uint64 {
-	if s.VersionOf == nil || len(s.marks) == 0 {
+	if s.VersionOf == nil || s.IsEquivalent == nil || len(s.marks) == 0 {
 		return s.End
 	}
 	start := max(s.marks[0].end, s.readEnd)
--- a/feed/table.go
+++ b/feed/table.go
@@ -9,6 +9,9 @@
 	// isn't one of its key. They are called under the lock. Set them before the first call.
 	OnLate    func(stream string, late Record)
 	OnInvalid func(stream string, invalid Invalid)
+	// OnEra is called under the lock when a copy changes to a later era of the store, with
+	// the copy before and after.
+	OnEra func(stream string, before, after State)
 
 	mu     *lock.Ranked
 	states map[string]State
@@ -16,15 +19,15 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{OnLate: func(string, Record) {}, OnInvalid: func(string, Invalid) {}, mu: lock.New(lock.RankFeed, "feed"), states: map[string]State{}}
+	return &Table{OnLate: func(string, Record) {}, OnInvalid: func(string, Invalid) {}, OnEra: func(string, State, State) {}, mu: lock.New(lock.RankFeed, "feed"), states: map[string]State{}}
 }
 
-// AddStream adds a stream. isEquivalent compares its values and versionOf orders them; see
-// State.IsEquivalent and State.VersionOf.
-func (t *Table) AddStream(name string, isEquivalent func(a, b []byte) bool, versionOf func(value []byte) (Version, error)) {
+// AddStream adds a stream with an empty copy, whose exported functions and periods are those
+// of the stream.
+func (t *Table) AddStream(name string, empty State) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.states[name] = State{IsEquivalent: isEquivalent, VersionOf: versionOf}
+	t.states[name] = empty
 }
 
 // Commands returns the commands that change the table.
--- a/feed/version_test.go
+++ b/feed/version_test.go
@@ -28,7 +28,7 @@
 }
 
 // validVersion is versionOf for State.VersionOf. A value that is too short isn't valid.
-func validVersion(value []byte) (Version, error) {
+func validVersion(_ string, value []byte) (Version, error) {
 	if len(value) < len(versioned(0, 0, false)) {
 		return Version{}, errInvalid
 	}
@@ -225,19 +225,19 @@
 		is.True(errors.Is(r.Err, errInvalid))
 		invalid++
 	}
-	table.AddStream("servers", isSameState, validVersion)
+	table.AddStream("servers", State{IsEquivalent: isSameState, VersionOf: validVersion})
 	c, applied := table.Commands(), 0
 	apply := func(fresh []Record) { applied += len(fresh) }
 	valid := Record{Key: "a", Offset: 1, Value: versioned(1, 1, false)}
-	c.ApplyRead("servers", []Record{valid}, 2, time.Now(), apply)
-	c.ApplyRead("servers", []Record{{Key: "a", Offset: 2, Value: []byte("x")}, {Key: "b", Offset: 3, Value: []byte("x")}}, 4, time.Now(), apply)
-	c.ApplySnapshot("servers", []Record{{Key: "a", Offset: 2, Value: []byte("x")}}, 4, time.Now(), apply)
+	c.ApplyRead("servers", Batch{End: 2, Records: []Record{valid}}, time.Now(), apply)
+	c.ApplyRead("servers", Batch{End: 4, Records: []Record{{Key: "a", Offset: 2, Value: []byte("x")}, {Key: "b", Offset: 3, Value: []byte("x")}}}, time.Now(), apply)
+	c.ApplySnapshot("servers", Batch{End: 4, Records: []Record{{Key: "a", Offset: 2, Value: []byte("x")}}}, time.Now(), apply)
 	is.Equal(invalid, 3)
 	is.Equal(applied, 1)
 	s := table.Queries().State("servers")
 	is.Equal(s.End, uint64(4))
 	is.Equal(len(s.Since(0)), 1)
 	is.Equal(s.Since(0)[0].Value, valid.Value)
-	c.ApplyRead("servers", []Record{{Key: "a", Offset: 4, IsRemoved: true}}, 5, time.Now(), apply)
+	c.ApplyRead("servers", Batch{End: 5, Records: []Record{{Key: "a", Offset: 4, IsRemoved: true}}}, time.Now(), apply)
 	is.Equal(applied, 2)
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -3,7 +3,11 @@
 // get new work.
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"lycheecrank.example/feed"
+)
 
 // Server is a backend server as described by its entry in the store. It is an
 // immutable value.
@@ -24,8 +28,8 @@
 	// StartedUnixMilli is the start time that the server reports, in Unix
 	// milliseconds; 0 if it reports none.
 	StartedUnixMilli int64
-	// Offset is the offset of the entry in its stream.
-	Offset uint64
+	// EntryPosition is the position of the entry in its stream.
+	EntryPosition feed.Position
 	// lapsedAt is when the entry lapsed, zero while it exists. An entry lapses when the
 	// store drops it because the server could not renew it while the store was
 	// unavailable.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/matryer/is"
 	"github.com/sebdah/goldie/v2"
+
+	"lycheecrank.example/feed"
 )
 
 // Guards against new work for a server that is draining, gone, in an evacuated data
@@ -26,11 +28,11 @@
 		fmt.Fprintf(&b, "%-46s %s\n", what, strings.Join(ids, " "))
 	}
 	server := func(id, address, dc string, offset uint64) Server {
-		return Server{ID: id, Pool: "models", Address: address, DataCentre: dc, Offset: offset}
+		return Server{ID: id, Pool: "models", Address: address, DataCentre: dc, EntryPosition: feed.Position{Offset: offset}}
 	}
 	c.Apply([]Change{{Server: server("s1", "10.0.0.1:1", "a", 1)}})
 	c.Apply([]Change{{Server: server("s2", "10.0.0.2:1", "b", 2)}})
-	c.Apply([]Change{{Server: Server{ID: "other", Pool: "plain", Address: "10.0.0.9:1", DataCentre: "a", Offset: 3}}})
+	c.Apply([]Change{{Server: Server{ID: "other", Pool: "plain", Address: "10.0.0.9:1", DataCentre: "a", EntryPosition: feed.Position{Offset: 3}}}})
 	show("two servers and one of another pool", at)
 	leaving := server("s1", "10.0.0.1:1", "a", 4)
 	leaving.IsDraining = true
@@ -42,7 +44,7 @@
 	show("data centre b is evacuated", at)
 	c.SetEvacuated("b", false)
 	show("data centre b is no longer evacuated", at)
-	c.Apply([]Change{{Server: Server{ID: "s3", Pool: "plain", Address: "10.0.0.2:1", DataCentre: "b", Offset: 6}}})
+	c.Apply([]Change{{Server: Server{ID: "s3", Pool: "plain", Address: "10.0.0.2:1", DataCentre: "b", EntryPosition: feed.Position{Offset: 6}}}})
 	show("another pool has the address of the second", at)
 	c.Apply([]Change{{Server: Server{ID: "s1"}, LapsedAt: at}})
 	show("the entry of the first lapsed", at.Add(lapseGracePeriod-time.Millisecond))
@@ -70,7 +72,7 @@
 	var changes []Change
 	for n := range count {
 		id := fmt.Sprint("s", n)
-		changes = append(changes, Change{Server: Server{ID: id, Pool: "models", Address: id + ":1", Offset: uint64(n)}})
+		changes = append(changes, Change{Server: Server{ID: id, Pool: "models", Address: id + ":1", EntryPosition: feed.Position{Offset: uint64(n)}}})
 	}
 	l := List{}.WithChanges(changes)
 	allocated := testing.Benchmark(func(b *testing.B) {
@@ -134,7 +136,7 @@
 			case "lapse":
 				c.Apply([]Change{{Server: Server{ID: "s1"}, LapsedAt: now}})
 			case "replace":
-				c.Apply([]Change{{Server: Server{ID: "s2", Pool: "models", Address: "10.0.0.1:1", Offset: 1}}, {Server: Server{ID: "s2"}, IsRemoved: true}})
+				c.Apply([]Change{{Server: Server{ID: "s2", Pool: "models", Address: "10.0.0.1:1", EntryPosition: feed.Position{Offset: 1}}}, {Server: Server{ID: "s2"}, IsRemoved: true}})
 			case "leave":
 				c.MarkLeaving(entry(1).Process(), now)
 			case "leaveUnnamed":
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -66,7 +66,7 @@
 			}
 		default:
 			for _, id := range byAddress[c.Server.Address] {
-				if other := next[id]; id != c.Server.ID && other.Address == c.Server.Address && other.Offset < c.Server.Offset {
+				if other := next[id]; id != c.Server.ID && other.Address == c.Server.Address && other.EntryPosition.Compare(c.Server.EntryPosition) < 0 {
 					delete(next, id)
 				}
 			}
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -27,7 +27,9 @@
 	streams map[string]*stream
 	changed chan struct{}
 	isDown  bool
-	calls   map[string]int
+	// era is named in all responses, unless it is 0.
+	era   int
+	calls map[string]int
 	// holds is set for the topics whose appends are held, in the order of arrival.
 	holds map[string]bool
 	held  []heldAppend
@@ -48,6 +50,10 @@
 	epochs map[string]int
 }
 
+func (t *stream) clone() *stream {
+	return &stream{records: slices.Clone(t.records), first: t.first, newest: maps.Clone(t.newest), epochs: maps.Clone(t.epochs)}
+}
+
 type newest struct {
 	value  []byte
 	offset uint64
@@ -55,7 +61,7 @@
 
 // NewStore starts a store on loopback.
 func NewStore() *Store {
-	s := &Store{streams: map[string]*stream{}, changed: make(chan struct{}), calls: map[string]int{}, holds: map[string]bool{}}
+	s := &Store{era: 1, streams: map[string]*stream{}, changed: make(chan struct{}), calls: map[string]int{}, holds: map[string]bool{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /log-append", s.append)
 	mux.HandleFunc("GET /log-read", s.read)
@@ -75,6 +81,48 @@
 	s.wake()
 }
 
+// Copy is a copy of all streams of a store.
+type Copy struct{ streams map[string]*stream }
+
+// Copy returns a copy of the store as it is.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := Copy{map[string]*stream{}}
+	for topic, t := range s.streams {
+		c.streams[topic] = t.clone()
+	}
+	return c
+}
+
+// Restore brings the store back from a copy, in the next era: what was written since the copy
+// was made is lost.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.streams = map[string]*stream{}
+	for topic, t := range c.streams {
+		s.streams[topic] = t.clone()
+	}
+	s.isDown = false
+	s.era++
+	s.wake()
+}
+
+// SetEra sets the era that the store names in its responses; 0 for none.
+func (s *Store) SetEra(era int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = era
+}
+
+// End returns the offset after the last record of a topic.
+func (s *Store) End(topic string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.stream(topic).records)
+}
+
 // Calls returns the number of calls by path.
 func (s *Store) Calls() map[string]int {
 	s.mu.Lock()
@@ -143,13 +191,16 @@
 	s.wake()
 }
 
-// guard counts calls and refuses them while the store is down.
+// guard counts calls, names the era of the store, and refuses calls while it is down.
 func (s *Store) guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		s.calls[r.URL.Path]++
-		isDown := s.isDown
+		isDown, era := s.isDown, s.era
 		s.mu.Unlock()
+		if era > 0 {
+			w.Header().Set("Store-Era", strconv.Itoa(era))
+		}
 		if isDown {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -249,7 +300,7 @@
 			records = slices.Clone(t.records[from:])
 		}
 		s.mu.Unlock()
-		if from < first {
+		if from < first || from > end {
 			w.WriteHeader(http.StatusGone)
 			return
 		}
