rollout: identify orders by the era of the store and the offset

What operators would see: after the store has come back from an older copy, an order for a rollout is ignored if its offset isn't above that of a lost one, or counts as the lost one, with its state. The same order, written again at a higher offset, starts a rollout that has ended once more.

Change: an order, its states and the evidence carry the era too. An equal order in a later era is the same order: its state and evidence move to the new position.

--- a/entry/rollout.go
+++ b/entry/rollout.go
@@ -185,7 +185,7 @@
 // advance applies a decision. A later phase takes effect only once the store has it.
 func (l *rolloutLeader) advance(ctx context.Context, d rolloutDecision, now time.Time) error {
 	current := l.instance.rollouts.Queries().State(d.next.Pool)
-	if current.Offset != d.input.State.Offset || current.Phase != d.input.State.Phase {
+	if current.Position() != d.input.State.Position() || current.Phase != d.input.State.Phase {
 		// The store had a decision of another leader.
 		return nil
 	}
@@ -263,7 +263,7 @@
 		// An instance that was there when the order was given measured the time itself, and
 		// needn't trust the clock of the machine.
 		if elapsed := now.Sub(time.UnixMilli(s.StartedUnixMilli)); now.Sub(i.startedAt) < startWindow {
-			i.rollouts.Commands().SetElapsed(s.Pool, s.Offset, min(elapsed, s.Duration()), now)
+			i.rollouts.Commands().SetElapsed(s.Pool, s.Position(), min(elapsed, s.Duration()), now)
 		}
 	}
 	if i.applyRolloutStates(states, now) {
@@ -277,7 +277,8 @@
 func (l *rolloutLeader) writeMissing(ctx context.Context) error {
 	for _, s := range l.instance.rollouts.Queries().States(true, time.Now()) {
 		stored := l.stored[s.Pool]
-		if stored.To == "" || s.Offset > stored.Offset || s.Offset == stored.Offset && s.Phase > stored.Phase {
+		order := s.Position().Compare(stored.Position())
+		if stored.To == "" || order > 0 || order == 0 && s.Phase > stored.Phase {
 			if err := l.writeState(ctx, s); err != nil {
 				return err
 			}
--- a/entry/versions.go
+++ b/entry/versions.go
@@ -27,7 +27,7 @@
 		i.triggerRollouts()
 		return
 	}
-	order, err := platform.DecodeRollout(record.Key, record.Value, record.Offset)
+	order, err := platform.DecodeRollout(record.Key, record.Value, record.Position())
 	if err != nil {
 		i.Logger.Write(event.LogRecordUnreadable, platform.OperatorStream, record.Offset, err)
 		return
@@ -129,7 +129,7 @@
 	}
 	isChanged := false
 	for _, s := range i.rollouts.Commands().Merge(states, now) {
-		if old := before[s.Pool]; old.Offset != s.Offset || old.Phase != s.Phase {
+		if old := before[s.Pool]; old.Position() != s.Position() || old.Phase != s.Phase {
 			isChanged = true
 			i.rolloutCounts.Add(s.Phase.String())
 			i.Logger.Write(event.RolloutChanged, s.Pool, s.To, s.Offset, s.Phase.String(), s.Reason)
--- a/rollout/commands.go
+++ b/rollout/commands.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"lycheecrank.example/feed"
 )
 
 // Commands changes a table. Concurrent calls are safe. Those about single requests do
@@ -44,7 +46,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.pool(order.Pool)
-	if p.hasOrder && order.Offset <= p.order.Offset {
+	if p.hasOrder && order.Position().Compare(p.order.Position()) <= 0 {
+		return
+	}
+	if p.hasOrder && order.isSameAs(p.order) {
+		t.renew(p, order, now)
 		return
 	}
 	p.order, p.hasOrder, p.isWithdrawn, p.knownAt, p.steppedAt = order, true, false, now, now
@@ -52,6 +58,32 @@
 	t.refresh(order.Pool, p, now)
 }
 
+// renew records that the order of a pool was written again. It stays the same order: what was
+// decided and seen since it was given counts for its new position. The caller holds the lock.
+func (t *Table) renew(p pool, order Order, now time.Time) {
+	name := order.Pool
+	before, after := p.order.Position(), order.Position()
+	if p.state.Position() == before {
+		p.state = p.state.WithPosition(after)
+	}
+	if t.ownPosition[name] == before {
+		t.ownPosition[name] = after
+	}
+	for source, e := range t.evidence[name] {
+		if e.position() == before {
+			e.Era, e.Offset = after.Era, after.Offset
+			t.evidence[name][source] = e
+		}
+	}
+	for n, m := range t.marks[name] {
+		if m.order == before {
+			t.marks[name][n].order = after
+		}
+	}
+	p.order, p.isWithdrawn = order, false
+	t.refresh(name, p, now)
+}
+
 // WithdrawOrder records that the order of a pool was removed.
 func (c Commands) WithdrawOrder(name string, now time.Time) {
 	t := c.table
@@ -75,7 +107,7 @@
 	var changed []State
 	for _, s := range states {
 		p := t.pool(s.Pool)
-		if s.ElapsedMs > 0 && p.hasOrder && p.order.Offset == s.Offset {
+		if s.ElapsedMs > 0 && p.hasOrder && p.order.Position() == s.Position() {
 			// An instance that joined late learned of the order later than others.
 			if at := now.Add(-time.Duration(s.ElapsedMs) * time.Millisecond); at.Before(p.knownAt) {
 				p.knownAt = at
@@ -95,11 +127,11 @@
 
 // SetElapsed corrects the time of an order that this instance learned late: at least so
 // much time has passed since.
-func (c Commands) SetElapsed(name string, offset uint64, elapsed time.Duration, now time.Time) {
+func (c Commands) SetElapsed(name string, order feed.Position, elapsed time.Duration, now time.Time) {
 	t := c.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if p := t.pool(name); p.hasOrder && p.order.Offset == offset && now.Sub(p.knownAt) < elapsed {
+	if p := t.pool(name); p.hasOrder && p.order.Position() == order && now.Sub(p.knownAt) < elapsed {
 		p.knownAt = now.Add(-elapsed)
 		t.setPool(name, p)
 	}
@@ -165,8 +197,8 @@
 	if !p.isInProgress() || !p.isCurrent() {
 		return false
 	}
-	if t.ownOffset[response.Pool] != p.order.Offset || t.own[response.Pool] == nil {
-		t.own[response.Pool], t.ownOffset[response.Pool] = map[rowKey]Row{}, p.order.Offset
+	if t.ownPosition[response.Pool] != p.order.Position() || t.own[response.Pool] == nil {
+		t.own[response.Pool], t.ownPosition[response.Pool] = map[rowKey]Row{}, p.order.Position()
 	}
 	if response.Version == "" {
 		response.Version = p.versions[response.Server]
@@ -199,8 +231,9 @@
 		}
 		old := bySource[e.Source]
 		// Messages may arrive out of order; counts only grow.
-		if e.Offset > old.Offset || e.Offset == old.Offset && e.count() > old.count() {
-			hasNewBad = hasNewBad || e.bad() > 0 && (e.Offset != old.Offset || e.bad() > old.bad())
+		order := e.position().Compare(old.position())
+		if order > 0 || order == 0 && e.count() > old.count() {
+			hasNewBad = hasNewBad || e.bad() > 0 && (order != 0 || e.bad() > old.bad())
 			bySource[e.Source] = e
 		}
 	}
@@ -242,7 +275,7 @@
 		return State{}, Input{}, false
 	}
 	totals := t.totals(name, p, isRoute)
-	marks := slices.DeleteFunc(t.marks[name], func(m mark) bool { return m.offset != p.order.Offset })
+	marks := slices.DeleteFunc(t.marks[name], func(m mark) bool { return m.order != p.order.Position() })
 	input := Input{
 		State: p.state, Elapsed: now.Sub(p.knownAt), IsWithdrawn: p.isWithdrawn, Listed: p.listed,
 		Totals: totals, SinceStep: now.Sub(p.steppedAt),
@@ -253,7 +286,7 @@
 		}
 	}
 	if len(marks) == 0 || now.Sub(marks[len(marks)-1].at) >= markInterval {
-		marks = append(marks, mark{at: now, offset: p.order.Offset, totals: totals})
+		marks = append(marks, mark{at: now, order: p.order.Position(), totals: totals})
 		marks = marks[max(0, len(marks)-windowMarks):]
 	}
 	t.marks[name] = marks
@@ -266,7 +299,7 @@
 func (t *Table) totals(name string, p pool, isRoute func(string) bool) Totals {
 	var sources []Evidence
 	for source, e := range t.evidence[name] {
-		if e.Offset == p.order.Offset && source != t.source {
+		if e.position() == p.order.Position() && source != t.source {
 			sources = append(sources, e)
 		}
 	}
@@ -279,9 +312,9 @@
 // ownEvidence returns the evidence of this process for the order of a pool. The caller
 // holds the lock.
 func (t *Table) ownEvidence(name string, p pool) (Evidence, bool) {
-	if t.ownOffset[name] != p.order.Offset || len(t.own[name]) == 0 {
+	if t.ownPosition[name] != p.order.Position() || len(t.own[name]) == 0 {
 		return Evidence{}, false
 	}
 	rows := slices.Collect(maps.Values(t.own[name]))
-	return Evidence{Pool: name, Offset: p.order.Offset, Source: t.source, Rows: rows}, true
+	return Evidence{Pool: name, Era: p.order.Era, Offset: p.order.Offset, Source: t.source, Rows: rows}, true
 }
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -6,6 +6,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"lycheecrank.example/feed"
 )
 
 // Response is the response of a server to a request, or its lack.
@@ -146,13 +148,17 @@
 // Evidence is what one instance has seen of a rollout since its order. It is an immutable
 // value, which instances send each other.
 type Evidence struct {
-	Pool   string `msgpack:"pool"`
+	Pool string `msgpack:"pool"`
+	// Era and Offset are the position of the order.
+	Era    uint64 `msgpack:"era,omitempty"`
 	Offset uint64 `msgpack:"offset"`
 	// Source names the process of the instance.
 	Source string `msgpack:"source"`
 	Rows   []Row  `msgpack:"rows"`
 }
 
+func (e Evidence) position() feed.Position { return feed.Position{Era: e.Era, Offset: e.Offset} }
+
 func (e Evidence) count() int64 {
 	total := int64(0)
 	for _, r := range e.Rows {
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -11,6 +11,8 @@
 import (
 	"slices"
 	"time"
+
+	"lycheecrank.example/feed"
 )
 
 // Bounds are the limits that operators set for rollouts. With the zero value, no rollouts
@@ -36,11 +38,21 @@
 	Pool     string
 	To       string
 	Duration time.Duration
-	// Offset is the offset of the record in the operators' stream. It identifies the
-	// order.
+	// Era and Offset are the position of the record in the operators' stream. It identifies
+	// the order.
+	Era    uint64
 	Offset uint64
 }
 
+// Position returns the position of the order.
+func (o Order) Position() feed.Position { return feed.Position{Era: o.Era, Offset: o.Offset} }
+
+// isSameAs reports whether the order is another one that the operator has written again, as
+// the store had lost it or has come back with an older record of it.
+func (o Order) isSameAs(earlier Order) bool {
+	return o.Era > earlier.Era && o.To == earlier.To && o.Duration == earlier.Duration
+}
+
 // Phase is the phase of a rollout. Phases only move forward.
 type Phase int
 
@@ -77,7 +89,8 @@
 // other and the leader keeps in the store.
 type State struct {
 	Pool string `msgpack:"pool"`
-	// Offset is the offset of the order.
+	// Era and Offset are the position of the order.
+	Era    uint64 `msgpack:"era,omitempty"`
 	Offset uint64 `msgpack:"offset"`
 	To     string `msgpack:"to"`
 	// From is the version that the pool had before the order, empty if that isn't known.
@@ -97,14 +110,24 @@
 	Rejected []string `msgpack:"rejected,omitempty"`
 }
 
+// Position returns the position of the order.
+func (s State) Position() feed.Position { return feed.Position{Era: s.Era, Offset: s.Offset} }
+
+// WithPosition returns the state with another position of the order, which the operator has
+// written again.
+func (s State) WithPosition(at feed.Position) State {
+	s.Era, s.Offset = at.Era, at.Offset
+	return s
+}
+
 // Duration returns the duration of the order.
 func (s State) Duration() time.Duration { return time.Duration(s.DurationMs) * time.Millisecond }
 
 // isNewer reports whether the state replaces another one of its pool.
 func (s State) isNewer(other State) bool {
 	switch {
-	case s.Offset != other.Offset:
-		return s.Offset > other.Offset
+	case s.Position() != other.Position():
+		return s.Position().Compare(other.Position()) > 0
 	case s.Phase != other.Phase:
 		return s.Phase > other.Phase
 	case s.Step != other.Step:
@@ -136,7 +159,7 @@
 // has a current version.
 func start(order Order, earlier State, current string, now time.Time) State {
 	state := State{
-		Pool: order.Pool, Offset: order.Offset, To: order.To, From: current, Phase: Running, DurationMs: order.Duration.Milliseconds(),
+		Pool: order.Pool, Era: order.Era, Offset: order.Offset, To: order.To, From: current, Phase: Running, DurationMs: order.Duration.Milliseconds(),
 		StartedUnixMilli: now.UnixMilli(), Reason: "ordered",
 	}
 	rejected := slices.Clone(earlier.Rejected)
--- a/rollout/table.go
+++ b/rollout/table.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"lycheecrank.example/feed"
 	"lycheecrank.example/lock"
 )
 
@@ -23,9 +24,9 @@
 	servers map[string][]Server
 	// evidence holds the evidence for the current order of each pool, by pool and source.
 	evidence map[string]map[string]Evidence
-	// own holds the rows of this process by pool, for the order with ownOffset.
-	own       map[string]map[rowKey]Row
-	ownOffset map[string]uint64
+	// own holds the rows of this process by pool, for the order at ownPosition.
+	own         map[string]map[rowKey]Row
+	ownPosition map[string]feed.Position
 	// marks holds earlier totals by pool, for windows.
 	marks map[string][]mark
 	// confirmedAt is the time for which the phases are confirmed.
@@ -36,7 +37,7 @@
 // mark holds the totals of one time.
 type mark struct {
 	at     time.Time
-	offset uint64
+	order  feed.Position
 	totals Totals
 }
 
@@ -46,7 +47,7 @@
 		bounds: bounds, source: source, mu: lock.New(lock.RankRollout, "rollout"),
 		OnBad:   func() {},
 		servers: map[string][]Server{}, evidence: map[string]map[string]Evidence{},
-		own: map[string]map[rowKey]Row{}, ownOffset: map[string]uint64{}, marks: map[string][]mark{},
+		own: map[string]map[rowKey]Row{}, ownPosition: map[string]feed.Position{}, marks: map[string][]mark{},
 	}
 	t.pools.Store(&map[string]pool{})
 	t.confirmed.Store(&time.Time{})
