Write again what the instances had in the store before its return

What operators would see: after the store has come back from an older copy, a quarantine is missing that was written last, so that its prompts crash engines again after a stop of all instances, or one is there that has ended; and the end of a chain of decision records is missing until the chain grows, so that records that are missing at its end go unnoticed.

Cause: both were written once and counted as stored for good. Change: the leader reads the quarantines again in each later era and writes those that differ; an anchor is written again if the era of the store has risen since. The era that other instances have told of counts too, also for the registration of a candidate. Measured: TestAnchorIsWrittenAgainAfterReturn and TestQuarantineIsWrittenAgainAfterReturn fail on the code before; with the tests of late writes, quarantines and decisions they pass.

--- a/entry/decisions.go
+++ b/entry/decisions.go
@@ -47,8 +47,14 @@
 	// those of earlier writes.
 	putAnchor func(ctx context.Context, key string, value []byte, epoch uint64) error
 
+	// storeEra returns the era of the store.
+	storeEra func() uint64
+
 	anchor     precedence.Anchor
 	isAnchored bool
+	// anchoredEra is the era of the store at the last write of the anchor. A later era may
+	// lack it.
+	anchoredEra uint64
 	// epoch is that of the last write of the anchor.
 	epoch uint64
 }
@@ -69,6 +75,7 @@
 		putAnchor: func(ctx context.Context, key string, value []byte, epoch uint64) error {
 			return instance.store.PutFenced(ctx, platform.DecisionStream, key, value, epoch)
 		},
+		storeEra:   instance.storeEra,
 		isAnchored: true,
 	}
 }
@@ -108,10 +115,11 @@
 	}
 }
 
-// writeAnchor writes the anchor to the store if the end of the chain has moved. A
-// failed write is repeated in a later interval.
+// writeAnchor writes the anchor to the store if the end of the chain has moved, or the store
+// may have lost the anchor. A failed write is repeated in a later interval.
 func (d *decisions) writeAnchor(ctx context.Context, limit time.Duration) {
-	if d.isAnchored {
+	era := d.storeEra()
+	if d.isAnchored && (era == d.anchoredEra || d.anchor.LastSequence == 0) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
@@ -125,7 +133,7 @@
 		d.logger.Write(event.LogUnavailable, platform.DecisionStream, err)
 		return
 	}
-	d.isAnchored = true
+	d.isAnchored, d.anchoredEra = true, era
 }
 
 // recordAdmission records that a request was admitted in a class.
--- a/entry/era.go
+++ b/entry/era.go
@@ -40,6 +40,12 @@
 	i.Logger.Write(event.CopyEraChanged, stream, after.Era, after.End, before.Era, before.End, after.KeptCount())
 }
 
+// storeEra returns the latest era of the store that this instance knows, from the store itself
+// or from other instances.
+func (i *Instance) storeEra() uint64 {
+	return max(i.store.Era(), i.feeds.Queries().State(platform.OperatorStream).Era)
+}
+
 // requestAllRecords makes this instance ask another one for all that it knows.
 func (i *Instance) requestAllRecords() {
 	i.allRecordsUntil.Store(i.instant(time.Now().Add(settlingTime)))
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -88,16 +89,20 @@
 	}
 	i.logQuarantine(changed)
 	for _, e := range changed {
-		select {
-		case i.quarantineWrites <- e.Key():
-		default:
-			i.coordinationCounts.Add("quarantineWriteDropped")
-		}
+		i.queueQuarantineWrite(e)
 	}
 	i.isPushPending.Store(true)
 	i.triggerHeartbeats()
 }
 
+func (i *Instance) queueQuarantineWrite(e quarantine.Entry) {
+	select {
+	case i.quarantineWrites <- e.Key():
+	default:
+		i.coordinationCounts.Add("quarantineWriteDropped")
+	}
+}
+
 func (i *Instance) logQuarantine(changed []quarantine.Entry) {
 	for _, e := range changed {
 		if !e.IsQuarantined() {
@@ -221,10 +226,15 @@
 	return err
 }
 
-// runQuarantineReads reads the entries from the store once, when this instance is the
-// leader: all other instances learn them from it.
+// runQuarantineReads reads the entries from the store when this instance is the leader, and
+// again in each later era of the store: all other instances learn them from it.
 func (i *Instance) runQuarantineReads(ctx context.Context) error {
+	hasRead, readEra := false, uint64(0)
 	for pause(ctx, quarantineRetryDelay) {
+		era := i.storeEra()
+		if hasRead && era == readEra {
+			continue
+		}
 		if now := time.Now(); i.isStarting(now) || i.candidateIndex(now) != 0 {
 			continue
 		}
@@ -232,11 +242,13 @@
 			i.Logger.Write(event.LogUnavailable, platform.QuarantineStream, err)
 			continue
 		}
-		return nil
+		hasRead, readEra = true, era
 	}
 	return nil
 }
 
+// readQuarantine reads the entries from the store, and has those written that differ from
+// what this instance knows: the store may have come back from an older copy.
 func (i *Instance) readQuarantine(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, quarantineTimeout)
 	defer cancel()
@@ -254,5 +266,11 @@
 		update.Entries = append(update.Entries, e)
 	}
 	i.mergeQuarantine(update, time.Now())
+	for _, e := range i.quarantine.Queries().Entries() {
+		isStored := slices.ContainsFunc(update.Entries, func(stored quarantine.Entry) bool { return stored.Key() == e.Key() })
+		if isStored != e.IsQuarantined() {
+			i.queueQuarantineWrite(e)
+		}
+	}
 	return nil
 }
--- a/entry/registration.go
+++ b/entry/registration.go
@@ -39,7 +39,7 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		if !i.isRegistered() && i.isCandidate(now) {
-			era := i.store.Era()
+			era := i.storeEra()
 			if i.register(ctx) == nil {
 				i.registeredEra.Store(int64(era))
 			}
@@ -58,7 +58,7 @@
 // isRegistered reports whether the store has an entry of this instance. An entry that was
 // written in an earlier era may be lost.
 func (i *Instance) isRegistered() bool {
-	return i.registeredEra.Load() >= int64(i.feeds.Queries().State(platform.OperatorStream).Era)
+	return i.registeredEra.Load() >= int64(i.storeEra())
 }
 
 // isCandidate reports whether this instance is a candidate for leader of the site or for
--- a/rollout/view.go
+++ b/rollout/view.go
@@ -69,7 +69,9 @@
 // isOutdated reports whether there is a state of a newer order than the known one. The record
 // of the newer order is still on its way, and the outcome of the known one isn't known any
 // more, except that it is among the rejected versions if it hasn't succeeded.
-func (p pool) isOutdated() bool { return p.hasOrder && p.state.Position().Compare(p.order.Position()) > 0 }
+func (p pool) isOutdated() bool {
+	return p.hasOrder && p.state.Position().Compare(p.order.Position()) > 0
+}
 
 // phase returns the phase of the order.
 func (p pool) phase() Phase {
