soak: returns of the store from older copies

Change: in runs with faults the store is taken away and comes back from a copy that is up to 5 s old, up to three times, overlapping with the other faults; the operator and the workers write again within a second. Entries of workers count their writes.

--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -19,13 +19,17 @@
 
 // play plays random faults until the time is over, or planned work only; each one ends by
 // itself. Faults overlap, but an instance has one fault of its process at a time.
-func (s *soakSite) play(ctx context.Context, r *rand.Rand, length time.Duration, isPlanned bool) {
+func (s *soakSite) play(ctx context.Context, r, returns *rand.Rand, length time.Duration, isPlanned bool) {
+	var group errgroup.Group
+	defer func() { _ = group.Wait() }()
 	faults := []func(context.Context, *rand.Rand, *instance, time.Duration) error{s.roll, s.sendSignals, s.changeKeys}
 	if !isPlanned {
 		faults = append(faults, s.disturbLink, s.disturbLink, s.disturbLink, s.disturbLink, s.disturbProcess,
 			s.disturbProcess, s.disturbProcess, s.disturbWorker, s.disturbWorker, s.disturbStore)
 	}
-	var group errgroup.Group
+	if !isPlanned {
+		group.Go(func() error { return s.returnStore(ctx, returns, length) })
+	}
 	for range int(length.Seconds() * faultCount) {
 		pause(ctx, time.Duration(r.Int64N(int64(2*time.Second/faultCount))))
 		lasts := 200*time.Millisecond + time.Duration(r.Int64N(int64(2500*time.Millisecond)))
@@ -33,7 +37,6 @@
 		own := rand.New(rand.NewPCG(r.Uint64(), 0))
 		group.Go(func() error { return play(ctx, own, i, lasts) })
 	}
-	_ = group.Wait()
 }
 
 // disturbLink cuts, silences, delays or resets a link.
@@ -206,6 +209,29 @@
 	return nil
 }
 
+// maxReturns is the largest number of returns of the store in a run.
+const maxReturns = 3
+
+// returnStore takes the store away and brings it back from a copy that is up to some seconds
+// old, once or several times. The operator and the workers then write again what they wrote.
+func (s *soakSite) returnStore(ctx context.Context, r *rand.Rand, length time.Duration) error {
+	count := r.IntN(maxReturns + 1)
+	upTo := func(d time.Duration) time.Duration { return time.Duration(r.Int64N(int64(d))) }
+	for range count {
+		pause(ctx, upTo(length/2))
+		older := s.store.Copy()
+		age := upTo(5 * time.Second)
+		pause(ctx, age)
+		s.store.SetDown(true)
+		pause(ctx, upTo(time.Second))
+		s.store.Restore(older)
+		s.note("the store is back from a copy that was %v old", age)
+		pause(ctx, upTo(time.Second))
+		s.writeAgain()
+	}
+	return nil
+}
+
 // disturbStore takes the store away or drops its history.
 func (s *soakSite) disturbStore(ctx context.Context, r *rand.Rand, _ *instance, lasts time.Duration) error {
 	if r.IntN(2) == 0 {
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -43,8 +45,12 @@
 	key     string
 	// orderTimeout is the timeout of orders.
 	orderTimeout time.Duration
-	// starts counts the starts of each worker.
-	starts map[string]int
+	// starts counts the starts of each worker, sequence the writes of entries. entries and
+	// configuration hold what was written last.
+	starts        map[string]int
+	sequence      int
+	entries       map[string]map[string]any
+	configuration map[string]any
 	// faults tells what was done and when, for the report.
 	faults []string
 	began  time.Time
@@ -53,7 +59,7 @@
 }
 
 func newSoakSite(ctx context.Context, t *testing.T, instances int, l load) *soakSite {
-	s := &soakSite{t: t, load: l, store: site.NewStore(), workers: map[string]*site.Worker{}, links: map[string]*link.Link{}, starts: map[string]int{}, began: time.Now(), key: "key-0", orderTimeout: 2 * time.Second}
+	s := &soakSite{t: t, load: l, store: site.NewStore(), workers: map[string]*site.Worker{}, links: map[string]*link.Link{}, starts: map[string]int{}, entries: map[string]map[string]any{}, began: time.Now(), key: "key-0", orderTimeout: 2 * time.Second}
 	t.Cleanup(s.close)
 	for _, pool := range pools {
 		for n := range 2 {
@@ -88,14 +94,32 @@
 // list writes the entry of a worker. Each time that it is ready, it is a new process.
 func (s *soakSite) list(pool, id, state string) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	if state == "ready" {
 		s.starts[id]++
 	}
-	born := s.starts[id]
-	s.mu.Unlock()
-	s.store.PutJSON(platform.ServerStream, id, map[string]any{
-		"service": pool, "address": s.links[id].Address(), "zone": "a", "version": "v1", "slots": s.load.slots, "state": state, "coldRemainingMs": 0, "sequence": 1, "born": born,
-	})
+	s.entries[id] = map[string]any{
+		"service": pool, "address": s.links[id].Address(), "zone": "a", "version": "v1", "slots": s.load.slots, "state": state, "coldRemainingMs": 0, "born": s.starts[id],
+	}
+	s.writeEntry(id)
+}
+
+// writeEntry writes the entry of a worker with the next sequence number. The caller holds the
+// lock.
+func (s *soakSite) writeEntry(id string) {
+	s.sequence++
+	s.entries[id]["sequence"] = s.sequence
+	s.store.PutJSON(platform.ServerStream, id, s.entries[id])
+}
+
+// writeAgain writes what the operator and the workers wrote last.
+func (s *soakSite) writeAgain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.store.PutJSON(platform.OperatorStream, platform.ConfigurationKey, s.configuration)
+	for _, id := range slices.Sorted(maps.Keys(s.entries)) {
+		s.writeEntry(id)
+	}
 }
 
 func (s *soakSite) newLink(ctx context.Context, target string) *link.Link {
@@ -138,7 +162,7 @@
 	s.version++
 	s.key = key
 	pieces := map[string]any{"slots": 2, "batch": 8, "callMs": 10, "itemMs": 1, "headroomMb": 1, "handleS": 5}
-	s.store.PutJSON(platform.OperatorStream, platform.ConfigurationKey, map[string]any{
+	s.configuration = map[string]any{
 		"version": s.version,
 		"routes": []map[string]any{
 			{"name": "order", "host": "shop.example", "pathPrefix": "/order/", "kind": "unsafe", "service": "registry", "maxAttempts": 1, "timeoutMs": s.orderTimeout.Milliseconds()},
@@ -156,7 +180,8 @@
 			{"name": "encode", "pieces": pieces},
 			{"name": "rerank", "pieces": pieces},
 		},
-	})
+	}
+	s.store.PutJSON(platform.OperatorStream, platform.ConfigurationKey, s.configuration)
 }
 
 // note writes a fault down for the report.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -123,7 +124,9 @@
 			return nil
 		})
 	}
-	s.play(ctx, r, *length, isPlanned)
+	// The returns of the store have a source of their own, so that the kept seeds play the
+	// faults that failed.
+	s.play(ctx, r, rand.New(rand.NewPCG(seed, math.MaxUint64)), *length, isPlanned)
 	s.heal()
 	if isPlanned {
 		end()
