feed: keep a lost evacuation beside an older removal in the log

What callers would see: an evacuation that the store has lost ends at once if the data centre had been evacuated and taken back before, so that requests go to servers there. Cause: the removals that a reader looks for in the log of a new era include those from before the copy. Change: a removal counts only if its offset isn't below that of the lost record; before that it may be from the copy. Also: a read that another instance's records of a later era overtake isn't a failure, and the counters show the era. Measured: the new lines of TestStoreReturn ('an evacuation is lost, after an earlier one was taken back') failed before.

--- a/entry/era_test.go
+++ b/entry/era_test.go
@@ -227,6 +227,20 @@
 		p.evacuate(false)
 		p.step("back")
 	}},
+	{"an evacuation is lost, after an earlier one was taken back", func(p *returnPlay) {
+		p.configure(3)
+		p.announce("1", "ready", 1)
+		p.evacuate(true)
+		p.evacuate(false)
+		p.save()
+		p.evacuate(true)
+		p.step("evacuated")
+		p.restore()
+		p.step("back")
+		p.evacuate(true)
+		p.evacuate(false)
+		p.step("taken back")
+	}},
 	{"the end of an evacuation is lost", func(p *returnPlay) {
 		p.configure(3)
 		p.announce("1", "ready", 1)
--- a/entry/feeds.go
+++ b/entry/feeds.go
@@ -186,12 +186,13 @@
 	if len(records) > 0 && end.Offset < state.End {
 		at = time.Time{} // the response holds only a part of the overlap
 	}
-	if !i.addRead(stream, feed.Batch{Era: end.Era, From: from.Offset, End: end.Offset, Records: records}, at) {
-		// Another instance has sent records of a later era meanwhile.
-		return false, platform.ErrEra
+	// The copy doesn't take the records if another instance has sent some of a later era
+	// meanwhile.
+	isApplied := i.addRead(stream, feed.Batch{Era: end.Era, From: from.Offset, End: end.Offset, Records: records}, at)
+	if isApplied {
+		i.pushOperatorRecords(stream, records)
 	}
-	i.pushOperatorRecords(stream, records)
-	return true, nil
+	return isApplied, nil
 }
 
 // readSnapshot reads the newest record of each key.
@@ -213,7 +214,7 @@
 	})
 	i.Logger.Write(event.SnapshotRead, stream, end.Era, end.Offset, before.Era, before.End, len(records), changed)
 	if !isApplied {
-		return platform.ErrEra
+		return nil // the copy is of a later era already
 	}
 	if end.Era > before.Era {
 		i.requestAllRecords()
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -38,21 +38,23 @@
 // instanceStatus is the state of the instance, and that of the configuration, the
 // servers and the other instances according to it.
 type instanceStatus struct {
-	ConfigurationVersion int64                   `json:"configurationVersion"`
-	ConfigurationAgeMs   int64                   `json:"configurationAgeMs"`
-	ServersAgeMs         int64                   `json:"serversAgeMs"`
-	Cells                []string                `json:"cells"`
-	Cell                 string                  `json:"cell"`
-	Leader               string                  `json:"leader"`
-	Coordinator          string                  `json:"coordinator"`
-	IsCoordinator        bool                    `json:"isCoordinator"`
-	IsReady              bool                    `json:"isReady"`
-	IsLeaving            bool                    `json:"isLeaving"`
-	KnownInstances       int                     `json:"knownInstances"`
-	ReachableInstances   int                     `json:"reachableInstances"`
-	Servers              map[string]fleet.States `json:"servers"`
-	Queues               []queueStatus           `json:"queues"`
-	Engines              []engineStatus          `json:"engines"`
+	ConfigurationVersion int64 `json:"configurationVersion"`
+	ConfigurationAgeMs   int64 `json:"configurationAgeMs"`
+	ServersAgeMs         int64 `json:"serversAgeMs"`
+	// StoreEra is the latest era of the store that the instance knows, 0 if it names none.
+	StoreEra           uint64                  `json:"storeEra"`
+	Cells              []string                `json:"cells"`
+	Cell               string                  `json:"cell"`
+	Leader             string                  `json:"leader"`
+	Coordinator        string                  `json:"coordinator"`
+	IsCoordinator      bool                    `json:"isCoordinator"`
+	IsReady            bool                    `json:"isReady"`
+	IsLeaving          bool                    `json:"isLeaving"`
+	KnownInstances     int                     `json:"knownInstances"`
+	ReachableInstances int                     `json:"reachableInstances"`
+	Servers            map[string]fleet.States `json:"servers"`
+	Queues             []queueStatus           `json:"queues"`
+	Engines            []engineStatus          `json:"engines"`
 	// InPreparation is the number of requests that this instance prepares, InFlight the
 	// number of client attempts in progress.
 	InPreparation int   `json:"inPreparation"`
@@ -122,6 +124,7 @@
 	status := instanceStatus{
 		ConfigurationVersion: int64(i.routes.Queries().Current().Version),
 		ConfigurationAgeMs:   i.routes.Queries().Age(now).Milliseconds(),
+		StoreEra:             i.storeEra(),
 		Cells:                i.division.Load().layout.Cells(),
 		Cell:                 i.ownCell(),
 		Leader:               view.Coordinator(membership.Scope{}, now).Name,
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -181,10 +181,11 @@
 
 // WithSnapshot returns the state with a snapshot: the newest record of each key before
 // the offset end. A key of the state that is not in the snapshot was removed by a record
-// that the stream no longer holds.
+// that the stream no longer holds, unless the state has it from an earlier era. The records
+// may include removals.
 func (s State) WithSnapshot(records []Record, end uint64) (State, []Record) {
 	present := make(map[string]bool, len(records))
-	records = slices.Clone(records)
+	records = slices.DeleteFunc(slices.Clone(records), s.mayPrecede)
 	for n, r := range records {
 		present[r.Key] = true
 		if r.Offset >= s.End {
