quarantine: attribute crashes before the head and after the first event

Each crash ends all other streams of the engine.

Cause: only a break between the head and the first event counted as a crash, and the first event counted as a success, which cleared the part. Change: a break before the head or within a second of the first event counts if the engine refuses connections afterwards (one check for each process); an answer is a success once it has ended or gone on for a second. A new coordinator doesn't take broken answers for successes. Why it works: a refused connection tells the end of a process from a broken network, and what crashes an engine when it begins to write never goes on for a second.

TestCrashingPromptsAre- Quarantined fails before in the rows 'before the head' and 'after the first event'. 'Eight at a time' stays: crashes at the same moment still count as one.

--- a/delivery/router.go
+++ b/delivery/router.go
@@ -58,8 +58,10 @@
 	// one (see package quarantine).
 	Verdict func(prompt engine.Prompt) (quarantine.Verdict, bool)
 	// OnCrash is called when an engine breaks off an answer that has just begun: the head
-	// has arrived and no event.
+	// has arrived and no event. OnBreak is called when one breaks off before the head or
+	// shortly after the first event, which is a crash only if the engine has ended.
 	OnCrash func(server fleet.Server, id string, prompt engine.Prompt)
+	OnBreak func(server fleet.Server, id string, prompt engine.Prompt)
 	// StopSchedule returns the schedule of the shutdown of this instance, the zero value
 	// while it isn't shutting down.
 	StopSchedule func() drain.Schedule
--- a/delivery/router_test.go
+++ b/delivery/router_test.go
@@ -101,6 +101,9 @@
 		OnCrash: func(server fleet.Server, _ string, _ engine.Prompt) {
 			r.notifications = append(r.notifications, "crashed "+server.ID)
 		},
+		OnBreak: func(server fleet.Server, _ string, _ engine.Prompt) {
+			r.notifications = append(r.notifications, "broke off "+server.ID)
+		},
 		OnLeaving: func(fleet.Process) {}, OnPause: func(fleet.Process, time.Duration) {},
 		OnAdmission: func(Admission) {},
 		Abandon:     func(string, int) { r.notifications = append(r.notifications, "abandoned") },
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -12,6 +12,7 @@
 	"lycheecrank.example/event"
 	"lycheecrank.example/fleet"
 	"lycheecrank.example/preparation"
+	"lycheecrank.example/quarantine"
 	"lycheecrank.example/request"
 	"lycheecrank.example/route"
 )
@@ -28,8 +29,10 @@
 	isCutOff bool
 	// answeredAt is when the head of the answer arrived, zero before.
 	answeredAt time.Time
-	// events is the number of complete events that the engine has sent.
-	events int64
+	// events is the number of complete events that the engine has sent, the first one at
+	// firstEventAt.
+	events       int64
+	firstEventAt time.Time
 	// typicalFirstEvent is the time to the first event at an idle engine of usual speed.
 	typicalFirstEvent time.Duration
 }
@@ -38,6 +41,12 @@
 // it had sent no event yet.
 func (r *run) hasJustBegun() bool { return r.isCutOff && !r.answeredAt.IsZero() && r.events == 0 }
 
+// mayHaveCrashed reports whether the prompt may have crashed the engine that broke off the
+// answer at a time.
+func (r *run) mayHaveCrashed(at time.Time) bool {
+	return r.firstEventAt.IsZero() || at.Sub(r.firstEventAt) < quarantine.SettleTime
+}
+
 // servePrepared serves an attempt whose request is prepared before it is sent: its pool
 // has engines, or its route has stages. The route may be of any kind.
 func (r *Router) servePrepared(ctx context.Context, routed routedAttempt) Result {
@@ -249,8 +258,12 @@
 		s.logBroken(broken, err)
 		s.router.recordBroken(s.routed, broken, errors.Is(err, errSilent))
 		isReplaced := s.router.Rollouts.Queries().IsReplaced(s.routed.pool.Name, broken.server.Version)
-		if broken.hasJustBegun() && !errors.Is(err, errSilent) && !isReplaced {
+		switch {
+		case errors.Is(err, errSilent) || isReplaced:
+		case broken.hasJustBegun():
 			s.router.OnCrash(broken.server, s.routed.attempt.ID, s.routed.attempt.Prompt)
+		case broken.mayHaveCrashed(time.Now()):
+			s.router.OnBreak(broken.server, s.routed.attempt.ID, s.routed.attempt.Prompt)
 		}
 	}
 	reason := "streamBroken"
@@ -315,7 +328,7 @@
 			current.events += events.lastEvent - s.lastEvent
 		}
 		if !hasEvent {
-			hasEvent = true
+			hasEvent, current.firstEventAt = true, time.Now()
 			router.recordRun(routed, current, false)
 			router.OnFirstEvent(routed.pool.Name, server, routed.attempt.ID, s.task.Try, time.Since(current.sentAt))
 		}
--- a/entry/era_test.go
+++ b/entry/era_test.go
@@ -450,7 +450,7 @@
 	ended := quarantined("sound")
 	older := p.store.Copy()
 	lost := quarantined(crashPart)
-	i.recordSuccess(prompt("sound"))
+	i.announceQuarantine(i.quarantine.Commands().RecordSuccess(prompt("sound").SharedParts(), time.Now()))
 	<-i.quarantineWrites
 	is.NoErr(i.writeQuarantine(t.Context(), ended))
 	is.True(isStored(lost) && !isStored(ended))
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -109,7 +109,8 @@
 	rolloutTrigger chan struct{}
 	badPushedAt    atomic.Int64
 	// quarantine holds the parts of prompts that crash engines.
-	quarantine *quarantine.Table
+	quarantine  *quarantine.Table
+	crashChecks *crashChecks
 	// quarantineWrites holds the parts whose entries have to be written to the store.
 	quarantineWrites chan string
 	// wasCandidate is set if this instance was a candidate for coordinator in the last
@@ -243,7 +244,8 @@
 	i.coordinator = preparation.NewCoordinator()
 	i.coordinator.Call, i.coordinator.ReleaseResults, i.coordinator.FreeMemory = i.stageClient.Call, i.stageClient.ReleaseResults, i.stageClient.FreeMemory
 	i.coordinator.ColdShare = func() float64 { return coldShare * i.view().ReachableShare(i.ownScope(), time.Now()) }
-	i.coordinator.Admit, i.coordinator.OnFirstEvent = i.admitPrompt, i.recordSuccess
+	i.coordinator.Admit, i.coordinator.OnFirstEvent, i.coordinator.OnEnd = i.admitPrompt, i.recordBegin, i.recordAnswerEnd
+	i.crashChecks = newCrashChecks(i.recordCrashes)
 	i.rollouts.OnBad = i.pushBadResponse
 	i.coordinator.Rollouts = i.rollouts
 	i.coordinator.Logger, i.coordinator.Counters = i.Logger, i.coordinationCounts
@@ -261,6 +263,7 @@
 		Prepare:      i.prepare,
 		Verdict:      i.verdict,
 		OnCrash:      i.recordCrash,
+		OnBreak:      i.crashChecks.add,
 		OnLeaving:    i.markLeaving,
 		OnPause:      i.pauseServer,
 		OnLoad:       i.recordLoad,
--- a/entry/late_write_test.go
+++ b/entry/late_write_test.go
@@ -70,7 +70,7 @@
 	s.store.SetHeld(platform.QuarantineStream, true)
 	is.True(i.writeQuarantine(t.Context(), key) != nil) // no response
 	s.store.SetHeld(platform.QuarantineStream, false)
-	i.recordSuccess(prompt)
+	i.announceQuarantine(i.quarantine.Commands().RecordSuccess(prompt.SharedParts(), time.Now()))
 	is.NoErr(i.writeQuarantine(t.Context(), key))
 	is.Equal(s.store.ExecuteHeld(), 1)
 	_, isQuarantined := s.store.Newest(platform.QuarantineStream, key)
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -31,7 +31,7 @@
 
 // sendStart notifies the coordinator of the first event of a request at its engine.
 func (i *Instance) sendStart(pool, server, id string, try int, took time.Duration) {
-	i.recordSuccess(i.placements.markBegun(id))
+	i.recordBegin(id, i.placements.markBegun(id))
 	load, age := i.placements.loadOf(id, time.Now())
 	i.notices.add(i.placements.coordinatorOf(id), notice{
 		Kind: startedNotice, Pool: pool, Server: server, RequestID: id, Try: try, TimeToFirstEvent: took, Load: load, LoadAge: age,
@@ -43,9 +43,10 @@
 	kind := map[preparation.RunStatus]noticeKind{
 		preparation.RunEnded: endedNotice, preparation.RunRefused: refusedNotice, preparation.RunFailed: failedNotice,
 	}[status]
+	i.recordAnswerEnd(id, status)
 	load, age := i.placements.loadOf(id, time.Now())
 	i.notices.add(i.placements.coordinatorOf(id), notice{Kind: kind, Pool: pool, Server: server, RequestID: id, Load: load, LoadAge: age})
-	i.placements.markEnded(id)
+	i.placements.markEnded(id, status)
 }
 
 // sendAbandon notifies the coordinator that a prepared request won't be sent.
@@ -141,7 +142,7 @@
 			i.coordinator.Abandon(n.RequestID, n.Try)
 		case runningNotice, promptReadNotice:
 			if n.HasBegun {
-				i.recordSuccess(n.Prompt)
+				i.recordBegin(n.RequestID, n.Prompt)
 			}
 			var until time.Time
 			if n.Remaining > 0 {
--- a/entry/placements.go
+++ b/entry/placements.go
@@ -107,11 +107,13 @@
 	return placed.load, now.Sub(placed.loadAt)
 }
 
-func (p *placements) markEnded(id string) {
+// markEnded records the end of a run. An answer that broke off says nothing about its prompt.
+func (p *placements) markEnded(id string, status preparation.RunStatus) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if placed, ok := p.byID[id]; ok {
 		placed.isEnded = true
+		placed.hasBegun = placed.hasBegun && status != preparation.RunFailed
 		p.byID[id] = placed
 	}
 }
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -42,23 +42,41 @@
 	return i.quarantine.Queries().Verdict(prompt.SharedParts(), time.Now())
 }
 
-// recordCrash records that an engine broke off an answer that had just begun.
+// recordCrash records that an engine broke off its answer to a request because it crashed.
 func (i *Instance) recordCrash(server fleet.Server, id string, prompt engine.Prompt) {
+	i.recordCrashes([]quarantine.Crash{newCrash(server, id, prompt, time.Now())})
+}
+
+func newCrash(server fleet.Server, id string, prompt engine.Prompt, at time.Time) quarantine.Crash {
+	return quarantine.Crash{
+		Server: incarnation(server), DataCentre: server.DataCentre, RequestID: id, Parts: prompt.SharedParts(), AtUnixMilli: at.UnixMilli(),
+	}
+}
+
+// recordCrashes records what engines that crashed were working on.
+func (i *Instance) recordCrashes(crashes []quarantine.Crash) {
 	now := time.Now()
-	crash := quarantine.Crash{
-		Server: incarnation(server), DataCentre: server.DataCentre, RequestID: id, Parts: prompt.SharedParts(), AtUnixMilli: now.UnixMilli(),
+	isNew := false
+	for _, c := range crashes {
+		if i.quarantine.Commands().RecordCrash(c, now) {
+			isNew = true
+			i.Logger.Write(event.EngineCrashed, c.RequestID, c.Server, c.DataCentre, c.Parts)
+		}
 	}
-	if !i.quarantine.Commands().RecordCrash(crash, now) {
-		return
+	if isNew {
+		i.triggerHeartbeats()
+		i.judgeCrashes(now)
 	}
-	i.Logger.Write(event.EngineCrashed, id, server.ID, server.DataCentre, crash.Parts)
-	i.triggerHeartbeats()
-	i.judgeCrashes(now)
 }
 
-// recordSuccess records that an engine has begun its answer to a prompt.
-func (i *Instance) recordSuccess(prompt engine.Prompt) {
-	i.announceQuarantine(i.quarantine.Commands().RecordSuccess(prompt.SharedParts(), time.Now()))
+// recordBegin records that an engine has sent the first event of its answer to a prompt.
+func (i *Instance) recordBegin(id string, prompt engine.Prompt) {
+	i.announceQuarantine(i.quarantine.Commands().RecordBegin(id, prompt.SharedParts(), time.Now()))
+}
+
+// recordAnswerEnd records how the answer to a request ended.
+func (i *Instance) recordAnswerEnd(id string, status preparation.RunStatus) {
+	i.announceQuarantine(i.quarantine.Commands().RecordEnd(id, status == preparation.RunFailed, time.Now()))
 }
 
 // judgeCrashes quarantines parts of prompts if this instance is the coordinator of its
@@ -73,10 +91,13 @@
 	i.announceQuarantine(i.quarantine.Commands().Judge(now, isOwn))
 }
 
-// runJudging judges the crashes that this instance learned of before it was allowed to.
+// runJudging settles the answers that go on, and judges the crashes that this instance learned
+// of before it was allowed to.
 func (i *Instance) runJudging(ctx context.Context) error {
 	for pause(ctx, judgeInterval) {
-		i.judgeCrashes(time.Now())
+		now := time.Now()
+		i.announceQuarantine(i.quarantine.Commands().Settle(now))
+		i.judgeCrashes(now)
 	}
 	return nil
 }
--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"sync/atomic"
@@ -69,14 +70,32 @@
 	}
 }
 
-// Guards against requests of one kind that crash one engine after the other, and against
-// the refusal of sound requests that share the other parts of their prompts.
+// Guards against requests of one kind that crash one engine after the other, whatever the
+// engines have sent of their answers, and against the refusal of sound requests that share the
+// other parts of their prompts.
 func TestCrashingPromptsAreQuarantined(t *testing.T) {
 	t.Parallel()
+	for name, moment := range map[string]site.CrashMoment{"after the head": site.AfterHead, "before the head": site.BeforeHead, "after the first event": site.AfterFirstEvent} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			testCrashingPrompts(t, moment)
+		})
+	}
+}
+
+func testCrashingPrompts(t *testing.T, moment site.CrashMoment) {
 	is := is.New(t)
 	s := newTestSite(t)
 	s.addCrashingEngines()
+	for _, w := range s.workers {
+		w.SetFault(site.Fault{CrashPart: crashPart, CrashMoment: moment})
+	}
+	s.modify = func(i *Instance) { i.crashChecks.HasEnded = s.hasCrashed }
 	s.start("n1", "n2", "n3")
+	for _, n := range s.instances {
+		status, _, _ := n.sendPrompt("POST", "/draft/1", "key-1", soundPrompt())
+		is.Equal(status, 200)
+	}
 	for n := 0; s.crashes() < crashesBeforeBound && n < 20; n++ {
 		s.instances[n%3].sendPrompt("POST", "/draft/1", "key-1", crashingPrompt())
 	}
@@ -93,6 +112,17 @@
 	}
 }
 
+// hasCrashed reports whether the worker at an address has crashed within a second. The
+// stand-in is back at once, while a real engine takes seconds to start.
+func (s *testSite) hasCrashed(_ context.Context, address string) bool {
+	for _, w := range s.workers {
+		if w.Address() == address {
+			return time.Since(w.CrashedAt()) < time.Second
+		}
+	}
+	return false
+}
+
 // listsProcesses reports whether an instance lists the present process of each engine.
 func (s *testSite) listsProcesses(n *testInstance) bool {
 	for id, w := range s.workers {
--- a/entry/run.go
+++ b/entry/run.go
@@ -64,7 +64,7 @@
 	} {
 		group.Go(func() error { return task(upkeep) })
 	}
-	for _, task := range []func(context.Context) error{i.coordinator.Run, i.notices.run, i.decisions.run, i.intake.Run, i.runQuarantineWrites} {
+	for _, task := range []func(context.Context) error{i.coordinator.Run, i.notices.run, i.decisions.run, i.intake.Run, i.runQuarantineWrites, i.crashChecks.run} {
 		group.Go(func() error { return task(work) })
 	}
 	i.Logger.Write(event.EntryStarted, Version, i.Settings.ClientAddress, i.Settings.PeerAddress, i.Settings.DataCentre)
--- a/preparation/coordinator.go
+++ b/preparation/coordinator.go
@@ -113,7 +113,9 @@
 	Admit func(task Task) (isProbe bool, failure *request.Failure)
 	// OnFirstEvent is called with the prompt of each request whose first event is
 	// recorded.
-	OnFirstEvent func(prompt engine.Prompt)
+	OnFirstEvent func(id string, prompt engine.Prompt)
+	// OnEnd is called with the ID of each request whose run has ended.
+	OnEnd func(id string, status RunStatus)
 	// OnDecision is called for each try that reserved an engine or was refused.
 	OnDecision func(p Decision)
 	// OnPrepared and OnCall are called with the durations of preparations and stage
@@ -141,7 +143,8 @@
 	return &Coordinator{
 		ColdShare:       func() float64 { return 1 },
 		Admit:           func(Task) (bool, *request.Failure) { return false, nil },
-		OnFirstEvent:    func(engine.Prompt) {},
+		OnFirstEvent:    func(string, engine.Prompt) {},
+		OnEnd:           func(string, RunStatus) {},
 		OnDecision:      func(Decision) {},
 		OnPrepared:      func(string, time.Duration) {},
 		OnCall:          func(string, time.Duration) {},
@@ -322,13 +325,14 @@
 func (c *Coordinator) RecordFirstEvent(pool, server, id string, try int, took time.Duration) {
 	c.Engines.Commands().RecordFirstEvent(pool, server, id, took, time.Now())
 	if j, ok := c.table.Commands().job(id); ok {
-		c.OnFirstEvent(j.task.Prompt)
+		c.OnFirstEvent(id, j.task.Prompt)
 	}
 	c.release(c.table.Commands().close(id, try))
 }
 
 // RecordEnd records the end of a run at an engine.
 func (c *Coordinator) RecordEnd(pool, server, id string, status RunStatus) {
+	c.OnEnd(id, status)
 	switch status {
 	case RunFailed:
 		c.Engines.Commands().RecordFailure(pool, server, id, time.Now())
--- a/quarantine/commands.go
+++ b/quarantine/commands.go
@@ -27,12 +27,16 @@
 	return true
 }
 
-// RecordSuccess records that an engine began its answer to a request with the given
-// parts, which therefore didn't crash it. It returns the entries that changed.
+// RecordSuccess records that an engine served a request with the given parts, which therefore
+// didn't crash it. It returns the entries that changed.
 func (c Commands) RecordSuccess(parts []string, now time.Time) []Entry {
-	t := c.table
-	t.mu.Lock()
-	defer t.mu.Unlock()
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	return c.table.recordSuccess(parts, now)
+}
+
+// recordSuccess is RecordSuccess for a caller that holds the lock.
+func (t *Table) recordSuccess(parts []string, now time.Time) []Entry {
 	for _, part := range parts {
 		t.successes.record(part, now)
 	}
@@ -104,11 +108,11 @@
 	t := c.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	changed := t.settle(now)
 	crashes := make([]Crash, 0, len(t.crashes))
 	for _, held := range t.crashes {
 		crashes = append(crashes, held.Crash)
 	}
-	var changed []Entry
 	set := func(e Entry) {
 		t.setEntry(e, now)
 		changed = append(changed, e)
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -57,6 +57,15 @@
 	s.show(s.table.Commands().RecordSuccess(parts, time.Now()))
 }
 
+// begin records the first event of an answer, end its end.
+func (s *story) begin(id string, parts ...string) {
+	s.show(s.table.Commands().RecordBegin(id, parts, time.Now()))
+}
+
+func (s *story) end(id string, isBroken bool) {
+	s.show(s.table.Commands().RecordEnd(id, isBroken, time.Now()))
+}
+
 func (s *story) request(id string, parts ...string) {
 	now := time.Now()
 	verdict, ok := s.table.Queries().Verdict(parts, now)
@@ -105,6 +114,52 @@
 			s.crash(fmt.Sprintf("e%d", n), fmt.Sprintf("r%d", n), "first", "second", "deadly")
 		}
 
+		s = newStory(&out, "the first event comes just before the crash")
+		s.success("first", "second")
+		for n := 1; n <= 3; n++ {
+			id := fmt.Sprintf("r%d", n)
+			time.Sleep(time.Second)
+			s.begin(id, "first", "second", "deadly")
+			s.begin(id, "first", "second", "deadly") // the coordinator is the same instance
+			time.Sleep(SettleTime / 2)
+			s.end(id, true)
+			s.end(id, true)
+			s.crash(fmt.Sprintf("e%d", n), id, "first", "second", "deadly")
+		}
+		s.request("crashing", "first", "second", "deadly")
+
+		s = newStory(&out, "an answer that goes on, or has ended, is a success")
+		for n := 1; n <= 3; n++ {
+			time.Sleep(time.Second)
+			s.crash(fmt.Sprintf("e%d", n), fmt.Sprintf("r%d", n), "first", "second")
+		}
+		s.begin("long", "first")
+		time.Sleep(SettleTime / 2)
+		s.begin("short", "second")
+		time.Sleep(SettleTime / 4)
+		s.end("short", false)
+		s.request("sound", "first", "second")
+		time.Sleep(SettleTime / 4)
+		s.begin("another", "first")
+		s.request("sound", "first", "second")
+
+		s = newStory(&out, "sixteen sound requests beside the one that crashes the engine, with parts of their own")
+		for n := 1; n <= 4; n++ {
+			time.Sleep(time.Second)
+			for k := range 16 {
+				s.success("first", fmt.Sprint("session ", k))
+			}
+			time.Sleep(time.Second)
+			for k := range 16 {
+				s.crash(fmt.Sprintf("e%d", n), fmt.Sprintf("sound %d.%d", n, k), "first", fmt.Sprint("session ", k))
+			}
+			s.crash(fmt.Sprintf("e%d", n), fmt.Sprintf("r%d", n), "first", "deadly")
+		}
+		for k := range 16 {
+			s.request(fmt.Sprint("sound ", k), "first", fmt.Sprint("session ", k))
+		}
+		s.request("crashing", "first", "deadly")
+
 		s = newStory(&out, "engines fail together, then again: each time counts once")
 		for n := 1; n <= 9; n++ {
 			if n == 5 {
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -18,6 +18,8 @@
 	entries map[string]heldEntry
 	// successes holds the last success of each part.
 	successes successLog
+	// begun holds the answers that have begun lately, in order.
+	begun []begunAnswer
 	// quarantined is the number of entries that are quarantined. It is read without the lock.
 	quarantined atomic.Int64
 }
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -33,11 +33,12 @@
 	// OnCrash is called after each crash, unless it is nil.
 	OnCrash func()
 
-	mu      sync.Mutex
-	runs    []Run
-	crashes int
-	refused int
-	calls   int
+	mu        sync.Mutex
+	runs      []Run
+	crashes   int
+	crashedAt time.Time
+	refused   int
+	calls     int
 	// connections holds the open connections, which a crash closes.
 	connections map[net.Conn]bool
 	fault       Fault
@@ -79,8 +80,20 @@
 	// CrashPart crashes the worker when it begins to answer a request whose prompt has
 	// this part, if it is not empty: all connections break off, and it starts again.
 	CrashPart string
+	// CrashMoment is when the worker crashes in the answer to such a request.
+	CrashMoment CrashMoment
 }
 
+// CrashMoment is how much of an answer a worker has sent when it crashes.
+type CrashMoment int
+
+// The moments of crashes: the head, nothing, or the head and the first event.
+const (
+	AfterHead CrashMoment = iota
+	BeforeHead
+	AfterFirstEvent
+)
+
 // NewWorker starts a worker on loopback.
 func NewWorker(id string) *Worker {
 	w := &Worker{ID: id, handles: map[string]bool{}, connections: map[net.Conn]bool{}}
@@ -110,6 +123,7 @@
 func (w *Worker) crash() {
 	w.mu.Lock()
 	w.crashes++
+	w.crashedAt = time.Now()
 	for conn := range w.connections {
 		_ = conn.Close()
 	}
@@ -146,6 +160,13 @@
 	rw.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// CrashedAt returns when the worker crashed last, the zero time if it never has.
+func (w *Worker) CrashedAt() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.crashedAt
+}
+
 // Crashes returns how often the worker has crashed.
 func (w *Worker) Crashes() int {
 	w.mu.Lock()
@@ -229,8 +250,7 @@
 		rw.WriteHeader(fault.Status)
 	}
 	if fault.CrashPart != "" && strings.Contains(r.Header.Get("Prompt-Prefix"), fault.CrashPart+":") {
-		_ = http.NewResponseController(rw).Flush()
-		w.crash()
+		w.crashIn(rw, r, fault.CrashMoment)
 		return
 	}
 	if w.Events == 0 {
@@ -241,6 +261,27 @@
 	w.stream(rw, r, fault, number)
 }
 
+// crashIn crashes the worker in its answer to a request.
+func (w *Worker) crashIn(rw http.ResponseWriter, r *http.Request, moment CrashMoment) {
+	switch moment {
+	case BeforeHead:
+	case AfterHead:
+		_ = http.NewResponseController(rw).Flush()
+	case AfterFirstEvent:
+		last, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		if err != nil {
+			last = 0
+		}
+		rw.Header().Set("Content-Type", "text/event-stream")
+		fmt.Fprintf(rw, "id: %d\ndata: %d\n\n", last+1, last+1)
+		_ = http.NewResponseController(rw).Flush()
+		// The event leaves before the connections end.
+		time.Sleep(w.Pause)
+	}
+	w.crash()
+	panic(http.ErrAbortHandler)
+}
+
 func (w *Worker) stream(rw http.ResponseWriter, r *http.Request, fault Fault, number int) {
 	rw.Header().Set("Content-Type", "text/event-stream")
 	last, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
