feed: take no removal from before the copy for a later one

What callers would see: after a return of the store, an evacuation that it has lost ends if the instance that reads the new era first had missed it, and had started after an earlier evacuation of the data centre was taken back.

--- a/feed/era.go
+++ b/feed/era.go
@@ -70,13 +70,13 @@
 	return s
 }
 
-// mayPrecede reports whether a removal may have been written before the state's record of its
-// key, which is of an earlier era: then it is from the copy that the store came back from. The
-// store gives out the offset of a record that it has lost, and those after it, only in the
-// later era.
+// mayPrecede reports whether a removal may have been written before the record of its key that
+// the state has from an earlier era, or that other instances may have: then it is from the copy
+// that the store came back from. The store gives out the offset of a record that it has lost,
+// and those after it, only in the later era.
 func (s State) mayPrecede(r Record) bool {
 	old, ok := s.records[r.Key]
-	return ok && r.IsRemoved && old.Era < r.Era && r.Offset < old.Offset
+	return r.IsRemoved && (!ok || old.Era < r.Era && r.Offset < old.Offset)
 }
 
 // keepsAt reports whether values that the store no longer holds are kept at a time.
