--- a/entry/feeds.go
+++ b/entry/feeds.go
@@ -212,7 +212,9 @@
 		changed = len(fresh)
 		i.applyRecords(stream, fresh)
 	})
-	i.Logger.Write(event.SnapshotRead, stream, end.Era, end.Offset, before.Era, before.End, len(records), changed)
+	if end.Offset > 0 || before.End > 0 {
+		i.Logger.Write(event.SnapshotRead, stream, end.Era, end.Offset, before.Era, before.End, len(records), changed)
+	}
 	if !isApplied {
 		return nil // the copy is of a later era already
 	}
--- a/entry/feeds_test.go
+++ b/entry/feeds_test.go
@@ -1,28 +1,32 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"io"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"lycheecrank.example/event"
 	"lycheecrank.example/membership"
 	"lycheecrank.example/platform"
 	"lycheecrank.example/standin/site"
 )
 
-// Guards against reads of an empty stream without a pause: before the first
-// configuration was written, each instance of a large site made 40 calls to the store in
-// its first second.
+// Guards against reads of an empty stream without a pause, and against a log line for each:
+// before the first configuration was written, each instance of a large site made 40 calls to
+// the store in its first second.
 func TestEmptyStreamIsReadAtIntervals(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
 	store := site.NewStore()
 	t.Cleanup(store.Close)
-	i := New(platform.Settings{Name: "n1", DataCentre: "a", PeerAddress: "n1:1", StoreAddress: store.Address()}, io.Discard)
+	var log bytes.Buffer
+	i := New(platform.Settings{Name: "n1", DataCentre: "a", PeerAddress: "n1:1", StoreAddress: store.Address()}, &log)
 	const intervals = 5
 	ctx, cancel := context.WithTimeout(t.Context(), intervals*readCheckInterval)
 	defer cancel()
@@ -30,6 +34,8 @@
 	reads := i.storeCalls.Values()["log-newest.200"]
 	is.True(reads >= 1)
 	is.True(reads <= intervals+1)
+	is.NoErr(i.Logger.Close())
+	is.True(!strings.Contains(log.String(), event.SnapshotRead.Name))
 }
 
 // Guards against reads of the store by all instances of a site that start at once.
